--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -46,7 +47,7 @@
 	answer := caller.Answer{RequestID: id}
 	req, err := h.admit(rest, id, start)
 	if err == nil {
-		answer.Output, answer.Stages, err = h.Runner.Run(rest.Request.Context(), req)
+		answer.Output, answer.Stages, err = h.run(rest.Request.Context(), req)
 	}
 	complete(&answer, err)
 	answer.Took = h.Clock.Since(start)
@@ -57,6 +58,17 @@
 	json.NewEncoder(resp).Encode(&answer)
 }
 
+// run passes an admissible request through the workspace's limits to the
+// pipeline.
+func (h *Host) run(ctx context.Context, req *pipeline.Request) (string, []caller.StageReport, error) {
+	release, err := h.Admission.Admit(req.Workspace, req.Pipeline, req.Priority, req.Deadline)
+	if err != nil {
+		return "", nil, err
+	}
+	defer release()
+	return h.Runner.Run(ctx, req)
+}
+
 // complete fills the result fields of a from err.
 func complete(a *caller.Answer, err error) {
 	a.Ran = result.RanYes
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,7 @@
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
+	"berylswitch.example/berylswitch/internal/workspace"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -33,6 +34,7 @@
 	Targets    *target.Registry
 	Dispatcher *queue.Dispatcher
 	Runner     *pipeline.Runner
+	Admission  *workspace.Admission
 	RPC        *rpc.Server
 }
 
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -10,6 +10,7 @@
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
+	"berylswitch.example/berylswitch/internal/workspace"
 	"github.com/google/wire"
 	"go.uber.org/zap"
 )
@@ -25,6 +26,8 @@
 		wire.Bind(new(platform.Log), new(*platform.Client)),
 		wire.Struct(new(section.Follower), "Log", "Clock"),
 		wire.Struct(new(target.Registry)),
+		wire.Struct(new(workspace.Admission), "*"),
+		wire.Struct(new(workspace.Retries), "*"),
 		wire.Struct(new(pipeline.Runner), "*"),
 		wire.Struct(new(Host), "*"),
 	))
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -13,6 +13,7 @@
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
+	"berylswitch.example/berylswitch/internal/workspace"
 	"go.uber.org/zap"
 )
 
@@ -29,10 +30,17 @@
 	registry := &target.Registry{}
 	dispatcher := provideDispatcher(s, c, registry)
 	targetClient := target.NewClient(n)
+	retries := &workspace.Retries{
+		Clock: c,
+	}
 	runner := &pipeline.Runner{
 		Clock:      c,
 		Dispatcher: dispatcher,
 		Client:     targetClient,
+		Retries:    retries,
+	}
+	admission := &workspace.Admission{
+		Clock: c,
 	}
 	server := provideRPC()
 	host := &Host{
@@ -45,6 +53,7 @@
 		Targets:    registry,
 		Dispatcher: dispatcher,
 		Runner:     runner,
+		Admission:  admission,
 		RPC:        server,
 	}
 	return host
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -13,6 +13,7 @@
 	"berylswitch.example/berylswitch/internal/contract"
 	"berylswitch.example/berylswitch/internal/queue"
 	"berylswitch.example/berylswitch/internal/target"
+	"berylswitch.example/berylswitch/internal/workspace"
 	"berylswitch.example/berylswitch/pkg/caller"
 	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
@@ -38,6 +39,7 @@
 	Clock      *clock.Service
 	Dispatcher *queue.Dispatcher
 	Client     *target.Client
+	Retries    *workspace.Retries
 }
 
 // Run executes the stages of req and returns the output of the last. Its error
