Fold claims on the log and answer them from batching holders

A non-idempotent request needs to be the first claim for its key in log order. Nothing rests on who holds a partition.

--- /dev/null
+++ b/internal/claim/holder.go
@@ -0,0 +1,198 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Members names the hosts that are believed alive; *peer.Exchange does.
+type Members interface {
+	Members() *peer.Members
+}
+
+var _ Members = (*peer.Exchange)(nil)
+
+// Stats counts what the partitions of a host did.
+type Stats struct {
+	// Appends counts appends, Records the records in them.
+	Appends, Records metrics.Counter
+	// TableFull counts claims that met the limit of a table.
+	TableFull metrics.Counter
+	// Entries is the number of keys of the partition that was looked at last.
+	Entries metrics.Gauge
+}
+
+// NewStats returns counters at zero.
+func NewStats() *Stats {
+	return &Stats{metrics.NewCounter(), metrics.NewCounter(), metrics.NewCounter(), metrics.NewGauge()}
+}
+
+// Times of a Holder.
+const (
+	// viewPeriod is the time between looks at the members.
+	viewPeriod = time.Second
+	// idleClose is the time after which a partition that another host holds is
+	// no longer followed.
+	idleClose = 2 * time.Minute
+)
+
+// Holder follows the partitions that this host holds, and others while it is
+// asked about them. Exported fields are set before Run.
+type Holder struct {
+	Clock   *clock.Service
+	Log     platform.Log
+	Members Members
+	// Self is the name of this host.
+	Self string
+	// Limit bounds the keys of a partition; zero means MaxEntries.
+	Limit int
+	Stats *Stats
+
+	mu   sync.Mutex
+	ctx  context.Context // of Run; nil before and after
+	open map[int]*openPartition
+	wg   sync.WaitGroup
+}
+
+// openPartition is a partition that is followed.
+type openPartition struct {
+	*partition
+	cancel context.CancelFunc
+	used   time.Time
+}
+
+// Run follows the partitions that this host holds until ctx ends.
+func (h *Holder) Run(ctx context.Context) error {
+	h.mu.Lock()
+	h.ctx, h.open = ctx, map[int]*openPartition{}
+	h.mu.Unlock()
+	tick := h.Clock.Subscribe(ctx, viewPeriod)
+	h.review()
+	for {
+		select {
+		case <-tick:
+			h.review()
+		case <-ctx.Done():
+			h.mu.Lock()
+			h.ctx = nil
+			h.mu.Unlock()
+			h.wg.Wait()
+			return ctx.Err()
+		}
+	}
+}
+
+// review opens the partitions that this host holds by its view of the members,
+// and closes those that it doesn't hold and isn't asked about.
+func (h *Holder) review() {
+	now, members := h.Clock.Now(), h.Members.Members()
+	for n := range Partitions {
+		if members.Holder(streamName(n)).Name == h.Self {
+			h.partition(n, now)
+			continue
+		}
+		h.mu.Lock()
+		if p := h.open[n]; p != nil && now.Sub(p.used) > idleClose {
+			p.cancel()
+			delete(h.open, n)
+		}
+		h.mu.Unlock()
+	}
+}
+
+// partition returns an open partition, or nil while the Holder doesn't run.
+func (h *Holder) partition(n int, now time.Time) *partition {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ctx == nil || h.ctx.Err() != nil {
+		return nil
+	}
+	if p := h.open[n]; p != nil {
+		p.used = now
+		return p.partition
+	}
+	ctx, cancel := context.WithCancel(h.ctx)
+	p := h.newPartition(n)
+	h.open[n] = &openPartition{partition: p, cancel: cancel, used: now}
+	h.wg.Go(func() { p.run(ctx) })
+	return p
+}
+
+func (h *Holder) newPartition(n int) *partition {
+	p := &partition{
+		stream:    streamName(n),
+		clock:     h.Clock,
+		log:       h.Log,
+		limit:     h.Limit,
+		stats:     h.Stats,
+		questions: make(chan *question),
+		reads:     make(chan readResult),
+		appended:  make(chan appendResult),
+		done:      make(chan struct{}),
+		waiting:   map[string]*pending{},
+	}
+	if p.limit == 0 {
+		p.limit = MaxEntries
+	}
+	if p.stats == nil {
+		p.stats = NewStats()
+	}
+	return p
+}
+
+// Ask answers a question of this host or of a peer.
+func (h *Holder) Ask(a *Question) Reply {
+	now := h.Clock.Now()
+	wait := min(a.Wait, maxWait)
+	q := &question{kind: a.Kind, request: a.Request, until: now.Add(wait), reply: make(chan answer, 1)}
+	var err error
+	if q.entry, err = a.entry(); err != nil {
+		return refused(result.NotRun(result.BadRequest, "%v", err))
+	}
+	p := h.partition(partitionOf(a.Request.Workspace, a.Request.Key), now)
+	if p == nil {
+		return Reply{}
+	}
+	late, stop := h.Clock.After(wait)
+	defer stop()
+	select {
+	case p.questions <- q:
+	case <-p.done:
+		return Reply{}
+	case <-late:
+		return Reply{}
+	}
+	select {
+	case r := <-q.reply:
+		return h.complete(p, q, r, wait)
+	case <-p.done:
+	case <-late:
+	}
+	return Reply{Uncertain: true}
+}
+
+// complete reads the stored answer from the log when the partition no longer
+// has it in memory.
+func (h *Holder) complete(p *partition, q *question, r answer, wait time.Duration) Reply {
+	if r.answerAt == 0 {
+		return r.Reply
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	b, err := h.Log.Read(ctx, p.stream, r.answerAt, 0)
+	var o OutcomeRecord
+	if err != nil || len(b.Records) == 0 || json.Unmarshal(b.Records[0].Data, &o) != nil || o.Key != q.request.Key {
+		r.Outcome.Stored = false
+		return r.Reply
+	}
+	r.Outcome.Answer = o.Outcome.Answer
+	return r.Reply
+}
--- /dev/null
+++ b/internal/claim/table.go
@@ -0,0 +1,308 @@
+package claim
+
+import (
+	"encoding/json"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/pkg/result"
+)
+
+// Table is the fold of one Claims stream. It is used by one goroutine. The zero
+// value is the state before the first record.
+//
+// Records that are too late by the log's clock have no effect: a claim after
+// the window of its key, and a claim after its own Until plus MaxSkew. So a
+// Table that starts at any offset older than Window plus twice MaxSkew agrees
+// with one that read the whole stream about every key that can still be
+// claimed, and it can forget what is older.
+type Table struct {
+	entries map[identity]*entry
+	// expiring lists the entries by the end of their window, in buckets.
+	expiring map[time.Time][]identity
+	// at is the time of the newest record by the log's clock, and floor the
+	// newest time that the log's clock is known to have passed. Only at decides
+	// whether a claim was late, so that all hosts agree; a key that has expired
+	// by floor stays so.
+	at, floor time.Time
+	marks     int
+	rule      int
+	answers   answers
+}
+
+// expiryBucket is the width in time of a bucket of expiring entries.
+const expiryBucket = time.Minute
+
+// entry is the state of one key.
+type entry struct {
+	owner   identity // the attempt that was first; zero when released
+	digest  identity
+	until   time.Time
+	outcome *outcome
+	// marks are the attempts that can't become first any more, though a copy of
+	// their claim may still arrive.
+	marks []mark
+}
+
+// outcome is the end of a claim; its answer is in Table.answers or at offset.
+type outcome struct {
+	Outcome
+	offset platform.Offset
+}
+
+type mark struct {
+	attempt identity
+	until   time.Time
+}
+
+// Applied is what a record did.
+type Applied struct {
+	// ID is the record's ID.
+	ID string
+	// Verdict is the verdict on a claim, nil for other kinds.
+	Verdict Verdict
+}
+
+// Len returns the number of keys and marks that the table holds.
+func (t *Table) Len() int { return len(t.entries) + t.marks }
+
+// Known reports whether the rules in force are known to this code. Without
+// them the table gives no verdicts.
+func (t *Table) Known() bool { return t.rule <= RuleVersion }
+
+// Advance tells the table that the log's clock has passed floor. It forgets the
+// keys whose window has passed.
+func (t *Table) Advance(floor time.Time) {
+	if !floor.After(t.floor) {
+		return
+	}
+	t.floor = floor
+	for end, ids := range t.expiring {
+		if floor.Before(end) {
+			continue
+		}
+		for _, id := range ids {
+			t.forget(id)
+		}
+		delete(t.expiring, end)
+	}
+}
+
+func (t *Table) forget(id identity) {
+	if e := t.entries[id]; e != nil {
+		t.marks -= len(e.marks)
+		delete(t.entries, id)
+		t.answers.remove(id)
+	}
+}
+
+// Apply folds the next record of the stream.
+func (t *Table) Apply(r *platform.Record) Applied {
+	if r.At.After(t.at) {
+		t.at = r.At
+	}
+	t.Advance(t.at)
+	a := Applied{ID: r.ID}
+	switch r.Kind {
+	case ClaimKind:
+		var c Request
+		if json.Unmarshal(r.Data, &c) == nil {
+			a.Verdict = t.claim(&c)
+		}
+	case ReleaseKind:
+		var c Request
+		if json.Unmarshal(r.Data, &c) == nil {
+			t.release(&c)
+		}
+	case OutcomeKind:
+		var o OutcomeRecord
+		if json.Unmarshal(r.Data, &o) == nil {
+			t.finish(&o, r.Offset)
+		}
+	case RuleKind:
+		var rule Rule
+		if json.Unmarshal(r.Data, &rule) == nil {
+			t.rule = max(t.rule, rule.Version)
+		}
+	}
+	return a
+}
+
+// claim folds a claim. The first attempt on a key that is free gets it.
+func (t *Table) claim(c *Request) Verdict {
+	if late := t.lateClaim(c); late != nil {
+		return Refused{late}
+	}
+	id, attempt := identify(c.Workspace, canonical(c.Key)), identify(c.AttemptID)
+	e := t.open(id, c.Key)
+	t.prune(e)
+	switch {
+	case e.owner == attempt:
+		return t.held(id, e)
+	case e.marked(attempt):
+		return t.refuse(id, e, c)
+	case e.owner == identity{}:
+		e.owner, e.digest, e.until = attempt, identify(c.Digest), c.Until
+		return First{}
+	default:
+		t.mark(e, attempt, c.Until)
+		return t.refuse(id, e, c)
+	}
+}
+
+// lateClaim judges a claim by the log's clock alone.
+func (t *Table) lateClaim(c *Request) *result.Error {
+	if err := checkKey(c.Key, t.floor); err != nil {
+		return err
+	}
+	if t.at.After(c.Until.Add(MaxSkew)) {
+		return result.NotRun(result.LogUnavailable, "the claim reached the log after its deadline")
+	}
+	if c.Until.After(t.at.Add(MaxHold + MaxSkew)) {
+		return result.NotRun(result.BadRequest, "a claim can't be held for more than %s", MaxHold)
+	}
+	return nil
+}
+
+// open returns the entry of a key within its window, a new one if need be.
+func (t *Table) open(id identity, key string) *entry {
+	if e := t.entries[id]; e != nil {
+		return e
+	}
+	if t.entries == nil {
+		t.entries = map[identity]*entry{}
+		t.expiring = map[time.Time][]identity{}
+	}
+	e := &entry{}
+	t.entries[id] = e
+	made, _ := keyTime(key)
+	end := made.Add(Window + MaxSkew).Truncate(expiryBucket).Add(expiryBucket)
+	t.expiring[end] = append(t.expiring[end], id)
+	return e
+}
+
+// held is the verdict on a further copy of the first claim.
+func (t *Table) held(id identity, e *entry) Verdict {
+	if e.outcome != nil {
+		return Repeat{t.stored(id, e)}
+	}
+	return First{}
+}
+
+// refuse is the verdict on an attempt that was not the first.
+func (t *Table) refuse(id identity, e *entry, c *Request) Verdict {
+	switch {
+	case e.owner == identity{}:
+		return Refused{inProgress("another attempt with this key was given up; repeat it")}
+	case e.digest != identify(c.Digest):
+		return Refused{result.NotRun(result.KeyReused, "the idempotency key was used with another body")}
+	case e.outcome != nil:
+		return Repeat{t.stored(id, e)}
+	case t.floor.After(e.until.Add(MaxSkew)):
+		return Refused{result.Failed(result.OutcomeUnknown, "the attempt that claimed this key ended without an outcome")}
+	default:
+		return Refused{inProgress("the first attempt with this key is still running")}
+	}
+}
+
+// repeatAfter is the time after which a repeat of a running key is worth while.
+const repeatAfter = time.Second
+
+func inProgress(message string) *result.Error {
+	e := result.Failed(result.InProgress, "%s", message)
+	e.RetryAfter = repeatAfter
+	return e
+}
+
+// release frees a key that an attempt claimed, and keeps a copy of its claim
+// that arrives later from taking the key.
+func (t *Table) release(c *Request) {
+	if checkKey(c.Key, t.floor) != nil {
+		return
+	}
+	attempt := identify(c.AttemptID)
+	e := t.open(identify(c.Workspace, canonical(c.Key)), c.Key)
+	t.prune(e)
+	if e.owner == attempt && e.outcome != nil {
+		return
+	}
+	if e.owner == attempt {
+		e.owner, e.digest, e.until = identity{}, identity{}, time.Time{}
+	}
+	if !e.marked(attempt) {
+		t.mark(e, attempt, c.Until)
+	}
+}
+
+// finish keeps the outcome of the attempt that holds the key.
+func (t *Table) finish(o *OutcomeRecord, at platform.Offset) {
+	id := identify(o.Workspace, canonical(o.Key))
+	e := t.entries[id]
+	if e == nil || e.owner != identify(o.AttemptID) || e.outcome != nil {
+		return
+	}
+	kept := o.Outcome
+	t.answers.put(id, kept.Answer)
+	kept.Answer = nil
+	e.outcome = &outcome{Outcome: kept, offset: at}
+}
+
+// stored returns the outcome of e with its answer, if that is in memory.
+func (t *Table) stored(id identity, e *entry) Outcome {
+	o := e.outcome.Outcome
+	o.Answer = t.answers.get(id)
+	return o
+}
+
+// Find gives the verdict that the table already has on c, if any; nil means
+// that the claim has to go to the log.
+func (t *Table) Find(c *Request) Verdict {
+	id, attempt := identify(c.Workspace, canonical(c.Key)), identify(c.AttemptID)
+	e := t.entries[id]
+	switch {
+	case e == nil:
+		return nil
+	case e.owner == attempt:
+		return t.held(id, e)
+	case e.owner != identity{} || e.marked(attempt):
+		return t.refuse(id, e, c)
+	}
+	return nil
+}
+
+// OutcomeAt returns the offset of the record with the answer for c when the
+// answer is no longer in memory, else zero.
+func (t *Table) OutcomeAt(c *Request) platform.Offset {
+	id := identify(c.Workspace, canonical(c.Key))
+	e := t.entries[id]
+	if e == nil || e.outcome == nil || !e.outcome.Stored || t.answers.has(id) {
+		return 0
+	}
+	return e.outcome.offset
+}
+
+func (e *entry) marked(attempt identity) bool {
+	for _, m := range e.marks {
+		if m.attempt == attempt {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) mark(e *entry, attempt identity, until time.Time) {
+	e.marks = append(e.marks, mark{attempt, until})
+	t.marks++
+}
+
+// prune drops the marks of attempts whose claims would be late in any case.
+func (t *Table) prune(e *entry) {
+	kept := e.marks[:0]
+	for _, m := range e.marks {
+		if !t.at.After(m.until.Add(MaxSkew)) {
+			kept = append(kept, m)
+		}
+	}
+	t.marks -= len(e.marks) - len(kept)
+	e.marks = kept
+}
--- /dev/null
+++ b/internal/claim/world_test.go
@@ -0,0 +1,307 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"testing"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/internal/standin"
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+var logAddr = netip.MustParseAddrPort("10.0.1.1:80")
+
+// world is a log service and some hosts' claimers in one bubble.
+type world struct {
+	t     *testing.T
+	net   *link.Memory
+	log   *standin.Log
+	http  *http.Server
+	hosts []*testHost
+
+	mu    sync.Mutex
+	sends []*send
+	runs  map[string][]*send // by key
+	wg    sync.WaitGroup
+}
+
+// testHost is one host; a killed one can be started again.
+type testHost struct {
+	w       *world
+	name    string
+	addr    netip.AddrPort
+	clock   *clock.Service
+	members *testMembers
+	holder  *Holder
+	client  *Client
+	ctx     context.Context // of this life; nil while dead
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	frozen  bool
+	freezes int
+}
+
+// testMembers is a host's own view of who is alive.
+type testMembers struct {
+	mu sync.Mutex
+	m  *peer.Members
+}
+
+func (m *testMembers) Members() *peer.Members {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.m
+}
+
+func (m *testMembers) set(hosts []peer.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.m = peer.NewMembers(hosts)
+}
+
+// send is one request of a caller and what became of it.
+type send struct {
+	host      *testHost
+	life      context.Context
+	request   Request
+	began     time.Time
+	took      time.Duration
+	freezes   int
+	verdict   Verdict
+	err       error
+	ended     bool // Claim returned to a living host
+	ran       bool
+	finished  bool // Finish returned nil
+	releasing bool
+}
+
+func newWorld(t *testing.T, skews []time.Duration) *world {
+	w := &world{t: t, net: &link.Memory{Delay: time.Millisecond}, log: &standin.Log{}, runs: map[string][]*send{}}
+	l, err := w.net.Process(logAddr.Addr()).Listen(logAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.http = &http.Server{Handler: w.log}
+	go w.http.Serve(l)
+	for i, skew := range skews {
+		w.hosts = append(w.hosts, &testHost{
+			w:       w,
+			name:    fmt.Sprintf("h%d", i),
+			addr:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 81),
+			clock:   &clock.Service{Skew: skew},
+			members: &testMembers{},
+		})
+	}
+	for _, h := range w.hosts {
+		h.members.set(w.view(nil))
+		h.start()
+	}
+	return w
+}
+
+// view returns the hosts but those left out.
+func (w *world) view(without map[int]bool) []peer.Host {
+	var out []peer.Host
+	for i, h := range w.hosts {
+		if !without[i] {
+			out = append(out, peer.Host{Name: h.name, Addr: h.addr})
+		}
+	}
+	return out
+}
+
+func (h *testHost) start() {
+	if h.ctx != nil {
+		return
+	}
+	network := h.w.net.Process(h.addr.Addr())
+	client := platform.NewClient(network, logAddr, logAddr)
+	peers := &peer.Caller{Net: network}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.holder = &Holder{Clock: h.clock, Log: client, Members: h.members, Self: h.name}
+	h.client = NewClient(h.clock, h.members, peers, h.holder)
+	server := rpc.NewServer()
+	server.RegisterName(ServiceName, &Service{h.holder})
+	l, err := network.Listen(h.addr)
+	if err != nil {
+		h.w.t.Fatal(err)
+	}
+	ctx, holder, claimer := h.ctx, h.holder, h.client
+	h.done.Go(func() { holder.Run(ctx) })
+	h.done.Go(func() { claimer.Run(ctx) })
+	h.done.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go server.ServeConn(conn)
+		}
+	})
+	context.AfterFunc(ctx, func() {
+		l.Close()
+		peers.Close()
+		client.HTTP.CloseIdleConnections()
+	})
+}
+
+// kill ends the host at once.
+func (h *testHost) kill() {
+	if h.ctx == nil {
+		return
+	}
+	h.w.net.Kill(h.addr.Addr())
+	h.cancel()
+	h.thaw()
+	h.done.Wait()
+	h.ctx = nil
+}
+
+func (h *testHost) freeze() {
+	h.clock.Suspend()
+	h.frozen = true
+	h.freezes++
+}
+
+func (h *testHost) thaw() {
+	h.clock.Resume()
+	h.frozen = false
+}
+
+// close ends the world so that the bubble can end.
+func (w *world) close() {
+	w.heal()
+	for _, h := range w.hosts {
+		h.kill()
+	}
+	w.wg.Wait()
+	w.http.Close()
+}
+
+// heal ends every fault but dead hosts.
+func (w *world) heal() {
+	w.log.SetFaults(standin.LogFaults{})
+	for _, h := range w.hosts {
+		h.thaw()
+		w.net.Heal(h.addr.Addr(), logAddr.Addr())
+		w.net.Heal(logAddr.Addr(), h.addr.Addr())
+		for _, other := range w.hosts {
+			w.net.Heal(h.addr.Addr(), other.addr.Addr())
+		}
+		h.members.set(w.view(nil))
+	}
+}
+
+// key returns the same UUIDv7 for the same name, made now.
+func (w *world) key(name string) string {
+	u := uuid.UUID{}
+	ms := time.Now().UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (40 - 8*i))
+	}
+	sum := xxhash.Sum64String(name)
+	for i := range 8 {
+		u[8+i] = byte(sum >> (8 * i))
+	}
+	u[6], u[8] = 0x70, u[8]&0x3f|0x80
+	return u.String()
+}
+
+// plan is how a caller's request behaves.
+type plan struct {
+	host   int
+	key    string
+	body   string
+	wait   time.Duration // until the claimer's deadline
+	hold   time.Duration // that the target takes
+	giveUp bool          // release instead of running
+}
+
+// send starts a request in the background.
+func (w *world) send(p plan) *send {
+	h := w.hosts[p.host]
+	s := &send{host: h, life: h.ctx, freezes: h.freezes}
+	w.mu.Lock()
+	attempt := fmt.Sprintf("a%d", len(w.sends))
+	w.sends = append(w.sends, s)
+	w.mu.Unlock()
+	s.request = Request{Workspace: "W", Key: p.key, Digest: p.body, AttemptID: attempt}
+	if h.ctx == nil {
+		return s
+	}
+	w.wg.Go(func() { w.serve(s, p, h.client) })
+	return s
+}
+
+// serve does what a host does with a non-idempotent request.
+func (w *world) serve(s *send, p plan, c Claimer) {
+	h := s.host
+	s.began = h.clock.Now()
+	s.request.Until = s.began.Add(p.wait)
+	s.verdict, s.err = c.Claim(s.life, s.request)
+	s.took = time.Since(s.began.Add(-h.clock.Skew))
+	if s.life.Err() != nil {
+		return
+	}
+	s.ended = true
+	if _, ok := s.verdict.(First); !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.life, p.wait+5*time.Second)
+	defer cancel()
+	if p.giveUp || !s.request.Valid(h.clock.Now()) {
+		s.releasing = true
+		c.Release(ctx, s.request)
+		return
+	}
+	w.mu.Lock()
+	s.ran = true
+	w.runs[p.key] = append(w.runs[p.key], s)
+	w.mu.Unlock()
+	if h.clock.Sleep(ctx, p.hold) != nil {
+		return
+	}
+	answer, _ := json.Marshal(s.request.AttemptID)
+	s.finished = c.Finish(ctx, s.request, Outcome{Code: result.OK, Ran: result.RanYes, Answer: answer}) == nil && s.life.Err() == nil
+}
+
+// describe gives what a caller was told, for scripts.
+func (s *send) describe() string {
+	switch {
+	case !s.ended && s.life == nil:
+		return "host was dead"
+	case !s.ended && s.life.Err() != nil:
+		return "host died"
+	case !s.ended:
+		return "waiting"
+	case s.err != nil:
+		return fmt.Sprintf("error %s, Ran %s", result.From(s.err).Code, result.From(s.err).Ran)
+	}
+	switch v := s.verdict.(type) {
+	case First:
+		switch {
+		case s.releasing:
+			return "first, released"
+		case s.finished:
+			return "first, ran, finished"
+		}
+		return "first, ran"
+	case Repeat:
+		return fmt.Sprintf("repeat of %s, Ran %s, answer %s", v.Outcome.Code, v.Outcome.Ran, v.Outcome.Answer)
+	case Refused:
+		return fmt.Sprintf("refused %s, Ran %s", v.Result.Code, v.Result.Ran)
+	}
+	panic(fmt.Sprintf("unexpected verdict %T", s.verdict))
+}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -14,6 +14,9 @@
 
 // Service hands out times, waits and ticks. The zero value is ready for use.
 type Service struct {
+	// Skew is added to every time that Now returns. It is set before use.
+	Skew time.Duration
+
 	mu      sync.Mutex
 	resumed chan struct{} // non-nil while suspended; closed on Resume
 }
@@ -53,7 +56,7 @@
 // Now returns the current time with its monotonic reading.
 func (s *Service) Now() time.Time {
 	s.gate()
-	return time.Now()
+	return time.Now().Add(s.Skew)
 }
 
 // Since returns the time elapsed since t.
