--- a/internal/claim/script_test.go
+++ b/internal/claim/script_test.go
@@ -29,10 +29,11 @@
 	})
 }
 
-// command runs one command. It lets a millisecond pass after each, so that
+// command runs one command. It lets a millisecond pass before each, so that
 // commands take effect in their order.
 func (s *script) command(t *testing.T, d *datadriven.TestData) string {
-	defer time.Sleep(time.Millisecond)
+	time.Sleep(time.Millisecond)
+	synctest.Wait()
 	switch d.Cmd {
 	case "hosts":
 		s.w = newWorld(t, make([]time.Duration, s.number(t, d, "count")))
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -5,6 +5,7 @@
 	"net/rpc"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -34,4 +35,10 @@
 	return &queue.Dispatcher{Clock: c, Targets: r, Policy: queue.LeastOfTwo{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
+func providePeers(n link.Network) *peer.Caller { return &peer.Caller{Net: n} }
+
+func provideHolder(s *settings.Settings, c *clock.Service, l platform.Log, x *peer.Exchange) *claim.Holder {
+	return &claim.Holder{Clock: c, Log: l, Members: x, Self: s.Name, Stats: claim.NewStats()}
+}
+
 func provideRPC() *rpc.Server { return rpc.NewServer() }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/rpc"
 
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -35,12 +36,18 @@
 	Dispatcher *queue.Dispatcher
 	Runner     *pipeline.Runner
 	Admission  *workspace.Admission
+	Claims     *claim.Holder
+	Claimer    *claim.Client
+	Peers      *peer.Caller
 	RPC        *rpc.Server
 }
 
 // Run serves until ctx ends, then drains.
 func (h *Host) Run(ctx context.Context) error {
 	h.Follower.OnState = func(s *section.State) { h.Targets.Publish(s.View) }
+	if err := h.RPC.RegisterName(claim.ServiceName, &claim.Service{Holder: h.Claims}); err != nil {
+		return err
+	}
 	callers, err := h.Net.Listen(h.Settings.CallerAddr)
 	if err != nil {
 		return err
@@ -56,11 +63,14 @@
 	g.Go(func() error { return h.Follower.Run(ctx) })
 	g.Go(func() error { return h.Exchange.Run(ctx) })
 	g.Go(func() error { return h.Dispatcher.Run(ctx) })
+	g.Go(func() error { return h.Claims.Run(ctx) })
+	g.Go(func() error { return h.Claimer.Run(ctx) })
 	g.Go(func() error { return servePeers(h.RPC, peers) })
 	g.Go(func() error { return ignoreClosed(server.Serve(callers)) })
 	g.Go(func() error {
 		<-ctx.Done()
 		peers.Close()
+		h.Peers.Close()
 		return server.Shutdown(context.WithoutCancel(ctx))
 	})
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -3,8 +3,10 @@
 package host
 
 import (
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/internal/section"
@@ -22,6 +24,10 @@
 		provideExchange,
 		provideDispatcher,
 		provideRPC,
+		providePeers,
+		provideHolder,
+		claim.NewClient,
+		wire.Bind(new(claim.Members), new(*peer.Exchange)),
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
 		wire.Struct(new(section.Follower), "Log", "Clock"),
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -7,6 +7,7 @@
 package host
 
 import (
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/pipeline"
@@ -42,6 +43,9 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
+	holder := provideHolder(s, c, client, exchange)
+	caller := providePeers(n)
+	claimClient := claim.NewClient(c, exchange, caller, holder)
 	server := provideRPC()
 	host := &Host{
 		Settings:   s,
@@ -54,6 +58,9 @@
 		Dispatcher: dispatcher,
 		Runner:     runner,
 		Admission:  admission,
+		Claims:     holder,
+		Claimer:    claimClient,
+		Peers:      caller,
 		RPC:        server,
 	}
 	return host
