--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -54,20 +54,18 @@
 
 // Run keeps recording what outlives its request until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
+	c.mu.Lock()
 	c.group.SetLimit(maxBackground)
-	c.setContext(ctx)
+	c.ctx = ctx
+	c.mu.Unlock()
 	<-ctx.Done()
-	c.setContext(nil)
+	c.mu.Lock()
+	c.ctx = nil
+	c.mu.Unlock()
 	c.group.Wait()
 	return ctx.Err()
 }
 
-func (c *Client) setContext(ctx context.Context) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ctx = ctx
-}
-
 // Claim asks for the verdict on r.
 func (c *Client) Claim(ctx context.Context, r Request) (Verdict, error) {
 	now := c.Clock.Now()
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -187,6 +187,7 @@
 		h.kill()
 	}
 	w.wg.Wait()
+	time.Sleep(time.Second) // dials that a cut held up end now
 	w.http.Close()
 }
 
