--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -2,7 +2,7 @@
 // first byte of such a request goes to a target, the host needs a claim that is
 // the first for the request's key in log order.
 //
-// The claims of all workspaces are spread over Partitions streams. A Table is
+// The claims of all workspaces are spread over DefaultPartitions streams. A Table is
 // the deterministic fold of one stream: every host that reads it reaches the
 // same verdicts. A Holder answers questions about the partitions of its host:
 // it batches the appends, tails the streams and folds them. A Client, the
@@ -26,8 +26,9 @@
 // The times and bounds of claims. The log service must keep records for at
 // least Window plus twice MaxSkew.
 const (
-	// Partitions is the number of streams over which keys are spread.
-	Partitions = 16
+	// DefaultPartitions is the number of streams over which keys are spread. It
+	// is the same at every host for as long as a key is remembered.
+	DefaultPartitions = 16
 	// Window is the age up to which a key is accepted, by the time in the key.
 	Window = 30 * time.Minute
 	// MaxSkew is the largest difference between the clocks of a caller, a host
--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -166,7 +166,7 @@
 // ctx ends. Every question carries the same attempt ID.
 func (c *Client) askAround(ctx context.Context, q *Question) tried {
 	var t tried
-	key := streamName(partitionOf(q.Request.Workspace, q.Request.Key))
+	key := streamName(partitionOf(q.Request.Workspace, q.Request.Key, c.Holder.partitions()))
 	for ctx.Err() == nil {
 		for _, h := range c.route(key) {
 			reply, uncertain := c.ask(ctx, h, q)
--- /dev/null
+++ b/internal/claim/fuzz_test.go
@@ -0,0 +1,148 @@
+package claim
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/standin"
+	"pgregory.net/rapid"
+)
+
+// Sizes of a fuzzed run: 42 runs of 250 steps in CI. A longer run:
+//
+//	go test ./internal/claim -run TestFuzz -rapid.checks=4000 -rapid.seed=N
+const (
+	fuzzHosts = 4
+	fuzzSteps = 250
+	ciChecks  = "42"
+	ciSeed    = "4"
+)
+
+// TestMain fixes the seed and the number of checks unless flags name them.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": ciSeed, "rapid.checks": ciChecks, "rapid.nofailfile": "true"} {
+		if !given[name] {
+			flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// step is one drawn operation and the pause after it.
+type step struct {
+	Do    string
+	Plan  plan
+	Host  int
+	Other int
+	Key   int
+	Pause time.Duration
+	Slow  time.Duration
+}
+
+// doing lists the operations by how often they are drawn.
+var doing = []string{
+	"send", "send", "send", "send", "send", "send", "send", "send", "repeat", "repeat", "repeat",
+	"kill", "start", "start", "freeze", "thaw", "thaw", "cut", "cutLog", "heal", "members",
+	"logDown", "logLose", "logSlow", "logUp", "logUp", "logUp",
+}
+
+func drawSteps(t *rapid.T) []step {
+	host := rapid.IntRange(0, fuzzHosts-1)
+	millis := func(label string, high int) time.Duration {
+		return time.Duration(rapid.IntRange(1, high).Draw(t, label)) * time.Millisecond
+	}
+	steps := make([]step, fuzzSteps)
+	for i := range steps {
+		s := &steps[i]
+		s.Do = rapid.SampledFrom(doing).Draw(t, "do")
+		s.Host, s.Other = host.Draw(t, "host"), host.Draw(t, "other")
+		s.Key = i/20 + rapid.IntRange(0, 2).Draw(t, "key")
+		if s.Do == "repeat" {
+			s.Key = max(0, s.Key-rapid.IntRange(2, 8).Draw(t, "older"))
+		}
+		s.Pause = millis("pause", 250)
+		s.Slow = millis("slow", 2000)
+		s.Plan = plan{
+			host:   s.Host,
+			body:   rapid.SampledFrom([]string{"x", "x", "x", "y"}).Draw(t, "body"),
+			wait:   millis("wait", 4000),
+			hold:   millis("hold", 2000),
+			prep:   millis("prep", 300),
+			giveUp: rapid.IntRange(0, 4).Draw(t, "giveUp") == 0,
+		}
+	}
+	return steps
+}
+
+// TestFuzzAtMostOnce draws operations and faults, runs them in virtual time and
+// asks the oracle.
+func TestFuzzAtMostOnce(t *testing.T) {
+	total := tally{}
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		var faults []string
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, []time.Duration{0, MaxSkew / 2, -MaxSkew / 2, 0})
+			keys := map[int]string{}
+			time.Sleep(200 * time.Millisecond)
+			for i := range steps {
+				w.step(&steps[i], keys)
+				time.Sleep(steps[i].Pause)
+			}
+			faults = w.judge(keys, &total)
+			w.close()
+		})
+		for _, f := range faults {
+			rt.Errorf("%s", f)
+		}
+	})
+	t.Logf("%+v", total)
+	if total.Runs == 0 || total.Repeats == 0 || total.Unknown == 0 {
+		t.Errorf("the draw reached too little: %+v", total)
+	}
+}
+
+// step performs one operation.
+func (w *world) step(s *step, keys map[int]string) {
+	h, other := w.hosts[s.Host], w.hosts[s.Other]
+	switch s.Do {
+	case "send", "repeat":
+		if keys[s.Key] == "" {
+			keys[s.Key] = w.key(fmt.Sprint(s.Key))
+		}
+		s.Plan.key = keys[s.Key]
+		w.send(s.Plan)
+	case "kill":
+		h.kill()
+	case "start":
+		h.start()
+	case "freeze":
+		h.freeze()
+	case "thaw":
+		h.thaw()
+	case "cut":
+		w.net.Cut(h.addr.Addr(), other.addr.Addr())
+	case "cutLog":
+		w.net.Cut(h.addr.Addr(), logAddr.Addr())
+	case "heal":
+		w.net.Heal(h.addr.Addr(), other.addr.Addr())
+		w.net.Heal(h.addr.Addr(), logAddr.Addr())
+	case "members":
+		h.members.set(w.view(map[int]bool{s.Other: s.Other != s.Host}))
+	case "logDown":
+		w.log.SetFaults(standin.LogFaults{Down: true})
+	case "logLose":
+		w.log.SetFaults(standin.LogFaults{LoseAnswers: true})
+	case "logSlow":
+		w.log.SetFaults(standin.LogFaults{Slow: s.Slow})
+	case "logUp":
+		w.log.SetFaults(standin.LogFaults{})
+	}
+}
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -52,6 +52,8 @@
 	Members Members
 	// Self is the name of this host.
 	Self string
+	// Partitions is the number of streams; zero means DefaultPartitions.
+	Partitions int
 	// Limit bounds the keys of a partition; zero means MaxEntries.
 	Limit int
 	Stats *Stats
@@ -90,11 +92,18 @@
 	}
 }
 
+func (h *Holder) partitions() int {
+	if h.Partitions == 0 {
+		return DefaultPartitions
+	}
+	return h.Partitions
+}
+
 // review opens the partitions that this host holds by its view of the members,
 // and closes those that it doesn't hold and isn't asked about.
 func (h *Holder) review() {
 	now, members := h.Clock.Now(), h.Members.Members()
-	for n := range Partitions {
+	for n := range h.partitions() {
 		if members.Holder(streamName(n)).Name == h.Self {
 			h.partition(n, now)
 			continue
@@ -157,7 +166,7 @@
 	if q.entry, err = a.entry(); err != nil {
 		return refused(result.NotRun(result.BadRequest, "%v", err))
 	}
-	p := h.partition(partitionOf(a.Request.Workspace, a.Request.Key), now)
+	p := h.partition(partitionOf(a.Request.Workspace, a.Request.Key, h.partitions()), now)
 	if p == nil {
 		return Reply{}
 	}
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -51,9 +51,10 @@
 	return platform.Entry{ID: kind + ":" + attempt, Kind: kind, Data: data}, nil
 }
 
-// partitionOf returns the number of the partition that a key belongs to.
-func partitionOf(workspace, key string) int {
-	return int(xxhash.Sum64String(workspace+"\x00"+canonical(key)) % Partitions)
+// partitionOf returns the number, below count, of the partition that a key
+// belongs to.
+func partitionOf(workspace, key string, count int) int {
+	return int(xxhash.Sum64String(workspace+"\x00"+canonical(key)) % uint64(count))
 }
 
 // streamName returns the stream of a partition.
--- a/internal/claim/script_test.go
+++ b/internal/claim/script_test.go
@@ -39,7 +39,7 @@
 		s.w = newWorld(t, make([]time.Duration, s.number(t, d, "count")))
 		time.Sleep(100 * time.Millisecond)
 	case "holder":
-		return s.w.hosts[0].members.Members().Holder(streamName(partitionOf("W", s.key(s.text(t, d, "key"))))).Name
+		return s.w.hosts[0].members.Members().Holder(streamName(partitionOf("W", s.key(s.text(t, d, "key")), testPartitions))).Name
 	case "send":
 		s.send(t, d)
 	case "wait":
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -21,6 +21,9 @@
 	"github.com/google/uuid"
 )
 
+// testPartitions makes few streams, so that keys share them.
+const testPartitions = 3
+
 var logAddr = netip.MustParseAddrPort("10.0.1.1:80")
 
 // world is a log service and some hosts' claimers in one bubble.
@@ -83,6 +86,7 @@
 	err       error
 	ended     bool // Claim returned to a living host
 	ran       bool
+	late      bool // ran after its deadline by its host's clock
 	finished  bool // Finish returned nil
 	releasing bool
 }
@@ -130,7 +134,7 @@
 	client := platform.NewClient(network, logAddr, logAddr)
 	peers := &peer.Caller{Net: network}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.holder = &Holder{Clock: h.clock, Log: client, Members: h.members, Self: h.name}
+	h.holder = &Holder{Clock: h.clock, Log: client, Members: h.members, Self: h.name, Partitions: testPartitions}
 	h.client = NewClient(h.clock, h.members, peers, h.holder)
 	server := rpc.NewServer()
 	server.RegisterName(ServiceName, &Service{h.holder})
@@ -227,6 +231,7 @@
 	body   string
 	wait   time.Duration // until the claimer's deadline
 	hold   time.Duration // that the target takes
+	prep   time.Duration // between the verdict and the send
 	giveUp bool          // release instead of running
 }
 
@@ -262,13 +267,16 @@
 	}
 	ctx, cancel := context.WithTimeout(s.life, p.wait+5*time.Second)
 	defer cancel()
+	if h.clock.Sleep(s.life, p.prep) != nil {
+		return
+	}
 	if p.giveUp || !s.request.Valid(h.clock.Now()) {
 		s.releasing = true
 		c.Release(ctx, s.request)
 		return
 	}
 	w.mu.Lock()
-	s.ran = true
+	s.ran, s.late = true, h.clock.Now().After(s.request.Until)
 	w.runs[p.key] = append(w.runs[p.key], s)
 	w.mu.Unlock()
 	if h.clock.Sleep(ctx, p.hold) != nil {
