Keep the members by heartbeats to a few neighbours

Cause: Exchange was a stub that took the seeds for the members.

Ways weighed: a heartbeat table gossiped whole (10 KB a message at 520 hosts, over the 3 KB/s), probes of random members with a dial each, and heartbeats to eight neighbours chosen by rendezvous hashing over kept connections.

--- a/cmd/berylswitch/serve.go
+++ b/cmd/berylswitch/serve.go
@@ -31,6 +31,9 @@
 		return err
 	}
 	defer log.Sync()
-	h := host.New(s, link.TCP{}, &clock.Service{}, log.With(zap.String("Host", s.Name)))
+	h, err := host.New(s, link.TCP{}, &clock.Service{}, log.With(zap.String("Host", s.Name)))
+	if err != nil {
+		return err
+	}
 	return h.Run(c.ctx)
 }
--- a/cmd/berylswitch/try.go
+++ b/cmd/berylswitch/try.go
@@ -119,7 +119,10 @@
 		}
 		s := &settings.Settings{Name: name, CallerAddr: callers, PeerAddr: peers, LogAddr: logAddr}
 		s.SetDefaults()
-		h := host.New(s, link.TCP{}, &clock.Service{}, zap.NewNop())
+		h, err := host.New(s, link.TCP{}, &clock.Service{}, zap.NewNop())
+		if err != nil {
+			return nil, err
+		}
 		go h.Run(ctx)
 		out = append(out, callers)
 	}
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/rpc"
 	"time"
@@ -10,6 +11,7 @@
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/internal/queue"
+	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 )
@@ -18,11 +20,16 @@
 	return platform.NewClient(n, s.LogAddr, s.HostListAddr)
 }
 
-func provideExchange(s *settings.Settings, n link.Network, c *clock.Service) *peer.Exchange {
+func provideExchange(s *settings.Settings, n link.Network, c *clock.Service, caller *peer.Caller, client *platform.Client, f *section.Follower) *peer.Exchange {
 	x := &peer.Exchange{
-		Self:  peer.Host{Name: s.Name, Addr: s.PeerAddr, Domain: s.Domain, Incarnation: time.Now().UnixNano()},
-		Net:   n,
-		Clock: c,
+		Self:   peer.Host{Name: s.Name, Addr: s.PeerAddr, Domain: s.Domain, Incarnation: time.Now().UnixNano()},
+		Net:    n,
+		Clock:  c,
+		Caller: caller,
+		Offset: func() int64 { return offsetInForce(f) },
+	}
+	if s.HostListAddr.IsValid() {
+		x.Discover = func(ctx context.Context) ([]peer.Host, error) { return discover(ctx, client) }
 	}
 	for _, p := range s.Peers {
 		x.Seeds = append(x.Seeds, peer.Host{Name: p.Name, Addr: p.Addr, Domain: p.Domain})
@@ -30,8 +37,34 @@
 	return x
 }
 
+// offsetInForce returns the offset of the configuration in force, or zero.
+func offsetInForce(f *section.Follower) int64 {
+	if s := f.State(); s != nil {
+		return int64(s.Offset)
+	}
+	return 0
+}
+
+// discover returns the live hosts of the system on the host list.
+func discover(ctx context.Context, list platform.HostList) ([]peer.Host, error) {
+	entries, err := list.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []peer.Host
+	for _, e := range entries {
+		if e.Role == platform.HostRole && e.State == platform.Live {
+			out = append(out, peer.Host{Name: e.Name, Addr: e.Addr})
+		}
+	}
+	return out, nil
+}
+
 func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry) *queue.Dispatcher {
 	return &queue.Dispatcher{Clock: c, Targets: r, Policy: queue.LeastOfTwo{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
-func provideRPC() *rpc.Server { return rpc.NewServer() }
+func provideRPC(x *peer.Exchange) (*peer.Server, error) {
+	s := &peer.Server{RPC: rpc.NewServer()}
+	return s, x.Register(s.RPC)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/rpc"
 
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
@@ -35,7 +34,8 @@
 	Dispatcher *queue.Dispatcher
 	Runner     *pipeline.Runner
 	Admission  *workspace.Admission
-	RPC        *rpc.Server
+	Caller     *peer.Caller
+	Peers      *peer.Server
 }
 
 // Run serves until ctx ends, then drains.
@@ -56,12 +56,16 @@
 	g.Go(func() error { return h.Follower.Run(ctx) })
 	g.Go(func() error { return h.Exchange.Run(ctx) })
 	g.Go(func() error { return h.Dispatcher.Run(ctx) })
-	g.Go(func() error { return servePeers(h.RPC, peers) })
+	g.Go(func() error { return h.Peers.Serve(peers) })
 	g.Go(func() error { return ignoreClosed(server.Serve(callers)) })
 	g.Go(func() error {
 		<-ctx.Done()
+		h.Exchange.Leave()
+		err := server.Shutdown(context.WithoutCancel(ctx))
 		peers.Close()
-		return server.Shutdown(context.WithoutCancel(ctx))
+		h.Peers.Close()
+		h.Caller.Close()
+		return err
 	})
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
@@ -75,13 +79,3 @@
 	}
 	return err
 }
-
-func servePeers(s *rpc.Server, l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return ignoreClosed(err)
-		}
-		go s.ServeConn(conn)
-	}
-}
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -63,7 +63,10 @@
 		}
 		s := &settings.Settings{Name: "h1", CallerAddr: netip.MustParseAddrPort("10.0.0.1:80"), PeerAddr: netip.MustParseAddrPort("10.0.0.1:81"), LogAddr: logAddr}
 		s.SetDefaults()
-		h := New(s, m.Process(s.CallerAddr.Addr()), &clock.Service{}, zap.NewNop())
+		h, err := New(s, m.Process(s.CallerAddr.Addr()), &clock.Service{}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
 		done := make(chan error, 1)
 		go func() { done <- h.Run(ctx) }()
 		time.Sleep(time.Second)
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -5,6 +5,7 @@
 import (
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/internal/section"
@@ -16,7 +17,7 @@
 )
 
 // New assembles a host from its settings.
-func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) *Host {
+func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) (*Host, error) {
 	panic(wire.Build(
 		provideClient,
 		provideExchange,
@@ -25,6 +26,7 @@
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
 		wire.Struct(new(section.Follower), "Log", "Clock"),
+		wire.Struct(new(peer.Caller), "Net"),
 		wire.Struct(new(target.Registry)),
 		wire.Struct(new(workspace.Admission), "*"),
 		wire.Struct(new(workspace.Retries), "*"),
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -9,6 +9,7 @@
 import (
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
@@ -20,13 +21,16 @@
 // Injectors from wire.go:
 
 // New assembles a host from its settings.
-func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) *Host {
+func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) (*Host, error) {
 	client := provideClient(s, n)
 	follower := &section.Follower{
 		Log:   client,
 		Clock: c,
 	}
-	exchange := provideExchange(s, n, c)
+	caller := &peer.Caller{
+		Net: n,
+	}
+	exchange := provideExchange(s, n, c, caller, client, follower)
 	registry := &target.Registry{}
 	dispatcher := provideDispatcher(s, c, registry)
 	targetClient := target.NewClient(n)
@@ -42,7 +46,10 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
-	server := provideRPC()
+	server, err := provideRPC(exchange)
+	if err != nil {
+		return nil, err
+	}
 	host := &Host{
 		Settings:   s,
 		Net:        n,
@@ -54,7 +61,8 @@
 		Dispatcher: dispatcher,
 		Runner:     runner,
 		Admission:  admission,
-		RPC:        server,
+		Caller:     caller,
+		Peers:      server,
 	}
-	return host
+	return host, nil
 }
--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -81,6 +81,24 @@
 	}
 }
 
+// Reset breaks every connection between two processes; what was under way is
+// lost.
+func (m *Memory) Reset(a, b netip.Addr) {
+	m.mu.Lock()
+	m.init()
+	var conns []*memConn
+	for c := range m.conns {
+		r := c.out.route
+		if r == (route{a, b}) || r == (route{b, a}) {
+			conns = append(conns, c)
+		}
+	}
+	m.mu.Unlock()
+	for _, c := range conns {
+		c.reset()
+	}
+}
+
 func (m *Memory) init() {
 	if m.listeners != nil {
 		return
--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -11,30 +11,43 @@
 	"berylswitch.example/berylswitch/internal/link"
 )
 
-// dialTimeout bounds the time to connect to a peer.
-const dialTimeout = time.Second
+// Bounds of the connections to peers.
+const (
+	// dialTimeout bounds the time to connect to a peer.
+	dialTimeout = time.Second
+	// idleTimeout is the time after which an unused connection is closed.
+	idleTimeout = time.Minute
+)
 
-// Caller calls the RPC services of other hosts over one connection each.
-// Exported fields are set before the first call.
+// Caller calls the RPC services of other hosts over one connection each, which
+// is closed once it was idle for a while. Exported fields are set before the
+// first call.
 type Caller struct {
 	Net link.Network
 
 	mu      sync.Mutex
-	clients map[netip.AddrPort]*rpc.Client
+	clients map[netip.AddrPort]*client
+	swept   time.Time
+}
+
+// client is a connection and the time of its last call.
+type client struct {
+	*rpc.Client
+	used time.Time
 }
 
 // Call invokes method at addr and waits for the reply or the end of ctx. Reply
 // must not be used after an error: a late answer may still be written to it.
 func (c *Caller) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
-	client, err := c.client(ctx, addr)
+	cl, err := c.client(ctx, addr)
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	call := cl.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if _, ok := call.Error.(rpc.ServerError); !ok && call.Error != nil {
-			c.drop(addr, client)
+			c.drop(addr, cl)
 		}
 		return call.Error
 	case <-ctx.Done():
@@ -42,12 +55,17 @@
 	}
 }
 
-func (c *Caller) client(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+func (c *Caller) client(ctx context.Context, addr netip.AddrPort) (*client, error) {
+	now := time.Now()
 	c.mu.Lock()
-	client := c.clients[addr]
+	c.sweep(now)
+	cl := c.clients[addr]
+	if cl != nil {
+		cl.used = now
+	}
 	c.mu.Unlock()
-	if client != nil {
-		return client, nil
+	if cl != nil {
+		return cl, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -55,40 +73,64 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.keep(addr, conn), nil
+	return c.keep(addr, conn, now), nil
+}
+
+// sweep closes the connections that were idle too long; c.mu is held.
+func (c *Caller) sweep(now time.Time) {
+	if now.Sub(c.swept) < idleTimeout/2 {
+		return
+	}
+	c.swept = now
+	for addr, cl := range c.clients {
+		if now.Sub(cl.used) >= idleTimeout {
+			delete(c.clients, addr)
+			cl.Close()
+		}
+	}
 }
 
 // keep stores a client over conn unless another call was first.
-func (c *Caller) keep(addr netip.AddrPort, conn net.Conn) *rpc.Client {
+func (c *Caller) keep(addr netip.AddrPort, conn net.Conn, now time.Time) *client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if client := c.clients[addr]; client != nil {
+	if cl := c.clients[addr]; cl != nil {
 		conn.Close()
-		return client
+		return cl
 	}
 	if c.clients == nil {
-		c.clients = map[netip.AddrPort]*rpc.Client{}
+		c.clients = map[netip.AddrPort]*client{}
 	}
-	client := rpc.NewClient(conn)
-	c.clients[addr] = client
-	return client
+	cl := &client{Client: rpc.NewClient(conn), used: now}
+	c.clients[addr] = cl
+	return cl
 }
 
-func (c *Caller) drop(addr netip.AddrPort, client *rpc.Client) {
+func (c *Caller) drop(addr netip.AddrPort, cl *client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.clients[addr] == client {
+	if c.clients[addr] == cl {
 		delete(c.clients, addr)
 	}
-	client.Close()
+	cl.Close()
+}
+
+// Forget closes the connection to addr, which may hang on a host that is gone.
+func (c *Caller) Forget(addr netip.AddrPort) {
+	c.mu.Lock()
+	cl := c.clients[addr]
+	c.mu.Unlock()
+	if cl != nil {
+		c.drop(addr, cl)
+	}
 }
 
 // Close ends every connection.
 func (c *Caller) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for addr, client := range c.clients {
-		client.Close()
+	for addr, cl := range c.clients {
+		cl.Close()
 		delete(c.clients, addr)
 	}
 }
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -2,25 +2,97 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"github.com/google/uuid"
 )
 
-// Exchange keeps the members and spreads notes. Exported fields are set, and
-// OnNote called, before Run.
+// Times and counts of the exchange.
+const (
+	// beatInterval is the time between two heartbeats that a host sends, each to
+	// the next of its neighbours.
+	beatInterval = time.Second
+	// neighbourCount is the number of hosts that a host watches.
+	neighbourCount = 8
+	// beatTimeout bounds a heartbeat, indirectCount the hosts that are asked to
+	// try after a failure.
+	beatTimeout   = 500 * time.Millisecond
+	indirectCount = 3
+	// suspicionTimeout is the time that a suspected host has to refute.
+	suspicionTimeout = 2 * time.Second
+	// pushDelay collects news for one push.
+	pushDelay = 20 * time.Millisecond
+	// retryEvery is the number of beats between two tries to reach a host that is
+	// gone or a seed that was never met.
+	retryEvery = 5
+	// syncInterval is the least time between two whole exchanges that differing
+	// digests cause.
+	syncInterval = 5 * time.Second
+	syncTimeout  = 5 * time.Second
+)
+
+// Exchange keeps the members and spreads notes. Every beatInterval it sends a
+// heartbeat to one of a few neighbours; news goes to all neighbours at once;
+// heartbeats carry digests, and hosts whose digests differ exchange all they
+// know. One control goroutine owns the state; Members is an immutable
+// snapshot. Exported fields are set, and OnNote and Register called, before
+// Run.
 type Exchange struct {
-	Self  Host
-	Seeds []Host
-	Net   link.Network
-	Clock *clock.Service
+	Self   Host
+	Seeds  []Host
+	Net    link.Network
+	Clock  *clock.Service
+	Caller *Caller
+	// Discover, unless nil, returns hosts to try when no member can be reached.
+	Discover func(ctx context.Context) ([]Host, error)
+	// Offset, unless nil, returns the offset of the configuration in force.
+	Offset func() int64
+	// OnBehind, unless nil, is told of a host that has a later offset in force.
+	// It must neither block nor call the Exchange.
+	OnBehind func(h Host, offset int64)
 
 	members  atomic.Pointer[Members]
-	mu       sync.Mutex
+	contact  atomic.Int64 // time of the last answer of a peer, Unix nanoseconds
 	handlers map[NoteKind]func(Note)
+
+	once     sync.Once
+	commands chan func()
+	stopped  chan struct{}
+
+	// The rest belongs to the control goroutine.
+	ctx      context.Context
+	table    *table
+	notes    notebook
+	watched  []Host
+	next     int
+	beats    int
+	rand     *rand.Rand
+	news     Push
+	flush    <-chan struct{}
+	lastSync time.Time
+	lastNews time.Time
+	left     bool
+	// ownCaller says that Caller was not set by the owner of the Exchange.
+	ownCaller bool
+}
+
+// init makes the channels that calls before Run need.
+func (x *Exchange) init() {
+	x.once.Do(func() {
+		x.commands = make(chan func())
+		x.stopped = make(chan struct{})
+	})
+}
+
+// Register adds the exchange's service to s.
+func (x *Exchange) Register(s *rpc.Server) error {
+	return s.RegisterName(serviceName, &Service{x: x})
 }
 
 // Members returns the hosts that are believed alive.
@@ -31,34 +103,261 @@
 	return NewMembers([]Host{x.Self})
 }
 
-// OnNote subscribes f to the notes of one kind. f must not block.
+// LastContact returns the time of the last answer of a peer, or the zero time.
+func (x *Exchange) LastContact() time.Time {
+	if ns := x.contact.Load(); ns != 0 {
+		return time.Unix(0, ns)
+	}
+	return time.Time{}
+}
+
+// OnNote subscribes f to the notes of one kind. f is called by the control
+// goroutine: it must neither block nor call the Exchange.
 func (x *Exchange) OnNote(kind NoteKind, f func(Note)) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	if x.handlers == nil {
 		x.handlers = map[NoteKind]func(Note){}
 	}
 	x.handlers[kind] = f
 }
 
-// Spread sends n to every host.
+// Spread sends n to every host, this one included. Without an Expires it lives
+// for noteLife.
 func (x *Exchange) Spread(n Note) {
 	n.ID = uuid.NewString()
-	x.deliver(n)
+	if n.Expires.IsZero() {
+		n.Expires = x.Clock.Now().Add(noteLife)
+	}
+	x.do(func() { x.learn(nil, []Note{n}) })
 }
 
-func (x *Exchange) deliver(n Note) {
-	x.mu.Lock()
-	f := x.handlers[n.Kind]
-	x.mu.Unlock()
-	if f != nil {
-		f(n)
+// noteLife is the life of a note that states none.
+const noteLife = time.Minute
+
+// Announce sends a heartbeat to every neighbour at once. The host calls it when
+// a later configuration is in force, so that hosts which can't reach the log
+// get it from those that can without waiting for their turn.
+func (x *Exchange) Announce() {
+	x.do(func() {
+		beat := x.beat()
+		for _, h := range x.watched {
+			go func() {
+				if reply, err := x.sendBeat(h, beat); err == nil {
+					x.do(func() { x.heard(reply) })
+				}
+			}()
+		}
+	})
+}
+
+// Leave tells the neighbours that this host goes; the members follow without
+// the time that a failure takes to be seen. The host must not be used as a
+// holder afterwards.
+func (x *Exchange) Leave() {
+	x.do(func() {
+		own := x.table.own().Update
+		own.State = Left
+		x.table.put(own, x.Clock.Now())
+		x.news.Updates = append(x.news.Updates, own)
+		x.left = true
+		x.push()
+	})
+}
+
+// do runs f in the control goroutine and waits for it.
+func (x *Exchange) do(f func()) error {
+	x.init()
+	done := make(chan struct{})
+	select {
+	case x.commands <- func() { f(); close(done) }:
+		<-done
+		return nil
+	case <-x.stopped:
+		return errStopped
 	}
 }
 
 // Run keeps the members until ctx ends.
 func (x *Exchange) Run(ctx context.Context) error {
-	x.members.Store(NewMembers(append([]Host{x.Self}, x.Seeds...)))
-	<-ctx.Done()
-	return ctx.Err()
+	x.init()
+	defer close(x.stopped)
+	x.start(ctx)
+	if x.ownCaller {
+		defer x.Caller.Close()
+	}
+	if err := x.Clock.Sleep(ctx, x.phase()); err != nil {
+		return err
+	}
+	beat := x.Clock.Subscribe(ctx, beatInterval)
+	x.retry()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f := <-x.commands:
+			f()
+		case <-beat:
+			x.round()
+		case <-x.flush:
+			x.push()
+		}
+	}
+}
+
+func (x *Exchange) start(ctx context.Context) {
+	x.ctx = ctx
+	x.table = newTable(x.Self)
+	x.rand = rand.New(rand.NewPCG(weight(x.Self.Name, "exchange"), 0))
+	if x.Caller == nil {
+		x.Caller = &Caller{Net: x.Net}
+		x.ownCaller = true
+	}
+	x.publish()
+}
+
+// phase spreads the beats of many hosts over the interval.
+func (x *Exchange) phase() time.Duration {
+	return time.Duration(weight(x.Self.Name, "phase") % uint64(beatInterval))
+}
+
+// publish makes the table's members visible and chooses the neighbours anew.
+func (x *Exchange) publish() {
+	m := x.table.members()
+	x.members.Store(m)
+	x.watched = neighbours(m, x.Self.Name, neighbourCount)
+}
+
+// round is the work of one beat.
+func (x *Exchange) round() {
+	now := x.Clock.Now()
+	x.notes.expire(now)
+	x.bury(x.table.expired(now))
+	x.beats++
+	if x.beats%retryEvery == 0 || len(x.watched) == 0 {
+		x.retry()
+	}
+	if len(x.watched) == 0 {
+		return
+	}
+	x.next = (x.next + 1) % len(x.watched)
+	h := x.watched[x.next]
+	beat := x.beat()
+	go x.watch(h, beat)
+}
+
+// beat returns the host's own heartbeat.
+func (x *Exchange) beat() Beat {
+	own := x.table.own()
+	b := Beat{
+		Name:        own.Host.Name,
+		Incarnation: own.Host.Incarnation,
+		Version:     own.Version,
+		Members:     x.table.digest,
+		Notes:       x.notes.digest(x.Clock.Now()),
+	}
+	if x.Offset != nil {
+		b.Offset = x.Offset()
+	}
+	return b
+}
+
+// heard takes the heartbeat of a peer, sent or answered.
+func (x *Exchange) heard(b Beat) {
+	now := x.Clock.Now()
+	x.contact.Store(now.UnixNano())
+	e := x.table.entries[b.Name]
+	if e == nil {
+		return
+	}
+	if b.Incarnation == e.Host.Incarnation && e.State == Suspect && b.Version >= e.Version {
+		// The host answers, but it has to refute for the others: tell it.
+		u := e.Update
+		go x.send(e.Host, Push{Updates: []Update{u}})
+	}
+	if x.OnBehind != nil && x.Offset != nil && b.Offset > x.Offset() {
+		x.OnBehind(e.Host, b.Offset)
+	}
+	own := x.beat()
+	if b.Members == own.Members && b.Notes == own.Notes {
+		return
+	}
+	quiet := now.Sub(x.lastNews) >= beatInterval
+	if quiet && now.Sub(x.lastSync) >= syncInterval {
+		x.lastSync = now
+		x.sync(e.Host)
+	}
+}
+
+// learn takes news and passes on what was new. That a host is dead each host
+// decides for itself, once a suspicion has lasted: the word of another may stem
+// from a cut between two parts of the system, and may have waited on a link
+// until long after it was true.
+func (x *Exchange) learn(updates []Update, notes []Note) {
+	now := x.Clock.Now()
+	changed := false
+	for _, u := range updates {
+		if e := x.table.entries[u.Host.Name]; u.State == Dead && e != nil && e.present() {
+			u.State = Suspect
+		}
+		if !x.table.apply(u, now) {
+			continue
+		}
+		changed = true
+		if u.State == Left {
+			x.Caller.Forget(u.Host.Addr)
+		}
+		x.queueUpdate(x.table.entries[u.Host.Name], u)
+	}
+	if changed {
+		x.publish()
+	}
+	for _, n := range notes {
+		if !x.notes.add(n, now) {
+			continue
+		}
+		x.news.Notes = append(x.news.Notes, n)
+		if f := x.handlers[n.Kind]; f != nil {
+			f(n)
+		}
+	}
+	x.scheduleFlush(now)
+}
+
+// bury marks the hosts whose time to refute has passed.
+func (x *Exchange) bury(expired []Update) {
+	for _, u := range expired {
+		x.table.apply(u, x.Clock.Now())
+		x.Caller.Forget(u.Host.Addr)
+	}
+	if len(expired) > 0 {
+		x.publish()
+	}
+}
+
+// queueUpdate queues the row as it stands after u, which is the refutation
+// where u spoke against this host.
+func (x *Exchange) queueUpdate(e *entry, u Update) {
+	if e != nil {
+		u = e.Update
+	}
+	x.news.Updates = append(x.news.Updates, u)
+}
+
+func (x *Exchange) scheduleFlush(now time.Time) {
+	if len(x.news.Updates) == 0 && len(x.news.Notes) == 0 {
+		return
+	}
+	x.lastNews = now
+	if x.flush == nil {
+		x.flush, _ = x.Clock.After(pushDelay)
+	}
+}
+
+// push sends the news to the neighbours.
+func (x *Exchange) push() {
+	x.flush = nil
+	news := x.news
+	x.news = Push{}
+	for _, h := range x.watched {
+		go x.send(h, news)
+	}
 }
--- /dev/null
+++ b/internal/peer/fleet_test.go
@@ -0,0 +1,196 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+)
+
+// fleet is a number of exchanges over in-memory links. It runs in a bubble.
+type fleet struct {
+	t       *testing.T
+	net     link.Memory
+	bytes   atomic.Int64
+	nodes   []*node
+	ctx     context.Context
+	targets int
+}
+
+// node is one life of a host.
+type node struct {
+	*Exchange
+	clock  clock.Service
+	server *Server
+	cancel context.CancelFunc
+	done   chan struct{}
+	offset atomic.Int64
+	notes  atomic.Int64
+	alive  bool
+}
+
+// countedNet counts the bytes that its process writes.
+type countedNet struct {
+	link.Network
+	bytes *atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (n countedNet) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	c, err := n.Network.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, n.bytes}, nil
+}
+
+func (n countedNet) Listen(addr netip.AddrPort) (net.Listener, error) {
+	l, err := n.Network.Listen(addr)
+	return countedListener{l, n.bytes}, err
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.bytes}, nil
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	c.bytes.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+func (f *fleet) host(i int) Host {
+	ip := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)})
+	return Host{Name: fmt.Sprintf("h%d", i), Addr: netip.AddrPortFrom(ip, 81), Domain: fmt.Sprintf("d%d", i%8)}
+}
+
+// start starts host i; the first few hosts are the seeds of all.
+func (f *fleet) start(i int) {
+	self := f.host(i)
+	self.Incarnation = time.Now().UnixNano()
+	n := &node{done: make(chan struct{}), alive: true}
+	n.Exchange = &Exchange{
+		Self:  self,
+		Net:   countedNet{f.net.Process(self.Addr.Addr()), &f.bytes},
+		Clock: &n.clock,
+		Offset: func() int64 {
+			return n.offset.Load()
+		},
+		OnBehind: func(_ Host, offset int64) {
+			n.offset.Store(offset)
+			go n.Announce()
+		},
+	}
+	n.OnNote(CrashNote, func(Note) { n.notes.Add(1) })
+	for s := range 3 {
+		if s != i {
+			n.Seeds = append(n.Seeds, f.host(s))
+		}
+	}
+	n.server = &Server{RPC: rpc.NewServer()}
+	if err := n.Register(n.server.RPC); err != nil {
+		f.t.Fatal(err)
+	}
+	l, err := n.Net.Listen(self.Addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	n.cancel = func() { cancel(); l.Close(); n.server.Close() }
+	go n.server.Serve(l)
+	go func() {
+		n.Run(ctx)
+		close(n.done)
+	}()
+	for len(f.nodes) <= i {
+		f.nodes = append(f.nodes, nil)
+	}
+	f.nodes[i] = n
+}
+
+// kill ends host i without a word to the others.
+func (f *fleet) kill(i int) {
+	n := f.nodes[i]
+	n.alive = false
+	f.net.Kill(n.Self.Addr.Addr())
+	n.cancel()
+	<-n.done
+}
+
+// stop ends every host.
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		if n.alive {
+			n.clock.Resume()
+			n.cancel()
+			<-n.done
+		}
+	}
+}
+
+// agree reports whether every living host believes exactly the living ones
+// members.
+func (f *fleet) agree() bool {
+	living := 0
+	for _, n := range f.nodes {
+		if n.alive {
+			living++
+		}
+	}
+	for _, n := range f.nodes {
+		if !n.alive {
+			continue
+		}
+		hosts := n.Members().Hosts
+		if len(hosts) != living {
+			return false
+		}
+		for _, h := range hosts {
+			if !f.isLife(h) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// isLife reports whether h is the present life of its host.
+func (f *fleet) isLife(h Host) bool {
+	for _, n := range f.nodes {
+		if n.alive && n.Self.Name == h.Name {
+			return h.Incarnation >= n.Self.Incarnation
+		}
+	}
+	return false
+}
+
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 50 * time.Millisecond
+
+// until waits for cond and returns the time that it took, or limit.
+func until(limit time.Duration, cond func() bool) time.Duration {
+	start := time.Now()
+	for time.Since(start) < limit && !cond() {
+		time.Sleep(pollInterval)
+	}
+	return time.Since(start)
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+)
+
+// Server serves the RPC services of a host to its peers. Exported fields are
+// set before Serve.
+type Server struct {
+	RPC *rpc.Server
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[net.Conn]bool
+}
+
+// Serve accepts connections from l until Close; it closes l.
+func (s *Server) Serve(l net.Listener) error {
+	defer l.Close()
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !s.keep(conn) {
+			conn.Close()
+			return nil
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *Server) keep(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	if s.conns == nil {
+		s.conns = map[net.Conn]bool{}
+	}
+	s.conns[conn] = true
+	return true
+}
+
+func (s *Server) serve(conn net.Conn) {
+	s.RPC.ServeConn(conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close ends every connection. The listener of Serve is closed by its owner.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/watch.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"context"
+	"time"
+)
+
+// watch sends a heartbeat to h and, if it fails, asks others to try before h is
+// suspected. It runs in a goroutine of its own.
+func (x *Exchange) watch(h Host, beat Beat) {
+	reply, err := x.sendBeat(h, beat)
+	if err == nil {
+		x.do(func() { x.heard(reply) })
+		return
+	}
+	if x.ctx.Err() != nil || x.askOthers(h) {
+		return
+	}
+	x.do(func() { x.suspect(h) })
+}
+
+// suspect marks h unless a later life of it has been seen meanwhile.
+func (x *Exchange) suspect(h Host) {
+	e := x.table.entries[h.Name]
+	if e == nil || e.State != Alive || e.Host.Incarnation != h.Incarnation {
+		return
+	}
+	u := e.Update
+	u.State = Suspect
+	x.learn([]Update{u}, nil)
+}
+
+// askOthers reports whether any of a few other hosts gets an answer from h.
+func (x *Exchange) askOthers(h Host) bool {
+	var helpers []Host
+	x.do(func() { helpers = x.pick(indirectCount, h.Name) })
+	answers := make(chan bool, len(helpers))
+	for _, helper := range helpers {
+		go func() {
+			var reply ProbeReply
+			err := x.call(helper, 2*beatTimeout, probeMethod, Probe{Host: h}, &reply)
+			answers <- err == nil && reply.Answered
+		}()
+	}
+	for range helpers {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// pick returns up to count random members other than this host and the named
+// one.
+func (x *Exchange) pick(count int, except string) []Host {
+	var out []Host
+	hosts := x.Members().Hosts
+	for _, i := range x.rand.Perm(len(hosts)) {
+		if len(out) == count {
+			break
+		}
+		if h := hosts[i]; h.Name != except && h.Name != x.Self.Name {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// ping sends a heartbeat to h on behalf of another host.
+func (x *Exchange) ping(h Host) error {
+	var beat Beat
+	if err := x.do(func() { beat = x.beat() }); err != nil {
+		return err
+	}
+	_, err := x.sendBeat(h, beat)
+	return err
+}
+
+func (x *Exchange) sendBeat(h Host, beat Beat) (Beat, error) {
+	var reply Beat
+	err := x.call(h, beatTimeout, beatMethod, beat, &reply)
+	return reply, err
+}
+
+// send pushes news to h; what is lost is repaired by the next heartbeats.
+func (x *Exchange) send(h Host, news Push) {
+	x.call(h, beatTimeout, pushMethod, news, &PushReply{})
+}
+
+func (x *Exchange) call(h Host, timeout time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(x.ctx, timeout)
+	defer cancel()
+	return x.Caller.Call(ctx, h.Addr, method, args, reply)
+}
+
+// sync exchanges all that is known with h, in the background.
+func (x *Exchange) sync(h Host) {
+	args := Sync{Updates: x.table.updates(), NoteIDs: x.notes.ids()}
+	go func() {
+		var reply SyncReply
+		if err := x.call(h, syncTimeout, syncMethod, args, &reply); err != nil {
+			return
+		}
+		x.do(func() {
+			x.contact.Store(x.Clock.Now().UnixNano())
+			x.learn(reply.Updates, reply.Notes)
+		})
+	}()
+}
+
+// retry tries to reach one host that is gone or a seed that is no member, so
+// that parts of the system that were cut from each other find together again.
+func (x *Exchange) retry() {
+	if x.left {
+		return
+	}
+	var candidates []Host
+	for _, s := range x.Seeds {
+		if e := x.table.entries[s.Name]; e == nil || e.State == Dead {
+			candidates = append(candidates, s)
+		}
+	}
+	candidates = append(candidates, x.table.dead()...)
+	if len(candidates) > 0 {
+		x.sync(candidates[x.rand.IntN(len(candidates))])
+	}
+	if x.Discover != nil && len(x.watched) == 0 {
+		go x.discover()
+	}
+}
+
+// discover asks the platform for hosts and tries each.
+func (x *Exchange) discover() {
+	ctx, cancel := context.WithTimeout(x.ctx, syncTimeout)
+	defer cancel()
+	hosts, err := x.Discover(ctx)
+	if err != nil {
+		return
+	}
+	x.do(func() {
+		for _, i := range x.rand.Perm(len(hosts))[:min(indirectCount, len(hosts))] {
+			if hosts[i].Name != x.Self.Name {
+				x.sync(hosts[i])
+			}
+		}
+	})
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -62,10 +62,16 @@
 	Leaving HostState = "Leaving"
 )
 
+// HostRole marks the hosts of the system on the host list. Their Addr is that
+// of the RPC service.
+const HostRole = "Host"
+
 // HostEntry is a row of the host list. An incarnation is one life of a target:
 // a restarted target has another.
 type HostEntry struct {
-	Name        string
+	Name string
+	// Role is HostRole for the hosts of the system itself and empty for targets.
+	Role        string `json:",omitempty"`
 	Addr        netip.AddrPort
 	Incarnation string
 	State       HostState
