--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -16,12 +16,11 @@
 
 // fleet is a number of exchanges over in-memory links. It runs in a bubble.
 type fleet struct {
-	t       *testing.T
-	net     link.Memory
-	bytes   atomic.Int64
-	nodes   []*node
-	ctx     context.Context
-	targets int
+	t     *testing.T
+	net   link.Memory
+	bytes atomic.Int64
+	nodes []*node
+	ctx   context.Context
 }
 
 // node is one life of a host.
