Make the stand-ins whole: engine, host list, weight store, service and faults

The path was tried only against a log service and a worker that always did well. Targets count runs by key, or by request ID and stage. An unchanged host list now costs an answer without a body (ETag).

Ruled out: a handler alone, for it can break but never refuse a connection; standin.Server closes its listener while a crashed target is down.

Checks seen failing with the mechanism off (go test ./internal/standin -run): If-None-Match not sent, list lag off: TestHostListLagsAndCostsLittle; lost answer off: TestLogLosesAnswerAfterTheAppend; rate off: TestLogRetentionAndRate; age of stale reads off: TestLogStaleReads; priority off: TestEnginePriority; fencing check off: TestEngineOrders; crash off: TestEngineCrash; prefix not stored: TestEngineBatches; slow factor off: TestWorkerSlowsInTheMiddle.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -19,6 +19,13 @@
 	OrderPath  = "/order"
 )
 
+// KeyParam is the parameter of AskPath that holds the idempotency key, FromParam
+// that of EventsPath that holds the first event that is wanted.
+const (
+	KeyParam  = "Key"
+	FromParam = "From"
+)
+
 // Run asks a target to execute one attempt of one stage.
 type Run struct {
 	AttemptID string
@@ -74,6 +81,30 @@
 	Running     int
 	Waiting     int
 	Models      []string
+	Role        string `json:",omitempty"`
+}
+
+// Cancel asks a target to give up an attempt.
+type Cancel struct {
+	AttemptID string
+}
+
+// CacheEvent says that a model engine stored or evicted a prompt prefix.
+type CacheEvent struct {
+	Seq     int
+	At      time.Time
+	Prefix  string
+	Evicted bool `json:",omitempty"`
+}
+
+// CacheEvents is a model engine's late word on its prefix cache. Numbers that
+// are missing were lost.
+type CacheEvents struct {
+	Target      string
+	Incarnation string
+	Events      []CacheEvent
+	// Next is the number to ask from next time.
+	Next int
 }
 
 // OrderKind names what an order wants.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/link"
@@ -43,6 +44,10 @@
 	LogAddr      netip.AddrPort
 	HostListAddr netip.AddrPort
 	HTTP         *http.Client
+
+	mu    sync.Mutex
+	tag   string // of hosts, as the host list named it
+	hosts []HostEntry
 }
 
 var (
@@ -79,11 +84,37 @@
 	return batch, err
 }
 
-// Hosts reads the host list.
+// Hosts reads the host list. A list that has not changed since the last read
+// costs an answer without a body. The caller must not change the entries.
 func (c *Client) Hosts(ctx context.Context) ([]HostEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	u := url.URL{Scheme: "http", Host: c.HostListAddr.String(), Path: HostsPath}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	tag, known := c.tag, c.hosts
+	c.mu.Unlock()
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	resp, src, err := c.do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusNotModified {
+		return known, nil
+	}
 	var hosts []HostEntry
-	err := c.call(ctx, callTimeout, http.MethodGet, c.HostListAddr, HostsPath, nil, nil, &hosts)
-	return hosts, err
+	if err := decodeReply(resp, src, &hosts); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tag, c.hosts = resp.Header.Get("ETag"), hosts
+	return hosts, nil
 }
 
 func (c *Client) call(ctx context.Context, timeout time.Duration, method string, addr netip.AddrPort, path string, q url.Values, body []byte, reply any) error {
@@ -94,16 +125,22 @@
 	if err != nil {
 		return &Refusal{Reason: err.Error()}
 	}
+	resp, src, err := c.do(req)
+	if err != nil {
+		return err
+	}
+	return decodeReply(resp, src, reply)
+}
+
+// do sends req and reads the whole answer.
+func (c *Client) do(req *http.Request) (*http.Response, []byte, error) {
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return callError(err)
+		return nil, nil, callError(err)
 	}
 	defer resp.Body.Close()
 	src, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-	if err != nil {
-		return err
-	}
-	return decodeReply(resp, src, reply)
+	return resp, src, err
 }
 
 // callError keeps the difference between a call that never left and one whose
--- /dev/null
+++ b/internal/standin/batch.go
@@ -0,0 +1,224 @@
+package standin
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/contract"
+)
+
+// sequence is one run in an engine; the engine's mutex guards what changes.
+type sequence struct {
+	run     *contract.Run
+	work    contract.Work
+	arrival int
+	tokens  int // wanted in all
+	// ownTokens are the prompt tokens beyond the prefix.
+	ownTokens    int
+	promptTokens int
+
+	generated int
+	cached    int
+	cost      time.Duration
+	done      bool
+	broken    bool
+	failure   string
+	changed   chan struct{} // closed at the next change
+}
+
+// progress is a copy of what changes in a sequence.
+type progress struct {
+	generated, cached int
+	cost              time.Duration
+	done, broken      bool
+	failure           string
+}
+
+func (e *Engine) progress(s *sequence) (progress, <-chan struct{}) {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	return progress{s.generated, s.cached, s.cost, s.done, s.broken, s.failure}, s.changed
+}
+
+// token returns the text of token i.
+func (s *sequence) token(i int) string {
+	if i == 0 {
+		return text(s.run, &s.work)
+	}
+	return " " + strconv.Itoa(i)
+}
+
+func (s *sequence) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// finish ends s; an empty failure means that all tokens came.
+func (s *sequence) finish(failure string) {
+	s.done = true
+	s.failure = failure
+	s.signal()
+}
+
+// steps runs the batch until no sequence is left.
+func (e *Engine) steps() {
+	_, _, dead := e.now()
+	for {
+		d, idle, ok := e.beginStep()
+		if !ok {
+			return
+		}
+		worked := e.work(d, e.Speed, idle)
+		if closed(dead) {
+			e.breakAll()
+			return
+		}
+		if !worked {
+			continue
+		}
+		if e.endStep(d) {
+			e.Crash()
+			e.breakAll()
+			return
+		}
+	}
+}
+
+func closed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+// beginStep admits waiting sequences and returns the length of the step at
+// speed one and a channel that is closed once no sequence is left, or false
+// when there is nothing to do.
+func (e *Engine) beginStep() (time.Duration, <-chan struct{}, bool) {
+	e.lock()
+	defer e.engineMu.Unlock()
+	sort.SliceStable(e.waiting, func(i, j int) bool {
+		a, b := e.waiting[i], e.waiting[j]
+		if a.run.Priority != b.run.Priority {
+			return a.run.Priority > b.run.Priority
+		}
+		return a.arrival < b.arrival
+	})
+	prompt := 0
+	for len(e.waiting) > 0 && len(e.running) < e.Slots {
+		s := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		e.running = append(e.running, s)
+		e.count(s.run)
+		s.cached = e.cachedTokens(s)
+		prompt += s.promptTokens - s.cached
+	}
+	e.noteLoad()
+	if len(e.running) == 0 {
+		e.stepping = false
+		return 0, nil, false
+	}
+	e.idle = make(chan struct{})
+	d := e.StepBase + time.Duration(len(e.running))*e.StepPerSeq + time.Duration(prompt)*e.PromptToken
+	return d, e.idle, true
+}
+
+// cachedTokens looks the prefix of s up and stores it.
+func (e *Engine) cachedTokens(s *sequence) int {
+	if s.work.Prefix == "" || !e.prefixes.use(s.work.Prefix) {
+		return 0
+	}
+	return e.PrefixTokens
+}
+
+// endStep gives each running sequence its token and reports whether one of
+// them crashes the engine.
+func (e *Engine) endStep(d time.Duration) bool {
+	e.lock()
+	defer e.engineMu.Unlock()
+	share := d / time.Duration(max(len(e.running), 1))
+	for _, s := range e.running {
+		if s.work.Crash {
+			return true
+		}
+		s.cost += share
+		if s.generated < s.tokens {
+			s.generated++
+		}
+		if s.generated >= s.tokens {
+			s.finish("")
+		} else {
+			s.signal()
+		}
+	}
+	e.drop()
+	return false
+}
+
+// drop removes the sequences that are done; e.engineMu is held.
+func (e *Engine) drop() {
+	e.waiting = unfinished(e.waiting)
+	e.running = unfinished(e.running)
+	if len(e.waiting)+len(e.running) == 0 && e.idle != nil {
+		close(e.idle)
+		e.idle = nil
+	}
+	e.noteLoad()
+}
+
+func unfinished(in []*sequence) []*sequence {
+	var out []*sequence
+	for _, s := range in {
+		if !s.done {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// breakAll breaks every connection and empties the cache, as the end of the
+// process does.
+func (e *Engine) breakAll() {
+	e.lock()
+	defer e.engineMu.Unlock()
+	for _, s := range append(e.waiting, e.running...) {
+		s.broken = true
+		s.finish("")
+	}
+	e.waiting, e.running = nil, nil
+	e.stepping = false
+	e.prefixes = newPrefixCache(e.CachePrefixes, e.EventGap)
+	e.orders.init(e.Models, e.Role)
+	e.noteLoad()
+}
+
+// maxReports bounds the load reports that wait for their lag.
+const maxReports = 4096
+
+// noteLoad keeps the present load for a later report; e.engineMu is held.
+func (e *Engine) noteLoad() {
+	r := contract.Report{At: time.Now(), Running: len(e.running), Waiting: len(e.waiting)}
+	e.reports = append(e.reports, r)
+	if len(e.reports) > maxReports {
+		e.reports = e.reports[len(e.reports)-maxReports:]
+	}
+}
+
+// report returns the newest report that is ReportLag old.
+func (e *Engine) report() contract.Report {
+	e.lock()
+	defer e.engineMu.Unlock()
+	limit := time.Now().Add(-e.ReportLag)
+	n := sort.Search(len(e.reports), func(i int) bool { return e.reports[i].At.After(limit) })
+	var r contract.Report
+	if n > 0 {
+		r = e.reports[n-1]
+		e.reports = e.reports[n-1:]
+	}
+	r.Target, r.Incarnation = e.Name, e.Incarnation()
+	r.Models, r.Role = e.orders.state()
+	return r
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,234 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/contract"
+)
+
+// Defaults of an Engine.
+const (
+	defaultStepBase      = 10 * time.Millisecond
+	defaultStepPerSeq    = time.Millisecond
+	defaultPromptToken   = 20 * time.Microsecond
+	defaultPrefixTokens  = 512
+	defaultCachePrefixes = 64
+	bytesPerToken        = 4
+)
+
+// Engine is a model engine. It batches continuously: in each step every
+// running sequence generates one token, and the step takes StepBase, StepPerSeq
+// for each sequence and PromptToken for each prompt token of the sequences that
+// join and that is not in the prefix cache. Up to Slots sequences run; others
+// wait by priority, then by arrival. Exported fields are set before the first
+// request; zero durations and sizes get defaults.
+type Engine struct {
+	core
+	Name        string
+	Speed       float64
+	Slots       int
+	StepBase    time.Duration
+	StepPerSeq  time.Duration
+	PromptToken time.Duration
+	// PrefixTokens is the length of a prompt prefix, CachePrefixes the number of
+	// prefixes that the cache holds.
+	PrefixTokens  int
+	CachePrefixes int
+	// ReportLag is the age of load reports, EventLag that of cache events. Each
+	// EventGap-th cache event is lost; zero loses none.
+	ReportLag time.Duration
+	EventLag  time.Duration
+	EventGap  int
+	// Models are loaded at first; without any the engine serves every model.
+	Models []string
+	Role   string
+	// ChecksFencing makes the engine refuse orders with an old number.
+	ChecksFencing bool
+	// Weights is the weight store; without one a model loads at once.
+	Weights netip.AddrPort
+	HTTP    *http.Client
+
+	engineMu sync.Mutex
+	ready    bool
+	waiting  []*sequence
+	running  []*sequence
+	stepping bool
+	idle     chan struct{} // closed when the last sequence of a step has gone
+	arrivals int
+	prefixes *prefixCache
+	reports  []contract.Report
+	orders   orderState
+}
+
+// initEngine sets defaults; e.engineMu is held.
+func (e *Engine) initEngine() {
+	if e.ready {
+		return
+	}
+	e.ready = true
+	e.Slots = max(e.Slots, 1)
+	setDefault(&e.StepBase, defaultStepBase)
+	setDefault(&e.StepPerSeq, defaultStepPerSeq)
+	setDefault(&e.PromptToken, defaultPromptToken)
+	if e.PrefixTokens == 0 {
+		e.PrefixTokens = defaultPrefixTokens
+	}
+	if e.CachePrefixes == 0 {
+		e.CachePrefixes = defaultCachePrefixes
+	}
+	e.prefixes = newPrefixCache(e.CachePrefixes, e.EventGap)
+	e.orders.init(e.Models, e.Role)
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+// lock locks the engine's state.
+func (e *Engine) lock() {
+	e.engineMu.Lock()
+	e.initEngine()
+}
+
+// ServeHTTP answers runs, cancels, orders, and questions for load and cache.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ControlPath {
+		e.serveControl(w, r, e.Name)
+		return
+	}
+	faults, _, _ := e.now()
+	if faults.Down {
+		panic(http.ErrAbortHandler)
+	}
+	switch r.URL.Path {
+	case contract.RunPath:
+		e.serveRun(w, r, &faults)
+	case contract.CancelPath:
+		e.serveCancel(w, r)
+	case contract.ReportPath:
+		writeJSON(w, e.report())
+	case contract.EventsPath:
+		e.serveEvents(w, r)
+	case contract.OrderPath:
+		e.serveOrder(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request, faults *TargetFaults) {
+	var run contract.Run
+	if !readJSON(w, r, maxRunBytes, &run) {
+		return
+	}
+	a := e.answer(w, &run)
+	if faults.Fail {
+		a.end(contract.Piece{Failure: "the target fails every run"})
+		return
+	}
+	if !e.serves(run.Model) {
+		a.end(contract.Piece{Failure: "model " + run.Model + " is not loaded"})
+		return
+	}
+	s := e.join(&run)
+	defer e.cancel(func(other *sequence) bool { return other == s })
+	e.stream(r, a, s, faults.AnswerDelay)
+}
+
+// stream sends the tokens of s as they come.
+func (e *Engine) stream(r *http.Request, a *answer, s *sequence, delay time.Duration) {
+	pause(r, delay)
+	for sent := s.run.ResumeFrom; ; {
+		state, changed := e.progress(s)
+		if state.broken {
+			panic(http.ErrAbortHandler)
+		}
+		for ; sent < state.generated; sent++ {
+			a.piece(s.token(sent))
+		}
+		if state.done {
+			a.end(contract.Piece{Cost: state.cost, PromptTokens: s.promptTokens, CachedTokens: state.cached, Failure: state.failure})
+			return
+		}
+		a.flush()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// join queues a sequence for run.
+func (e *Engine) join(run *contract.Run) *sequence {
+	e.lock()
+	defer e.engineMu.Unlock()
+	s := newSequence(run, e.PrefixTokens, e.StepBase)
+	e.arrivals++
+	s.arrival = e.arrivals
+	e.waiting = append(e.waiting, s)
+	if !e.stepping {
+		e.stepping = true
+		go e.steps()
+	}
+	return s
+}
+
+// cancel ends the sequences that match.
+func (e *Engine) cancel(match func(*sequence) bool) {
+	e.lock()
+	defer e.engineMu.Unlock()
+	for _, s := range append(append([]*sequence(nil), e.waiting...), e.running...) {
+		if match(s) && !s.done {
+			s.finish("cancelled")
+		}
+	}
+	e.drop()
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var c contract.Cancel
+	if !readJSON(w, r, maxControlBytes, &c) {
+		return
+	}
+	e.cancel(func(s *sequence) bool { return s.run.AttemptID == c.AttemptID })
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get(contract.FromParam))
+	e.lock()
+	events, next := e.prefixes.events(from, time.Now().Add(-e.EventLag))
+	e.engineMu.Unlock()
+	writeJSON(w, contract.CacheEvents{Target: e.Name, Incarnation: e.Incarnation(), Events: events, Next: next})
+}
+
+// text is the first token of the output for run.
+func text(run *contract.Run, work *contract.Work) string {
+	return strings.TrimSpace(work.Previous + " " + run.Stage + "(" + work.Text + ")")
+}
+
+// newSequence reads what run asks for. The output depends on the input alone,
+// so that another engine can resume it.
+func newSequence(run *contract.Run, prefixTokens int, stepBase time.Duration) *sequence {
+	s := &sequence{run: run, changed: make(chan struct{}), generated: run.ResumeFrom}
+	json.Unmarshal(run.Input, &s.work)
+	s.tokens = s.work.Tokens
+	if s.tokens == 0 {
+		s.tokens = 1 + int(s.work.Service/stepBase)
+	}
+	s.tokens = max(s.tokens, run.ResumeFrom)
+	s.ownTokens = 1 + (len(s.work.Text)+len(s.work.Previous))/bytesPerToken + run.ResumeFrom
+	s.promptTokens = s.ownTokens
+	if s.work.Prefix != "" {
+		s.promptTokens += prefixTokens
+	}
+	return s
+}
--- /dev/null
+++ b/internal/standin/engine_test.go
@@ -0,0 +1,207 @@
+package standin
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/contract"
+	"github.com/google/go-cmp/cmp"
+)
+
+// data joins the text of pieces.
+func data(pieces []contract.Piece) string {
+	var out string
+	for _, p := range pieces {
+		out += p.Data
+	}
+	return out
+}
+
+// TestEngineBatches checks that two sequences share the steps, that the later
+// one with the same prefix pays less prompt work, and that priority goes first.
+func TestEngineBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Name: "e1", Speed: 1, Slots: 2, StepBase: 10 * time.Millisecond, StepPerSeq: time.Millisecond}
+		s := newSite(t, e)
+		start := time.Now()
+		alone, err := s.run(contract.Run{AttemptID: "a1", Stage: "g"}, contract.Work{Text: "x", Tokens: 10, Prefix: "p"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff("g(x) 1 2 3 4 5 6 7 8 9", data(alone)); diff != "" {
+			t.Errorf("output (-want +got):\n%s", diff)
+		}
+		last := alone[len(alone)-1]
+		if !last.End || last.CachedTokens != 0 || last.PromptTokens != defaultPrefixTokens+1 {
+			t.Errorf("the first run ended with %+v", last)
+		}
+		if took := time.Since(start); took < 110*time.Millisecond || took > 140*time.Millisecond {
+			t.Errorf("ten steps of 11 ms took %v", took)
+		}
+		done := make(chan []contract.Piece, 2)
+		start = time.Now()
+		for _, id := range []string{"a2", "a3"} {
+			go func() {
+				pieces, _ := s.run(contract.Run{AttemptID: id, Stage: "g"}, contract.Work{Tokens: 10, Prefix: "p"})
+				done <- pieces
+			}()
+		}
+		for range 2 {
+			if p := <-done; p[len(p)-1].CachedTokens != defaultPrefixTokens {
+				t.Errorf("a later run ended with %+v", p[len(p)-1])
+			}
+		}
+		if took := time.Since(start); took > 140*time.Millisecond {
+			t.Errorf("two sequences in one batch took %v", took)
+		}
+	})
+}
+
+func TestEnginePriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, &Engine{Slots: 1})
+		done := make(chan string, 3)
+		for _, r := range []contract.Run{{AttemptID: "first"}, {AttemptID: "low"}, {AttemptID: "high", Priority: 1}} {
+			go func() {
+				s.run(r, contract.Work{Tokens: 5})
+				done <- r.AttemptID
+			}()
+			time.Sleep(5 * time.Millisecond)
+		}
+		got := []string{<-done, <-done, <-done}
+		if diff := cmp.Diff([]string{"first", "high", "low"}, got); diff != "" {
+			t.Errorf("order (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestEngineResumeAndCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Slots: 1}
+		s := newSite(t, e)
+		pieces, err := s.run(contract.Run{AttemptID: "a", Stage: "g", ResumeFrom: 3}, contract.Work{Text: "x", Tokens: 5})
+		if err != nil || pieces[0].Seq != 3 {
+			t.Fatalf("a resumed run gave %+v, %v", pieces, err)
+		}
+		if diff := cmp.Diff(" 3 4", data(pieces)); diff != "" {
+			t.Errorf("output (-want +got):\n%s", diff)
+		}
+		done := make(chan []contract.Piece)
+		go func() {
+			pieces, _ := s.run(contract.Run{AttemptID: "b", Stage: "g"}, contract.Work{Tokens: 1000})
+			done <- pieces
+		}()
+		time.Sleep(100 * time.Millisecond)
+		if _, _, err := s.call(t.Context(), "POST", contract.CancelPath, contract.Cancel{AttemptID: "b"}); err != nil {
+			t.Fatal(err)
+		}
+		got := <-done
+		if last := got[len(got)-1]; last.Failure == "" {
+			t.Errorf("a cancelled run ended with %+v", last)
+		}
+	})
+}
+
+// TestEngineCrash checks that a marked request breaks the runs beside it, that
+// connections are refused while the engine is down, and what the next life has
+// lost.
+func TestEngineCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Slots: 4}
+		s := newSite(t, e)
+		beside := make(chan error)
+		go func() {
+			_, err := s.run(contract.Run{AttemptID: "a"}, contract.Work{Tokens: 1000, Prefix: "p"})
+			beside <- err
+		}()
+		time.Sleep(50 * time.Millisecond)
+		if _, err := s.run(contract.Run{AttemptID: "b"}, contract.Work{Tokens: 5, Crash: true}); err == nil {
+			t.Error("the crashing run had an answer")
+		}
+		if err := <-beside; err == nil {
+			t.Error("the run beside the crash ended well")
+		}
+		if _, err := s.run(contract.Run{AttemptID: "c"}, contract.Work{Tokens: 1}); err == nil {
+			t.Error("the crashed engine took a run")
+		}
+		time.Sleep(defaultRestart + time.Second)
+		pieces, err := s.run(contract.Run{AttemptID: "d"}, contract.Work{Tokens: 1, Prefix: "p"})
+		if err != nil || pieces[len(pieces)-1].CachedTokens != 0 {
+			t.Errorf("the next life gave %+v, %v", pieces, err)
+		}
+		if diff := cmp.Diff("2", e.Incarnation()); diff != "" {
+			t.Errorf("incarnation (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestEngineFrozen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Slots: 1}
+		e.SetFaults(TargetFaults{Frozen: true})
+		s := newSite(t, e)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, _, err := s.call(ctx, "POST", contract.RunPath, contract.Run{AttemptID: "a", Input: []byte(`{"Tokens":1}`)}); err == nil {
+			t.Error("a frozen engine answered")
+		}
+		e.SetFaults(TargetFaults{})
+		if _, err := s.run(contract.Run{AttemptID: "b"}, contract.Work{Tokens: 1}); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestEngineEventsComeLateAndWithGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Slots: 1, CachePrefixes: 1, EventLag: time.Second, EventGap: 3}
+		s := newSite(t, e)
+		for _, prefix := range []string{"p", "q"} {
+			if _, err := s.run(contract.Run{AttemptID: prefix}, contract.Work{Tokens: 1, Prefix: prefix}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var early, late contract.CacheEvents
+		s.get(contract.EventsPath, &early)
+		time.Sleep(2 * time.Second)
+		s.get(contract.EventsPath, &late)
+		if len(early.Events) != 0 || len(late.Events) != 2 {
+			t.Errorf("events early %+v, late %+v", early.Events, late.Events)
+		}
+	})
+}
+
+func TestEngineOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			e := &Engine{Slots: 1, Models: []string{"m1"}, ChecksFencing: checks}
+			s := newSite(t, e)
+			for _, fence := range []int64{7, 5} {
+				order := contract.Order{ID: "o", Kind: contract.LoadModel, Model: "m2", Fence: fence}
+				if _, _, err := s.call(t.Context(), "POST", contract.OrderPath, order); err != nil {
+					t.Fatal(err)
+				}
+			}
+			var stale int
+			for _, o := range e.Orders() {
+				if o.Stale {
+					stale++
+				}
+			}
+			want := 1
+			if checks {
+				want = 0
+			}
+			if diff := cmp.Diff(want, stale); diff != "" {
+				t.Errorf("stale orders taken, checks fencing %v (-want +got):\n%s", checks, diff)
+			}
+			var report contract.Report
+			s.get(contract.ReportPath, &report)
+			if diff := cmp.Diff([]string{"m1", "m2"}, report.Models); diff != "" {
+				t.Errorf("models (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/hostlist.go
@@ -0,0 +1,153 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/platform"
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxListVersions bounds the versions of a host list that wait for the lag.
+const maxListVersions = 4096
+
+// HostList is the platform's list of hosts. What Set gives it shows after Lag.
+// Exported fields are set before the first request.
+type HostList struct {
+	Lag time.Duration
+
+	mu       sync.Mutex
+	versions []listVersion // oldest first; the first is visible
+	faults   HostListFaults
+}
+
+type listVersion struct {
+	at    time.Time
+	hosts []platform.HostEntry
+}
+
+// HostListFaults are the ways in which the host list misbehaves.
+type HostListFaults struct {
+	Down bool
+	Slow time.Duration
+	// Flap shows the named hosts as live and as leaving in turn, each for
+	// FlapPeriod.
+	Flap       []string
+	FlapPeriod time.Duration
+}
+
+// HostListControl is the message of the host list's control path. Null hosts
+// leave the list as it is.
+type HostListControl struct {
+	Hosts  []platform.HostEntry
+	Faults HostListFaults
+}
+
+// Set replaces the list.
+func (l *HostList) Set(hosts []platform.HostEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, listVersion{time.Now(), append([]platform.HostEntry{}, hosts...)})
+	if len(l.versions) > maxListVersions {
+		l.versions = l.versions[1:]
+	}
+}
+
+// Newest returns the list as Set last gave it.
+func (l *HostList) Newest() []platform.HostEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.versions) == 0 {
+		return nil
+	}
+	return append([]platform.HostEntry(nil), l.versions[len(l.versions)-1].hosts...)
+}
+
+// SetFaults replaces the faults.
+func (l *HostList) SetFaults(f HostListFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// visible returns the list that readers see now, and the faults.
+func (l *HostList) visible() ([]platform.HostEntry, HostListFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := time.Now().Add(-l.Lag)
+	for len(l.versions) > 1 && !l.versions[1].at.After(limit) {
+		l.versions = l.versions[1:]
+	}
+	if len(l.versions) == 0 || l.versions[0].at.After(limit) {
+		return []platform.HostEntry{}, l.faults
+	}
+	return l.versions[0].hosts, l.faults
+}
+
+// ServeHTTP answers reads and control messages. A reader whose If-None-Match
+// names the present list gets 304.
+func (l *HostList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ControlPath {
+		l.serveControl(w, r)
+		return
+	}
+	if r.URL.Path != platform.HostsPath {
+		http.NotFound(w, r)
+		return
+	}
+	hosts, faults := l.visible()
+	pause(r, faults.Slow)
+	if faults.Down {
+		refuseDown(w)
+		return
+	}
+	var body bytes.Buffer
+	json.NewEncoder(&body).Encode(flap(hosts, &faults))
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body.Bytes()), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(body.Bytes())
+}
+
+// flap turns the state of the flapping hosts in every other period.
+func flap(hosts []platform.HostEntry, f *HostListFaults) []platform.HostEntry {
+	if len(f.Flap) == 0 || f.FlapPeriod <= 0 || time.Now().UnixNano()/int64(f.FlapPeriod)%2 == 0 {
+		return hosts
+	}
+	out := append([]platform.HostEntry(nil), hosts...)
+	for i := range out {
+		for _, name := range f.Flap {
+			if out[i].Name != name {
+				continue
+			}
+			if out[i].State == platform.Live {
+				out[i].State = platform.Leaving
+			} else {
+				out[i].State = platform.Live
+			}
+		}
+	}
+	return out
+}
+
+func (l *HostList) serveControl(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var c HostListControl
+		if !readJSON(w, r, maxControlBytes, &c) {
+			return
+		}
+		l.SetFaults(c.Faults)
+		if c.Hosts != nil {
+			l.Set(c.Hosts)
+		}
+	}
+	writeJSON(w, l.Newest())
+}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -1,72 +1,137 @@
-// Package standin holds small stand-ins of what the system is put before: the
-// platform's services and the targets. Each is an http.Handler that misbehaves
-// on request in the ways that the real thing may.
 package standin
 
 import (
-	"encoding/json"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/platform"
+	"golang.org/x/time/rate"
 )
 
 // maxReadRecords bounds the records of one read.
 const maxReadRecords = 1000
 
+// retryAfter is the time after which a refused caller may come back.
+const retryAfter = time.Second
+
 // Log is the log service. Exported fields are set before the first request.
 type Log struct {
+	// AppendsPerSecond bounds the appends of all streams together; zero means no
+	// bound. An append of several entries counts once.
+	AppendsPerSecond int
+	// Retention and MaxRecords bound what a stream keeps; zero means no bound.
+	Retention  time.Duration
+	MaxRecords int
+
 	mu      sync.Mutex
 	streams map[string]*stream
 	faults  LogFaults
+	byAddr  map[netip.Addr]LogFaults
+	limiter *rate.Limiter
+	appends int
+	// changed is closed when the faults change.
+	changed chan struct{}
 }
 
 // LogFaults are the ways in which the log service misbehaves.
 type LogFaults struct {
-	// Down refuses every call.
+	// Down refuses every call, reads that wait included.
 	Down bool
+	// Hang takes calls and never answers; nothing is appended.
+	Hang bool
 	// LoseAnswers takes appends but breaks the connection instead of answering.
 	LoseAnswers bool
+	// LoseEvery loses the answer of each nth append; zero loses none.
+	LoseEvery int
+	// DropAppends breaks the connection before the append takes effect.
+	DropAppends bool
 	// Slow is added to each call.
 	Slow time.Duration
+	// StaleBy hides records until they have that age.
+	StaleBy time.Duration
+	// StaleReads hides the records that were appended after the fault was set.
+	StaleReads bool
+
+	setAt time.Time
 }
 
-type stream struct {
-	records []platform.Record
-	oldest  platform.Offset // offset of records[0]
-	changed chan struct{}
+// LogControl is the message of the log service's control path. An empty Caller
+// means every caller without faults of its own.
+type LogControl struct {
+	Caller netip.Addr `json:",omitzero"`
+	Faults LogFaults
+}
+
+// LogStatus is what the log service tells at its control path.
+type LogStatus struct {
+	Appends int
+	Next    map[string]platform.Offset
 }
 
-// SetFaults replaces the faults.
-func (l *Log) SetFaults(f LogFaults) {
+// SetFaults replaces the faults that hold for callers without their own.
+func (l *Log) SetFaults(f LogFaults) { l.setFaults(netip.Addr{}, f) }
+
+// SetFaultsFor replaces the faults that the process at caller meets.
+func (l *Log) SetFaultsFor(caller netip.Addr, f LogFaults) { l.setFaults(caller, f) }
+
+func (l *Log) setFaults(caller netip.Addr, f LogFaults) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.faults = f
+	l.init()
+	f.setAt = time.Now()
+	if caller.IsValid() {
+		l.byAddr[caller] = f
+	} else {
+		l.faults = f
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
 }
 
-// stream returns the named stream; l.mu is held.
-func (l *Log) stream(name string) *stream {
-	if l.streams == nil {
-		l.streams = map[string]*stream{}
+// init prepares the maps; l.mu is held.
+func (l *Log) init() {
+	if l.streams != nil {
+		return
 	}
-	if l.streams[name] == nil {
-		l.streams[name] = &stream{oldest: 1, changed: make(chan struct{})}
+	l.streams = map[string]*stream{}
+	l.byAddr = map[netip.Addr]LogFaults{}
+	l.changed = make(chan struct{})
+	limit := rate.Inf
+	if l.AppendsPerSecond > 0 {
+		limit = rate.Limit(l.AppendsPerSecond)
 	}
-	return l.streams[name]
+	l.limiter = rate.NewLimiter(limit, max(l.AppendsPerSecond/10, 1))
 }
 
-// ServeHTTP answers appends and reads.
-func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// faultsFor returns the faults of a caller and a channel that is closed when
+// any faults change.
+func (l *Log) faultsFor(caller netip.Addr) (LogFaults, <-chan struct{}) {
 	l.mu.Lock()
-	faults := l.faults
-	l.mu.Unlock()
-	if faults.Slow > 0 {
-		pause(r, faults.Slow)
+	defer l.mu.Unlock()
+	l.init()
+	if f, ok := l.byAddr[caller]; ok {
+		return f, l.changed
+	}
+	return l.faults, l.changed
+}
+
+// ServeHTTP answers appends, reads and control messages.
+func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ControlPath {
+		l.serveControl(w, r)
+		return
+	}
+	faults, _ := l.faultsFor(callerOf(r))
+	pause(r, faults.Slow)
+	if faults.Hang {
+		hang(r)
+		return
 	}
 	if faults.Down {
-		http.Error(w, "the log service is down", http.StatusServiceUnavailable)
+		refuseDown(w)
 		return
 	}
 	switch r.URL.Path {
@@ -79,34 +144,74 @@
 	}
 }
 
+func refuseDown(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
+	http.Error(w, "the service is down", http.StatusServiceUnavailable)
+}
+
+func (l *Log) serveControl(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var c LogControl
+		if !readJSON(w, r, maxControlBytes, &c) {
+			return
+		}
+		l.setFaults(c.Caller, c.Faults)
+	}
+	writeJSON(w, l.Status())
+}
+
+// Status returns the counts of the log service.
+func (l *Log) Status() LogStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := LogStatus{Appends: l.appends, Next: map[string]platform.Offset{}}
+	for name, stream := range l.streams {
+		s.Next[name] = stream.next()
+	}
+	return s
+}
+
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request, faults LogFaults) {
 	var entries []platform.Entry
-	if err := json.NewDecoder(r.Body).Decode(&entries); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !readJSON(w, r, maxRunBytes, &entries) {
 		return
 	}
-	first := l.append(r.URL.Query().Get(platform.StreamParam), entries)
-	if faults.LoseAnswers {
+	if faults.DropAppends {
+		panic(http.ErrAbortHandler)
+	}
+	first, n, ok := l.append(r.URL.Query().Get(platform.StreamParam), entries)
+	if !ok {
+		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
+		http.Error(w, "too many appends", http.StatusTooManyRequests)
+		return
+	}
+	if faults.LoseAnswers || faults.LoseEvery > 0 && n%faults.LoseEvery == 0 {
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(w, platform.AppendReply{Offset: first})
 }
 
-func (l *Log) append(name string, entries []platform.Entry) platform.Offset {
+// append adds entries and returns the offset of the first and the number of
+// appends so far, or false when the rate is exceeded.
+func (l *Log) append(name string, entries []platform.Entry) (platform.Offset, int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.init()
+	if !l.limiter.Allow() {
+		return 0, 0, false
+	}
+	l.appends++
 	s := l.stream(name)
 	first := s.next()
 	for _, e := range entries {
 		s.records = append(s.records, platform.Record{Offset: s.next(), At: time.Now(), Entry: e})
 	}
+	l.trim(s)
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return first
+	return first, l.appends, true
 }
 
-func (s *stream) next() platform.Offset { return s.oldest + platform.Offset(len(s.records)) }
-
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, err := strconv.ParseInt(q.Get(platform.FromParam), 10, 64)
@@ -118,13 +223,20 @@
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
-		batch, changed := l.read(q.Get(platform.StreamParam), platform.Offset(from))
+		faults, faultsChanged := l.faultsFor(callerOf(r))
+		if faults.Down {
+			refuseDown(w)
+			return
+		}
+		batch, changed, recheck := l.read(q.Get(platform.StreamParam), platform.Offset(from), faults)
 		if len(batch.Records) > 0 {
 			writeJSON(w, batch)
 			return
 		}
 		select {
 		case <-changed:
+		case <-faultsChanged:
+		case <-recheck:
 		case <-timeout.C:
 			writeJSON(w, batch)
 			return
@@ -134,30 +246,27 @@
 	}
 }
 
-func (l *Log) read(name string, from platform.Offset) (platform.Batch, <-chan struct{}) {
+// read returns what a caller with these faults may see, and two channels that
+// say when to look again.
+func (l *Log) read(name string, from platform.Offset, faults LogFaults) (platform.Batch, <-chan struct{}, <-chan time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
-	batch := platform.Batch{Oldest: s.oldest, Next: s.next()}
+	l.trim(s)
+	visible, recheck := s.visible(faults)
+	batch := platform.Batch{Oldest: s.oldest, Next: s.oldest + platform.Offset(len(visible))}
 	from = max(from, s.oldest)
-	if from < s.next() {
-		rest := s.records[from-s.oldest:]
+	if from < batch.Next {
+		rest := visible[from-s.oldest:]
 		batch.Records = append(batch.Records, rest[:min(len(rest), maxReadRecords)]...)
 	}
-	return batch, s.changed
+	return batch, s.changed, recheck
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(v)
-}
-
-// pause waits for d or the end of the request.
-func pause(r *http.Request, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-r.Context().Done():
-	}
+// Records returns a copy of what a stream keeps now.
+func (l *Log) Records(name string) []platform.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	return append([]platform.Record(nil), l.stream(name).records...)
 }
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/link"
+)
+
+// restartPause is the time between two tries to listen again.
+const restartPause = 50 * time.Millisecond
+
+// Server serves a stand-in on a network. It refuses connections while the
+// stand-in is down after a crash. Exported fields are set before Start.
+type Server struct {
+	Net  link.Network
+	Addr netip.AddrPort
+	// Handler is the stand-in.
+	Handler http.Handler
+
+	mu      sync.Mutex
+	http    *http.Server
+	stopped bool
+}
+
+// crasher is a stand-in that tells of its crashes.
+type crasher interface {
+	onCrash(func(down time.Duration))
+}
+
+func (c *core) onCrash(f func(down time.Duration)) { c.OnCrash = f }
+
+// Start listens and serves in the background. With port zero it takes a free
+// port and sets Addr.
+func (s *Server) Start() error {
+	if c, ok := s.Handler.(crasher); ok {
+		c.onCrash(s.restart)
+	}
+	return s.listen()
+}
+
+func (s *Server) listen() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return net.ErrClosed
+	}
+	l, err := s.Net.Listen(s.Addr)
+	if err != nil {
+		return err
+	}
+	if addr, ok := l.Addr().(*net.TCPAddr); ok {
+		s.Addr = addr.AddrPort()
+	}
+	s.http = &http.Server{Handler: s.Handler}
+	go s.http.Serve(l)
+	return nil
+}
+
+// restart breaks all connections and listens again after down.
+func (s *Server) restart(down time.Duration) {
+	s.mu.Lock()
+	server := s.http
+	s.mu.Unlock()
+	server.Close()
+	time.AfterFunc(down, s.again)
+}
+
+func (s *Server) again() {
+	if err := s.listen(); err != nil && !errors.Is(err, net.ErrClosed) {
+		time.AfterFunc(restartPause, s.again)
+	}
+}
+
+// Stop ends the server and breaks its connections.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	if s.http != nil {
+		s.http.Close()
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -11,64 +11,111 @@
 )
 
 // Worker is a member of a stage pool or a plain service: it runs up to Slots
-// attempts at once, each for its service time divided by Speed. Exported
-// fields are set before the first request.
+// attempts at once, each for its service time divided by Speed; others wait in
+// order of arrival. Exported fields are set before the first request.
 type Worker struct {
+	core
 	Name  string
 	Speed float64
 	Slots int
+	// BaseService is the time that each run takes beyond that of its work.
+	BaseService time.Duration
 
-	mu    sync.Mutex
-	slots chan struct{}
-	runs  map[string]int // by key, or by request ID without one
+	once    sync.Once
+	slots   chan struct{}
+	load    loadCount
+	answers answerTable
 }
 
-// Runs returns how often each key, or request without key, was run.
-func (w *Worker) Runs() map[string]int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	out := map[string]int{}
-	for k, n := range w.runs {
-		out[k] = n
+// ServeHTTP runs an attempt, answers whether a key ran and reports the load.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ControlPath {
+		w.serveControl(rw, r, w.Name)
+		return
+	}
+	faults, _, _ := w.now()
+	if faults.Down {
+		panic(http.ErrAbortHandler)
+	}
+	switch r.URL.Path {
+	case contract.RunPath:
+		w.serveRun(rw, r, &faults)
+	case contract.AskPath:
+		w.serveAsk(rw, r)
+	case contract.ReportPath:
+		running, waiting := w.load.read()
+		writeJSON(rw, contract.Report{Target: w.Name, Incarnation: w.Incarnation(), At: time.Now(), Running: running, Waiting: waiting})
+	default:
+		http.NotFound(rw, r)
 	}
-	return out
 }
 
-// ServeHTTP runs an attempt.
-func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+func (w *Worker) serveRun(rw http.ResponseWriter, r *http.Request, faults *TargetFaults) {
 	var run contract.Run
-	if err := json.NewDecoder(r.Body).Decode(&run); err != nil {
-		http.Error(rw, err.Error(), http.StatusBadRequest)
+	if !readJSON(rw, r, maxRunBytes, &run) {
 		return
 	}
-	var work contract.Work
-	json.Unmarshal(run.Input, &work)
-	slots := w.count(&run)
+	a := w.answer(rw, &run)
+	if faults.Fail {
+		a.end(contract.Piece{Failure: "the target fails every run"})
+		return
+	}
+	if !w.take(r) {
+		panic(http.ErrAbortHandler)
+	}
+	defer w.give()
+	w.count(&run)
+	text, cost, ok := w.execute(r, &run)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	w.answers.put(run.Key, text)
+	pause(r, faults.AnswerDelay)
+	a.piece(text)
+	a.end(contract.Piece{Cost: cost})
+}
+
+// take waits for a slot.
+func (w *Worker) take(r *http.Request) bool {
+	w.once.Do(func() { w.slots = make(chan struct{}, max(w.Slots, 1)) })
+	_, _, dead := w.now()
+	w.load.wait()
 	select {
-	case slots <- struct{}{}:
-		defer func() { <-slots }()
+	case w.slots <- struct{}{}:
+		w.load.begin()
+		return true
 	case <-r.Context().Done():
-		return
+	case <-dead:
 	}
-	start := time.Now()
-	pause(r, time.Duration(float64(work.Service)/w.Speed))
-	text := strings.TrimSpace(work.Previous + " " + w.Name + "(" + run.Stage + ": " + work.Text + ")")
-	enc := json.NewEncoder(rw)
-	enc.Encode(contract.Piece{AttemptID: run.AttemptID, Data: text})
-	enc.Encode(contract.Piece{AttemptID: run.AttemptID, Seq: 1, End: true, Cost: time.Since(start)})
+	w.load.leave()
+	return false
+}
+
+func (w *Worker) give() {
+	w.load.end()
+	<-w.slots
 }
 
-func (w *Worker) count(run *contract.Run) chan struct{} {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.runs == nil {
-		w.runs = map[string]int{}
-		w.slots = make(chan struct{}, w.Slots)
+// execute spends the service time of run and returns its output and cost.
+func (w *Worker) execute(r *http.Request, run *contract.Run) (string, time.Duration, bool) {
+	var work contract.Work
+	json.Unmarshal(run.Input, &work)
+	start := time.Now()
+	if !w.work(work.Service+w.BaseService, w.Speed, r.Context().Done()) {
+		return "", 0, false
 	}
-	id := run.Key
-	if id == "" {
-		id = run.RequestID
+	if work.Crash {
+		w.Crash()
+		return "", 0, false
 	}
-	w.runs[id]++
-	return w.slots
+	text := strings.TrimSpace(work.Previous + " " + w.Name + "(" + run.Stage + ": " + work.Text + ")")
+	return text, time.Since(start), true
+}
+
+// serveAsk answers whether the key of the query ran to its end here. A run
+// that arrives after the answer still runs.
+func (w *Worker) serveAsk(rw http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get(contract.KeyParam)
+	text, ran := w.answers.get(key)
+	writeJSON(rw, contract.AskReply{Ran: ran || w.Runs()[key] > 0, Answer: text})
 }
