Decode documents and settings with every fault and its place

Cause: a faulty document or settings file was refused with the first fault alone and without its place.

One decoder for both walks the tree that hujson keeps with byte offsets, stores what is right and reports the rest with file, line, column, path and what would be right. Types check themselves through declaration.Checker while the tree is at hand, so that a look-up by path is needed only between sections. Ruled out: encoding/json, which stops at the first fault, and a position map of all values, which costs memory on every change for faults that are rare.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,15 +2,14 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
-	"fmt"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
 	"net/netip"
 	"os"
 	"time"
 
 	"berylswitch.example/berylswitch/pkg/declaration"
-	"github.com/tailscale/hujson"
 )
 
 // Settings is what a process is told about itself and its surroundings.
@@ -27,6 +26,13 @@
 	HostListAddr netip.AddrPort `json:",omitzero"`
 	// Policy names the queue policy; empty means SharedQueue.
 	Policy string `json:",omitempty"`
+	// SnapshotAge is the age at which a record that the document still needs is
+	// covered by a snapshot; it must be well under the log's retention.
+	SnapshotAge declaration.Duration `json:",omitempty"`
+	// PeerTLS secures the links among hosts, PlatformTLS those to the platform;
+	// both sides show certificates. Without it a link is plain TCP.
+	PeerTLS     *TLS `json:",omitempty"`
+	PlatformTLS *TLS `json:",omitempty"`
 	// DrainDelay is the time between not being ready and refusing new work.
 	DrainDelay declaration.Duration `json:",omitempty"`
 	// DrainTimeout bounds a graceful shutdown.
@@ -40,34 +46,112 @@
 	Domain string `json:",omitempty"`
 }
 
-// Default bounds of a shutdown.
+// TLS names the PEM files of one kind of link. They are read again when they
+// change.
+type TLS struct {
+	CertFile string
+	KeyFile  string
+	// CAFile holds the certificates that the other side's must lead to.
+	CAFile string
+}
+
+// Defaults of fields that were left out.
 const (
+	DefaultSnapshotAge  = time.Hour
 	DefaultDrainDelay   = 2 * time.Second
 	DefaultDrainTimeout = 30 * time.Second
 )
 
-// Load reads and checks the file.
+// Bounds of a settings file.
+const (
+	maxPeers = 1024
+	maxDrain = time.Hour
+	// minSnapshotAge keeps hosts from writing snapshots all the time.
+	minSnapshotAge = time.Second
+)
+
+// Load reads and checks the file. Its error is a declaration.Problems that
+// holds every fault with its place, or says that the file can't be read.
 func Load(file string) (*Settings, error) {
-	src, err := os.ReadFile(file)
+	src, err := declaration.ReadSource(file)
 	if err != nil {
 		return nil, err
 	}
-	std, err := hujson.Standardize(src)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
-	}
+	return decode(src)
+}
+
+// Parse is Load on a text; file is for messages alone.
+func Parse(file string, text []byte) (*Settings, error) {
+	return decode(declaration.ParseSource(file, text))
+}
+
+func decode(src *declaration.Source) (*Settings, error) {
 	s := &Settings{}
-	dec := json.NewDecoder(bytes.NewReader(std))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
+	src.Decode(s)
+	if !src.Valid() {
+		return nil, src.Problems()
 	}
 	s.SetDefaults()
 	return s, nil
 }
 
+// Check reports what is wrong with s.
+func (s *Settings) Check(r *declaration.Reporter) {
+	checkName(r, s.Name)
+	if len(s.Peers) > maxPeers {
+		r.Report("Peers", "must be at most %d, are %d", maxPeers, len(s.Peers))
+	}
+	seen := map[string]bool{s.Name: true}
+	for _, p := range s.Peers {
+		if seen[p.Name] {
+			r.Report("Peers", "two hosts are named %q; the names of hosts must differ", p.Name)
+		}
+		seen[p.Name] = true
+	}
+	if s.CallerAddr == s.PeerAddr && s.PeerAddr.IsValid() {
+		r.Report("PeerAddr", "must differ from CallerAddr")
+	}
+	checkDrain(r, "DrainDelay", s.DrainDelay)
+	checkDrain(r, "DrainTimeout", s.DrainTimeout)
+	if d := time.Duration(s.SnapshotAge); d != 0 && d < minSnapshotAge {
+		r.Report("SnapshotAge", "must be at least %v, is %v", minSnapshotAge, d)
+	}
+}
+
+func checkDrain(r *declaration.Reporter, field string, d declaration.Duration) {
+	if d < 0 || time.Duration(d) > maxDrain {
+		r.Report(field, "must be 0s to %v, is %v", maxDrain, time.Duration(d))
+	}
+}
+
+func checkName(r *declaration.Reporter, name string) {
+	if !declaration.ValidName(name) {
+		r.Report("Name", "%s", declaration.NameRule)
+	}
+}
+
+// Check reports what is wrong with p.
+func (p *Peer) Check(r *declaration.Reporter) { checkName(r, p.Name) }
+
+// Check reports the files of t that can't be used.
+func (t *TLS) Check(r *declaration.Reporter) {
+	if _, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile); err != nil {
+		r.Report("CertFile", "must name a PEM file with the certificate of KeyFile: %v", err)
+	}
+	pem, err := os.ReadFile(t.CAFile)
+	if err == nil && !x509.NewCertPool().AppendCertsFromPEM(pem) {
+		err = errors.New("no certificate in it")
+	}
+	if err != nil {
+		r.Report("CAFile", "must name a PEM file with the certificates to trust: %v", err)
+	}
+}
+
 // SetDefaults fills the fields that were left out.
 func (s *Settings) SetDefaults() {
+	if s.SnapshotAge == 0 {
+		s.SnapshotAge = declaration.Duration(DefaultSnapshotAge)
+	}
 	if s.DrainDelay == 0 {
 		s.DrainDelay = declaration.Duration(DefaultDrainDelay)
 	}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestCheck runs the scripts under testdata/check: each input is a settings
+// file, the output its problems.
+func TestCheck(t *testing.T) {
+	datadriven.Walk(t, "testdata/check", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if _, err := Parse("host.jsonc", []byte(d.Input)); err != nil {
+				return err.Error() + "\n"
+			}
+			return "ok\n"
+		})
+	})
+}
+
+// FuzzParse holds that no text panics and that a refusal names places.
+func FuzzParse(f *testing.F) {
+	seeds, err := filepath.Glob("testdata/check/*")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, name := range seeds {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Add([]byte(`{"Name":"h","Domain":"A","CallerAddr":"10.0.0.1:80","PeerAddr":"10.0.0.1:81","LogAddr":"10.0.1.1:80"}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, err := Parse("f", text)
+		var problems declaration.Problems
+		if err != nil && (!errors.As(err, &problems) || len(problems) == 0) {
+			t.Errorf("refused without a place: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/declaration/check.go
@@ -0,0 +1,221 @@
+package declaration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+	"time"
+)
+
+// Bounds of the document.
+const (
+	// MaxSections bounds the sections in force.
+	MaxSections = 512
+	// MaxDocumentBytes bounds the texts of all sections together.
+	MaxDocumentBytes = 8 << 20
+
+	maxStages     = 16
+	maxKeys       = 16
+	maxSlots      = 4096
+	maxPriority   = 1000
+	maxDeadline   = 24 * time.Hour
+	maxPipelines  = 512
+	maxWorkspaces = 8192
+	maxPools      = 512
+	maxTargets    = 16384
+)
+
+// Check reports what is wrong with s on its own.
+func (s *Section) Check(r *Reporter) {
+	if len(s.Keys) > maxKeys {
+		r.Report("Keys", "must be at most %d keys, are %d", maxKeys, len(s.Keys))
+	}
+	for _, key := range s.Keys {
+		if _, err := ParseKey(key); err != nil {
+			r.Report("Keys", "%q %v", key, err)
+		}
+	}
+}
+
+// Check reports what is wrong with p on its own.
+func (p *Pipeline) Check(r *Reporter) {
+	checkName(r, p.Name)
+	if p.Deadline <= 0 || time.Duration(p.Deadline) > maxDeadline {
+		r.Report("Deadline", "must be above 0s and at most %v, is %v", maxDeadline, time.Duration(p.Deadline))
+	}
+	if p.Objective != 0 && !(p.Objective > 0 && p.Objective < 1) {
+		r.Report("Objective", "must lie between 0 and 1, both excluded, such as 0.99; is %v", p.Objective)
+	}
+	checkPriority(r, "Priority", p.Priority)
+	if len(p.Stages) < 1 || len(p.Stages) > maxStages {
+		r.Report("Stages", "must be 1 to %d stages, are %d", maxStages, len(p.Stages))
+	}
+	seen := map[string]bool{}
+	for _, s := range p.Stages {
+		if seen[s.Name] {
+			r.Report("Stages", "two stages are named %q; the names of a pipeline's stages must differ", s.Name)
+		}
+		seen[s.Name] = true
+	}
+}
+
+// Check reports what is wrong with s on its own.
+func (s *Stage) Check(r *Reporter) { checkName(r, s.Name) }
+
+// Check reports what is wrong with w on its own.
+func (w *Workspace) Check(r *Reporter) {
+	checkName(r, w.Name)
+	digest, err := hex.DecodeString(w.TokenSHA256)
+	if w.TokenSHA256 != "" && (err != nil || len(digest) != sha256.Size) {
+		r.Report("TokenSHA256", "must be 64 hex digits, the SHA-256 digest of the token")
+	}
+	if !(w.Share >= 0 && w.Share <= maxShare) {
+		r.Report("Share", "must be 0 to %v, is %v", maxShare, w.Share)
+	}
+	checkPriority(r, "MaxPriority", w.MaxPriority)
+}
+
+// maxShare bounds the weight of a workspace.
+const maxShare = 1e6
+
+// Check reports what is wrong with p on its own.
+func (p *Pool) Check(r *Reporter) { checkName(r, p.Name) }
+
+// Check reports what is wrong with t on its own.
+func (t *Target) Check(r *Reporter) {
+	checkName(r, t.Name)
+	if t.Slots < 1 || t.Slots > maxSlots {
+		r.Report("Slots", "must be 1 to %d, is %d", maxSlots, t.Slots)
+	}
+}
+
+func checkName(r *Reporter, name string) {
+	if !ValidName(name) {
+		r.Report("Name", "%s", NameRule)
+	}
+}
+
+func checkPriority(r *Reporter, field string, n int) {
+	if n < -maxPriority || n > maxPriority {
+		r.Report(field, "must be %d to %d, is %d", -maxPriority, maxPriority, n)
+	}
+}
+
+// names returns the names of the sections in order.
+func (d *Document) names() []string {
+	out := make([]string, 0, len(d.Sections))
+	for name := range d.Sections {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Report takes a problem of the whole document, at a path in one section.
+type Report func(section string, path Path, format string, args ...any)
+
+// Check reports what is wrong between the sections of d and between the things
+// in them: names that stand twice, references to nothing, too many of a kind.
+func (d *Document) Check(report Report) {
+	if len(d.Sections) > MaxSections {
+		report("", nil, "must be at most %d sections, are %d", MaxSections, len(d.Sections))
+	}
+	c := checker{
+		report:     report,
+		pipelines:  kind{"pipeline", maxPipelines, map[string]string{}},
+		workspaces: kind{"workspace", maxWorkspaces, map[string]string{}},
+		pools:      kind{"pool", maxPools, map[string]string{}},
+		targets:    kind{"target", maxTargets, map[string]string{}},
+	}
+	names := d.names()
+	for _, name := range names {
+		if !ValidName(name) {
+			report(name, nil, "the section's name %s", NameRule)
+		}
+		c.declare(name, d.Sections[name])
+	}
+	for _, name := range names {
+		c.resolve(name, d.Sections[name])
+	}
+}
+
+// kind is the things of one kind: the section that declares each name.
+type kind struct {
+	noun    string
+	limit   int
+	section map[string]string
+}
+
+type checker struct {
+	report                                Report
+	unresolved                            int
+	pipelines, workspaces, pools, targets kind
+}
+
+func (c *checker) add(k *kind, section, list string, i int, name string) {
+	if name == "" {
+		return
+	}
+	if first, ok := k.section[name]; ok {
+		c.report(section, Path(nil).At(list, i).Member("Name"), "%s %q is also declared in section %q; names are unique over all sections", k.noun, name, first)
+		return
+	}
+	k.section[name] = section
+	if len(k.section) == k.limit+1 {
+		c.report(section, Path(nil).At(list, i), "more than %d %ss in all sections", k.limit, k.noun)
+	}
+}
+
+// declare enters the names of a section.
+func (c *checker) declare(name string, s Section) {
+	for i := range s.Pipelines {
+		c.add(&c.pipelines, name, "Pipelines", i, s.Pipelines[i].Name)
+	}
+	for i := range s.Workspaces {
+		c.add(&c.workspaces, name, "Workspaces", i, s.Workspaces[i].Name)
+	}
+	for i := range s.Pools {
+		c.add(&c.pools, name, "Pools", i, s.Pools[i].Name)
+	}
+	for i := range s.Targets {
+		c.add(&c.targets, name, "Targets", i, s.Targets[i].Name)
+	}
+}
+
+// resolve looks up what a section refers to.
+func (c *checker) resolve(name string, s Section) {
+	for i, p := range s.Pipelines {
+		for j, stage := range p.Stages {
+			c.refer(&c.pools, name, Path(nil).At("Pipelines", i).At("Stages", j).Member("Pool"), stage.Pool)
+		}
+	}
+	for i, w := range s.Workspaces {
+		for j, pipeline := range w.Pipelines {
+			c.refer(&c.pipelines, name, Path(nil).At("Workspaces", i).At("Pipelines", j), pipeline)
+		}
+	}
+	for i := range s.Targets {
+		if _, ok := c.pools.section[s.Targets[i].Pool]; !ok {
+			c.refer(&c.pools, name, Path(nil).At("Targets", i).Member("Pool"), s.Targets[i].Pool)
+		}
+	}
+}
+
+func (c *checker) refer(k *kind, section string, path Path, name string) {
+	if _, ok := k.section[name]; ok {
+		return
+	}
+	c.unresolved++
+	if c.unresolved > maxProblems {
+		return
+	}
+	known := make([]string, 0, len(k.section))
+	for n := range k.section {
+		known = append(known, n)
+	}
+	if near := nearest(name, known); near != "" {
+		c.report(section, path, "no %s %q; did you mean %q?", k.noun, name, near)
+		return
+	}
+	c.report(section, path, "no section declares a %s %q", k.noun, name)
+}
--- a/pkg/declaration/declaration.go
+++ b/pkg/declaration/declaration.go
@@ -6,7 +6,6 @@
 package declaration
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"time"
@@ -76,6 +75,8 @@
 	Pool   string
 	Addr   netip.AddrPort
 	Domain string
+	// Region holds the domain; it matters once there are several.
+	Region string `json:",omitempty" since:"2"`
 	// Slots is the number of runs that the target takes at once.
 	Slots  int
 	Models []string `json:",omitempty"`
@@ -102,82 +103,3 @@
 	*d = Duration(v)
 	return nil
 }
-
-// Problem is one fault of a document or a settings file. Line and Column count
-// from one.
-type Problem struct {
-	File    string
-	Line    int
-	Column  int
-	Path    string
-	Message string
-}
-
-// String formats p as file:line:column: path: message.
-func (p Problem) String() string {
-	return fmt.Sprintf("%s:%d:%d: %s: %s", p.File, p.Line, p.Column, p.Path, p.Message)
-}
-
-// View is a checked document prepared for look-ups. It is immutable.
-type View struct {
-	Pipelines  map[string]*Pipeline
-	Workspaces map[string]*Workspace
-	Pools      map[string]*Pool
-	Targets    map[string]*Target
-}
-
-// NewView indexes d by name. It expects a document without problems; the last
-// of several things with one name wins.
-func NewView(d *Document) *View {
-	v := &View{
-		Pipelines:  map[string]*Pipeline{},
-		Workspaces: map[string]*Workspace{},
-		Pools:      map[string]*Pool{},
-		Targets:    map[string]*Target{},
-	}
-	for _, s := range d.Sections {
-		v.add(&s)
-	}
-	return v
-}
-
-func (v *View) add(s *Section) {
-	for i := range s.Pipelines {
-		v.Pipelines[s.Pipelines[i].Name] = &s.Pipelines[i]
-	}
-	for i := range s.Workspaces {
-		v.Workspaces[s.Workspaces[i].Name] = &s.Workspaces[i]
-	}
-	for i := range s.Pools {
-		v.Pools[s.Pools[i].Name] = &s.Pools[i]
-	}
-	for i := range s.Targets {
-		v.Targets[s.Targets[i].Name] = &s.Targets[i]
-	}
-}
-
-// NonIdempotent reports whether any stage of p may not be repeated.
-func (v *View) NonIdempotent(p *Pipeline) bool {
-	for _, s := range p.Stages {
-		if pool := v.Pools[s.Pool]; pool != nil && pool.NonIdempotent {
-			return true
-		}
-	}
-	return false
-}
-
-// Change is a proposed new text of one section, as it stands on the Config
-// stream.
-type Change struct {
-	// RuleVersion is the version of the fold's rules that the author knew.
-	RuleVersion int
-	Section     string
-	// Base is the offset of the change that the author's text was made from, or
-	// zero when the section did not exist.
-	Base    int64
-	Author  string
-	Text    json.RawMessage
-	Removed bool `json:",omitempty"`
-	// Signature is an ed25519 signature by one of the section's keys.
-	Signature []byte `json:",omitempty"`
-}
--- /dev/null
+++ b/pkg/declaration/load.go
@@ -0,0 +1,117 @@
+package declaration
+
+import (
+	"path/filepath"
+	"sort"
+	"strings"
+)
+
+// ParseSection decodes the text of one section under a rule version. The
+// problems name it file.
+func ParseSection(file string, text []byte, rule int) (*Section, Problems) {
+	src := ParseSource(file, text)
+	src.Rule = rule
+	s := &Section{}
+	src.Decode(s)
+	return s, src.Problems()
+}
+
+// Part is the text of one section and where it was found.
+type Part struct {
+	Name string
+	Text Text
+
+	source *Source
+	prefix Path // of the section in the source
+}
+
+// Files is a document read from files.
+type Files struct {
+	Document *Document
+	// Parts holds the text of each section by name.
+	Parts map[string]Part
+
+	sources []*Source
+}
+
+// ReadFiles reads files that each hold a whole document, with the member
+// Sections, or one section, which is then named as the file is. It decodes
+// under a rule version and finds every problem of the files and of the document
+// that they make up together. The error says that a file can't be read.
+func ReadFiles(rule int, names ...string) (*Files, Problems, error) {
+	f := &Files{Document: &Document{Sections: map[string]Section{}}, Parts: map[string]Part{}}
+	for _, name := range names {
+		src, err := ReadSource(name)
+		if err != nil {
+			return nil, nil, err
+		}
+		src.Rule = rule
+		f.add(src)
+	}
+	f.Document.Check(f.report)
+	return f, f.problems(), nil
+}
+
+func (f *Files) add(src *Source) {
+	f.sources = append(f.sources, src)
+	if src.root.Value == nil {
+		return
+	}
+	sections := child(&src.root, Step{Name: "Sections"})
+	if sections == nil {
+		var s Section
+		src.Decode(&s)
+		name := filepath.Base(src.File)
+		f.addPart(Part{Name: strings.TrimSuffix(name, filepath.Ext(name)), Text: src.text, source: src}, s)
+		return
+	}
+	var d Document
+	src.Decode(&d)
+	for _, name := range d.names() {
+		path := Path(nil).Member("Sections").Member(name)
+		v := child(sections, Step{Name: name})
+		f.addPart(Part{Name: name, Text: src.text[v.StartOffset:v.EndOffset], source: src, prefix: path}, d.Sections[name])
+	}
+}
+
+func (f *Files) addPart(p Part, s Section) {
+	if first, ok := f.Parts[p.Name]; ok {
+		p.source.Report(p.prefix, "section %q is also in %s", p.Name, first.source.File)
+		return
+	}
+	f.Parts[p.Name] = p
+	f.Document.Sections[p.Name] = s
+}
+
+// report places a problem of the whole document in the file of its section.
+func (f *Files) report(section string, path Path, format string, args ...any) {
+	p, ok := f.Parts[section]
+	if !ok {
+		p.source = f.sources[0]
+	}
+	full := append(p.prefix[:len(p.prefix):len(p.prefix)], path...)
+	for _, known := range p.source.problems {
+		if known.Path == full.String() {
+			return
+		}
+	}
+	p.source.Report(full, format, args...)
+}
+
+func (f *Files) problems() Problems {
+	var out Problems
+	for _, s := range f.sources {
+		out = append(out, s.problems...)
+	}
+	return out.sorted()
+}
+
+// Names returns the names of the sections in order.
+func (f *Files) Names() []string {
+	out := make([]string, 0, len(f.Parts))
+	for name := range f.Parts {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/pkg/declaration/names.go
@@ -0,0 +1,91 @@
+package declaration
+
+import (
+	"sort"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// maxNameRunes bounds the names of things.
+const maxNameRunes = 64
+
+// NameRule says what a name looks like, for messages.
+const NameRule = "must be 1 to 64 letters, digits, '-', '_' or '.', and start with a letter or digit"
+
+// ValidName reports whether name keeps to NameRule. Names stand in paths of
+// URLs and of problems.
+func ValidName(name string) bool {
+	if name == "" || utf8.RuneCountInString(name) > maxNameRunes {
+		return false
+	}
+	for i, r := range name {
+		plain := unicode.IsLetter(r) || unicode.IsDigit(r)
+		if !plain && (i == 0 || !strings.ContainsRune("-_.", r)) {
+			return false
+		}
+	}
+	return true
+}
+
+// maxEdits is the distance within which a known name is suggested for an
+// unknown one.
+const maxEdits = 2
+
+// minPrefix is the length from which a known name is suggested for a longer one
+// that starts with it.
+const minPrefix = 4
+
+// nearest returns the known name that was probably meant, or an empty string.
+func nearest(name string, known []string) string {
+	if len(name) > maxNameRunes {
+		return ""
+	}
+	sort.Strings(known)
+	best, bestEdits := "", maxEdits+1
+	name = strings.ToLower(name)
+	for _, k := range known {
+		n := edits(name, strings.ToLower(k))
+		if len(k) >= minPrefix && strings.HasPrefix(name, strings.ToLower(k)) {
+			n = min(n, maxEdits)
+		}
+		if n < bestEdits && n < len(k) {
+			best, bestEdits = k, n
+		}
+	}
+	return best
+}
+
+// edits counts the insertions, deletions and replacements of bytes that lead
+// from a to b.
+func edits(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			replace := diagonal
+			if a[i] != b[j] {
+				replace++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(replace, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
+
+// maxListed bounds the names that a message lists.
+const maxListed = 12
+
+// list formats names for a message.
+func list(names []string) string {
+	sort.Strings(names)
+	if len(names) > maxListed {
+		return strings.Join(names[:maxListed], ", ") + ", ..."
+	}
+	return strings.Join(names, ", ")
+}
