--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -6,6 +6,7 @@
 	"net/rpc"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -64,7 +65,15 @@
 	return &queue.Dispatcher{Clock: c, Targets: r, Policy: queue.LeastOfTwo{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
-func provideRPC(x *peer.Exchange) (*peer.Server, error) {
+// providePeers registers the services that peers call.
+func providePeers(x *peer.Exchange, claims *claim.Holder) (*peer.Server, error) {
 	s := &peer.Server{RPC: rpc.NewServer()}
-	return s, x.Register(s.RPC)
+	if err := x.Register(s.RPC); err != nil {
+		return nil, err
+	}
+	return s, s.RPC.RegisterName(claim.ServiceName, &claim.Service{Holder: claims})
+}
+
+func provideHolder(s *settings.Settings, c *clock.Service, l platform.Log, x *peer.Exchange) *claim.Holder {
+	return &claim.Holder{Clock: c, Log: l, Members: x, Self: s.Name, Stats: claim.NewStats()}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -34,6 +35,8 @@
 	Dispatcher *queue.Dispatcher
 	Runner     *pipeline.Runner
 	Admission  *workspace.Admission
+	Claims     *claim.Holder
+	Claimer    *claim.Client
 	Caller     *peer.Caller
 	Peers      *peer.Server
 }
@@ -56,6 +59,8 @@
 	g.Go(func() error { return h.Follower.Run(ctx) })
 	g.Go(func() error { return h.Exchange.Run(ctx) })
 	g.Go(func() error { return h.Dispatcher.Run(ctx) })
+	g.Go(func() error { return h.Claims.Run(ctx) })
+	g.Go(func() error { return h.Claimer.Run(ctx) })
 	g.Go(func() error { return h.Peers.Serve(peers) })
 	g.Go(func() error { return ignoreClosed(server.Serve(callers)) })
 	g.Go(func() error {
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -22,7 +23,10 @@
 		provideClient,
 		provideExchange,
 		provideDispatcher,
-		provideRPC,
+		providePeers,
+		provideHolder,
+		claim.NewClient,
+		wire.Bind(new(claim.Members), new(*peer.Exchange)),
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
 		wire.Struct(new(section.Follower), "Log", "Clock"),
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -7,6 +7,7 @@
 package host
 
 import (
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -46,7 +47,9 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
-	server, err := provideRPC(exchange)
+	holder := provideHolder(s, c, client, exchange)
+	claimClient := claim.NewClient(c, exchange, caller, holder)
+	server, err := providePeers(exchange, holder)
 	if err != nil {
 		return nil, err
 	}
@@ -61,6 +64,8 @@
 		Dispatcher: dispatcher,
 		Runner:     runner,
 		Admission:  admission,
+		Claims:     holder,
+		Claimer:    claimClient,
 		Caller:     caller,
 		Peers:      server,
 	}
