Guard the claim scripts' sends against their readers

The full run with the race detector saw a write of finished beside a read in describe (TestScripts/two_holders). Lock order ruled out; the script read without the lock.

--- a/internal/claim/script_test.go
+++ b/internal/claim/script_test.go
@@ -53,6 +53,8 @@
 	case "host":
 		s.host(t, d)
 	case "result":
+		s.w.mu.Lock()
+		defer s.w.mu.Unlock()
 		return s.sends[s.text(t, d, "of")].describe()
 	case "runs":
 		return fmt.Sprint(len(s.w.runs[s.key(s.text(t, d, "key"))]))
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -251,19 +251,24 @@
 	h := s.host
 	s.began = h.clock.Now()
 	s.request.Until = s.began.Add(p.wait)
-	s.verdict, s.err = c.Claim(s.life, s.request)
+	verdict, err := c.Claim(s.life, s.request)
+	w.mu.Lock()
+	s.verdict, s.err = verdict, err
 	s.took = time.Since(s.began.Add(-h.clock.Skew))
-	if s.life.Err() != nil {
+	s.ended = s.life.Err() == nil
+	w.mu.Unlock()
+	if !s.ended {
 		return
 	}
-	s.ended = true
 	if _, ok := s.verdict.(First); !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.life, p.wait+5*time.Second)
 	defer cancel()
 	if p.giveUp || !s.request.Valid(h.clock.Now()) {
+		w.mu.Lock()
 		s.releasing = true
+		w.mu.Unlock()
 		c.Release(ctx, s.request)
 		return
 	}
@@ -275,7 +280,10 @@
 		return
 	}
 	answer, _ := json.Marshal(s.request.AttemptID)
-	s.finished = c.Finish(ctx, s.request, Outcome{Code: result.OK, Ran: result.RanYes, Answer: answer}) == nil && s.life.Err() == nil
+	err = c.Finish(ctx, s.request, Outcome{Code: result.OK, Ran: result.RanYes, Answer: answer})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.finished = err == nil && s.life.Err() == nil
 }
 
 // describe gives what a caller was told, for scripts.
