Report service-level burn over several windows and the cost by stage

Hosts counted nothing, so nobody could say how fast a workspace spends its error budget. A Recorder on each host counts answers by workspace and pipeline in four rings of thirteen time buckets (5 m, 1 h, 6 h, 3 d) and adds up stages with an HDR histogram; /v1/report gives it, /v1/metrics the go-metrics counters by result code. 'berylswitch report' merges hosts by the time that buckets stand for, and writes text, JSON or an HTML page with SVG plots.

Under an objective below 93 in 100 a burn of 14.4 can't be reached and the fast page would never fire (seen in the script alerts, objective 0.9); pages now also fire from a share of the burn of a complete failure.

--- a/cmd/berylswitch/main.go
+++ b/cmd/berylswitch/main.go
@@ -26,6 +26,7 @@
 	p.Name = "berylswitch"
 	commands := []command{
 		{"serve", "Run a host", &serveCommand{ctx: ctx}},
+		{"report", "Show service-level burn and cost by stage", &reportCommand{ctx: ctx}},
 		{"try", "Run stand-ins and two hosts in this process and send requests", &tryCommand{ctx: ctx}},
 	}
 	for _, c := range commands {
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -10,6 +10,7 @@
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/internal/queue"
+	"berylswitch.example/berylswitch/internal/report"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 )
@@ -34,4 +35,8 @@
 	return &queue.Dispatcher{Clock: c, Targets: r, Policy: queue.LeastOfTwo{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
+func provideReport(s *settings.Settings, c *clock.Service) *report.Recorder {
+	return &report.Recorder{Clock: c, Name: s.Name}
+}
+
 func provideRPC() *rpc.Server { return rpc.NewServer() }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/queue"
+	"berylswitch.example/berylswitch/internal/report"
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
@@ -35,6 +36,7 @@
 	Dispatcher *queue.Dispatcher
 	Runner     *pipeline.Runner
 	Admission  *workspace.Admission
+	Report     *report.Recorder
 	RPC        *rpc.Server
 }
 
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -42,6 +42,7 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
+	recorder := provideReport(s, c)
 	server := provideRPC()
 	host := &Host{
 		Settings:   s,
@@ -54,6 +55,7 @@
 		Dispatcher: dispatcher,
 		Runner:     runner,
 		Admission:  admission,
+		Report:     recorder,
 		RPC:        server,
 	}
 	return host
--- /dev/null
+++ b/internal/report/recorder.go
@@ -0,0 +1,205 @@
+// Package report tells operators how well requests were served: how fast each
+// workspace and pipeline spends its error budget, and what each stage costs.
+//
+// A Recorder on each host counts answers in time buckets of bounded number and
+// gives a Host report. Merge adds the reports of several hosts, and Summarize
+// turns the sum into burn rates and budgets, which are written as text, JSON or
+// an HTML page. Counts live in memory: the report covers what the hosts that
+// answer have served since they were started.
+package report
+
+import (
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/pkg/caller"
+	"berylswitch.example/berylswitch/pkg/result"
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// DefaultObjective is the share of requests that a pipeline without an
+// objective should answer in time.
+const DefaultObjective = 0.99
+
+// Bounds of a recorder's memory. At 1,300 workspaces and 18 pipelines every
+// pair has a series of its own.
+const (
+	maxSeries = 32768
+	maxStages = 1024
+)
+
+// OtherName stands for the workspace of requests beyond the series that fit,
+// and for the pipeline and stage of costs beyond the stages that fit.
+const OtherName = "(other)"
+
+// Outcome is the end of one request.
+type Outcome struct {
+	Workspace string
+	Pipeline  string
+	// Objective is the pipeline's; zero means DefaultObjective.
+	Objective float64
+	// Deadline is the time that the request had.
+	Deadline time.Duration
+	Answer   *caller.Answer
+}
+
+// Judgement is what an outcome means for the service level.
+type Judgement int
+
+// The judgements. Uncounted requests are neither good nor bad: the caller was
+// at fault or went away, or another attempt with the key is counted.
+const (
+	Uncounted Judgement = iota
+	Good
+	Bad
+)
+
+// firstServiceCode is the lowest code that is not the caller's own fault.
+const firstServiceCode result.Code = 200
+
+// Judge says how o counts.
+func (o *Outcome) Judge() Judgement {
+	switch code := o.Answer.Code; {
+	case code == result.OK && o.Answer.Took <= o.Deadline:
+		return Good
+	case code == result.OK:
+		return Bad
+	case code < firstServiceCode, code == result.Cancelled, code == result.InProgress:
+		return Uncounted
+	default:
+		return Bad
+	}
+}
+
+// Recorder counts outcomes. Exported fields are set before the first Record.
+type Recorder struct {
+	Clock *clock.Service
+	// Name is the host's.
+	Name string
+	// Metrics gets counters by result code and a histogram of durations.
+	Metrics metrics.Registry
+
+	mu      sync.Mutex
+	since   time.Time
+	series  map[seriesKey]*series
+	stages  map[stageKey]*stage
+	codes   map[result.Code]metrics.Counter
+	took    metrics.Histogram
+	dropped int64
+}
+
+type seriesKey struct{ workspace, pipeline string }
+
+type stageKey struct{ pipeline, stage string }
+
+// series counts the outcomes of one workspace at one pipeline.
+type series struct {
+	objective float64
+	rings     [len(windows)]ring
+}
+
+// Sample size of the histogram of durations.
+const tookSample = 1028
+
+// init prepares the maps; r.mu is held.
+func (r *Recorder) init(now time.Time) {
+	if r.series != nil {
+		return
+	}
+	r.since = now
+	r.series = map[seriesKey]*series{}
+	r.stages = map[stageKey]*stage{}
+	r.codes = map[result.Code]metrics.Counter{}
+	if r.Metrics == nil {
+		r.Metrics = metrics.NewRegistry()
+	}
+	r.took = metrics.GetOrRegisterHistogram("RequestMicroseconds", r.Metrics, metrics.NewUniformSample(tookSample))
+}
+
+// Registry returns the registry of the metrics.
+func (r *Recorder) Registry() metrics.Registry {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.init(now)
+	return r.Metrics
+}
+
+// Record counts o.
+func (r *Recorder) Record(o Outcome) {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.init(now)
+	r.code(o.Answer.Code).Inc(1)
+	r.took.Update(o.Answer.Took.Microseconds())
+	if j := o.Judge(); j != Uncounted {
+		r.find(&o).add(now, j == Good)
+	}
+	if o.Answer.Repeated {
+		return // the stages are those of the first attempt
+	}
+	for i := range o.Answer.Stages {
+		r.addStage(o.Pipeline, &o.Answer.Stages[i])
+	}
+}
+
+func (r *Recorder) code(c result.Code) metrics.Counter {
+	counter := r.codes[c]
+	if counter == nil {
+		counter = metrics.GetOrRegisterCounter("Requests."+c.String(), r.Metrics)
+		r.codes[c] = counter
+	}
+	return counter
+}
+
+// find returns the series of o. Once maxSeries are in use, other workspaces of
+// a pipeline share one.
+func (r *Recorder) find(o *Outcome) *series {
+	key := seriesKey{o.Workspace, o.Pipeline}
+	if s := r.series[key]; s != nil {
+		s.objective = objective(o.Objective)
+		return s
+	}
+	if len(r.series) >= maxSeries {
+		r.dropped++
+		key = seriesKey{OtherName, OtherName}
+		if s := r.series[key]; s != nil {
+			return s
+		}
+	}
+	s := &series{objective: objective(o.Objective)}
+	r.series[key] = s
+	return s
+}
+
+func objective(v float64) float64 {
+	if v <= 0 || v >= 1 {
+		return DefaultObjective
+	}
+	return v
+}
+
+func (s *series) add(now time.Time, good bool) {
+	for i := range s.rings {
+		s.rings[i].add(now, windows[i].bucket(), good)
+	}
+}
+
+// Host returns the host's report.
+func (r *Recorder) Host() *Host {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.init(now)
+	h := &Host{Name: r.Name, At: now, Since: r.since, Shared: r.dropped}
+	for key, s := range r.series {
+		h.Levels = append(h.Levels, s.level(key, now))
+	}
+	for key, s := range r.stages {
+		h.Stages = append(h.Stages, s.cost(key))
+	}
+	h.sort()
+	return h
+}
