--- a/internal/host/reports.go
+++ b/internal/host/reports.go
@@ -4,8 +4,10 @@
 	"net/http"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/report"
+	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/pkg/caller"
 	"github.com/emicklei/go-restful/v3"
 	metrics "github.com/rcrowley/go-metrics"
@@ -14,6 +16,10 @@
 // metricsPath is where a host gives its metrics as JSON.
 const metricsPath = "/v1/metrics"
 
+func provideReport(s *settings.Settings, c *clock.Service) *report.Recorder {
+	return &report.Recorder{Clock: c, Name: s.Name}
+}
+
 // addReports adds the routes of the report and of the metrics.
 func (h *Host) addReports(ws *restful.WebService) {
 	ws.Route(ws.GET(report.Path[len(ws.RootPath()):]).To(h.report))
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -3,8 +3,10 @@
 package host
 
 import (
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/internal/section"
@@ -16,16 +18,20 @@
 )
 
 // New assembles a host from its settings.
-func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) *Host {
+func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) (*Host, error) {
 	panic(wire.Build(
 		provideClient,
 		provideExchange,
 		provideDispatcher,
+		providePeers,
 		provideReport,
-		provideRPC,
+		provideHolder,
+		claim.NewClient,
+		wire.Bind(new(claim.Members), new(*peer.Exchange)),
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
 		wire.Struct(new(section.Follower), "Log", "Clock"),
+		wire.Struct(new(peer.Caller), "Net"),
 		wire.Struct(new(target.Registry)),
 		wire.Struct(new(workspace.Admission), "*"),
 		wire.Struct(new(workspace.Retries), "*"),
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -7,8 +7,10 @@
 package host
 
 import (
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
@@ -20,13 +22,16 @@
 // Injectors from wire.go:
 
 // New assembles a host from its settings.
-func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) *Host {
+func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) (*Host, error) {
 	client := provideClient(s, n)
 	follower := &section.Follower{
 		Log:   client,
 		Clock: c,
 	}
-	exchange := provideExchange(s, n, c)
+	caller := &peer.Caller{
+		Net: n,
+	}
+	exchange := provideExchange(s, n, c, caller, client, follower)
 	registry := &target.Registry{}
 	dispatcher := provideDispatcher(s, c, registry)
 	targetClient := target.NewClient(n)
@@ -42,8 +47,13 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
+	holder := provideHolder(s, c, client, exchange)
+	claimClient := claim.NewClient(c, exchange, caller, holder)
+	server, err := providePeers(exchange, holder)
+	if err != nil {
+		return nil, err
+	}
 	recorder := provideReport(s, c)
-	server := provideRPC()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
@@ -55,8 +65,11 @@
 		Dispatcher: dispatcher,
 		Runner:     runner,
 		Admission:  admission,
+		Claims:     holder,
+		Claimer:    claimClient,
+		Caller:     caller,
+		Peers:      server,
 		Report:     recorder,
-		RPC:        server,
 	}
-	return host
+	return host, nil
 }
