Record outcomes by name, and leave the metrics to the host

The recorder needs the names that the caller used and no prepared request; the host's own registry counts result codes, so the second one is dropped.

--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -26,7 +26,7 @@
 	ws.Path("/v1")
 	ws.Route(ws.POST("/workspaces/{workspace}/pipelines/{pipeline}").To(h.call))
 	ws.Route(ws.GET("/ready").To(h.ready))
-	h.addReports(ws)
+	h.addReport(ws)
 	c := restful.NewContainer()
 	c.Add(ws)
 	return c
@@ -52,7 +52,7 @@
 	}
 	complete(&answer, err)
 	answer.Took = h.Clock.Since(start)
-	h.record(req, start, &answer)
+	h.record(rest.PathParameter("workspace"), rest.PathParameter("pipeline"), &answer)
 	h.Log.Info("request", zap.String("RequestID", id), zap.String("Workspace", rest.PathParameter("workspace")),
 		zap.Stringer("Code", answer.Code), zap.Duration("Took", answer.Took))
 	resp.AddHeader("Content-Type", "application/json")
--- a/internal/report/recorder.go
+++ b/internal/report/recorder.go
@@ -15,7 +15,6 @@
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/pkg/caller"
 	"berylswitch.example/berylswitch/pkg/result"
-	metrics "github.com/rcrowley/go-metrics"
 )
 
 // DefaultObjective is the share of requests that a pipeline without an
@@ -39,7 +38,8 @@
 	Pipeline  string
 	// Objective is the pipeline's; zero means DefaultObjective.
 	Objective float64
-	// Deadline is the time that the request had.
+	// Deadline is the time that the request had; zero if an OK answer is known
+	// to be in time.
 	Deadline time.Duration
 	Answer   *caller.Answer
 }
@@ -61,7 +61,7 @@
 // Judge says how o counts.
 func (o *Outcome) Judge() Judgement {
 	switch code := o.Answer.Code; {
-	case code == result.OK && o.Answer.Took <= o.Deadline:
+	case code == result.OK && (o.Deadline == 0 || o.Answer.Took <= o.Deadline):
 		return Good
 	case code == result.OK:
 		return Bad
@@ -77,15 +77,11 @@
 	Clock *clock.Service
 	// Name is the host's.
 	Name string
-	// Metrics gets counters by result code and a histogram of durations.
-	Metrics metrics.Registry
 
 	mu      sync.Mutex
 	since   time.Time
 	series  map[seriesKey]*series
 	stages  map[stageKey]*stage
-	codes   map[result.Code]metrics.Counter
-	took    metrics.Histogram
 	dropped int64
 }
 
@@ -99,9 +95,6 @@
 	rings     [len(windows)]ring
 }
 
-// Sample size of the histogram of durations.
-const tookSample = 1028
-
 // init prepares the maps; r.mu is held.
 func (r *Recorder) init(now time.Time) {
 	if r.series != nil {
@@ -110,20 +103,6 @@
 	r.since = now
 	r.series = map[seriesKey]*series{}
 	r.stages = map[stageKey]*stage{}
-	r.codes = map[result.Code]metrics.Counter{}
-	if r.Metrics == nil {
-		r.Metrics = metrics.NewRegistry()
-	}
-	r.took = metrics.GetOrRegisterHistogram("RequestMicroseconds", r.Metrics, metrics.NewUniformSample(tookSample))
-}
-
-// Registry returns the registry of the metrics.
-func (r *Recorder) Registry() metrics.Registry {
-	now := r.Clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.init(now)
-	return r.Metrics
 }
 
 // Record counts o.
@@ -132,8 +111,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.init(now)
-	r.code(o.Answer.Code).Inc(1)
-	r.took.Update(o.Answer.Took.Microseconds())
 	if j := o.Judge(); j != Uncounted {
 		r.find(&o).add(now, j == Good)
 	}
@@ -145,15 +122,6 @@
 	}
 }
 
-func (r *Recorder) code(c result.Code) metrics.Counter {
-	counter := r.codes[c]
-	if counter == nil {
-		counter = metrics.GetOrRegisterCounter("Requests."+c.String(), r.Metrics)
-		r.codes[c] = counter
-	}
-	return counter
-}
-
 // find returns the series of o. Once maxSeries are in use, other workspaces of
 // a pipeline share one.
 func (r *Recorder) find(o *Outcome) *series {
