Run try over a whole site, and processes under scripts

try runs two hosts before five pools, of which one is of model engines, and sends one booking twice with one key to different hosts; it fails unless the booking ran once. The site package holds what try needs, on loopback ports that are opened before their hosts.

Scripts in cmd/berylswitch/testdata/process run hosts and stand-ins as processes that get SIGKILL, SIGSTOP and SIGTERM; conditions are polled, no step has a bound on its time. The stand-in commands moved into internal/standin/process so that scripts run them from the test binary; the log stand-in can keep its records in a file, to be killed and started again.

--- /dev/null
+++ b/cmd/berylswitch/process_test.go
@@ -0,0 +1,341 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/internal/section"
+	"berylswitch.example/berylswitch/internal/site"
+	"berylswitch.example/berylswitch/internal/standin"
+	"berylswitch.example/berylswitch/pkg/caller"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// patience bounds the wait for a condition; it is no part of any verdict on
+// how fast something is.
+const patience = 60 * time.Second
+
+// TestProcesses runs the scripts of testdata/process, each with processes of
+// its own. Besides the commands of testscript they know
+//
+//	ports NAME...                      sets variables to free addresses
+//	expand FILE                        replaces $NAME in the file
+//	start NAME PROGRAM ARG...          starts a process; its output goes to NAME.out
+//	signal NAME KILL|STOP|CONT|TERM
+//	exited NAME CODE                   waits for the end of a process
+//	publish LOG FILE                   puts the section in FILE on the log
+//	get ADDR PATH TEXT                 wants 200 and TEXT in the body
+//	control ADDR JSON                  sets the faults of a stand-in
+//	post ADDR PIPELINE KEY BODY WANT   wants the result of that name; - is no key
+//	stream NAME ADDR PIPELINE BODY     starts a streamed request
+//	streamed NAME WANT PIECES          waits for its end, which must be whole
+//	streaming NAME                     wants that a piece of it has come
+//	runs ADDR KEY N                    wants that a target ran KEY N times
+//	await COMMAND...                   repeats one of these until it passes
+func TestProcesses(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/process",
+		Setup: func(env *testscript.Env) error {
+			s := &processScript{processes: map[string]*os.Process{}, ends: map[string]chan int{}, streams: map[string]*streamed{}}
+			env.Values[scriptKey{}] = s
+			env.Defer(s.end)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ports": doing(doPorts), "expand": doing(doExpand), "start": doing(doStart), "signal": doing(doSignal),
+			"exited": doing(doExited), "publish": doing(doPublish), "get": doing(doGet), "control": doing(doControl),
+			"post": doing(doPost), "stream": doing(doStream), "streamed": doing(doStreamed),
+			"streaming": doing(doStreaming), "runs": doing(doRuns), "await": doing(doAwait),
+		},
+	})
+}
+
+type scriptKey struct{}
+
+// processScript is the state of one script.
+type processScript struct {
+	processes map[string]*os.Process
+	ends      map[string]chan int // gets the exit code
+	streams   map[string]*streamed
+}
+
+// end kills what the script left running.
+func (s *processScript) end() {
+	for _, p := range s.processes {
+		p.Signal(syscall.SIGCONT)
+		p.Kill()
+	}
+}
+
+// step is a command of the scripts that may be tried again.
+type step func(ts *testscript.TestScript, s *processScript, args []string) error
+
+func doing(f step) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		err := f(ts, ts.Value(scriptKey{}).(*processScript), args)
+		if neg && err == nil {
+			ts.Fatalf("succeeded unexpectedly")
+		}
+		if !neg {
+			ts.Check(err)
+		}
+	}
+}
+
+// awaited are the commands that await repeats.
+var awaited = map[string]step{"get": doGet, "post": doPost, "runs": doRuns, "streaming": doStreaming, "publish": doPublish}
+
+func doAwait(ts *testscript.TestScript, s *processScript, args []string) error {
+	for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+		err := awaited[args[0]](ts, s, args[1:])
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
+func doPorts(ts *testscript.TestScript, _ *processScript, args []string) error {
+	for _, name := range args {
+		l, err := net.Listen("tcp", site.Loopback.String())
+		if err != nil {
+			return err
+		}
+		defer l.Close() // after all, so that the ports differ
+		ts.Setenv(name, l.Addr().String())
+	}
+	return nil
+}
+
+func doExpand(ts *testscript.TestScript, _ *processScript, args []string) error {
+	text := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
+	return os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o644)
+}
+
+func doStart(ts *testscript.TestScript, s *processScript, args []string) error {
+	name, program := args[0], args[1]
+	out, err := os.OpenFile(ts.MkAbs(name+".out"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(programPath(ts, program), args[2:]...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = ts.MkAbs("."), out, out
+	cmd.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"))
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan int, 1)
+	s.processes[name], s.ends[name] = cmd.Process, ended
+	go func() {
+		cmd.Wait()
+		ended <- cmd.ProcessState.ExitCode()
+	}()
+	return nil
+}
+
+// programPath finds a program on the script's own path.
+func programPath(ts *testscript.TestScript, program string) string {
+	for _, dir := range strings.Split(ts.Getenv("PATH"), string(os.PathListSeparator)) {
+		if file := dir + "/" + program; isFile(file) {
+			return file
+		}
+	}
+	return program
+}
+
+func isFile(name string) bool {
+	info, err := os.Stat(name)
+	return err == nil && info.Mode().IsRegular()
+}
+
+var signals = map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM}
+
+func doSignal(_ *testscript.TestScript, s *processScript, args []string) error {
+	return s.processes[args[0]].Signal(signals[args[1]])
+}
+
+func doExited(ts *testscript.TestScript, s *processScript, args []string) error {
+	select {
+	case code := <-s.ends[args[0]]:
+		if strconv.Itoa(code) != args[1] {
+			return fmt.Errorf("%s exited with %d, not %s:\n%s", args[0], code, args[1], ts.ReadFile(args[0]+".out"))
+		}
+		delete(s.processes, args[0])
+		return nil
+	case <-time.After(patience):
+		return fmt.Errorf("%s has not exited", args[0])
+	}
+}
+
+func doPublish(ts *testscript.TestScript, _ *processScript, args []string) error {
+	text := []byte(ts.ReadFile(args[1]))
+	data, err := json.Marshal(declaration.Change{RuleVersion: declaration.FirstRule, Section: "Test", Author: "test", Text: text})
+	if err != nil {
+		return err
+	}
+	addr, err := netip.ParseAddrPort(args[0])
+	if err != nil {
+		return err
+	}
+	_, err = platform.NewClient(link.TCP{}, addr, addr).Append(context.Background(), platform.ConfigStream,
+		[]platform.Entry{{ID: uuid.NewString(), Kind: section.ChangeKind, Data: data}})
+	return err
+}
+
+// fetch returns the body of a 200 answer.
+func fetch(method, url string, body io.Reader) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", resp.Status, text)
+	}
+	return text, err
+}
+
+func doGet(_ *testscript.TestScript, _ *processScript, args []string) error {
+	text, err := fetch(http.MethodGet, "http://"+args[0]+args[1], nil)
+	if err == nil && !bytes.Contains(text, []byte(args[2])) {
+		err = fmt.Errorf("no %q in %s", args[2], text)
+	}
+	return err
+}
+
+func doControl(_ *testscript.TestScript, _ *processScript, args []string) error {
+	_, err := fetch(http.MethodPost, "http://"+args[0]+standin.ControlPath, strings.NewReader(args[1]))
+	return err
+}
+
+func doRuns(_ *testscript.TestScript, _ *processScript, args []string) error {
+	text, err := fetch(http.MethodGet, "http://"+args[0]+standin.ControlPath, nil)
+	if err != nil {
+		return err
+	}
+	var status standin.TargetStatus
+	if err := json.Unmarshal(text, &status); err != nil {
+		return err
+	}
+	if got := strconv.Itoa(status.Runs[args[1]]); got != args[2] {
+		return fmt.Errorf("key %s ran %s times, not %s", args[1], got, args[2])
+	}
+	return nil
+}
+
+func pipelineURL(addr, pipeline string) string {
+	return "http://" + addr + "/v1/workspaces/W/pipelines/" + pipeline
+}
+
+func doPost(ts *testscript.TestScript, _ *processScript, args []string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	key := strings.TrimPrefix(args[2], "-")
+	a, err := postRequest(ctx, http.DefaultClient, pipelineURL(args[0], args[1]), key, args[3])
+	if err != nil {
+		return err
+	}
+	ts.Logf("%s: %s %s", args[1], a.Name, a.Message)
+	if a.Name != args[4] {
+		return fmt.Errorf("the result is %d %s (ran: %s): %s", int(a.Code), a.Name, a.Ran, a.Message)
+	}
+	return nil
+}
+
+// streamed is a streamed request on its way.
+type streamed struct {
+	mu     sync.Mutex
+	pieces int
+	answer *caller.Answer
+	err    error
+	done   chan struct{}
+}
+
+func doStream(_ *testscript.TestScript, s *processScript, args []string) error {
+	st := &streamed{done: make(chan struct{})}
+	s.streams[args[0]] = st
+	go func() {
+		defer close(st.done)
+		st.err = st.read(pipelineURL(args[1], args[2]), args[3])
+	}()
+	return nil
+}
+
+func (st *streamed) read(url, body string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Accept", caller.StreamType)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	dec := json.NewDecoder(resp.Body)
+	for next := 0; ; next++ {
+		var e caller.Event
+		if err := dec.Decode(&e); err != nil {
+			return fmt.Errorf("after %d pieces: %w", next, err)
+		}
+		if e.Answer != nil {
+			st.answer = e.Answer
+			return nil
+		}
+		if e.Seq != next {
+			return fmt.Errorf("piece %d came where %d was due", e.Seq, next)
+		}
+		st.mu.Lock()
+		st.pieces++
+		st.mu.Unlock()
+	}
+}
+
+func doStreaming(_ *testscript.TestScript, s *processScript, args []string) error {
+	st := s.streams[args[0]]
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.pieces == 0 {
+		return fmt.Errorf("no piece of %s has come", args[0])
+	}
+	return nil
+}
+
+func doStreamed(_ *testscript.TestScript, s *processScript, args []string) error {
+	st := s.streams[args[0]]
+	<-st.done
+	if st.err != nil {
+		return st.err
+	}
+	if got := fmt.Sprint(st.answer.Name, " ", st.pieces); got != args[1]+" "+args[2] {
+		return fmt.Errorf("the stream ended with %s: %s", got, st.answer.Message)
+	}
+	return nil
+}
--- a/cmd/berylswitch/try.go
+++ b/cmd/berylswitch/try.go
@@ -2,173 +2,204 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"net"
+	"io"
 	"net/http"
-	"net/netip"
-	"strings"
+	"os"
 	"time"
 
-	"berylswitch.example/berylswitch/internal/clock"
-	"berylswitch.example/berylswitch/internal/host"
-	"berylswitch.example/berylswitch/internal/link"
-	"berylswitch.example/berylswitch/internal/platform"
-	"berylswitch.example/berylswitch/internal/section"
-	"berylswitch.example/berylswitch/internal/settings"
+	"berylswitch.example/berylswitch/internal/report"
+	"berylswitch.example/berylswitch/internal/site"
 	"berylswitch.example/berylswitch/internal/standin"
 	"berylswitch.example/berylswitch/pkg/caller"
 	"berylswitch.example/berylswitch/pkg/declaration"
-	"go.uber.org/zap"
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/google/uuid"
 )
 
 // tryCommand is the embedded first run: stand-ins and two hosts on loopback.
 type tryCommand struct {
+	Stay bool `long:"stay" description:"serve on and print curl lines"`
+
 	ctx context.Context
 }
 
-// loopback asks the machine for any free port.
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
-
-// tryTimeout bounds the whole run.
+// tryTimeout bounds the run without --stay.
 const tryTimeout = 10 * time.Second
 
+// Names in the declaration of the run.
+const (
+	tryWorkspace = "Demo"
+	menuPipeline = "Menu"
+	bookPipeline = "Booking"
+	tryModel     = "small"
+)
+
+// trySite is the system of the run.
+type trySite struct {
+	site    *site.Site
+	booking *standin.Service
+	out     io.Writer
+}
+
 // Execute runs the command.
 func (c *tryCommand) Execute([]string) error {
 	ctx, cancel := context.WithTimeout(c.ctx, tryTimeout)
 	defer cancel()
-	logAddr, err := serveStandin(&standin.Log{})
-	if err != nil {
-		return err
-	}
-	section, err := trySection()
-	if err != nil {
-		return err
+	t := newTrySite(os.Stdout)
+	if err := t.site.Start(ctx); err != nil {
+		return errors.Join(err, t.site.Stop())
 	}
-	if err := publish(ctx, logAddr, "Try", section); err != nil {
-		return err
-	}
-	hosts, err := startHosts(ctx, logAddr)
-	if err != nil {
-		return err
+	err := t.run(ctx)
+	if err == nil && c.Stay {
+		t.printCurl()
+		<-c.ctx.Done()
 	}
-	return tryCall(ctx, hosts[0])
+	return errors.Join(err, t.site.Stop())
 }
 
-// serveStandin serves h on a free port of loopback.
-func serveStandin(h http.Handler) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", loopback.String())
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	go http.Serve(l, h)
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+func newTrySite(out io.Writer) *trySite {
+	t := &trySite{out: out, booking: &standin.Service{Worker: standin.Worker{Speed: 1, Slots: 4}}}
+	t.site = &site.Site{
+		Hosts:      2,
+		Log:        &standin.Log{},
+		HostList:   &standin.HostList{},
+		Workspaces: []declaration.Workspace{{Name: tryWorkspace}},
+		Pools:      t.pools(),
+		Pipelines:  tryPipelines(),
+	}
+	return t
 }
 
-func trySection() (*declaration.Section, error) {
-	s := &declaration.Section{
-		Workspaces: []declaration.Workspace{{Name: "Demo"}},
-		Pipelines:  []declaration.Pipeline{{Name: "Menu", Deadline: declaration.Duration(2 * time.Second)}},
+func (t *trySite) pools() []site.Pool {
+	worker := func() http.Handler {
+		return &standin.Worker{Speed: 1, Slots: 4, BaseService: 2 * time.Millisecond}
 	}
-	for _, pool := range []string{"Encode", "Retrieve", "Generate"} {
-		s.Pools = append(s.Pools, declaration.Pool{Name: pool})
-		s.Pipelines[0].Stages = append(s.Pipelines[0].Stages, declaration.Stage{Name: pool, Pool: pool})
-		addr, err := serveStandin(&standin.Worker{Name: pool + "-1", Speed: 1, Slots: 4})
-		if err != nil {
-			return nil, err
-		}
-		s.Targets = append(s.Targets, declaration.Target{Name: pool + "-1", Pool: pool, Addr: addr, Slots: 4})
+	engine := func() http.Handler {
+		return &standin.Engine{Speed: 2, Slots: 8, Models: []string{tryModel}}
+	}
+	return []site.Pool{
+		{Pool: declaration.Pool{Name: "Encoders"}, Targets: []http.Handler{worker()}},
+		{Pool: declaration.Pool{Name: "Retrievers"}, Targets: []http.Handler{worker(), worker()}},
+		{Pool: declaration.Pool{Name: "Rerankers"}, Targets: []http.Handler{worker()}},
+		{Pool: declaration.Pool{Name: "Engines"}, Model: tryModel, Targets: []http.Handler{engine(), engine()}},
+		{Pool: declaration.Pool{Name: "Bookings", NonIdempotent: true}, Targets: []http.Handler{t.booking}},
 	}
-	return s, nil
 }
 
-func publish(ctx context.Context, logAddr netip.AddrPort, name string, s *declaration.Section) error {
-	text, err := json.Marshal(s)
-	if err != nil {
+func tryPipelines() []declaration.Pipeline {
+	return []declaration.Pipeline{
+		{Name: menuPipeline, Deadline: declaration.Duration(2 * time.Second), Objective: 0.99, Stages: []declaration.Stage{
+			{Name: "Encode", Pool: "Encoders"},
+			{Name: "Retrieve", Pool: "Retrievers"},
+			{Name: "Rerank", Pool: "Rerankers"},
+			{Name: "Generate", Pool: "Engines", Model: tryModel},
+		}},
+		{Name: bookPipeline, Deadline: declaration.Duration(5 * time.Second), Objective: 0.999, Stages: []declaration.Stage{
+			{Name: "Book", Pool: "Bookings"},
+		}},
+	}
+}
+
+// run sends the requests and prints what came.
+func (t *trySite) run(ctx context.Context) error {
+	fmt.Fprintf(t.out, "Two hosts on %v before %d targets; the platform's services are stand-ins.\n", t.site.Callers, len(t.site.Targets))
+	if err := t.sendMenu(ctx); err != nil {
 		return err
 	}
-	data, err := json.Marshal(declaration.Change{RuleVersion: 1, Section: name, Author: "try", Text: text})
-	if err != nil {
+	if err := t.sendBooking(ctx); err != nil {
 		return err
 	}
-	client := platform.NewClient(link.TCP{}, logAddr, logAddr)
-	_, err = client.Append(ctx, platform.ConfigStream, []platform.Entry{{ID: "try-1", Kind: section.ChangeKind, Data: data}})
-	return err
-}
-
-// freeAddr returns an address that was free a moment ago.
-func freeAddr() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", loopback.String())
+	s, err := report.Collect(ctx, http.DefaultClient, t.site.Callers)
 	if err != nil {
-		return netip.AddrPort{}, err
+		return err
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	fmt.Fprintln(t.out)
+	return report.WriteText(t.out, s)
 }
 
-func startHosts(ctx context.Context, logAddr netip.AddrPort) ([]netip.AddrPort, error) {
-	var out []netip.AddrPort
-	for _, name := range []string{"host-1", "host-2"} {
-		callers, err := freeAddr()
+// menuTexts are the questions that the run asks.
+var menuTexts = []string{"lunch without nuts", "dinner for two", "a menu for the week"}
+
+// menuTokens is the length of an answer.
+const menuTokens = 12
+
+func (t *trySite) sendMenu(ctx context.Context) error {
+	fmt.Fprintf(t.out, "\nPipeline %s: four stages, the last a model engine.\n", menuPipeline)
+	for i, text := range menuTexts {
+		body := fmt.Sprintf(`{"Text": %q, "Tokens": %d, "Prefix": "house rules"}`, text, menuTokens)
+		a, err := t.call(ctx, i, menuPipeline, "", body)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		peers, err := freeAddr()
-		if err != nil {
-			return nil, err
+		t.printAnswer(i, a)
+		if a.Code != result.OK {
+			return fmt.Errorf("the request %q ended with %d %s: %s", text, int(a.Code), a.Name, a.Message)
 		}
-		s := &settings.Settings{Name: name, CallerAddr: callers, PeerAddr: peers, LogAddr: logAddr}
-		s.SetDefaults()
-		h, err := host.New(s, link.TCP{}, &clock.Service{}, zap.NewNop())
-		if err != nil {
-			return nil, err
-		}
-		go h.Run(ctx)
-		out = append(out, callers)
 	}
-	return out, waitReady(ctx, out)
+	return nil
 }
 
-// readyPoll is the time between two looks at a host that is not ready.
-const readyPoll = 20 * time.Millisecond
-
-func waitReady(ctx context.Context, hosts []netip.AddrPort) error {
-	var c clock.Service
-	for _, addr := range hosts {
-		for {
-			resp, err := http.Get("http://" + addr.String() + "/v1/ready")
-			if err == nil {
-				resp.Body.Close()
-				if resp.StatusCode == http.StatusOK {
-					break
-				}
-			}
-			if err := c.Sleep(ctx, readyPoll); err != nil {
-				return fmt.Errorf("host %s is not ready: %w", addr, err)
-			}
+// sendBooking sends one booking twice with one key, to different hosts.
+func (t *trySite) sendBooking(ctx context.Context) error {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "\nPipeline %s: one booking, sent twice with the key %s.\n", bookPipeline, key)
+	for i := range t.site.Callers {
+		a, err := t.call(ctx, i, bookPipeline, key.String(), `{"Text": "table 4 at nine"}`)
+		if err != nil {
+			return err
+		}
+		t.printAnswer(i, a)
+		if a.Code != result.OK {
+			return fmt.Errorf("the booking ended with %d %s: %s", int(a.Code), a.Name, a.Message)
 		}
 	}
+	n := t.booking.Runs()[key.String()]
+	fmt.Fprintf(t.out, "  The booking service ran it %d time(s).\n", n)
+	if n != 1 {
+		return fmt.Errorf("the booking ran %d times, not once", n)
+	}
 	return nil
 }
 
-func tryCall(ctx context.Context, addr netip.AddrPort) error {
-	url := "http://" + addr.String() + "/v1/workspaces/Demo/pipelines/Menu"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(`{"Text": "lunch", "Service": 1000000}`))
-	if err != nil {
-		return err
+// call posts a request to the host with number i.
+func (t *trySite) call(ctx context.Context, i int, pipeline, key, body string) (*caller.Answer, error) {
+	return postRequest(ctx, http.DefaultClient, t.url(i, pipeline), key, body)
+}
+
+func (t *trySite) url(i int, pipeline string) string {
+	addr := t.site.Callers[i%len(t.site.Callers)]
+	return "http://" + addr.String() + "/v1/workspaces/" + tryWorkspace + "/pipelines/" + pipeline
+}
+
+func (t *trySite) printAnswer(i int, a *caller.Answer) {
+	repeated := ""
+	if a.Repeated {
+		repeated = " (the stored answer of the first attempt)"
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
+	fmt.Fprintf(t.out, "  host-%d: %d %s, ran: %s, %v%s\n    %s\n", i%len(t.site.Callers)+1, int(a.Code), a.Name, a.Ran, a.Took.Round(time.Millisecond/10), repeated, a.Output)
+	for _, s := range a.Stages {
+		fmt.Fprintf(t.out, "      %-9s %-13s queued %-8v cost %v\n", s.Stage, s.Target, s.Queued.Round(time.Microsecond), s.Cost.Round(time.Microsecond))
 	}
-	defer resp.Body.Close()
-	var a caller.Answer
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
-		return err
+}
+
+// printCurl prints lines for a shell.
+func (t *trySite) printCurl() {
+	key, err := uuid.NewV7()
+	if err != nil {
+		panic(err) // the machine has no random numbers
 	}
-	fmt.Printf("%d %s: %s\n", int(a.Code), a.Name, a.Output)
-	for _, s := range a.Stages {
-		fmt.Printf("  %-10s %-12s %v\n", s.Stage, s.Target, s.Cost)
+	fmt.Fprintln(t.out, "\nServing on; end with Ctrl-C. Lines to try:")
+	body := `{"Text": "lunch without nuts", "Tokens": 20, "Prefix": "house rules"}`
+	fmt.Fprintf(t.out, "curl -sS -d '%s' %s\n", body, t.url(0, menuPipeline))
+	fmt.Fprintf(t.out, "curl -sSN -H 'Accept: %s' -d '%s' %s\n", caller.StreamType, body, t.url(1, menuPipeline))
+	for i := range t.site.Callers {
+		fmt.Fprintf(t.out, "curl -sS -H '%s: %s' -d '{\"Text\": \"table 5 at nine\"}' %s\n", caller.KeyHeader, key, t.url(i, bookPipeline))
 	}
-	return nil
+	fmt.Fprintf(t.out, "curl -sS http://%s%s\n", t.site.Callers[0], report.Path)
+	fmt.Fprintf(t.out, "curl -sS http://%s/v1/ready\n", t.site.Callers[0])
 }
--- /dev/null
+++ b/internal/site/reserved.go
@@ -0,0 +1,71 @@
+package site
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/settings"
+	"berylswitch.example/berylswitch/pkg/declaration"
+)
+
+// reserved is the machine's network with listeners that were opened before
+// their hosts, so that no other process takes the ports in between.
+type reserved struct {
+	link.TCP
+	mu        sync.Mutex
+	listeners map[netip.AddrPort]net.Listener
+}
+
+// reserve opens a listener on a free port.
+func (r *reserved) reserve() (netip.AddrPort, error) {
+	l, err := r.TCP.Listen(Loopback)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listeners == nil {
+		r.listeners = map[netip.AddrPort]net.Listener{}
+	}
+	r.listeners[addr] = l
+	return addr, nil
+}
+
+// Listen hands out the reserved listener of addr, once.
+func (r *reserved) Listen(addr netip.AddrPort) (net.Listener, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.listeners[addr]; l != nil {
+		delete(r.listeners, addr)
+		return l, nil
+	}
+	return r.TCP.Listen(addr)
+}
+
+// drainDelay is short, for no balancer has to notice.
+const drainDelay = 1
+
+// settings returns those of the host with number i.
+func (r *reserved) settings(i int) (*settings.Settings, error) {
+	callers, err := r.reserve()
+	if err != nil {
+		return nil, err
+	}
+	peers, err := r.reserve()
+	if err != nil {
+		return nil, err
+	}
+	s := &settings.Settings{
+		Name:       fmt.Sprintf("host-%d", i+1),
+		Domain:     domains[i%len(domains)],
+		CallerAddr: callers,
+		PeerAddr:   peers,
+		DrainDelay: declaration.Duration(drainDelay),
+	}
+	s.SetDefaults()
+	return s, nil
+}
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -69,6 +69,7 @@
 		if !ok {
 			return
 		}
+		start := time.Now()
 		worked := e.work(d, e.Speed, idle)
 		if closed(dead) {
 			e.breakAll()
@@ -77,7 +78,7 @@
 		if !worked {
 			continue
 		}
-		if e.endStep(d) {
+		if e.endStep(time.Since(start)) {
 			e.Crash()
 			e.breakAll()
 			return
@@ -134,8 +135,8 @@
 	return e.PrefixTokens
 }
 
-// endStep gives each running sequence its token and reports whether one of
-// them crashes the engine.
+// endStep gives each running sequence its token and its share of the step's
+// time, and reports whether one of them crashes the engine.
 func (e *Engine) endStep(d time.Duration) bool {
 	e.lock()
 	defer e.engineMu.Unlock()
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	// Retention and MaxRecords bound what a stream keeps; zero means no bound.
 	Retention  time.Duration
 	MaxRecords int
+	// File, unless empty, gets every record, so that Load can bring them back.
+	File string
 
 	mu      sync.Mutex
 	streams map[string]*stream
@@ -32,6 +35,7 @@
 	byAddr  map[netip.Addr]LogFaults
 	limiter *rate.Limiter
 	appends int
+	file    *os.File
 	// changed is closed when the faults change.
 	changed chan struct{}
 }
@@ -203,9 +207,13 @@
 	l.appends++
 	s := l.stream(name)
 	first := s.next()
+	from := len(s.records)
 	for _, e := range entries {
 		s.records = append(s.records, platform.Record{Offset: s.next(), At: time.Now(), Entry: e})
 	}
+	if err := l.save(name, s.records[from:]); err != nil {
+		panic(err) // the stand-in can't keep what it would promise
+	}
 	l.trim(s)
 	close(s.changed)
 	s.changed = make(chan struct{})
--- /dev/null
+++ b/internal/standin/process/process.go
@@ -0,0 +1,135 @@
+// Package process runs a stand-in as a process of its own. It listens on
+// loopback alone; faults are set by POST to standin.ControlPath.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/standin"
+	"github.com/jessevdk/go-flags"
+)
+
+// options is the command line.
+type options struct {
+	Addr     string        `long:"addr" description:"IP number and port to listen on" default:"127.0.0.1:0"`
+	AddrFile string        `long:"addr-file" description:"file that the address in use is written to"`
+	Name     string        `long:"name" description:"name of the target"`
+	Speed    float64       `long:"speed" description:"speed of the target" default:"1"`
+	Slots    int           `long:"slots" description:"runs that the target takes at once" default:"4"`
+	Service  time.Duration `long:"service" description:"time that a Worker or Service adds to each run"`
+	Models   []string      `long:"model" description:"model that an Engine has loaded; repeat for more"`
+	Weights  string        `long:"weights" description:"address of the weight store"`
+	Fencing  bool          `long:"checks-fencing" description:"an Engine refuses orders with an old fencing number"`
+	Lag      time.Duration `long:"lag" description:"lag of the HostList, or of an Engine's reports and events"`
+	Appends  int           `long:"appends-per-second" description:"limit of the Log"`
+	Keep     time.Duration `long:"retention" description:"time that the Log keeps records"`
+	File     string        `long:"file" description:"file in which the Log keeps its records, so that a restarted Log has them"`
+	Records  int           `long:"max-records" description:"records that the Log keeps of a stream"`
+	Rate     int64         `long:"bytes-per-second" description:"rate of the WeightStore"`
+	Args     struct {
+		Role string `positional-arg-name:"ROLE" description:"Log, HostList, WeightStore, Engine, Worker or Service" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// exitUsage is the exit code for a command line that can't be understood.
+const exitUsage = 2
+
+// Main runs the stand-in that the command line asks for, until SIGINT or
+// SIGTERM, and exits.
+func Main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			os.Exit(0)
+		}
+		os.Exit(exitUsage)
+	}
+	if err := run(&o); err != nil {
+		fmt.Fprintln(os.Stderr, "berylstand:", err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+func run(o *options) error {
+	addr, err := netip.ParseAddrPort(o.Addr)
+	if err != nil {
+		return err
+	}
+	if !addr.Addr().IsLoopback() {
+		return fmt.Errorf("%s is not on loopback", addr)
+	}
+	h, err := handler(o)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	s := &standin.Server{Net: link.TCP{}, Addr: addr, Handler: h}
+	if err := s.Start(); err != nil {
+		return err
+	}
+	defer s.Stop()
+	fmt.Printf("%s on %s\n", o.Args.Role, s.Addr)
+	if err := writeAddr(o.AddrFile, s.Addr); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// writeAddr writes the address in one step, so that a reader never sees half.
+func writeAddr(file string, addr netip.AddrPort) error {
+	if file == "" {
+		return nil
+	}
+	if err := os.WriteFile(file+".new", []byte(addr.String()), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(file+".new", file)
+}
+
+// handler returns the stand-in of the role.
+func handler(o *options) (http.Handler, error) {
+	switch strings.ToLower(o.Args.Role) {
+	case "log":
+		l := &standin.Log{AppendsPerSecond: o.Appends, Retention: o.Keep, MaxRecords: o.Records, File: o.File}
+		return l, l.Load()
+	case "hostlist":
+		return &standin.HostList{Lag: o.Lag}, nil
+	case "weightstore":
+		return &standin.WeightStore{BytesPerSecond: o.Rate}, nil
+	case "engine":
+		return engine(o)
+	case "worker":
+		return &standin.Worker{Name: o.Name, Speed: o.Speed, Slots: o.Slots, BaseService: o.Service}, nil
+	case "service":
+		return &standin.Service{Worker: standin.Worker{Name: o.Name, Speed: o.Speed, Slots: o.Slots, BaseService: o.Service}}, nil
+	default:
+		return nil, fmt.Errorf("no role %q; roles are Log, HostList, WeightStore, Engine, Worker and Service", o.Args.Role)
+	}
+}
+
+func engine(o *options) (http.Handler, error) {
+	e := &standin.Engine{Name: o.Name, Speed: o.Speed, Slots: o.Slots, Models: o.Models, ChecksFencing: o.Fencing, ReportLag: o.Lag, EventLag: o.Lag}
+	if o.Weights == "" {
+		return e, nil
+	}
+	addr, err := netip.ParseAddrPort(o.Weights)
+	if err != nil {
+		return nil, fmt.Errorf("--weights: %w", err)
+	}
+	e.Weights = addr
+	return e, nil
+}
