--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -24,6 +24,7 @@
 		provideExchange,
 		provideDispatcher,
 		providePeers,
+		provideReport,
 		provideHolder,
 		claim.NewClient,
 		wire.Bind(new(claim.Members), new(*peer.Exchange)),
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -53,6 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
+	recorder := provideReport(s, c)
 	host := &Host{
 		Settings:   s,
 		Net:        n,
@@ -68,6 +69,7 @@
 		Claimer:    claimClient,
 		Caller:     caller,
 		Peers:      server,
+		Report:     recorder,
 	}
 	return host, nil
 }
