--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -31,7 +31,10 @@
 	Priority int
 	// TimeLeft is the time until the caller's deadline, in nanoseconds.
 	TimeLeft time.Duration
-	// ResumeFrom is the sequence number of the first piece that is wanted.
+	// ResumeFrom is the sequence number of the first piece that is wanted. A Run
+	// with ResumeFrom above zero has the AttemptID of the attempt that it
+	// resumes and goes to the same target, which answers with the pieces from
+	// there on. A target that can't resume answers with status 409.
 	ResumeFrom int `json:",omitempty"`
 	Input      json.RawMessage
 }
@@ -104,6 +107,17 @@
 	Reason string `json:",omitempty"`
 }
 
+// Cancel, posted to CancelPath, tells a target that the answer of an attempt is
+// no longer wanted. A target that doesn't know the attempt ignores it.
+type Cancel struct {
+	AttemptID string
+}
+
+// Ask, posted to AskPath, asks a target whether it ran a key.
+type Ask struct {
+	Key string
+}
+
 // AskReply is a target's answer to the question whether a key ran.
 type AskReply struct {
 	Ran    bool
