--- /dev/null
+++ b/internal/host/admit.go
@@ -0,0 +1,149 @@
+package host
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/pipeline"
+	"berylswitch.example/berylswitch/pkg/caller"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/emicklei/go-restful/v3"
+	"github.com/google/uuid"
+)
+
+// admit checks a request before anything of it runs. Its error is a
+// *result.Error that says so.
+func (h *Host) admit(rest *restful.Request, resp *restful.Response, id string, start time.Time) (*pipeline.Request, error) {
+	state := h.Follower.State()
+	if state == nil {
+		return nil, result.NotRun(result.ConfigStale, "no configuration yet")
+	}
+	w := state.View.Workspaces[rest.PathParameter("workspace")]
+	if w == nil || !authorized(w, rest.Request.Header.Get("Authorization")) {
+		return nil, result.NotRun(result.Unauthorized, "unknown workspace or wrong token")
+	}
+	p := state.View.Pipelines[rest.PathParameter("pipeline")]
+	if p == nil || !allowed(w, p.Name) {
+		return nil, result.NotRun(result.UnknownPipeline, "no pipeline %q for this workspace", rest.PathParameter("pipeline"))
+	}
+	req := &pipeline.Request{ID: id, View: state.View, Workspace: w, Pipeline: p, Priority: p.Priority}
+	if err := readHeaders(rest.Request, req, start); err != nil {
+		return nil, err
+	}
+	body, err := readBody(resp.ResponseWriter, rest.Request, start)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkBody(body); err != nil {
+		return nil, err
+	}
+	req.Input = body
+	setDigests(req)
+	return req, nil
+}
+
+// bearer begins the Authorization header of a request with a token.
+const bearer = "Bearer "
+
+// authorized compares the token of a request with the declared digest in
+// constant time.
+func authorized(w *declaration.Workspace, header string) bool {
+	if w.TokenSHA256 == "" {
+		return true
+	}
+	token, ok := strings.CutPrefix(header, bearer)
+	sum := sha256.Sum256([]byte(token))
+	same := subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(strings.ToLower(w.TokenSHA256)))
+	return ok && same == 1
+}
+
+func allowed(w *declaration.Workspace, pipeline string) bool {
+	return len(w.Pipelines) == 0 || slices.Contains(w.Pipelines, pipeline)
+}
+
+// readHeaders takes deadline, priority and key from the headers.
+func readHeaders(r *http.Request, req *pipeline.Request, start time.Time) error {
+	deadline := time.Duration(req.Pipeline.Deadline)
+	if text := r.Header.Get(caller.DeadlineHeader); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return badHeader(caller.DeadlineHeader, "%q is no duration such as 1.5s", text)
+		}
+		deadline = d
+	}
+	if deadline <= 0 || deadline > maxDeadline {
+		return badHeader(caller.DeadlineHeader, "%v is not between 0 and %v", deadline, maxDeadline)
+	}
+	req.Deadline = start.Add(deadline)
+	if err := readPriority(r, req); err != nil {
+		return err
+	}
+	req.Key = r.Header.Get(caller.KeyHeader)
+	return checkKey(req)
+}
+
+func readPriority(r *http.Request, req *pipeline.Request) error {
+	text := r.Header.Get(caller.PriorityHeader)
+	if text == "" {
+		return nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return badHeader(caller.PriorityHeader, "%q is no whole number", text)
+	}
+	if highest := req.Workspace.MaxPriority; highest > 0 && n > highest {
+		return badHeader(caller.PriorityHeader, "%d is above the workspace's highest, %d", n, highest)
+	}
+	req.Priority = n
+	return nil
+}
+
+// checkKey asks for a UUIDv7 where the pipeline is not idempotent.
+func checkKey(req *pipeline.Request) error {
+	if !req.View.NonIdempotent(req.Pipeline) {
+		return nil
+	}
+	if req.Key == "" {
+		e := result.NotRun(result.KeyRequired, "pipeline %s is not idempotent", req.Pipeline.Name)
+		e.Place = caller.KeyHeader
+		return e
+	}
+	id, err := uuid.Parse(req.Key)
+	if err != nil || id.Version() != uuidVersion || id.String() != req.Key {
+		e := result.NotRun(result.KeyMalformed, "%q is no UUIDv7 in lower case", req.Key)
+		e.Place = caller.KeyHeader
+		return e
+	}
+	return nil
+}
+
+// uuidVersion is the version of idempotency keys.
+const uuidVersion = 7
+
+func badHeader(name, format string, args ...any) error {
+	e := result.NotRun(result.BadRequest, format, args...)
+	e.Place = name
+	return e
+}
+
+// setDigests fills the digests of the body, which blanks between its values
+// don't change.
+func setDigests(req *pipeline.Request) {
+	var compact bytes.Buffer
+	if json.Compact(&compact, req.Input) != nil {
+		compact.Write(req.Input)
+	}
+	body := sha256.Sum256(compact.Bytes())
+	req.BodyDigest = hex.EncodeToString(body[:])
+	whole := sha256.Sum256([]byte(req.Pipeline.Name + "\x00" + req.BodyDigest))
+	req.Digest = hex.EncodeToString(whole[:])
+}
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -1,10 +1,12 @@
 package host
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/rpc"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -12,6 +14,8 @@
 	"berylswitch.example/berylswitch/internal/queue"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/rcrowley/go-metrics"
 )
 
 func provideClient(s *settings.Settings, n link.Network) *platform.Client {
@@ -35,3 +39,21 @@
 }
 
 func provideRPC() *rpc.Server { return rpc.NewServer() }
+
+func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
+
+func provideClaimer() claim.Claimer { return noClaims{} }
+
+// noClaims refuses every claim.
+type noClaims struct{}
+
+// Claim returns an error: nothing non-idempotent may run.
+func (noClaims) Claim(context.Context, claim.Request) (claim.Verdict, error) {
+	return nil, result.NotRun(result.LogUnavailable, "this host takes no non-idempotent requests")
+}
+
+// Release does nothing.
+func (noClaims) Release(context.Context, claim.Request) error { return nil }
+
+// Finish does nothing.
+func (noClaims) Finish(context.Context, claim.Request, claim.Outcome) error { return nil }
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -5,38 +5,44 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
-	"time"
+	"strings"
 
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/pkg/caller"
-	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 )
 
-// maxBodyBytes bounds the body of a request.
-const maxBodyBytes = 4 << 20
-
 // handler returns the HTTP interface for callers and operators.
 func (h *Host) handler() http.Handler {
 	ws := new(restful.WebService)
 	ws.Path("/v1")
 	ws.Route(ws.POST("/workspaces/{workspace}/pipelines/{pipeline}").To(h.call))
 	ws.Route(ws.GET("/ready").To(h.ready))
+	ws.Route(ws.GET("/live").To(h.live))
+	ws.Route(ws.GET("/metrics").To(h.metrics))
 	c := restful.NewContainer()
 	c.Add(ws)
 	return c
 }
 
+// ready says whether the balancer should send new work.
 func (h *Host) ready(_ *restful.Request, resp *restful.Response) {
-	if h.Follower.State() == nil {
-		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration yet")
-		return
+	switch {
+	case h.leaving.Load():
+		resp.WriteErrorString(http.StatusServiceUnavailable, "draining\n")
+	case h.Follower.State() == nil:
+		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration yet\n")
+	default:
+		io.WriteString(resp, "ready\n")
 	}
-	io.WriteString(resp, "ready\n")
+}
+
+// live says that the process serves at all.
+func (h *Host) live(_ *restful.Request, resp *restful.Response) {
+	io.WriteString(resp, "live\n")
 }
 
 // call serves one request of a caller.
@@ -44,89 +50,60 @@
 	start := h.Clock.Now()
 	id := uuid.NewString()
 	resp.AddHeader(caller.RequestHeader, id)
-	answer := caller.Answer{RequestID: id}
-	req, err := h.admit(rest, id, start)
-	if err == nil {
-		answer.Output, answer.Stages, err = h.run(rest.Request.Context(), req)
+	out := newReply(h.Clock, rest.Request, resp.ResponseWriter)
+	a := h.answer(rest, resp, out, id)
+	if a.RequestID == "" || !a.Repeated {
+		a.RequestID = id
 	}
-	complete(&answer, err)
-	answer.Took = h.Clock.Since(start)
+	a.Took = h.Clock.Since(start)
+	h.count(rest.PathParameter("workspace"), rest.PathParameter("pipeline"), a)
 	h.Log.Info("request", zap.String("RequestID", id), zap.String("Workspace", rest.PathParameter("workspace")),
-		zap.Stringer("Code", answer.Code), zap.Duration("Took", answer.Took))
-	resp.AddHeader("Content-Type", "application/json")
-	resp.WriteHeader(answer.Code.Lookup().HTTPStatus)
-	json.NewEncoder(resp).Encode(&answer)
-}
-
-// run passes an admissible request through the workspace's limits to the
-// pipeline.
-func (h *Host) run(ctx context.Context, req *pipeline.Request) (string, []caller.StageReport, error) {
-	release, err := h.Admission.Admit(req.Workspace, req.Pipeline, req.Priority, req.Deadline)
-	if err != nil {
-		return "", nil, err
-	}
-	defer release()
-	return h.Runner.Run(ctx, req)
+		zap.String("Pipeline", rest.PathParameter("pipeline")), zap.Stringer("Code", a.Code), zap.Stringer("Ran", a.Ran),
+		zap.Bool("Repeated", a.Repeated), zap.Duration("Took", a.Took))
+	out.end(a)
 }
 
-// complete fills the result fields of a from err.
-func complete(a *caller.Answer, err error) {
-	a.Ran = result.RanYes
-	if e := result.From(err); e != nil {
-		a.Code, a.Ran, a.Message, a.Place, a.RetryAfter = e.Code, e.Ran, e.Message, e.Place, e.RetryAfter
-		a.Output = ""
+// answer runs one request between the gate and its answer. The answer is
+// written before the request leaves the gate.
+func (h *Host) answer(rest *restful.Request, resp *restful.Response, out *reply, id string) *caller.Answer {
+	leave, ok := h.gate.enter(id)
+	if !ok {
+		e := result.NotRun(result.Draining, "the host is shutting down")
+		e.RetryAfter = drainRetryAfter
+		return pipeline.Answer(nil, "", e)
 	}
-	a.Name = a.Code.String()
-}
-
-// admit checks a request before anything of it runs.
-func (h *Host) admit(rest *restful.Request, id string, start time.Time) (*pipeline.Request, error) {
-	state := h.Follower.State()
-	if state == nil {
-		return nil, result.NotRun(result.ConfigStale, "no configuration yet")
-	}
-	w := state.View.Workspaces[rest.PathParameter("workspace")]
-	if w == nil {
-		return nil, result.NotRun(result.Unauthorized, "unknown workspace")
-	}
-	p := state.View.Pipelines[rest.PathParameter("pipeline")]
-	if p == nil {
-		return nil, result.NotRun(result.UnknownPipeline, "no pipeline %q", rest.PathParameter("pipeline"))
+	out.onEnd = leave
+	req, err := h.admit(rest, resp, id, h.Clock.Now())
+	if err != nil {
+		return pipeline.Answer(nil, "", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, rest.Request.Body, maxBodyBytes))
+	release, err := h.Admission.Admit(req.Workspace, req.Pipeline, req.Priority, req.Deadline)
 	if err != nil {
-		return nil, result.NotRun(result.BodyTooLarge, "%v", err)
+		return pipeline.Answer(nil, "", err)
 	}
-	if !json.Valid(body) {
-		return nil, result.NotRun(result.BadRequest, "the body is no JSON")
+	if out.stream {
+		req.Emit = out.emit
 	}
-	req := &pipeline.Request{ID: id, Workspace: w, Pipeline: p, Priority: p.Priority, Input: body}
-	return req, h.headers(rest.Request, req, start)
+	return h.run(rest.Request.Context(), req, release)
 }
 
-func (h *Host) headers(r *http.Request, req *pipeline.Request, start time.Time) error {
-	deadline := req.Pipeline.Deadline
-	if text := r.Header.Get(caller.DeadlineHeader); text != "" {
-		var d declaration.Duration
-		if err := d.UnmarshalText([]byte(text)); err != nil {
-			return badHeader(caller.DeadlineHeader, err)
-		}
-		deadline = d
+// run runs an admitted request. A claimed one may go on after its answer; it
+// stays in the gate under an ID of its own until then.
+func (h *Host) run(ctx context.Context, req *pipeline.Request, release func()) *caller.Answer {
+	leave := h.gate.extend(req.ID + runSuffix)
+	req.OnEnd = func() {
+		release()
+		leave()
 	}
-	if text := r.Header.Get(caller.PriorityHeader); text != "" {
-		n, err := strconv.Atoi(text)
-		if err != nil {
-			return badHeader(caller.PriorityHeader, err)
-		}
-		req.Priority = n
-	}
-	req.Key = r.Header.Get(caller.KeyHeader)
-	req.Deadline = start.Add(time.Duration(deadline))
-	return nil
+	return h.Runner.Run(ctx, req)
 }
 
-func badHeader(name string, err error) error {
-	e := result.NotRun(result.BadRequest, "%v", err)
-	e.Place = name
-	return e
+// runSuffix marks the run of a request in the list of those in flight.
+const runSuffix = "/run"
+
+// streams reports whether the caller wants the answer as it comes.
+func streams(r *http.Request) bool {
+	return strings.Contains(r.Header.Get("Accept"), caller.StreamType)
 }
+
+func encode(w io.Writer, v any) error { return json.NewEncoder(w).Encode(v) }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"sync/atomic"
+	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
@@ -18,6 +20,7 @@
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/internal/workspace"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -36,11 +39,53 @@
 	Runner     *pipeline.Runner
 	Admission  *workspace.Admission
 	RPC        *rpc.Server
+	Metrics    metrics.Registry
+
+	gate     gate
+	leaving  atomic.Bool
+	callers  net.Listener
+	peers    net.Listener
+	server   *http.Server
+	rpcCalls rpcCalls
 }
 
-// Run serves until ctx ends, then drains.
+// Run serves until ctx ends, then drains: the host is not ready from then on,
+// takes work for Settings.DrainDelay more, then refuses new work and waits, at
+// most Settings.DrainTimeout, for the requests in flight. The background parts
+// run until then.
 func (h *Host) Run(ctx context.Context) error {
+	h.gate.Clock = h.Clock
 	h.Follower.OnState = func(s *section.State) { h.Targets.Publish(s.View) }
+	if err := h.listen(); err != nil {
+		return err
+	}
+	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr))
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	h.server = newServer(h.handler())
+	g, partsCtx := errgroup.WithContext(parts)
+	g.Go(func() error { return h.Follower.Run(partsCtx) })
+	g.Go(func() error { return h.Exchange.Run(partsCtx) })
+	g.Go(func() error { return h.Dispatcher.Run(partsCtx) })
+	g.Go(func() error { return h.servePeers() })
+	g.Go(func() error { return ignoreClosed(h.server.Serve(h.callers)) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			h.drain()
+		case <-partsCtx.Done():
+		}
+		h.close()
+		stop()
+		return nil
+	})
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func (h *Host) listen() error {
 	callers, err := h.Net.Listen(h.Settings.CallerAddr)
 	if err != nil {
 		return err
@@ -50,38 +95,47 @@
 		callers.Close()
 		return err
 	}
-	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr))
-	server := &http.Server{Handler: h.handler()}
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return h.Follower.Run(ctx) })
-	g.Go(func() error { return h.Exchange.Run(ctx) })
-	g.Go(func() error { return h.Dispatcher.Run(ctx) })
-	g.Go(func() error { return servePeers(h.RPC, peers) })
-	g.Go(func() error { return ignoreClosed(server.Serve(callers)) })
-	g.Go(func() error {
-		<-ctx.Done()
-		peers.Close()
-		return server.Shutdown(context.WithoutCancel(ctx))
-	})
-	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
-		return err
-	}
+	h.callers, h.peers = callers, peers
 	return nil
 }
 
+// drain goes through the steps of a graceful shutdown. It needs no context: a
+// shutdown is bounded by the settings.
+func (h *Host) drain() {
+	ctx := context.Background()
+	h.leaving.Store(true)
+	h.Log.Info("draining", zap.Duration("Delay", time.Duration(h.Settings.DrainDelay)))
+	h.Clock.Sleep(ctx, time.Duration(h.Settings.DrainDelay))
+	h.gate.close()
+	timeout := time.Duration(h.Settings.DrainTimeout)
+	start := h.Clock.Now()
+	left := h.gate.wait(ctx, timeout)
+	for _, id := range left {
+		h.Log.Warn("request cut by the end of the drain", zap.String("RequestID", id))
+	}
+	calls := h.rpcCalls.wait(ctx, h.Clock, timeout-h.Clock.Since(start))
+	h.Log.Info("drained", zap.Int("RequestsLeft", len(left)), zap.Int("PeerCallsLeft", calls))
+}
+
+// close ends every connection. Answers that are complete have been written by
+// then: a request leaves the gate after its last byte.
+func (h *Host) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if h.server.Shutdown(ctx) != nil {
+		h.server.Close()
+	}
+	h.peers.Close()
+	h.rpcCalls.close()
+	h.Runner.Client.Close()
+}
+
+// closeTimeout bounds the wait for callers to take the end of their answers.
+const closeTimeout = time.Second
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
-
-func servePeers(s *rpc.Server, l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return ignoreClosed(err)
-		}
-		go s.ServeConn(conn)
-	}
-}
--- /dev/null
+++ b/internal/host/limits.go
@@ -0,0 +1,104 @@
+package host
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"berylswitch.example/berylswitch/pkg/result"
+)
+
+// Limits of what a caller may send, and of how slowly.
+const (
+	maxBodyBytes   = 4 << 20
+	maxHeaderBytes = 16 << 10
+	maxNesting     = 64
+	maxDeadline    = 10 * time.Minute
+
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second
+	writeTimeout  = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// newServer returns a server for callers, bounded against slow ones.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// readBody reads the body of a request within its limits of size and time.
+func readBody(w http.ResponseWriter, r *http.Request, now time.Time) ([]byte, error) {
+	c := http.NewResponseController(w)
+	c.SetReadDeadline(now.Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	c.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, result.NotRun(result.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	case err != nil:
+		return nil, result.NotRun(result.BadRequest, "the body could not be read: %v", err)
+	}
+	return body, nil
+}
+
+// checkBody returns an error with line and column unless body is one value of
+// JSON that is not nested too deeply.
+func checkBody(body []byte) error {
+	if at := tooDeep(body); at >= 0 {
+		return misplaced(body, at, fmt.Sprintf("nested more than %d deep", maxNesting))
+	}
+	if json.Valid(body) {
+		return nil
+	}
+	var v json.RawMessage
+	err := json.Unmarshal(body, &v)
+	at := len(body)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		at = max(int(syntax.Offset)-1, 0)
+	}
+	return misplaced(body, at, fmt.Sprintf("no valid JSON: %v", err))
+}
+
+// misplaced is a BadRequest at the byte at of body.
+func misplaced(body []byte, at int, message string) error {
+	before := body[:min(at, len(body))]
+	line := 1 + bytes.Count(before, []byte{'\n'})
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	e := result.NotRun(result.BadRequest, "%s", message)
+	e.Place = fmt.Sprintf("body:%d:%d", line, column)
+	return e
+}
+
+// tooDeep returns the position of the bracket that opens one level too many, or
+// -1.
+func tooDeep(body []byte) int {
+	depth, inString := 0, false
+	for i := 0; i < len(body); i++ {
+		switch b := body[i]; {
+		case inString && b == '\\':
+			i++
+		case b == '"':
+			inString = !inString
+		case inString:
+		case b == '{' || b == '[':
+			depth++
+			if depth > maxNesting {
+				return i
+			}
+		case b == '}' || b == ']':
+			depth--
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/host/reply.go
@@ -0,0 +1,75 @@
+package host
+
+import (
+	"net/http"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/pkg/caller"
+)
+
+// drainRetryAfter is the time after which a refused caller may try another host.
+const drainRetryAfter = time.Second
+
+// reply writes the answer to a caller, whole or as a stream of events.
+type reply struct {
+	clock  *clock.Service
+	w      http.ResponseWriter
+	c      *http.ResponseController
+	stream bool
+	// onEnd is called once the last byte is written.
+	onEnd func()
+
+	seq int
+}
+
+func newReply(c *clock.Service, r *http.Request, w http.ResponseWriter) *reply {
+	return &reply{clock: c, w: w, c: http.NewResponseController(w), stream: streams(r)}
+}
+
+// emit sends a piece of the output.
+func (o *reply) emit(data string) error {
+	if o.seq == 0 {
+		o.w.Header().Set("Content-Type", caller.StreamType)
+		o.w.WriteHeader(http.StatusOK)
+	}
+	return o.event(&caller.Event{Data: data})
+}
+
+// event writes and flushes one event within writeTimeout.
+func (o *reply) event(e *caller.Event) error {
+	e.Seq = o.seq
+	o.seq++
+	o.c.SetWriteDeadline(o.clock.Now().Add(writeTimeout))
+	if err := encode(o.w, e); err != nil {
+		return err
+	}
+	return o.c.Flush()
+}
+
+// end sends the answer that ends the request.
+func (o *reply) end(a *caller.Answer) {
+	if o.onEnd != nil {
+		defer o.onEnd()
+	}
+	if o.seq == 0 {
+		o.begin(a)
+	}
+	if o.stream {
+		o.event(&caller.Event{Answer: a})
+		return
+	}
+	o.c.SetWriteDeadline(o.clock.Now().Add(writeTimeout))
+	encode(o.w, a)
+	o.c.Flush()
+}
+
+// begin sends the head of an answer of which nothing was sent yet.
+func (o *reply) begin(a *caller.Answer) {
+	kind := "application/json"
+	if o.stream {
+		kind = caller.StreamType
+	}
+	o.w.Header().Set("Content-Type", kind)
+	o.w.WriteHeader(a.Code.Lookup().HTTPStatus)
+}
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/platform"
@@ -22,13 +23,16 @@
 		provideExchange,
 		provideDispatcher,
 		provideRPC,
+		provideClaimer,
+		provideMetrics,
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
 		wire.Struct(new(section.Follower), "Log", "Clock"),
 		wire.Struct(new(target.Registry)),
 		wire.Struct(new(workspace.Admission), "*"),
 		wire.Struct(new(workspace.Retries), "*"),
+		wire.Struct(new(crash.Table), "Exchange"),
 		wire.Struct(new(pipeline.Runner), "*"),
-		wire.Struct(new(Host), "*"),
+		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "RPC", "Metrics"),
 	))
 }
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/section"
@@ -33,16 +34,25 @@
 	retries := &workspace.Retries{
 		Clock: c,
 	}
+	claimer := provideClaimer()
+	table := &crash.Table{
+		Exchange: exchange,
+	}
 	runner := &pipeline.Runner{
 		Clock:      c,
 		Dispatcher: dispatcher,
+		Targets:    registry,
 		Client:     targetClient,
 		Retries:    retries,
+		Claims:     claimer,
+		Crashes:    table,
+		Log:        log,
 	}
 	admission := &workspace.Admission{
 		Clock: c,
 	}
 	server := provideRPC()
+	metricsRegistry := provideMetrics()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
@@ -55,6 +65,7 @@
 		Runner:     runner,
 		Admission:  admission,
 		RPC:        server,
+		Metrics:    metricsRegistry,
 	}
 	return host
 }
--- /dev/null
+++ b/internal/pipeline/ask.go
@@ -0,0 +1,63 @@
+package pipeline
+
+import (
+	"encoding/json"
+
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/internal/queue"
+	"github.com/google/uuid"
+)
+
+// ask describes the next attempt of st to the dispatcher.
+func (x *execution) ask(st *stageRun) queue.Ask {
+	return queue.Ask{
+		AttemptID:   uuid.NewString(),
+		RequestID:   x.req.ID,
+		Workspace:   x.req.Workspace.Name,
+		Pipeline:    x.req.Pipeline.Name,
+		Pool:        st.stage.Pool,
+		Model:       st.stage.Model,
+		Priority:    x.req.Priority,
+		Deadline:    x.req.Deadline,
+		PromptBytes: len(x.req.Input) + len(st.previous),
+		Exclude:     st.exclude,
+		First:       !x.sent.Load(),
+	}
+}
+
+// message is the Run of an attempt of st.
+func (x *execution) message(st *stageRun, attemptID string) *contract.Run {
+	m := &contract.Run{
+		AttemptID: attemptID,
+		RequestID: x.req.ID,
+		Workspace: x.req.Workspace.Name,
+		Stage:     st.stage.Name,
+		Model:     st.stage.Model,
+		Priority:  x.req.Priority,
+		TimeLeft:  x.req.Deadline.Sub(x.Clock.Now()),
+		Input:     withPrevious(x.req.Input, st.previous),
+	}
+	if !st.repeatable {
+		m.Key = x.req.Key
+	}
+	return m
+}
+
+// withPrevious adds the output of the stage before to an input that is an
+// object, as its member Previous.
+func withPrevious(input json.RawMessage, previous string) json.RawMessage {
+	var members map[string]json.RawMessage
+	if previous == "" || json.Unmarshal(input, &members) != nil {
+		return input
+	}
+	text, err := json.Marshal(previous)
+	if err != nil {
+		return input
+	}
+	members["Previous"] = text
+	out, err := json.Marshal(members)
+	if err != nil {
+		return input
+	}
+	return out
+}
--- /dev/null
+++ b/internal/pipeline/attempt.go
@@ -0,0 +1,196 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/internal/crash"
+	"berylswitch.example/berylswitch/internal/queue"
+	"berylswitch.example/berylswitch/internal/target"
+	"go.uber.org/zap"
+)
+
+// attempt is one run of a stage at one target, and how it ended.
+type attempt struct {
+	grant *queue.Grant
+	data  strings.Builder
+	// next is the sequence number of the piece that is due.
+	next int
+	// sentAt and firstPiece are zero until the send began and a piece came.
+	sentAt     time.Time
+	firstPiece time.Duration
+	// err is nil when the whole answer came, else a *target.Broken, a
+	// *target.Failure, a withdrawn, a diverged or a callerGone.
+	err error
+}
+
+func (a *attempt) text() string { return a.data.String() }
+
+// settleTimeout is the time beyond the caller's deadline in which the answer of
+// a stage that may not be repeated is still waited for.
+const settleTimeout = 10 * time.Second
+
+// attempt runs st once at the target of g and gives g back. Attempts of one
+// stage may run beside each other: what they hand to the caller is kept in
+// order by the emitter. When ctx ends the attempt is cancelled at the target,
+// unless the stage may not be repeated.
+func (x *execution) attempt(ctx context.Context, st *stageRun, g *queue.Grant) *attempt {
+	a := &attempt{grant: g}
+	st.note(a)
+	if !st.repeatable {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), x.req.Deadline.Add(settleTimeout))
+		defer cancel()
+	}
+	x.send(ctx, st, a, x.message(st, g.AttemptID))
+	x.resume(ctx, st, a)
+	x.Dispatcher.Done(g, a.outcome(x.Clock.Now()))
+	return a
+}
+
+// note counts a and keeps its target from further attempts of st.
+func (st *stageRun) note(a *attempt) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	name := a.grant.Target.Name
+	st.report.Attempts++
+	st.report.Target = name
+	st.exclude = append(st.exclude[:len(st.exclude):len(st.exclude)], name)
+}
+
+// withdrawn is the error of an attempt that was not sent because of what the
+// host knew about it.
+type withdrawn struct{ reason string }
+
+func (w withdrawn) Error() string { return "not sent: " + w.reason }
+
+// send sends m and gathers the answer in a.
+func (x *execution) send(ctx context.Context, st *stageRun, a *attempt, m *contract.Run) {
+	permit, err := x.mayStart(ctx, st, a, m)
+	if err != nil {
+		a.err = err
+		return
+	}
+	a.err = x.Client.Run(ctx, &target.Attempt{
+		Target: a.grant.Target,
+		Run:    m,
+		OnSend: func() { x.sent.Store(true) },
+		Each:   func(p contract.Piece) error { return x.take(st, a, p) },
+	})
+	st.finish(a, x.Clock.Since(a.sentAt))
+	broke := isLost(a.err)
+	x.Crashes.End(ctx, permit, broke)
+	if a.err == nil {
+		return
+	}
+	x.Log.Info("attempt failed", zap.String("RequestID", x.req.ID), zap.String("Workspace", x.req.Workspace.Name),
+		zap.String("Stage", st.stage.Name), zap.String("Target", a.grant.Target.Name), zap.Error(a.err))
+	if st.repeatable && !isNotSent(a.err) {
+		x.Client.Cancel(a.grant.Target, a.grant.AttemptID)
+	}
+}
+
+// mayStart checks, directly before the send, what may have changed while the
+// attempt waited for its grant. The permit is for Crashes.End.
+func (x *execution) mayStart(ctx context.Context, st *stageRun, a *attempt, m *contract.Run) (*crash.Permit, error) {
+	permit, err := x.Crashes.Begin(ctx, x.req.BodyDigest, a.grant.Target.Name, a.grant.AttemptID, x.req.Deadline)
+	if err != nil {
+		return nil, withdrawn{err.Error()}
+	}
+	a.sentAt = x.Clock.Now()
+	m.TimeLeft = x.req.Deadline.Sub(a.sentAt)
+	reason := ""
+	switch {
+	case x.Targets.Lookup(a.grant.Target.Name) == nil:
+		reason = fmt.Sprintf("target %s is leaving", a.grant.Target.Name)
+	case m.TimeLeft <= 0:
+		reason = "the deadline has passed"
+	default:
+		return permit, nil
+	}
+	x.Crashes.End(ctx, permit, false)
+	return nil, withdrawn{reason}
+}
+
+// take adds a piece to a and offers it to the caller.
+func (x *execution) take(st *stageRun, a *attempt, p contract.Piece) error {
+	if a.firstPiece == 0 {
+		a.firstPiece = x.Clock.Since(a.sentAt)
+	}
+	pos := a.data.Len()
+	a.data.WriteString(p.Data)
+	a.next = p.Seq + 1
+	if p.End {
+		st.addCost(p)
+	}
+	if st.last {
+		return x.emitter.offer(pos, p.Data)
+	}
+	return nil
+}
+
+func (st *stageRun) addCost(p contract.Piece) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.report.Cost += p.Cost
+	if st.report.Attempts > 1 {
+		st.report.Extra += p.Cost
+	}
+	st.report.PromptTokens += p.PromptTokens
+	st.report.CachedTokens += p.CachedTokens
+}
+
+// finish adds the time of a to the report.
+func (st *stageRun) finish(a *attempt, took time.Duration) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.report.Ran += took
+	if a.err == nil {
+		st.report.Target = a.grant.Target.Name
+	}
+}
+
+// outcome is what the dispatcher learns of a.
+func (a *attempt) outcome(now time.Time) queue.Outcome {
+	o := queue.Outcome{Kind: queue.Failed, FirstPiece: a.firstPiece}
+	if !a.sentAt.IsZero() {
+		o.Took = now.Sub(a.sentAt)
+	}
+	var broken *target.Broken
+	switch {
+	case a.err == nil:
+		o.Kind = queue.Succeeded
+	case errors.As(a.err, &broken):
+		o.Kind = brokenOutcome(broken.Kind)
+	case errors.As(a.err, &withdrawn{}), errors.As(a.err, &callerGone{}), errors.As(a.err, &diverged{}):
+		o.Kind = queue.Abandoned
+	}
+	return o
+}
+
+func brokenOutcome(k target.BrokenKind) queue.OutcomeKind {
+	if k == target.GivenUp {
+		return queue.Abandoned
+	}
+	return queue.BrokeTarget
+}
+
+// isNotSent reports whether err says that nothing of the attempt reached its
+// target.
+func isNotSent(err error) bool {
+	var broken *target.Broken
+	if errors.As(err, &broken) {
+		return broken.Kind == target.NotSent
+	}
+	return errors.As(err, &withdrawn{})
+}
+
+// isLost reports whether err says that the connection broke under the attempt.
+func isLost(err error) bool {
+	var broken *target.Broken
+	return errors.As(err, &broken) && broken.Kind == target.Lost
+}
--- /dev/null
+++ b/internal/pipeline/claimed.go
@@ -0,0 +1,157 @@
+package pipeline
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/claim"
+	"berylswitch.example/berylswitch/pkg/caller"
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+)
+
+// Times of the record of a claimed request's end.
+const (
+	// recordTimeout bounds the tries to record the outcome.
+	recordTimeout = 30 * time.Second
+	// recordWait is how long the caller's answer waits for the record, so that a
+	// repeat that follows the answer finds it.
+	recordWait = time.Second
+	// claimRetryAfter is the time to come back after the log service had no
+	// verdict.
+	claimRetryAfter = 2 * time.Second
+)
+
+// runClaimed runs a request through a non-idempotent pool: once the claim on
+// its key is first, the request goes on to its end though its caller may go
+// away, and its outcome is recorded for repeats of the key.
+func (r *Runner) runClaimed(ctx context.Context, req *Request) *caller.Answer {
+	c := claim.Request{Workspace: req.Workspace.Name, Key: req.Key, Digest: req.Digest, AttemptID: uuid.NewString(), Until: req.Deadline}
+	claimCtx, cancel := context.WithDeadline(ctx, req.Deadline)
+	verdict, err := r.Claims.Claim(claimCtx, c)
+	cancel()
+	if err != nil {
+		req.end()
+		return Answer(nil, "", noVerdict(err))
+	}
+	switch v := verdict.(type) {
+	case claim.First:
+		return r.runFirst(ctx, req, c)
+	case claim.Repeat:
+		req.end()
+		return repeated(v.Outcome)
+	case claim.Refused:
+		req.end()
+		return Answer(nil, "", v.Result)
+	default:
+		panic("pipeline: unexpected verdict")
+	}
+}
+
+// noVerdict is the refusal of a request whose claim has no verdict.
+func noVerdict(err error) *result.Error {
+	var known *result.Error
+	if errors.As(err, &known) && known.Ran == result.RanNo {
+		return known
+	}
+	e := result.NotRun(result.LogUnavailable, "no verdict on the key: %v", err)
+	e.RetryAfter = claimRetryAfter
+	return e
+}
+
+// repeated is the answer to a repeat of a key that has an outcome.
+func repeated(o claim.Outcome) *caller.Answer {
+	a := &caller.Answer{}
+	if o.Stored && json.Unmarshal(o.Answer, a) == nil {
+		a.Repeated = true
+		return a
+	}
+	a.Code, a.Ran, a.Message, a.Repeated = o.Code, o.Ran, o.Message, true
+	if o.Code == result.OK {
+		a.Code, a.Ran = result.OutcomeUnknown, result.RanYes
+		a.Message = "the request ran to its end; its answer was too large to keep"
+	}
+	a.Name = a.Code.String()
+	return a
+}
+
+// runFirst executes a request whose claim is first.
+func (r *Runner) runFirst(ctx context.Context, req *Request, c claim.Request) *caller.Answer {
+	x := &execution{Runner: r, req: req, emitter: emitter{emit: ignoreGone(req.Emit)}}
+	defer x.emitter.close()
+	answers := make(chan *caller.Answer, 1)
+	go func() {
+		defer req.end()
+		r.finishFirst(context.WithoutCancel(ctx), x, c, answers)
+	}()
+	late, stop := r.Clock.After(req.Deadline.Sub(r.Clock.Now()))
+	defer stop()
+	select {
+	case a := <-answers:
+		return a
+	case <-ctx.Done():
+		return Answer(nil, "", result.Failed(result.Cancelled, "the caller went away; the request goes on"))
+	case <-late:
+		return Answer(nil, "", result.Failed(result.DeadlineExceeded, "the request goes on; a repeat of the key gets its outcome"))
+	}
+}
+
+// ignoreGone keeps a claimed request going when its caller can't be reached.
+func ignoreGone(emit func(string) error) func(string) error {
+	if emit == nil {
+		return nil
+	}
+	return func(data string) error {
+		emit(data)
+		return nil
+	}
+}
+
+// finishFirst runs x to its end, records it and sends the answer.
+func (r *Runner) finishFirst(ctx context.Context, x *execution, c claim.Request, answers chan<- *caller.Answer) {
+	runCtx, cancel := context.WithDeadline(ctx, x.req.Deadline)
+	a := x.answer(x.run(runCtx))
+	cancel()
+	a.RequestID = x.req.ID
+	recordCtx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		r.record(recordCtx, x, c, a)
+	}()
+	waited, stop := r.Clock.After(min(recordWait, x.req.Deadline.Sub(r.Clock.Now())/2))
+	defer stop()
+	select {
+	case <-recorded:
+	case <-waited:
+	}
+	answers <- a
+	<-recorded
+}
+
+// record releases the claim if nothing was sent, else stores the outcome.
+func (r *Runner) record(ctx context.Context, x *execution, c claim.Request, a *caller.Answer) {
+	var err error
+	if x.sent.Load() {
+		err = r.Claims.Finish(ctx, c, outcome(a))
+	} else {
+		err = r.Claims.Release(ctx, c)
+	}
+	if err != nil {
+		r.Log.Warn("the end of a claimed request is not recorded", zap.String("RequestID", x.req.ID),
+			zap.String("Workspace", x.req.Workspace.Name), zap.Stringer("Code", a.Code), zap.Error(err))
+	}
+}
+
+func outcome(a *caller.Answer) claim.Outcome {
+	o := claim.Outcome{Code: a.Code, Ran: a.Ran, Message: a.Message}
+	data, err := json.Marshal(a)
+	if err == nil {
+		o.Answer, o.Stored = data, true
+	}
+	return o
+}
--- /dev/null
+++ b/internal/pipeline/execution.go
@@ -0,0 +1,177 @@
+package pipeline
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"berylswitch.example/berylswitch/internal/queue"
+	"berylswitch.example/berylswitch/pkg/caller"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"berylswitch.example/berylswitch/pkg/result"
+)
+
+// execution is one run of a request through its stages.
+type execution struct {
+	*Runner
+	req     *Request
+	emitter emitter
+	reports []caller.StageReport
+
+	// sent is set before the first byte of any attempt may reach a target.
+	sent atomic.Bool
+}
+
+// run executes the stages in order and returns the output of the last. Its
+// error is a *result.Error.
+func (x *execution) run(ctx context.Context) (string, error) {
+	previous := ""
+	for i := range x.req.Pipeline.Stages {
+		out, err := x.stage(ctx, i, previous)
+		if err != nil {
+			return "", err
+		}
+		previous = out
+	}
+	x.Crashes.Clear(x.req.BodyDigest)
+	return previous, nil
+}
+
+func (x *execution) answer(output string, err error) *caller.Answer {
+	return Answer(x.reports, output, err)
+}
+
+// stageRun is one stage of an execution.
+type stageRun struct {
+	stage *declaration.Stage
+	// last says that the stage's output is the caller's.
+	last bool
+	// repeatable says that the stage may be sent more than once.
+	repeatable bool
+	previous   string
+
+	// exclude names the targets that attempts of the stage used.
+	exclude []string
+	report  caller.StageReport
+
+	// mu guards report while attempts run beside each other.
+	mu sync.Mutex
+}
+
+func (x *execution) newStage(i int, previous string) *stageRun {
+	s := &x.req.Pipeline.Stages[i]
+	pool := x.req.View.Pools[s.Pool]
+	return &stageRun{
+		stage:      s,
+		last:       i == len(x.req.Pipeline.Stages)-1,
+		repeatable: pool == nil || !pool.NonIdempotent,
+		previous:   previous,
+		report:     caller.StageReport{Stage: s.Name},
+	}
+}
+
+// stage makes attempts until one succeeds or none may follow.
+func (x *execution) stage(ctx context.Context, i int, previous string) (string, error) {
+	st := x.newStage(i, previous)
+	defer func() { x.reports = append(x.reports, st.report) }()
+	x.Retries.Earn(x.req.Workspace.Name)
+	var failed error
+	for {
+		g, err := x.acquire(ctx, st)
+		if err != nil {
+			return "", x.noGrant(err, failed)
+		}
+		a := x.attempt(ctx, st, g)
+		if a.err == nil {
+			return a.text(), nil
+		}
+		switch n := x.next(ctx, st, a).(type) {
+		case rerun:
+			failed = n.failed
+		case settled:
+			return n.output, nil
+		case giveUp:
+			return "", n.err
+		}
+	}
+}
+
+// acquire waits for a grant for one attempt of st.
+func (x *execution) acquire(ctx context.Context, st *stageRun) (*queue.Grant, error) {
+	start := x.Clock.Now()
+	g, err := x.Dispatcher.Acquire(ctx, x.ask(st))
+	st.report.Queued += x.Clock.Since(start)
+	return g, err
+}
+
+// noGrant is the result of a stage for which no slot was granted. After a
+// failed attempt that attempt is the reason.
+func (x *execution) noGrant(err, failed error) error {
+	if failed != nil {
+		return failed
+	}
+	e := result.From(err)
+	if x.sent.Load() && e.Ran == result.RanNo {
+		return result.Failed(result.StageFailed, "%s", e.Message)
+	}
+	return e
+}
+
+// emitter hands the text of the last stage to the caller, in order and once,
+// whichever attempt it comes from.
+type emitter struct {
+	mu     sync.Mutex
+	emit   func(string) error
+	given  strings.Builder
+	closed bool
+}
+
+// diverged is the error of an attempt whose text differs from what the caller
+// already has.
+type diverged struct{}
+
+func (diverged) Error() string { return "the text differs from what the caller already has" }
+
+// callerGone is the error of an attempt whose text can't be handed on.
+type callerGone struct{ err error }
+
+func (c callerGone) Error() string { return "the caller is gone: " + c.err.Error() }
+
+// offer hands on the part of data that the caller lacks. Data stands at
+// position pos of the text of one attempt; the attempt offers its text in order.
+func (e *emitter) offer(pos int, data string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.emit == nil || e.closed {
+		return nil
+	}
+	given := e.given.String()
+	known := min(len(given)-pos, len(data))
+	if given[pos:pos+known] != data[:known] {
+		return diverged{}
+	}
+	rest := data[known:]
+	if rest == "" {
+		return nil
+	}
+	e.given.WriteString(rest)
+	if err := e.emit(rest); err != nil {
+		return callerGone{err}
+	}
+	return nil
+}
+
+// begun reports whether some text has reached the caller.
+func (e *emitter) begun() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.given.Len() > 0
+}
+
+// close drops all further text; emit isn't called after it returns.
+func (e *emitter) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+}
--- /dev/null
+++ b/internal/pipeline/retry.go
@@ -0,0 +1,152 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"berylswitch.example/berylswitch/internal/target"
+	"berylswitch.example/berylswitch/pkg/result"
+)
+
+// maxAttempts bounds the attempts of one stage, those that were not sent
+// included.
+const maxAttempts = 8
+
+// step is what follows a failed attempt.
+type step interface{ isStep() }
+
+// rerun makes another attempt at another target. Failed is the result if there
+// is none.
+type rerun struct{ failed *result.Error }
+
+// settled ends the stage with an output that the target gave when asked.
+type settled struct{ output string }
+
+// giveUp ends the request.
+type giveUp struct{ err *result.Error }
+
+func (rerun) isStep()   {}
+func (settled) isStep() {}
+func (giveUp) isStep()  {}
+
+// next decides what follows the failed attempt a.
+func (x *execution) next(ctx context.Context, st *stageRun, a *attempt) step {
+	failed := x.failure(ctx, st, a)
+	switch {
+	case ctx.Err() != nil && (st.repeatable || isNotSent(a.err)):
+		return giveUp{failed}
+	case errors.As(a.err, &callerGone{}):
+		return giveUp{failed}
+	case isNotSent(a.err) && x.Crashes.Guilty(x.req.BodyDigest):
+		return giveUp{x.crashed(a)}
+	case isNotSent(a.err):
+		return x.elsewhere(st, failed)
+	case !st.repeatable:
+		return x.settle(ctx, st, a, failed)
+	case x.Crashes.Guilty(x.req.BodyDigest):
+		return giveUp{x.crashed(a)}
+	case refusedForGood(a.err), !x.Retries.Take(x.req.Workspace.Name):
+		return giveUp{failed}
+	}
+	return x.elsewhere(st, failed)
+}
+
+// crashed is the result of a request whose body broke too many targets.
+func (x *execution) crashed(a *attempt) *result.Error {
+	if !x.sent.Load() {
+		return result.NotRun(result.CrashSuspect, "%v", a.err)
+	}
+	return result.Failed(result.CrashedTargets, "%v", a.err)
+}
+
+func (x *execution) elsewhere(st *stageRun, failed *result.Error) step {
+	if st.report.Attempts >= maxAttempts {
+		return giveUp{failed}
+	}
+	return rerun{failed}
+}
+
+// refusedForGood reports whether the target said that the run itself is wrong,
+// so that another target would say the same.
+func refusedForGood(err error) bool {
+	var f *target.Failure
+	if !errors.As(err, &f) {
+		return false
+	}
+	return f.Status >= http.StatusBadRequest && f.Status < http.StatusInternalServerError && f.Status != http.StatusTooManyRequests
+}
+
+// failure is the result of the request if nothing follows a. It says that
+// nothing ran only if no byte of the whole request was sent.
+func (x *execution) failure(ctx context.Context, st *stageRun, a *attempt) *result.Error {
+	if !x.sent.Load() {
+		if ctx.Err() != nil {
+			return result.NotRun(result.Overloaded, "no target could be reached in time: %v", a.err)
+		}
+		return result.NotRun(result.NoTarget, "%v", a.err)
+	}
+	if !st.repeatable && !isNotSent(a.err) && !isFailure(a.err) {
+		return result.Failed(result.OutcomeUnknown, "%v", a.err)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.Failed(result.DeadlineExceeded, "%v", a.err)
+	case ctx.Err() != nil, errors.As(a.err, &callerGone{}):
+		return result.Failed(result.Cancelled, "%v", a.err)
+	case isGarbled(a.err):
+		return result.Failed(result.AnswerBroken, "%v", a.err)
+	}
+	return result.Failed(result.StageFailed, "%v", a.err)
+}
+
+func isFailure(err error) bool {
+	var f *target.Failure
+	return errors.As(err, &f)
+}
+
+func isGarbled(err error) bool {
+	var broken *target.Broken
+	if errors.As(err, &broken) {
+		return broken.Kind == target.Garbled
+	}
+	return errors.As(err, &diverged{})
+}
+
+// settle ends a stage that may not be sent again. A target that can be asked
+// by key may know the answer; that it does not know the key proves nothing,
+// since the run may still be on its way.
+func (x *execution) settle(ctx context.Context, st *stageRun, a *attempt, failed *result.Error) step {
+	if !a.grant.Target.AskByKey || isFailure(a.err) {
+		return giveUp{failed}
+	}
+	reply, err := x.Client.Ask(context.WithoutCancel(ctx), a.grant.Target, x.req.Key)
+	if err != nil || !reply.Ran {
+		return giveUp{failed}
+	}
+	if st.last && x.emitter.offer(0, reply.Answer) != nil {
+		return giveUp{failed}
+	}
+	return settled{reply.Answer}
+}
+
+// resume continues a broken attempt at its own target, under the same grant,
+// when part of its text has reached the caller.
+func (x *execution) resume(ctx context.Context, st *stageRun, a *attempt) {
+	if !isBroken(a.err) || !st.repeatable || !x.emitter.begun() || ctx.Err() != nil {
+		return
+	}
+	if x.Crashes.Guilty(x.req.BodyDigest) || !x.Retries.Take(x.req.Workspace.Name) {
+		return
+	}
+	m := x.message(st, a.grant.AttemptID)
+	m.ResumeFrom = a.next
+	x.send(ctx, st, a, m)
+}
+
+// isBroken reports whether err says that the answer broke off or was garbled
+// after the send.
+func isBroken(err error) bool {
+	var broken *target.Broken
+	return errors.As(err, &broken) && (broken.Kind == target.Lost || broken.Kind == target.Garbled)
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -6,21 +6,53 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"berylswitch.example/berylswitch/internal/contract"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/pkg/declaration"
+	"golang.org/x/sync/semaphore"
 )
 
-// maxPieceBytes bounds one line of a target's answer.
-const maxPieceBytes = 1 << 20
+// Bounds of one call to a target.
+const (
+	maxPieceBytes  = 1 << 20  // one line of an answer
+	maxOutputBytes = 16 << 20 // all data of an answer
+	maxReplyBytes  = 1 << 20  // the reply to anything but a Run
+	maxCancels     = 256      // cancels under way at once; more are dropped
 
-// Broken is the error of an attempt whose connection or answer broke. Sent says
-// whether bytes of the attempt may have reached the target.
+	connectTimeout = time.Second
+	cancelTimeout  = time.Second
+	askTimeout     = 2 * time.Second
+)
+
+// BrokenKind says how an attempt broke.
+type BrokenKind int
+
+// The kinds of broken attempts.
+const (
+	// NotSent means that no connection was made, so that nothing of the attempt
+	// reached the target.
+	NotSent BrokenKind = iota
+	// Lost means that the connection broke after the send had begun.
+	Lost
+	// Garbled means that the answer breaks the contract: a piece of another
+	// attempt, a gap, no end mark, or too much data.
+	Garbled
+	// GivenUp means that the caller of Run ended its context after the send had
+	// begun.
+	GivenUp
+)
+
+// Broken is the error of an attempt whose connection or answer broke.
 type Broken struct {
 	Target string
-	Sent   bool
+	Kind   BrokenKind
 	Reason string
 }
 
@@ -30,16 +62,31 @@
 // Failure is a target's own statement that the stage failed.
 type Failure struct {
 	Target string
+	// Status is the HTTP status of the answer.
+	Status int
 	Reason string
 }
 
 // Error names the target and the reason.
 func (f *Failure) Error() string { return fmt.Sprintf("target %s failed: %s", f.Target, f.Reason) }
 
+// Attempt is one run at one target.
+type Attempt struct {
+	Target *declaration.Target
+	Run    *contract.Run
+	// OnSend is called before the first byte may reach the target.
+	OnSend func()
+	// Each is called with each piece in order. Its error ends the attempt.
+	Each func(contract.Piece) error
+}
+
 // Client runs attempts at targets. Exported fields are set before the first
 // call.
 type Client struct {
 	HTTP *http.Client
+
+	once    sync.Once
+	cancels *semaphore.Weighted
 }
 
 // NewClient returns a client over n.
@@ -47,58 +94,186 @@
 	return &Client{HTTP: &http.Client{Transport: link.Transport(n)}}
 }
 
-// Run executes run at t and calls each with every piece, in order. It returns
-// once the end mark came, with a *Broken or a *Failure otherwise.
-func (c *Client) Run(ctx context.Context, t *declaration.Target, run *contract.Run, each func(contract.Piece) error) error {
-	body, err := json.Marshal(run)
+// Run executes a. It returns nil once the end mark came; its error is a
+// *Broken, a *Failure or the error of a.Each.
+func (c *Client) Run(ctx context.Context, a *Attempt) error {
+	body, err := json.Marshal(a.Run)
 	if err != nil {
-		return err
+		return &Broken{Target: a.Target.Name, Kind: NotSent, Reason: err.Error()}
 	}
-	url := "http://" + t.Addr.String() + contract.RunPath
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	s := newSend(ctx, a)
+	defer s.cancel()
+	req, err := post(s.ctx, a.Target, contract.RunPath, body)
 	if err != nil {
-		return err
+		return &Broken{Target: a.Target.Name, Kind: NotSent, Reason: err.Error()}
 	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return &Broken{Target: t.Name, Sent: !link.IsRefused(err), Reason: err.Error()}
+		return s.broken(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return &Failure{Target: t.Name, Reason: resp.Status}
+		return &Failure{Target: a.Target.Name, Status: resp.StatusCode, Reason: resp.Status}
 	}
-	return readPieces(bufio.NewScanner(resp.Body), t.Name, run, each)
+	return s.readPieces(bufio.NewScanner(resp.Body))
+}
+
+func post(ctx context.Context, t *declaration.Target, path string, body []byte) (*http.Request, error) {
+	url := "http://" + t.Addr.String() + path
+	return http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+}
+
+// send follows one attempt from the dial to its end.
+type send struct {
+	attempt *Attempt
+	parent  context.Context
+	ctx     context.Context
+	cancel  context.CancelFunc
+	begun   atomic.Bool
+}
+
+// newSend returns a send whose context ends when no connection was made within
+// connectTimeout.
+func newSend(parent context.Context, a *Attempt) *send {
+	s := &send{attempt: a, parent: parent}
+	ctx, cancel := context.WithCancel(parent)
+	connect := time.AfterFunc(connectTimeout, cancel)
+	s.cancel = func() {
+		connect.Stop()
+		cancel()
+	}
+	s.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			connect.Stop()
+			if s.begun.CompareAndSwap(false, true) && a.OnSend != nil {
+				a.OnSend()
+			}
+		},
+	})
+	return s
+}
+
+// broken classifies the end of the connection.
+func (s *send) broken(err error) error {
+	b := &Broken{Target: s.attempt.Target.Name, Kind: Lost, Reason: err.Error()}
+	switch {
+	case !s.begun.Load():
+		b.Kind = NotSent
+	case s.parent.Err() != nil:
+		b.Kind = GivenUp
+	}
+	return b
+}
+
+func (s *send) garbled(format string, args ...any) error {
+	return &Broken{Target: s.attempt.Target.Name, Kind: Garbled, Reason: fmt.Sprintf(format, args...)}
 }
 
 // readPieces checks attempt, sequence and end mark of the pieces.
-func readPieces(s *bufio.Scanner, name string, run *contract.Run, each func(contract.Piece) error) error {
-	s.Buffer(nil, maxPieceBytes)
-	next := run.ResumeFrom
-	for s.Scan() {
-		var p contract.Piece
-		if err := json.Unmarshal(s.Bytes(), &p); err != nil {
-			return &Broken{Target: name, Sent: true, Reason: "a piece is no JSON: " + err.Error()}
-		}
-		if p.AttemptID != run.AttemptID {
-			return &Broken{Target: name, Sent: true, Reason: "a piece of another attempt"}
-		}
-		if p.Seq != next {
-			return &Broken{Target: name, Sent: true, Reason: fmt.Sprintf("piece %d where %d was due", p.Seq, next)}
+func (s *send) readPieces(lines *bufio.Scanner) error {
+	lines.Buffer(nil, maxPieceBytes)
+	next, size := s.attempt.Run.ResumeFrom, 0
+	for lines.Scan() {
+		p, err := s.piece(lines.Bytes(), next)
+		if err != nil {
+			return err
 		}
 		next++
-		if p.Failure != "" {
-			return &Failure{Target: name, Reason: p.Failure}
+		size += len(p.Data)
+		if size > maxOutputBytes {
+			return s.garbled("the answer exceeds %d bytes", maxOutputBytes)
 		}
-		if err := each(p); err != nil {
+		if err := s.attempt.Each(p); err != nil {
 			return err
 		}
 		if p.End {
 			return nil
 		}
 	}
-	reason := "the answer ended without its end mark"
-	if err := s.Err(); err != nil {
-		reason = err.Error()
+	return s.cutShort(lines.Err())
+}
+
+// piece decodes and checks one line.
+func (s *send) piece(line []byte, next int) (contract.Piece, error) {
+	var p contract.Piece
+	if err := json.Unmarshal(line, &p); err != nil {
+		return p, s.garbled("a piece is no JSON: %v", err)
+	}
+	if p.AttemptID != s.attempt.Run.AttemptID {
+		return p, s.garbled("a piece of another attempt")
+	}
+	if p.Seq != next {
+		return p, s.garbled("piece %d where %d was due", p.Seq, next)
 	}
-	return &Broken{Target: name, Sent: true, Reason: reason}
+	if p.Failure != "" {
+		return p, &Failure{Target: s.attempt.Target.Name, Status: http.StatusOK, Reason: p.Failure}
+	}
+	return p, nil
+}
+
+// cutShort is the error of an answer without its end mark. An orderly end of
+// the answer is the target's fault, a broken connection may be its crash.
+func (s *send) cutShort(err error) error {
+	switch err {
+	case nil:
+		return s.garbled("the answer ended without its end mark")
+	case bufio.ErrTooLong:
+		return s.garbled("a piece exceeds %d bytes", maxPieceBytes)
+	}
+	return s.broken(err)
 }
+
+// Cancel tells t, in the background, that an attempt is no longer wanted. The
+// end of the connection says the same, so that a cancel may be dropped.
+func (c *Client) Cancel(t *declaration.Target, attemptID string) {
+	c.once.Do(func() { c.cancels = semaphore.NewWeighted(maxCancels) })
+	if !c.cancels.TryAcquire(1) {
+		return
+	}
+	go func() {
+		defer c.cancels.Release(1)
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		c.call(ctx, t, contract.CancelPath, &contract.Cancel{AttemptID: attemptID}, nil)
+	}()
+}
+
+// Ask asks t whether it ran a key. An error leaves the question open.
+func (c *Client) Ask(ctx context.Context, t *declaration.Target, key string) (contract.AskReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var reply contract.AskReply
+	err := c.call(ctx, t, contract.AskPath, &contract.Ask{Key: key}, &reply)
+	return reply, err
+}
+
+// call posts a message other than a Run; reply may be nil.
+func (c *Client) call(ctx context.Context, t *declaration.Target, path string, message, reply any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	req, err := post(ctx, t, path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	src, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("target %s: %s", t.Name, resp.Status)
+	}
+	if reply == nil {
+		return nil
+	}
+	return json.Unmarshal(src, reply)
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() { c.HTTP.CloseIdleConnections() }
