--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -87,7 +87,8 @@
 	Role        string `json:",omitempty"`
 }
 
-// Cancel asks a target to give up an attempt.
+// Cancel, posted to CancelPath, asks a target to give up an attempt. A target
+// that doesn't know the attempt ignores it.
 type Cancel struct {
 	AttemptID string
 }
@@ -138,17 +139,6 @@
 	Reason string `json:",omitempty"`
 }
 
-// Cancel, posted to CancelPath, tells a target that the answer of an attempt is
-// no longer wanted. A target that doesn't know the attempt ignores it.
-type Cancel struct {
-	AttemptID string
-}
-
-// Ask, posted to AskPath, asks a target whether it ran a key.
-type Ask struct {
-	Key string
-}
-
 // AskReply is a target's answer to the question whether a key ran.
 type AskReply struct {
 	Ran    bool
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -234,7 +235,13 @@
 		defer c.cancels.Release(1)
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
-		c.call(ctx, t, contract.CancelPath, &contract.Cancel{AttemptID: attemptID}, nil)
+		body, err := json.Marshal(&contract.Cancel{AttemptID: attemptID})
+		if err != nil {
+			return
+		}
+		if req, err := post(ctx, t, contract.CancelPath, body); err == nil {
+			c.exchange(req)
+		}
 	}()
 }
 
@@ -243,36 +250,34 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var reply contract.AskReply
-	err := c.call(ctx, t, contract.AskPath, &contract.Ask{Key: key}, &reply)
-	return reply, err
-}
-
-// call posts a message other than a Run; reply may be nil.
-func (c *Client) call(ctx context.Context, t *declaration.Target, path string, message, reply any) error {
-	body, err := json.Marshal(message)
+	u := url.URL{Scheme: "http", Host: t.Addr.String(), Path: contract.AskPath, RawQuery: url.Values{contract.KeyParam: {key}}.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return err
+		return reply, err
 	}
-	req, err := post(ctx, t, path, body)
+	src, err := c.exchange(req)
 	if err != nil {
-		return err
+		return reply, err
 	}
+	err = json.Unmarshal(src, &reply)
+	return reply, err
+}
+
+// exchange sends a message other than a Run and reads the reply.
+func (c *Client) exchange(req *http.Request) ([]byte, error) {
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer resp.Body.Close()
 	src, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("target %s: %s", t.Name, resp.Status)
-	}
-	if reply == nil {
-		return nil
+		return nil, fmt.Errorf("%s: %s", req.URL, resp.Status)
 	}
-	return json.Unmarshal(src, reply)
+	return src, nil
 }
 
 // Close ends the idle connections.
