--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -1,73 +1,200 @@
 // Package crash remembers requests whose runs broke targets, by digest of the
 // body, so that one request breaks at most two targets whatever host its caller
 // tries.
+//
+// A Table counts the targets that each body broke. A body that broke one is a
+// suspect: it runs at one target at a time, and not beside another suspect if
+// that can be helped, so that the second break tells the guilty body from the
+// innocent ones that ran beside it. A body that broke MaxTargets is guilty and
+// is not run again; one that ran to its end is cleared. The host that sees a
+// break tells every member before it does anything else with the request, and
+// spreads a note for those that it couldn't reach. Suspects are arbitrated by
+// the host that rendezvous names for them all; without it each host decides
+// alone.
 package crash
 
 import (
 	"context"
+	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/peer"
+	"github.com/google/uuid"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/zeebo/errs"
 )
 
-// MaxTargets is the number of targets that a request may break.
-const MaxTargets = 2
+// Bounds of a Table.
+const (
+	// MaxTargets is the number of targets that a request may break.
+	MaxTargets = 2
+	// maxBodies is the number of bodies that are remembered; beyond it the one
+	// that broke a target longest ago is forgotten.
+	maxBodies = 4096
+	// memory is the time after which a body is forgotten.
+	memory = time.Hour
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("crash")
+
+// ErrGuilty is the error of Begin for a body that must not run again.
+var ErrGuilty = Error.New("the body broke %d targets", MaxTargets)
+
+// Members is the part of peer.Exchange that a Table needs.
+type Members interface {
+	Members() *peer.Members
+	Spread(peer.Note)
+	OnNote(peer.NoteKind, func(peer.Note))
+}
+
+var _ Members = (*peer.Exchange)(nil)
 
-// Table counts the targets that each body broke. Exported fields are set
-// before Run.
+// Table counts the targets that each body broke. Exported fields are set, and
+// Register called, before the first Begin.
 type Table struct {
-	Exchange *peer.Exchange
+	// Self is the name of this host.
+	Self    string
+	Clock   *clock.Service
+	Members Members
+	Peers   *peer.Caller
 
 	mu     sync.Mutex
-	broken map[string]map[string]bool
+	bodies *simplelru.LRU[string, *body]
+	runs   arbiter
 }
 
-// Permit is the leave to run a body once at one target.
-type Permit struct {
-	digest string
-	target string
+// body is what is known of one digest.
+type body struct {
+	// broken has the IDs of the breaks, oldest first, at most MaxTargets.
+	broken []string
+	last   time.Time
+	// cleared is the time of the last run to the end; breaks before it don't
+	// count.
+	cleared time.Time
 }
 
-// Guilty reports whether a body with this digest must not run again.
-func (t *Table) Guilty(digest string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.broken[digest]) >= MaxTargets
+// Register subscribes t to the notes of peers and offers its service to them.
+func (t *Table) Register(s *rpc.Server) error {
+	t.Members.OnNote(peer.CrashNote, t.takeNote)
+	return s.RegisterName(serviceName, &Service{table: t})
 }
 
+// Guilty reports whether a body with this digest must not run again.
+func (t *Table) Guilty(digest string) bool { return t.breaks(digest) >= MaxTargets }
+
 // Suspect reports whether a body with this digest has broken a target.
-func (t *Table) Suspect(digest string) bool {
+func (t *Table) Suspect(digest string) bool { return t.breaks(digest) > 0 }
+
+func (t *Table) breaks(digest string) int {
+	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.broken[digest]) > 0
+	if b := t.find(digest, now); b != nil {
+		return len(b.broken)
+	}
+	return 0
 }
 
-// Begin asks for leave to run a body at a target.
-func (t *Table) Begin(ctx context.Context, digest, target, attemptID string, until time.Time) (*Permit, error) {
-	return &Permit{digest: digest, target: target}, nil
+// find returns the body unless it is unknown or forgotten; t.mu is held.
+func (t *Table) find(digest string, now time.Time) *body {
+	if t.bodies == nil {
+		return nil
+	}
+	b, ok := t.bodies.Peek(digest)
+	if !ok || now.Sub(b.last) > memory {
+		return nil
+	}
+	return b
 }
 
-// End gives p back; broke says that the connection to the target broke under
-// the run.
-func (t *Table) End(ctx context.Context, p *Permit, broke bool) {
-	if !broke {
-		return
+// open returns the body, which it adds if needed; t.mu is held.
+func (t *Table) open(digest string, now time.Time) *body {
+	if t.bodies == nil {
+		t.bodies, _ = simplelru.NewLRU[string, *body](maxBodies, nil)
+	}
+	b := t.find(digest, now)
+	if b == nil {
+		b = &body{}
 	}
+	t.bodies.Add(digest, b)
+	b.last = now
+	return b
+}
+
+// apply adds a word to the table.
+func (t *Table) apply(w Word) {
+	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.broken == nil {
-		t.broken = map[string]map[string]bool{}
+	if w.BreakID == "" {
+		if b := t.find(w.Digest, now); b != nil {
+			b.clear(w.At)
+		}
+		return
 	}
-	if t.broken[p.digest] == nil {
-		t.broken[p.digest] = map[string]bool{}
+	t.open(w.Digest, now).add(w)
+}
+
+func (b *body) clear(at time.Time) {
+	b.broken = nil
+	b.cleared = at
+}
+
+func (b *body) add(w Word) {
+	if !w.At.After(b.cleared) || len(b.broken) >= MaxTargets {
+		return
+	}
+	if !slices.Contains(b.broken, w.BreakID) {
+		b.broken = append(b.broken, w.BreakID)
 	}
-	t.broken[p.digest][p.target] = true
 }
 
-// Clear forgets a body that ran to its end.
+// Clear forgets the breaks of a body that ran to its end.
 func (t *Table) Clear(digest string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.broken, digest)
+	if !t.Suspect(digest) {
+		return
+	}
+	w := Word{Digest: digest, At: t.Clock.Now()}
+	t.apply(w)
+	t.spread(w)
+}
+
+// Permit is the leave to run a body once at one target.
+type Permit struct {
+	run Run
+	// asked says that an arbiter knows of the run.
+	asked bool
+}
+
+// Begin asks for leave to run a body at a target. A suspect may have to wait
+// until another run of it has ended, at most until run.Until or the end of ctx.
+func (t *Table) Begin(ctx context.Context, run Run) (*Permit, error) {
+	p := &Permit{run: run}
+	switch t.breaks(run.Digest) {
+	case 0:
+		return p, nil
+	case MaxTargets:
+		return nil, ErrGuilty
+	}
+	p.asked = true
+	return p, t.arbitrate(ctx, run)
+}
+
+// End gives p back; broke says that the connection to the target broke under
+// the run. After a break it returns once the members know or tellTimeout has
+// passed.
+func (t *Table) End(ctx context.Context, p *Permit, broke bool) {
+	if broke {
+		w := Word{BreakID: uuid.NewString(), Digest: p.run.Digest, Target: p.run.Target, At: t.Clock.Now()}
+		t.apply(w)
+		t.tell(context.WithoutCancel(ctx), w)
+		t.spread(w)
+	}
+	if p.asked {
+		t.finished(p.run)
+	}
 }
--- /dev/null
+++ b/internal/crash/service.go
@@ -0,0 +1,230 @@
+package crash
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/peer"
+	"golang.org/x/sync/errgroup"
+)
+
+// serviceName is the name of the RPC service.
+const serviceName = "Crash"
+
+// Times and bounds of the talk with peers.
+const (
+	tellTimeout = 300 * time.Millisecond
+	tellAtOnce  = 64 // members that are told at the same time
+	askTimeout  = 300 * time.Millisecond
+)
+
+// Word is what hosts tell each other: that a target broke under a body, or,
+// without a BreakID, that the body ran to its end.
+type Word struct {
+	// BreakID tells one break from another, so that one that is heard of twice
+	// counts once.
+	BreakID string
+	Digest  string
+	Target  string
+	At      time.Time
+}
+
+// Empty is a reply without content.
+type Empty struct{}
+
+// Service is the RPC service of a Table.
+type Service struct{ table *Table }
+
+// Tell takes a word of a peer.
+func (s *Service) Tell(w *Word, _ *Empty) error {
+	s.table.apply(*w)
+	return nil
+}
+
+// Begin arbitrates the run of a suspect.
+func (s *Service) Begin(r *Run, reply *Reply) error {
+	*reply = s.table.decide(*r)
+	return nil
+}
+
+// End ends a run that Begin let go.
+func (s *Service) End(r *Run, _ *Empty) error {
+	s.table.runs.end(*r)
+	return nil
+}
+
+// tell tells every other member, and waits for them at most tellTimeout.
+func (t *Table) tell(ctx context.Context, w Word) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	var g errgroup.Group
+	g.SetLimit(tellAtOnce)
+	for _, h := range t.Members.Members().Hosts {
+		if h.Name == t.Self {
+			continue
+		}
+		g.Go(func() error {
+			return t.Peers.Call(ctx, h.Addr, serviceName+".Tell", &w, &Empty{})
+		})
+	}
+	g.Wait()
+}
+
+// spread sends w to the hosts that tell doesn't reach.
+func (t *Table) spread(w Word) {
+	data, err := json.Marshal(&w)
+	if err != nil {
+		return
+	}
+	t.Members.Spread(peer.Note{Kind: peer.CrashNote, Data: data, Expires: t.Clock.Now().Add(memory)})
+}
+
+func (t *Table) takeNote(n peer.Note) {
+	var w Word
+	if json.Unmarshal(n.Data, &w) == nil {
+		t.apply(w)
+	}
+}
+
+// Run is one run of a body at a target.
+type Run struct {
+	Digest    string
+	Target    string
+	AttemptID string
+	// Until is the time at which the run has ended for certain.
+	Until time.Time
+	// Share lets the run go beside another suspect at the target.
+	Share bool
+}
+
+// Answer is an arbiter's word on a run.
+type Answer int
+
+// The answers.
+const (
+	// Go lets the run begin.
+	Go Answer = iota
+	// Busy means that the body runs elsewhere.
+	Busy
+	// Shared means that another suspect runs at the target.
+	Shared
+	// Guilty means that the body must not run again.
+	Guilty
+)
+
+// Reply carries an Answer.
+type Reply struct {
+	Answer Answer
+}
+
+// suspects is the key whose holder arbitrates.
+const suspects = "Crash/Suspects"
+
+// Times and bounds of the arbitration.
+const (
+	askAgain = 25 * time.Millisecond
+	// shareAfter is the part of the time left after which a suspect runs beside
+	// another one all the same.
+	shareAfter = 8
+	maxRuns    = 8192
+)
+
+// arbitrate waits for the leave to run a suspect.
+func (t *Table) arbitrate(ctx context.Context, r Run) error {
+	start := t.Clock.Now()
+	patience := r.Until.Sub(start) / shareAfter
+	for {
+		switch a := t.ask(ctx, r); {
+		case a == Go:
+			return nil
+		case a == Guilty:
+			return ErrGuilty
+		}
+		r.Share = t.Clock.Since(start) >= patience
+		if !t.Clock.Now().Before(r.Until) {
+			return Error.New("another run of the body did not end in time")
+		}
+		if err := t.Clock.Sleep(ctx, askAgain); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+}
+
+// ask puts r to the arbiter, or decides here when it can't be reached.
+func (t *Table) ask(ctx context.Context, r Run) Answer {
+	h := t.Members.Members().Holder(suspects)
+	if h.Name == t.Self {
+		return t.decide(r).Answer
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var reply Reply
+	if t.Peers.Call(ctx, h.Addr, serviceName+".Begin", &r, &reply) != nil {
+		return t.decide(r).Answer
+	}
+	return reply.Answer
+}
+
+// finished tells the arbiter, in the background, that r has ended.
+func (t *Table) finished(r Run) {
+	t.runs.end(r)
+	h := t.Members.Members().Holder(suspects)
+	if h.Name == t.Self {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		t.Peers.Call(ctx, h.Addr, serviceName+".End", &r, &Empty{})
+	}()
+}
+
+// decide is the arbiter's decision on r.
+func (t *Table) decide(r Run) Reply {
+	if t.Guilty(r.Digest) {
+		return Reply{Guilty}
+	}
+	return Reply{t.runs.begin(r, t.Clock.Now())}
+}
+
+// arbiter knows the runs of suspects that are under way. When it is full,
+// further suspects wait.
+type arbiter struct {
+	mu   sync.Mutex
+	runs map[string]Run // by attempt ID
+}
+
+func (a *arbiter) begin(r Run, now time.Time) Answer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.runs == nil {
+		a.runs = map[string]Run{}
+	}
+	answer := Go
+	for id, other := range a.runs {
+		switch {
+		case !now.Before(other.Until):
+			delete(a.runs, id)
+		case id == r.AttemptID:
+		case other.Digest == r.Digest:
+			return Busy
+		case other.Target == r.Target && !r.Share:
+			answer = Shared
+		}
+	}
+	if len(a.runs) >= maxRuns {
+		return Busy
+	}
+	if answer == Go {
+		a.runs[r.AttemptID] = r
+	}
+	return answer
+}
+
+func (a *arbiter) end(r Run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.runs, r.AttemptID)
+}
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -97,7 +97,8 @@
 // mayStart checks, directly before the send, what may have changed while the
 // attempt waited for its grant. The permit is for Crashes.End.
 func (x *execution) mayStart(ctx context.Context, st *stageRun, a *attempt, m *contract.Run) (*crash.Permit, error) {
-	permit, err := x.Crashes.Begin(ctx, x.req.BodyDigest, a.grant.Target.Name, a.grant.AttemptID, x.req.Deadline)
+	run := crash.Run{Digest: x.req.BodyDigest, Target: a.grant.Target.Name, AttemptID: a.grant.AttemptID, Until: x.req.Deadline}
+	permit, err := x.Crashes.Begin(ctx, run)
 	if err != nil {
 		return nil, withdrawn{err.Error()}
 	}
--- /dev/null
+++ b/internal/target/leaving.go
@@ -0,0 +1,214 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/rpc"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/platform"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Times of the words on leaving targets. From the host list's word to the last
+// new work passes at most listPeriod, listTimeout, the way of a note and
+// connectTimeout.
+const (
+	listPeriod  = time.Second
+	listTimeout = time.Second
+	// firstWord is how long a starting host waits for its first word.
+	firstWord = 2 * time.Second
+	// noteMemory is how long a note on a leaving target is passed on.
+	noteMemory  = time.Hour
+	peerTimeout = 500 * time.Millisecond
+	// maxPeersAsked bounds the peers that a starting host asks in one round.
+	maxPeersAsked = 3
+)
+
+// Run reads the host list until ctx ends.
+func (r *Registry) Run(ctx context.Context) error {
+	if r.HostList == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	ticks := r.Clock.Subscribe(ctx, listPeriod)
+	begun, asked := r.Clock.Now(), false
+	for {
+		listed := r.readList(ctx)
+		asked = asked || r.askPeers(ctx)
+		if listed || asked || r.Clock.Since(begun) >= firstWord {
+			r.hear()
+		}
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// hear lets the set be built, once there was a first word or none in time.
+func (r *Registry) hear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.heard {
+		r.heard = true
+		r.rebuild()
+	}
+}
+
+// askPeers asks some peers what they know to be leaving, and reports whether
+// one answered. A starting host asks until then.
+func (r *Registry) askPeers(ctx context.Context) bool {
+	tries := 0
+	for _, h := range r.Notes.Members().Hosts {
+		if h.Name == r.Self || tries == maxPeersAsked {
+			continue
+		}
+		tries++
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		reply := &LeftReply{}
+		err := r.Peers.Call(ctx, h.Addr, serviceName+".Left", &Nothing{}, reply)
+		cancel()
+		if err == nil {
+			r.takeLeft(reply.Lives)
+			return true
+		}
+	}
+	return false
+}
+
+// readList reads the host list and reports whether it could.
+func (r *Registry) readList(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, err := r.HostList.Hosts(ctx)
+	if err != nil {
+		return false
+	}
+	for _, l := range r.takeList(entries) {
+		r.spread(l)
+	}
+	return true
+}
+
+// takeList merges the host list and returns the lives that are newly known to
+// be leaving.
+func (r *Registry) takeList(entries []platform.HostEntry) []Life {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var fresh []Life
+	changed := false
+	listed := map[string]bool{}
+	for _, e := range entries {
+		if e.Name == "" {
+			continue
+		}
+		listed[e.Name] = true
+		l := Life{e.Name, e.Incarnation}
+		switch {
+		case r.isLeft(l):
+			// An old word: leaving is for good.
+		case e.State == platform.Leaving:
+			r.leave(l)
+			fresh = append(fresh, l)
+			changed = true
+		case r.current[e.Name] != e.Incarnation:
+			r.setCurrent(l)
+			changed = true
+		}
+	}
+	r.forget(listed)
+	if changed {
+		r.rebuild()
+	}
+	return fresh
+}
+
+func (r *Registry) setCurrent(l Life) {
+	if r.current == nil {
+		r.current = map[string]string{}
+	}
+	r.current[l.Target] = l.Incarnation
+}
+
+// leave marks l as leaving; r.mu is held. A word on a life that was never
+// heard of is taken as the present one.
+func (r *Registry) leave(l Life) {
+	if r.left == nil {
+		r.left, _ = simplelru.NewLRU[Life, time.Time](maxLeft, nil)
+	}
+	r.left.Add(l, r.Clock.Now())
+	r.setCurrent(l)
+}
+
+// forget drops the incarnations of targets that are neither listed nor
+// declared; r.mu is held.
+func (r *Registry) forget(listed map[string]bool) {
+	for name := range r.current {
+		if !listed[name] && (r.view == nil || r.view.Targets[name] == nil) {
+			delete(r.current, name)
+		}
+	}
+}
+
+// spread tells the peers that l is leaving.
+func (r *Registry) spread(l Life) {
+	data, err := json.Marshal(&l)
+	if err != nil || r.Notes == nil {
+		return
+	}
+	r.Notes.Spread(peer.Note{Kind: peer.LeavingNote, Data: data, Expires: r.Clock.Now().Add(noteMemory)})
+}
+
+func (r *Registry) takeNote(n peer.Note) {
+	var l Life
+	if json.Unmarshal(n.Data, &l) == nil {
+		r.takeLeft([]Life{l})
+	}
+}
+
+// takeLeft merges words of peers. A word on a life that this host hasn't heard
+// of takes the target out until the host list names another life.
+func (r *Registry) takeLeft(lives []Life) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range lives {
+		if !r.isLeft(l) {
+			r.leave(l)
+		}
+	}
+	r.rebuild()
+}
+
+// serviceName is the name of the RPC service.
+const serviceName = "Targets"
+
+// Service is the RPC service of a Registry.
+type Service struct{ registry *Registry }
+
+// Nothing is an argument without content.
+type Nothing struct{}
+
+// LeftReply lists the lives that are leaving.
+type LeftReply struct {
+	Lives []Life
+}
+
+// Left tells a starting host what is leaving.
+func (s *Service) Left(_ *Nothing, reply *LeftReply) error {
+	r := s.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.left != nil {
+		reply.Lives = r.left.Keys()
+	}
+	return nil
+}
+
+// Register subscribes r to the notes of peers and offers its service to them.
+func (r *Registry) Register(s *rpc.Server) error {
+	r.Notes.OnNote(peer.LeavingNote, r.takeNote)
+	return s.RegisterName(serviceName, &Service{registry: r})
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -1,38 +1,127 @@
 // Package target keeps what a host knows of targets: which exist, which are
 // leaving, and how to run an attempt at one of them.
+//
+// A Registry merges three words on a target: the declaration, the platform's
+// host list and the notes of peers. A target that the host list called leaving
+// gets no new work for the rest of that incarnation, whatever an older word
+// says later; a target that is declared leaving gets none until a newer
+// declaration says otherwise.
 package target
 
 import (
+	"slices"
+	"sync"
 	"sync/atomic"
+	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// Registry holds the targets that may get new work. Its control goroutine
-// publishes an immutable set; traffic goroutines read it.
+// maxLeft bounds the incarnations that are known to be leaving; beyond it the
+// one that was heard of longest ago is forgotten.
+const maxLeft = 16384
+
+// Notes is the part of peer.Exchange that a Registry needs.
+type Notes interface {
+	Members() *peer.Members
+	Spread(peer.Note)
+	OnNote(peer.NoteKind, func(peer.Note))
+}
+
+var _ Notes = (*peer.Exchange)(nil)
+
+// Registry holds the targets that may get new work. Traffic goroutines read an
+// immutable set. Exported fields are set, and Register called, before Run; a
+// Registry without a HostList goes by the declaration alone and needs neither.
 type Registry struct {
+	HostList platform.HostList
+	Clock    *clock.Service
+	Notes    Notes
+	Peers    *peer.Caller
+	// Self is the name of this host.
+	Self string
+
 	set atomic.Pointer[Set]
+
+	// mu guards what follows, from which set is built.
+	mu   sync.Mutex
+	view *declaration.View
+	// heard is set once the host list or a peer was heard, or firstWord has
+	// passed.
+	heard bool
+	// current is the incarnation of each target by the newest word.
+	current map[string]string
+	left    *simplelru.LRU[Life, time.Time]
+}
+
+// Life is one incarnation of a target.
+type Life struct {
+	Target      string
+	Incarnation string
 }
 
 // Set is an immutable set of usable targets.
 type Set struct {
-	byPool map[string][]*declaration.Target
 	byName map[string]*declaration.Target
+	byPool map[service][]*declaration.Target
 }
 
-// Publish replaces the set by the targets of v that are not leaving.
+// service is what an attempt asks for; an empty model stands for any.
+type service struct{ pool, model string }
+
+// Publish takes a new declaration.
 func (r *Registry) Publish(v *declaration.View) {
-	s := &Set{byPool: map[string][]*declaration.Target{}, byName: map[string]*declaration.Target{}}
-	for name, t := range v.Targets {
-		if t.Leaving {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view = v
+	r.rebuild()
+}
+
+// rebuild publishes the set anew; r.mu is held.
+func (r *Registry) rebuild() {
+	if r.view == nil || (r.HostList != nil && !r.heard) {
+		return
+	}
+	s := &Set{byName: map[string]*declaration.Target{}, byPool: map[service][]*declaration.Target{}}
+	for name, t := range r.view.Targets {
+		if t.Leaving || r.isLeft(Life{name, r.current[name]}) {
 			continue
 		}
-		s.byName[name] = t
-		s.byPool[t.Pool] = append(s.byPool[t.Pool], t)
+		s.add(t)
+	}
+	for _, targets := range s.byPool {
+		slices.SortFunc(targets, func(a, b *declaration.Target) int { return compare(a.Name, b.Name) })
 	}
 	r.set.Store(s)
 }
 
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (s *Set) add(t *declaration.Target) {
+	s.byName[t.Name] = t
+	all := service{pool: t.Pool}
+	s.byPool[all] = append(s.byPool[all], t)
+	for _, m := range t.Models {
+		one := service{pool: t.Pool, model: m}
+		s.byPool[one] = append(s.byPool[one], t)
+	}
+}
+
+// isLeft reports whether l is known to be leaving; r.mu is held.
+func (r *Registry) isLeft(l Life) bool { return r.left != nil && r.left.Contains(l) }
+
 // Lookup returns the usable target of that name, or nil.
 func (r *Registry) Lookup(name string) *declaration.Target {
 	if s := r.set.Load(); s != nil {
@@ -42,29 +131,11 @@
 }
 
 // Usable returns the targets of pool that may get new work and, unless model
-// is empty, serve it. The caller must not change the targets.
+// is empty, serve it, by name. The caller must not change the slice or the
+// targets.
 func (r *Registry) Usable(pool, model string) []*declaration.Target {
-	s := r.set.Load()
-	if s == nil {
-		return nil
-	}
-	if model == "" {
-		return s.byPool[pool]
-	}
-	var out []*declaration.Target
-	for _, t := range s.byPool[pool] {
-		if serves(t, model) {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
-func serves(t *declaration.Target, model string) bool {
-	for _, m := range t.Models {
-		if m == model {
-			return true
-		}
+	if s := r.set.Load(); s != nil {
+		return s.byPool[service{pool, model}]
 	}
-	return false
+	return nil
 }
