--- a/internal/host/admit.go
+++ b/internal/host/admit.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
@@ -54,16 +53,10 @@
 // bearer begins the Authorization header of a request with a token.
 const bearer = "Bearer "
 
-// authorized compares the token of a request with the declared digest in
-// constant time.
+// authorized compares the token of a request with the declared digest.
 func authorized(w *declaration.Workspace, header string) bool {
-	if w.TokenSHA256 == "" {
-		return true
-	}
-	token, ok := strings.CutPrefix(header, bearer)
-	sum := sha256.Sum256([]byte(token))
-	same := subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(strings.ToLower(w.TokenSHA256)))
-	return ok && same == 1
+	token, _ := strings.CutPrefix(header, bearer)
+	return w.Admits(token)
 }
 
 func allowed(w *declaration.Workspace, pipeline string) bool {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,10 +7,10 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/rpc"
 	"sync/atomic"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -38,15 +38,17 @@
 	Dispatcher *queue.Dispatcher
 	Runner     *pipeline.Runner
 	Admission  *workspace.Admission
-	RPC        *rpc.Server
+	Claims     *claim.Holder
+	Claimer    *claim.Client
+	Caller     *peer.Caller
+	Peers      *peer.Server
 	Metrics    metrics.Registry
 
-	gate     gate
-	leaving  atomic.Bool
-	callers  net.Listener
-	peers    net.Listener
-	server   *http.Server
-	rpcCalls rpcCalls
+	gate          gate
+	leaving       atomic.Bool
+	callerSockets net.Listener
+	peerSockets   net.Listener
+	server        *http.Server
 }
 
 // Run serves until ctx ends, then drains: the host is not ready from then on,
@@ -66,9 +68,12 @@
 	g, partsCtx := errgroup.WithContext(parts)
 	g.Go(func() error { return h.Follower.Run(partsCtx) })
 	g.Go(func() error { return h.Exchange.Run(partsCtx) })
+	g.Go(func() error { return h.Targets.Run(partsCtx) })
 	g.Go(func() error { return h.Dispatcher.Run(partsCtx) })
-	g.Go(func() error { return h.servePeers() })
-	g.Go(func() error { return ignoreClosed(h.server.Serve(h.callers)) })
+	g.Go(func() error { return h.Claims.Run(partsCtx) })
+	g.Go(func() error { return h.Claimer.Run(partsCtx) })
+	g.Go(func() error { return h.Peers.Serve(h.peerSockets) })
+	g.Go(func() error { return ignoreClosed(h.server.Serve(h.callerSockets)) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -95,7 +100,7 @@
 		callers.Close()
 		return err
 	}
-	h.callers, h.peers = callers, peers
+	h.callerSockets, h.peerSockets = callers, peers
 	return nil
 }
 
@@ -107,13 +112,14 @@
 	h.Log.Info("draining", zap.Duration("Delay", time.Duration(h.Settings.DrainDelay)))
 	h.Clock.Sleep(ctx, time.Duration(h.Settings.DrainDelay))
 	h.gate.close()
+	h.Exchange.Leave()
 	timeout := time.Duration(h.Settings.DrainTimeout)
 	start := h.Clock.Now()
 	left := h.gate.wait(ctx, timeout)
 	for _, id := range left {
 		h.Log.Warn("request cut by the end of the drain", zap.String("RequestID", id))
 	}
-	calls := h.rpcCalls.wait(ctx, h.Clock, timeout-h.Clock.Since(start))
+	calls := h.waitPeers(ctx, timeout-h.Clock.Since(start))
 	h.Log.Info("drained", zap.Int("RequestsLeft", len(left)), zap.Int("PeerCallsLeft", calls))
 }
 
@@ -125,11 +131,25 @@
 	if h.server.Shutdown(ctx) != nil {
 		h.server.Close()
 	}
-	h.peers.Close()
-	h.rpcCalls.close()
+	h.peerSockets.Close()
+	h.Peers.Close()
+	h.Caller.Close()
 	h.Runner.Client.Close()
 }
 
+// waitPeers waits until the calls of peers have ended, at most timeout, and
+// returns the number of those that are left.
+func (h *Host) waitPeers(ctx context.Context, timeout time.Duration) int {
+	start := h.Clock.Now()
+	for h.Peers.Running() > 0 && h.Clock.Since(start) < timeout {
+		h.Clock.Sleep(ctx, peerPoll)
+	}
+	return h.Peers.Running()
+}
+
+// peerPoll is the time between two looks at the calls of peers.
+const peerPoll = 20 * time.Millisecond
+
 // closeTimeout bounds the wait for callers to take the end of their answers.
 const closeTimeout = time.Second
 
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+)
+
+// codec is the gob codec of net/rpc with a count of the calls that are being
+// served, so that a shutdown can let them end.
+type codec struct {
+	conn    net.Conn
+	dec     *gob.Decoder
+	enc     *gob.Encoder
+	buf     *bufio.Writer
+	running *atomic.Int64
+}
+
+var _ rpc.ServerCodec = (*codec)(nil)
+
+func newCodec(conn net.Conn, running *atomic.Int64) *codec {
+	buf := bufio.NewWriter(conn)
+	return &codec{conn: conn, dec: gob.NewDecoder(conn), enc: gob.NewEncoder(buf), buf: buf, running: running}
+}
+
+// ReadRequestHeader reads a header; the call is running from then on.
+func (c *codec) ReadRequestHeader(r *rpc.Request) error {
+	if err := c.dec.Decode(r); err != nil {
+		return err
+	}
+	c.running.Add(1)
+	return nil
+}
+
+// ReadRequestBody reads the arguments.
+func (c *codec) ReadRequestBody(body any) error { return c.dec.Decode(body) }
+
+// WriteResponse ends a call. Each header that was read gets one response, also
+// where the arguments could not be read.
+func (c *codec) WriteResponse(r *rpc.Response, body any) error {
+	defer c.running.Add(-1)
+	err := c.enc.Encode(r)
+	if err == nil {
+		err = c.enc.Encode(body)
+	}
+	if err == nil {
+		err = c.buf.Flush()
+	}
+	if err != nil {
+		c.conn.Close()
+	}
+	return err
+}
+
+// Close ends the connection.
+func (c *codec) Close() error { return c.conn.Close() }
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -110,6 +110,8 @@
 		reason = fmt.Sprintf("target %s is leaving", a.grant.Target.Name)
 	case m.TimeLeft <= 0:
 		reason = "the deadline has passed"
+	case x.claim != nil && !x.sent.Load() && !x.claim.Valid(a.sentAt):
+		reason = "the claim is no longer valid"
 	default:
 		return permit, nil
 	}
--- a/internal/pipeline/claimed.go
+++ b/internal/pipeline/claimed.go
@@ -80,7 +80,7 @@
 
 // runFirst executes a request whose claim is first.
 func (r *Runner) runFirst(ctx context.Context, req *Request, c claim.Request) *caller.Answer {
-	x := &execution{Runner: r, req: req, emitter: emitter{emit: ignoreGone(req.Emit)}}
+	x := &execution{Runner: r, req: req, claim: &c, emitter: emitter{emit: ignoreGone(req.Emit)}}
 	defer x.emitter.close()
 	answers := make(chan *caller.Answer, 1)
 	go func() {
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/queue"
 	"berylswitch.example/berylswitch/pkg/caller"
 	"berylswitch.example/berylswitch/pkg/declaration"
@@ -17,6 +18,8 @@
 	*Runner
 	req     *Request
 	emitter emitter
+	// claim is the first claim on the key of a non-idempotent request, else nil.
+	claim   *claim.Request
 	reports []caller.StageReport
 
 	// sent is set before the first byte of any attempt may reach a target.
--- a/internal/target/leaving.go
+++ b/internal/target/leaving.go
@@ -102,7 +102,7 @@
 	changed := false
 	listed := map[string]bool{}
 	for _, e := range entries {
-		if e.Name == "" {
+		if e.Role != "" {
 			continue
 		}
 		listed[e.Name] = true
