Script whole hosts in virtual time

Scenarios declare targets, start hosts over links in memory, make things fail and state what callers were told and what reached targets; an oracle checks every script. Faults that the scripts found, now mended: streams were refused with 406 because the route produced no media type; a cancel for the broken part of an attempt also ended its resumption, since both have one attempt ID; a host alone that leaves the exchange had no members, on which the claims' holder panicked; a dial over a cut link went on without bound; a host that woke from a pause sent to targets that had left meanwhile.

--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -18,7 +18,7 @@
 // handler returns the HTTP interface for callers and operators.
 func (h *Host) handler() http.Handler {
 	ws := new(restful.WebService)
-	ws.Path("/v1")
+	ws.Path("/v1").Produces("*/*")
 	ws.Route(ws.POST("/workspaces/{workspace}/pipelines/{pipeline}").To(h.call))
 	ws.Route(ws.GET("/ready").To(h.ready))
 	ws.Route(ws.GET("/live").To(h.live))
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -37,6 +37,9 @@
 const (
 	maxIdlePerTarget = 64
 	idleTimeout      = 30 * time.Second
+	// dialTimeout bounds a dial, which may go on after the request that began it
+	// was given up.
+	dialTimeout = 3 * time.Second
 )
 
 // Transport returns an HTTP transport that dials through n. URLs must name
@@ -48,6 +51,8 @@
 			if err != nil {
 				return nil, err
 			}
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
 			return n.Dial(ctx, ap)
 		},
 		MaxIdleConnsPerHost: maxIdlePerTarget,
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -158,6 +158,10 @@
 			hosts = append(hosts, e.Host)
 		}
 	}
+	if len(hosts) == 0 {
+		// A host that has left and knows no other goes on alone.
+		hosts = append(hosts, t.own().Host)
+	}
 	return NewMembers(hosts)
 }
 
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -48,6 +48,9 @@
 	}
 	x.send(ctx, st, a, x.message(st, g.AttemptID))
 	x.resume(ctx, st, a)
+	if a.err != nil && st.repeatable && !isNotSent(a.err) {
+		x.Client.Cancel(g.Target, g.AttemptID)
+	}
 	x.Dispatcher.Done(g, a.outcome(x.Clock.Now()))
 	return a
 }
@@ -89,9 +92,6 @@
 	}
 	x.Log.Info("attempt failed", zap.String("RequestID", x.req.ID), zap.String("Workspace", x.req.Workspace.Name),
 		zap.String("Stage", st.stage.Name), zap.String("Target", a.grant.Target.Name), zap.Error(a.err))
-	if st.repeatable && !isNotSent(a.err) {
-		x.Client.Cancel(a.grant.Target, a.grant.AttemptID)
-	}
 }
 
 // mayStart checks, directly before the send, what may have changed while the
@@ -106,8 +106,8 @@
 	m.TimeLeft = x.req.Deadline.Sub(a.sentAt)
 	reason := ""
 	switch {
-	case x.Targets.Lookup(a.grant.Target.Name) == nil:
-		reason = fmt.Sprintf("target %s is leaving", a.grant.Target.Name)
+	case !x.Targets.MayStart(a.grant.Target.Name, a.sentAt):
+		reason = fmt.Sprintf("target %s is leaving, or may be", a.grant.Target.Name)
 	case m.TimeLeft <= 0:
 		reason = "the deadline has passed"
 	case x.claim != nil && !x.sent.Load() && !x.claim.Valid(a.sentAt):
--- /dev/null
+++ b/internal/scenario/call_test.go
@@ -0,0 +1,138 @@
+package scenario
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/pkg/caller"
+)
+
+// call is one request of a caller.
+type call struct {
+	id       string
+	host     string
+	pipeline string
+	key      string
+	stream   bool
+	deadline time.Duration
+	priority string
+	work     contract.Work
+	body     string // sent in place of work unless empty
+
+	cancel context.CancelFunc
+	done   chan struct{}
+	// What follows is set when done is closed.
+	answer *caller.Answer
+	// streamed is the text of the events, events their number.
+	streamed string
+	events   int
+	err      error
+}
+
+// send starts c in the background.
+func (w *world) send(c *call) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel, c.done = cancel, make(chan struct{})
+	w.calls[c.id] = c
+	body := c.body
+	if body == "" {
+		data, err := json.Marshal(&c.work)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		body = string(data)
+	}
+	url := fmt.Sprintf("http://%s/v1/workspaces/W/pipelines/%s", w.hosts[c.host].settings.CallerAddr, c.pipeline)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	setHeader(r, caller.KeyHeader, c.key)
+	setHeader(r, caller.PriorityHeader, c.priority)
+	if c.deadline != 0 {
+		setHeader(r, caller.DeadlineHeader, c.deadline.String())
+	}
+	if c.stream {
+		setHeader(r, "Accept", caller.StreamType)
+	}
+	go func() {
+		defer close(c.done)
+		defer cancel()
+		c.err = c.exchange(w.client, r)
+	}()
+}
+
+func setHeader(r *http.Request, name, value string) {
+	if value != "" {
+		r.Header.Set(name, value)
+	}
+}
+
+// exchange sends r and reads the answer.
+func (c *call) exchange(client *http.Client, r *http.Request) error {
+	resp, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if !c.stream {
+		a := &caller.Answer{}
+		if err := json.NewDecoder(resp.Body).Decode(a); err != nil {
+			return err
+		}
+		c.answer = a
+		return nil
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		var e caller.Event
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			return err
+		}
+		if e.Seq != c.events {
+			return fmt.Errorf("event %d where %d was due", e.Seq, c.events)
+		}
+		c.events++
+		c.streamed += e.Data
+		c.answer = e.Answer
+	}
+	if c.answer == nil {
+		return fmt.Errorf("the stream ended without its answer")
+	}
+	return lines.Err()
+}
+
+// describe tells how c ended, without the names of targets; attempts adds the
+// attempts of each stage.
+func (c *call) describe(attempts bool) string {
+	if c.answer == nil {
+		return "no answer"
+	}
+	a := c.answer
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d %s Ran=%s", int(a.Code), a.Name, a.Ran)
+	if a.Repeated {
+		b.WriteString(" Repeated")
+	}
+	if a.Place != "" {
+		fmt.Fprintf(&b, " Place=%s", a.Place)
+	}
+	if a.Output != "" {
+		fmt.Fprintf(&b, " %q", nameless(a.Output))
+	}
+	for _, s := range a.Stages {
+		if attempts {
+			fmt.Fprintf(&b, " %s*%d", s.Stage, s.Attempts)
+		}
+	}
+	if c.stream {
+		fmt.Fprintf(&b, " streamed=%q", nameless(c.streamed))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/scenario/oracle_test.go
@@ -0,0 +1,112 @@
+package scenario
+
+import (
+	"fmt"
+	"regexp"
+	"sort"
+	"strings"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/crash"
+	"berylswitch.example/berylswitch/pkg/result"
+)
+
+// leaveBound is the time from the host list's word to the last new work.
+const leaveBound = 5 * time.Second
+
+// targetName matches the name of a worker in an output.
+var targetName = regexp.MustCompile(`\w+\(`)
+
+// nameless removes the names of targets from an output.
+func nameless(output string) string { return targetName.ReplaceAllString(output, "(") }
+
+// check compares what callers were told with what reached the targets and
+// returns every fault that it finds, sorted.
+func (w *world) check() []string {
+	var faults []string
+	report := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	runs := w.trace.list()
+	traced := map[string]int{}
+	once := map[string]int{}
+	falls := map[string]map[string]bool{}
+	for _, r := range runs {
+		traced[r.run.RequestID]++
+		if r.run.Key != "" {
+			once[r.run.Key]++
+		}
+		if r.fell != "" {
+			if falls[r.work.Text] == nil {
+				falls[r.work.Text] = map[string]bool{}
+			}
+			falls[r.work.Text][r.target+"/"+r.fell] = true
+		}
+		if s := w.targets[r.target]; !s.left.IsZero() && r.at.After(s.left.Add(leaveBound)) {
+			report("target %s got run of %s %v after it was leaving", r.target, r.work.Text, r.at.Sub(s.left))
+		}
+	}
+	for text, targets := range falls {
+		if len(targets) > crash.MaxTargets {
+			report("body %s crashed %d targets", text, len(targets))
+		}
+	}
+	for _, c := range w.calls {
+		w.checkCall(c, traced, once, report)
+	}
+	sort.Strings(faults)
+	return faults
+}
+
+// checkCall checks the answer of one call.
+func (w *world) checkCall(c *call, traced, once map[string]int, report func(string, ...any)) {
+	if n := once[c.key]; c.key != "" && n > 1 {
+		report("key of %s ran %d times", c.id, n)
+	}
+	a := c.answer
+	if a == nil {
+		return
+	}
+	if a.Ran == result.RanNo && traced[a.RequestID] > 0 {
+		report("%s was told that nothing ran, but %d runs reached targets", c.id, traced[a.RequestID])
+	}
+	if a.Code != result.OK {
+		return
+	}
+	if want := w.output(c); nameless(a.Output) != want {
+		report("%s got %q, not its own whole answer %q", c.id, a.Output, want)
+	}
+	if c.stream && !a.Repeated && c.streamed != a.Output {
+		report("%s streamed %q but the answer is %q", c.id, c.streamed, a.Output)
+	}
+	if c.key != "" && once[c.key] != 1 {
+		report("key of %s has an answer but ran %d times", c.id, once[c.key])
+	}
+}
+
+// output is the answer that c must get, without the names of targets.
+func (w *world) output(c *call) string {
+	var stages []string
+	for _, p := range w.section.Pipelines {
+		if p.Name != c.pipeline {
+			continue
+		}
+		for _, s := range p.Stages {
+			stages = append(stages, w.stageOutput(s.Name, s.Pool, c))
+		}
+	}
+	return strings.Join(stages, " ")
+}
+
+// stageOutput follows the stand-ins: a worker names itself, the stage and the
+// text; an engine names the stage and counts its tokens.
+func (w *world) stageOutput(stage, pool string, c *call) string {
+	for _, s := range w.targets {
+		if _, engine := s.stand.(*tracedEngine); s.pool == pool && engine {
+			out := "(" + c.work.Text + ")"
+			for i := 1; i < c.work.Tokens; i++ {
+				out += fmt.Sprintf(" %d", i)
+			}
+			return out
+		}
+	}
+	return "(" + stage + ": " + c.work.Text + ")"
+}
--- /dev/null
+++ b/internal/scenario/script_test.go
@@ -0,0 +1,295 @@
+package scenario
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/internal/standin"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/uuid"
+)
+
+// TestScripts runs each file under testdata in virtual time. Every script ends
+// with the oracle's check, whether it asks for it or not.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t)
+			defer w.close()
+			s := &script{world: w, keys: map[string]string{}}
+			datadriven.RunTest(t, path, s.command)
+			for _, fault := range w.check() {
+				t.Error(fault)
+			}
+		})
+	})
+}
+
+// script runs the commands of one file.
+type script struct {
+	*world
+	keys map[string]string // by name in the script
+}
+
+// command runs one command. Commands that only change the world print nothing.
+//
+//	standard [hosts=N]                          what scenarios usually need, see standard
+//	pool NAME [nonidempotent]
+//	target NAME pool=P [slots=N] [speed=F] [engine] [ask]
+//	pipeline NAME stages=(P,Q) [deadline=D]     stages are named as their pools
+//	publish                                     what was declared so far
+//	host NAME... [drain-delay=D] [drain-timeout=D]
+//	call ID host=H pipeline=P [text=T] [service=D] [tokens=N] [key=K] [stream]
+//	     [deadline=D] [priority=N] [crash]      the input, if any, is the body
+//	answer [attempts] ID...                     waits and prints how each ended
+//	sleep D
+//	kill|start|drain|freeze|thaw HOST, stopped HOST, ready HOST
+//	gone ID                                     the caller goes away
+//	crash TARGET
+//	leave TARGET, stale TARGET, return TARGET   the list calls it leaving, live again, new
+//	fault TARGET [answers=F] [every=N] [slow=F] [frozen] [fail] [restart=D]
+//	cut FROM TO, heal FROM TO                   one direction; names or log, list, callers
+//	log [down] [lose] [slow=D], list [down] [lag=D]
+//	runs                                        runs that reached each pool, by text
+//	check                                       the oracle's faults
+func (s *script) command(t *testing.T, d *datadriven.TestData) string {
+	names := args(d)
+	switch d.Cmd {
+	case "standard":
+		s.standard(s.number(d, "hosts", "1"))
+	case "pool", "target", "pipeline", "publish", "host":
+		s.declare(d, names)
+	case "call":
+		s.send(s.call(d, names[0]))
+	case "answer":
+		return s.answers(names)
+	case "sleep":
+		time.Sleep(s.duration(names[0]))
+	case "runs":
+		return s.runs()
+	case "check":
+		return strings.Join(append(s.check(), "checked"), "\n") + "\n"
+	case "ready", "stopped":
+		return s.state(d.Cmd, s.hosts[names[0]])
+	default:
+		s.fail(d, names)
+	}
+	return ""
+}
+
+// args returns the arguments without a value.
+func args(d *datadriven.TestData) []string {
+	var out []string
+	for _, a := range d.CmdArgs {
+		if len(a.Vals) == 0 {
+			out = append(out, a.Key)
+		}
+	}
+	return out
+}
+
+func (s *script) duration(text string) time.Duration {
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return v
+}
+
+// value returns the value of an argument, or otherwise if it is missing.
+func value(d *datadriven.TestData, key, otherwise string) string {
+	if a, ok := d.Arg(key); ok && len(a.Vals) > 0 {
+		return a.Vals[0]
+	}
+	return otherwise
+}
+
+func (s *script) number(d *datadriven.TestData, key, otherwise string) int {
+	var n int
+	if _, err := fmt.Sscan(value(d, key, otherwise), &n); err != nil {
+		s.t.Fatal(err)
+	}
+	return n
+}
+
+// standard declares workers e1 to e3 of pool Encode, engines g1 to g4 of pool
+// Generate and workers b1 and b2 of the non-idempotent pool Book, the pipelines
+// Menu (Encode, Generate), Booking (Encode, Book), Lookup (Encode) and Draft
+// (Generate), and starts hosts h1 to hN.
+func (w *world) standard(hosts int) {
+	w.section.Pools = []declaration.Pool{{Name: "Encode"}, {Name: "Generate"}, {Name: "Book", NonIdempotent: true}}
+	for _, name := range []string{"e1", "e2", "e3", "g1", "g2", "g3", "g4", "b1", "b2"} {
+		pool := map[byte]string{'e': "Encode", 'g': "Generate", 'b': "Book"}[name[0]]
+		w.addTarget(declaration.Target{Name: name, Pool: pool, Slots: 4}, 1, name[0] == 'g')
+	}
+	pipeline := func(name string, pools ...string) {
+		p := declaration.Pipeline{Name: name, Deadline: declaration.Duration(5 * time.Second)}
+		for _, pool := range pools {
+			p.Stages = append(p.Stages, declaration.Stage{Name: pool, Pool: pool})
+		}
+		w.section.Pipelines = append(w.section.Pipelines, p)
+	}
+	pipeline("Menu", "Encode", "Generate")
+	pipeline("Booking", "Encode", "Book")
+	pipeline("Lookup", "Encode")
+	pipeline("Draft", "Generate")
+	w.publish()
+	for i := range hosts {
+		w.start(w.addHost(fmt.Sprintf("h%d", i+1)))
+	}
+	time.Sleep(3 * time.Second)
+}
+
+func (s *script) declare(d *datadriven.TestData, names []string) {
+	switch d.Cmd {
+	case "pool":
+		s.section.Pools = append(s.section.Pools, declaration.Pool{Name: names[0], NonIdempotent: d.HasArg("nonidempotent")})
+	case "target":
+		decl := declaration.Target{Name: names[0], Pool: value(d, "pool", ""), Slots: s.number(d, "slots", "4"), AskByKey: d.HasArg("ask")}
+		s.addTarget(decl, float64(s.number(d, "speed", "1")), d.HasArg("engine"))
+	case "pipeline":
+		p := declaration.Pipeline{Name: names[0], Deadline: declaration.Duration(s.duration(value(d, "deadline", "5s")))}
+		stages, _ := d.Arg("stages")
+		for _, pool := range stages.Vals {
+			p.Stages = append(p.Stages, declaration.Stage{Name: pool, Pool: pool})
+		}
+		s.section.Pipelines = append(s.section.Pipelines, p)
+	case "publish":
+		s.publish()
+	case "host":
+		for _, name := range names {
+			h := s.addHost(name)
+			h.settings.DrainDelay = declaration.Duration(s.duration(value(d, "drain-delay", "2s")))
+			h.settings.DrainTimeout = declaration.Duration(s.duration(value(d, "drain-timeout", "30s")))
+			s.start(h)
+		}
+		time.Sleep(3 * time.Second)
+	}
+}
+
+func (s *script) call(d *datadriven.TestData, id string) *call {
+	c := &call{
+		id: id, host: value(d, "host", ""), pipeline: value(d, "pipeline", ""), stream: d.HasArg("stream"), body: d.Input,
+		priority: value(d, "priority", ""),
+		deadline: s.duration(value(d, "deadline", "0s")),
+		work: contract.Work{
+			Text: value(d, "text", id), Tokens: s.number(d, "tokens", "0"),
+			Service: s.duration(value(d, "service", "10ms")), Crash: d.HasArg("crash"),
+		},
+	}
+	if name := value(d, "key", ""); name != "" {
+		if s.keys[name] == "" {
+			s.keys[name] = uuid.Must(uuid.NewV7()).String()
+		}
+		c.key = s.keys[name]
+	}
+	return c
+}
+
+func (s *script) answers(ids []string) string {
+	var b strings.Builder
+	for _, id := range ids {
+		if id == "attempts" {
+			continue
+		}
+		c := s.calls[id]
+		<-c.done
+		fmt.Fprintf(&b, "%s: %s\n", id, c.describe(ids[0] == "attempts"))
+	}
+	return b.String()
+}
+
+func (s *script) state(kind string, h *hostSite) string {
+	if kind == "ready" {
+		resp, err := s.client.Get("http://" + h.settings.CallerAddr.String() + "/v1/ready")
+		if err != nil {
+			return "unreachable\n"
+		}
+		defer resp.Body.Close()
+		return fmt.Sprintln(resp.StatusCode)
+	}
+	select {
+	case <-h.done:
+		return "stopped\n"
+	default:
+		return "running\n"
+	}
+}
+
+func (s *script) fail(d *datadriven.TestData, names []string) {
+	h, target := s.hosts[first(names)], s.targets[first(names)]
+	switch d.Cmd {
+	case "kill":
+		s.kill(h)
+	case "start":
+		s.start(h)
+	case "drain":
+		h.stop()
+	case "freeze":
+		s.freeze(h)
+	case "thaw":
+		s.thaw(h)
+	case "crash":
+		target.stand.Crash()
+	case "gone":
+		s.calls[names[0]].cancel()
+	case "stale":
+		s.setList(names[0])
+	case "leave":
+		s.leave(target)
+	case "return":
+		target.stand.Crash()
+		target.left = time.Time{}
+		s.setList()
+	case "cut":
+		s.mem.Cut(s.addr(names[0]), s.addr(names[1]))
+	case "heal":
+		s.mem.Heal(s.addr(names[0]), s.addr(names[1]))
+	case "fault":
+		target.stand.SetFaults(s.targetFaults(d))
+	case "log":
+		s.log.SetFaults(standin.LogFaults{Down: d.HasArg("down"), LoseAnswers: d.HasArg("lose"), Slow: s.duration(value(d, "slow", "0s"))})
+	case "list":
+		s.list.SetFaults(standin.HostListFaults{Down: d.HasArg("down")})
+	default:
+		s.t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+	}
+}
+
+func first(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
+func (s *script) targetFaults(d *datadriven.TestData) standin.TargetFaults {
+	return standin.TargetFaults{
+		Answers:      standin.AnswerFault(value(d, "answers", "")),
+		AnswersEvery: s.number(d, "every", "0"),
+		Slow:         float64(s.number(d, "slow", "0")),
+		Frozen:       d.HasArg("frozen"),
+		Fail:         d.HasArg("fail"),
+		Restart:      s.duration(value(d, "restart", "0s")),
+	}
+}
+
+// runs prints how many runs of each text reached each pool.
+func (s *script) runs() string {
+	count := map[string]int{}
+	for _, r := range s.trace.list() {
+		count[r.work.Text+" "+s.targets[r.target].pool]++
+	}
+	var lines []string
+	for name, n := range count {
+		lines = append(lines, fmt.Sprintf("%s %d\n", name, n))
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "")
+}
--- /dev/null
+++ b/internal/scenario/target_test.go
@@ -0,0 +1,147 @@
+package scenario
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/internal/standin"
+	"berylswitch.example/berylswitch/pkg/declaration"
+)
+
+// stand is the part of a stand-in target that the world uses.
+type stand interface {
+	http.Handler
+	SetFaults(standin.TargetFaults)
+	Crash()
+	Incarnation() string
+}
+
+// targetSite is one target.
+type targetSite struct {
+	name   string
+	pool   string
+	addr   netip.AddrPort
+	stand  stand
+	left   time.Time // the word of the host list that it leaves, or zero
+	faults standin.TargetFaults
+}
+
+// tracedWorker and tracedEngine note each run before it reaches the stand-in.
+type tracedWorker struct {
+	*standin.Worker
+	site  *targetSite
+	trace *trace
+}
+
+func (s *tracedWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.trace.serve(s.site, s.Worker, w, r)
+}
+
+type tracedEngine struct {
+	*standin.Engine
+	site  *targetSite
+	trace *trace
+}
+
+func (s *tracedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.trace.serve(s.site, s.Engine, w, r)
+}
+
+// trace is what reached the targets.
+type trace struct {
+	mu   sync.Mutex
+	runs []tracedRun
+}
+
+// tracedRun is one run that reached a target.
+type tracedRun struct {
+	at     time.Time
+	target string
+	run    contract.Run
+	work   contract.Work
+	// fell is the incarnation of the target that ended under a run that crashes
+	// targets, or empty.
+	fell string
+}
+
+func (tr *trace) serve(site *targetSite, inner http.Handler, w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != contract.RunPath {
+		inner.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	t := tracedRun{at: time.Now(), target: site.name}
+	json.Unmarshal(body, &t.run)
+	json.Unmarshal(t.run.Input, &t.work)
+	tr.mu.Lock()
+	i := len(tr.runs)
+	tr.runs = append(tr.runs, t)
+	tr.mu.Unlock()
+	before := site.stand.Incarnation()
+	defer func() {
+		if t.work.Crash && site.stand.Incarnation() != before {
+			tr.mu.Lock()
+			tr.runs[i].fell = before
+			tr.mu.Unlock()
+		}
+	}()
+	inner.ServeHTTP(w, r)
+}
+
+// list returns a copy of the runs.
+func (tr *trace) list() []tracedRun {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return append([]tracedRun(nil), tr.runs...)
+}
+
+// addTarget starts a target and declares it.
+func (w *world) addTarget(d declaration.Target, speed float64, engine bool) *targetSite {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, byte(len(w.targets) + 1)}), 80)
+	s := &targetSite{name: d.Name, pool: d.Pool, addr: addr}
+	if engine {
+		e := &tracedEngine{&standin.Engine{Name: d.Name, Speed: speed, Slots: d.Slots}, s, &w.trace}
+		s.stand = e
+	} else {
+		s.stand = &tracedWorker{&standin.Worker{Name: d.Name, Speed: speed, Slots: d.Slots}, s, &w.trace}
+	}
+	w.serve(addr, s.stand)
+	w.targets[d.Name] = s
+	d.Addr = addr
+	w.section.Targets = append(w.section.Targets, d)
+	w.setList()
+	return s
+}
+
+// setList gives the host list its present state, but for the stale targets that
+// it shows as live.
+func (w *world) setList(stale ...string) {
+	var entries []platform.HostEntry
+	for _, d := range w.section.Targets {
+		s := w.targets[d.Name]
+		e := platform.HostEntry{Name: s.name, Addr: s.addr, Incarnation: s.stand.Incarnation(), State: platform.Live}
+		if !s.left.IsZero() && !slices.Contains(stale, s.name) {
+			e.State = platform.Leaving
+		}
+		entries = append(entries, e)
+	}
+	w.list.Set(entries)
+}
+
+// leave lets the host list call s leaving.
+func (w *world) leave(s *targetSite) {
+	s.left = time.Now().Add(w.list.Lag)
+	w.setList()
+}
--- a/internal/target/leaving.go
+++ b/internal/target/leaving.go
@@ -35,10 +35,14 @@
 	ticks := r.Clock.Subscribe(ctx, listPeriod)
 	begun, asked := r.Clock.Now(), false
 	for {
+		if r.paused(r.Clock.Now()) {
+			begun, asked = r.Clock.Now(), false
+		}
 		listed := r.readList(ctx)
 		asked = asked || r.askPeers(ctx)
-		if listed || asked || r.Clock.Since(begun) >= firstWord {
+		if now := r.Clock.Now(); listed || asked || now.Sub(begun) >= firstWord {
 			r.hear()
+			r.alive.Store(&now)
 		}
 		select {
 		case <-ticks:
@@ -48,6 +52,13 @@
 	}
 }
 
+// paused reports whether the last round was so long ago that the host must have
+// been paused.
+func (r *Registry) paused(now time.Time) bool {
+	at := r.alive.Load()
+	return at != nil && now.Sub(*at) > maxPause
+}
+
 // hear lets the set be built, once there was a first word or none in time.
 func (r *Registry) hear() {
 	r.mu.Lock()
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -25,6 +25,10 @@
 // one that was heard of longest ago is forgotten.
 const maxLeft = 16384
 
+// maxPause is the time without a round of Run after which a host takes itself to
+// have been paused.
+const maxPause = 2*listPeriod + listTimeout
+
 // Notes is the part of peer.Exchange that a Registry needs.
 type Notes interface {
 	Members() *peer.Members
@@ -46,6 +50,8 @@
 	Self string
 
 	set atomic.Pointer[Set]
+	// alive is the time at which Run last had the words on its targets.
+	alive atomic.Pointer[time.Time]
 
 	// mu guards what follows, from which set is built.
 	mu   sync.Mutex
@@ -130,6 +136,13 @@
 	return nil
 }
 
+// MayStart reports whether a new run may be sent to the target of that name now.
+// After a pause of the host itself the set may be old: nothing is sent until the
+// host has heard of its targets again.
+func (r *Registry) MayStart(name string, now time.Time) bool {
+	return !r.paused(now) && r.Lookup(name) != nil
+}
+
 // Usable returns the targets of pool that may get new work and, unless model
 // is empty, serve it, by name. The caller must not change the slice or the
 // targets.
