--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -38,7 +38,10 @@
 	Priority int
 	// TimeLeft is the time until the caller's deadline, in nanoseconds.
 	TimeLeft time.Duration
-	// ResumeFrom is the sequence number of the first piece that is wanted.
+	// ResumeFrom is the sequence number of the first piece that is wanted. A Run
+	// with ResumeFrom above zero has the AttemptID of the attempt that it
+	// resumes and goes to the same target, which answers with the pieces from
+	// there on. A target that can't resume answers with status 409.
 	ResumeFrom int `json:",omitempty"`
 	Input      json.RawMessage
 }
@@ -84,7 +87,8 @@
 	Role        string `json:",omitempty"`
 }
 
-// Cancel asks a target to give up an attempt.
+// Cancel, posted to CancelPath, asks a target to give up an attempt. A target
+// that doesn't know the attempt ignores it.
 type Cancel struct {
 	AttemptID string
 }
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -8,6 +8,7 @@
 
 	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/platform"
@@ -15,6 +16,7 @@
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
+	"github.com/rcrowley/go-metrics"
 )
 
 func provideClient(s *settings.Settings, n link.Network) *platform.Client {
@@ -66,14 +68,34 @@
 }
 
 // providePeers registers the services that peers call.
-func providePeers(x *peer.Exchange, claims *claim.Holder) (*peer.Server, error) {
+func providePeers(x *peer.Exchange, claims *claim.Holder, r *target.Registry, t *crash.Table) (*peer.Server, error) {
 	s := &peer.Server{RPC: rpc.NewServer()}
 	if err := x.Register(s.RPC); err != nil {
 		return nil, err
 	}
+	if err := r.Register(s.RPC); err != nil {
+		return nil, err
+	}
+	if err := t.Register(s.RPC); err != nil {
+		return nil, err
+	}
 	return s, s.RPC.RegisterName(claim.ServiceName, &claim.Service{Holder: claims})
 }
 
 func provideHolder(s *settings.Settings, c *clock.Service, l platform.Log, x *peer.Exchange) *claim.Holder {
 	return &claim.Holder{Clock: c, Log: l, Members: x, Self: s.Name, Stats: claim.NewStats()}
 }
+
+func provideRegistry(s *settings.Settings, c *clock.Service, client *platform.Client, x *peer.Exchange, peers *peer.Caller) *target.Registry {
+	r := &target.Registry{Self: s.Name, Clock: c, Notes: x, Peers: peers}
+	if s.HostListAddr.IsValid() {
+		r.HostList = client
+	}
+	return r
+}
+
+func provideCrashes(s *settings.Settings, c *clock.Service, x *peer.Exchange, peers *peer.Caller) *crash.Table {
+	return &crash.Table{Self: s.Name, Clock: c, Members: x, Peers: peers}
+}
+
+func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -32,28 +32,34 @@
 		Net: n,
 	}
 	exchange := provideExchange(s, n, c, caller, client, follower)
-	registry := &target.Registry{}
+	registry := provideRegistry(s, c, client, exchange, caller)
 	dispatcher := provideDispatcher(s, c, registry)
 	targetClient := target.NewClient(n)
 	retries := &workspace.Retries{
 		Clock: c,
 	}
+	holder := provideHolder(s, c, client, exchange)
+	claimClient := claim.NewClient(c, exchange, caller, holder)
+	table := provideCrashes(s, c, exchange, caller)
 	runner := &pipeline.Runner{
 		Clock:      c,
 		Dispatcher: dispatcher,
+		Targets:    registry,
 		Client:     targetClient,
 		Retries:    retries,
+		Claims:     claimClient,
+		Crashes:    table,
+		Log:        log,
 	}
 	admission := &workspace.Admission{
 		Clock: c,
 	}
-	holder := provideHolder(s, c, client, exchange)
-	claimClient := claim.NewClient(c, exchange, caller, holder)
-	server, err := providePeers(exchange, holder)
+	server, err := providePeers(exchange, holder, registry, table)
 	if err != nil {
 		return nil, err
 	}
 	recorder := provideReport(s, c)
+	metricsRegistry := provideMetrics()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
@@ -70,6 +76,7 @@
 		Caller:     caller,
 		Peers:      server,
 		Report:     recorder,
+		Metrics:    metricsRegistry,
 	}
 	return host, nil
 }
--- a/internal/peer/measure_test.go
+++ b/internal/peer/measure_test.go
@@ -23,9 +23,6 @@
 	// maxFailureDelay is the time for the members of a holder's list to be right
 	// again; work that a lost holder queued waits no longer than that.
 	maxFailureDelay = 10 * time.Second
-	// maxCore is the share of a core, maxHeap the memory in bytes.
-	maxCore = 0.014
-	maxHeap = 64 << 20
 )
 
 // TestControlTraffic holds the bytes and the delays of a fleet to the targets.
