--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,7 +7,8 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/rpc"
+	"sync/atomic"
+	"time"
 
 	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
@@ -15,10 +16,12 @@
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/queue"
+	"berylswitch.example/berylswitch/internal/report"
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/internal/workspace"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -38,16 +41,58 @@
 	Admission  *workspace.Admission
 	Claims     *claim.Holder
 	Claimer    *claim.Client
-	Peers      *peer.Caller
-	RPC        *rpc.Server
+	Caller     *peer.Caller
+	Peers      *peer.Server
+	Report     *report.Recorder
+	Metrics    metrics.Registry
+
+	gate          gate
+	leaving       atomic.Bool
+	callerSockets net.Listener
+	peerSockets   net.Listener
+	server        *http.Server
 }
 
-// Run serves until ctx ends, then drains.
+// Run serves until ctx ends, then drains: the host is not ready from then on,
+// takes work for Settings.DrainDelay more, then refuses new work and waits, at
+// most Settings.DrainTimeout, for the requests in flight. The background parts
+// run until then.
 func (h *Host) Run(ctx context.Context) error {
+	h.gate.Clock = h.Clock
 	h.Follower.OnState = func(s *section.State) { h.Targets.Publish(s.View) }
-	if err := h.RPC.RegisterName(claim.ServiceName, &claim.Service{Holder: h.Claims}); err != nil {
+	if err := h.listen(); err != nil {
+		return err
+	}
+	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr))
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	h.server = newServer(h.handler())
+	g, partsCtx := errgroup.WithContext(parts)
+	g.Go(func() error { return h.Follower.Run(partsCtx) })
+	g.Go(func() error { return h.Exchange.Run(partsCtx) })
+	g.Go(func() error { return h.Targets.Run(partsCtx) })
+	g.Go(func() error { return h.Dispatcher.Run(partsCtx) })
+	g.Go(func() error { return h.Claims.Run(partsCtx) })
+	g.Go(func() error { return h.Claimer.Run(partsCtx) })
+	g.Go(func() error { return h.Peers.Serve(h.peerSockets) })
+	g.Go(func() error { return ignoreClosed(h.server.Serve(h.callerSockets)) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			h.drain()
+		case <-partsCtx.Done():
+		}
+		h.close()
+		stop()
+		return nil
+	})
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
+	return nil
+}
+
+func (h *Host) listen() error {
 	callers, err := h.Net.Listen(h.Settings.CallerAddr)
 	if err != nil {
 		return err
@@ -57,41 +102,62 @@
 		callers.Close()
 		return err
 	}
-	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr))
-	server := &http.Server{Handler: h.handler()}
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return h.Follower.Run(ctx) })
-	g.Go(func() error { return h.Exchange.Run(ctx) })
-	g.Go(func() error { return h.Dispatcher.Run(ctx) })
-	g.Go(func() error { return h.Claims.Run(ctx) })
-	g.Go(func() error { return h.Claimer.Run(ctx) })
-	g.Go(func() error { return servePeers(h.RPC, peers) })
-	g.Go(func() error { return ignoreClosed(server.Serve(callers)) })
-	g.Go(func() error {
-		<-ctx.Done()
-		peers.Close()
-		h.Peers.Close()
-		return server.Shutdown(context.WithoutCancel(ctx))
-	})
-	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
-		return err
-	}
+	h.callerSockets, h.peerSockets = callers, peers
 	return nil
 }
 
+// drain goes through the steps of a graceful shutdown. It needs no context: a
+// shutdown is bounded by the settings.
+func (h *Host) drain() {
+	ctx := context.Background()
+	h.leaving.Store(true)
+	h.Log.Info("draining", zap.Duration("Delay", time.Duration(h.Settings.DrainDelay)))
+	h.Clock.Sleep(ctx, time.Duration(h.Settings.DrainDelay))
+	h.gate.close()
+	h.Exchange.Leave()
+	timeout := time.Duration(h.Settings.DrainTimeout)
+	start := h.Clock.Now()
+	left := h.gate.wait(ctx, timeout)
+	for _, id := range left {
+		h.Log.Warn("request cut by the end of the drain", zap.String("RequestID", id))
+	}
+	calls := h.waitPeers(ctx, timeout-h.Clock.Since(start))
+	h.Log.Info("drained", zap.Int("RequestsLeft", len(left)), zap.Int("PeerCallsLeft", calls))
+}
+
+// close ends every connection. Answers that are complete have been written by
+// then: a request leaves the gate after its last byte.
+func (h *Host) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if h.server.Shutdown(ctx) != nil {
+		h.server.Close()
+	}
+	h.peerSockets.Close()
+	h.Peers.Close()
+	h.Caller.Close()
+	h.Runner.Client.Close()
+}
+
+// waitPeers waits until the calls of peers have ended, at most timeout, and
+// returns the number of those that are left.
+func (h *Host) waitPeers(ctx context.Context, timeout time.Duration) int {
+	start := h.Clock.Now()
+	for h.Peers.Running() > 0 && h.Clock.Since(start) < timeout {
+		h.Clock.Sleep(ctx, peerPoll)
+	}
+	return h.Peers.Running()
+}
+
+// peerPoll is the time between two looks at the calls of peers.
+const peerPoll = 20 * time.Millisecond
+
+// closeTimeout bounds the wait for callers to take the end of their answers.
+const closeTimeout = time.Second
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
-
-func servePeers(s *rpc.Server, l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return ignoreClosed(err)
-		}
-		go s.ServeConn(conn)
-	}
-}
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -18,23 +18,27 @@
 )
 
 // New assembles a host from its settings.
-func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) *Host {
+func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) (*Host, error) {
 	panic(wire.Build(
 		provideClient,
 		provideExchange,
 		provideDispatcher,
-		provideRPC,
 		providePeers,
+		provideReport,
 		provideHolder,
 		claim.NewClient,
+		wire.Bind(new(claim.Claimer), new(*claim.Client)),
 		wire.Bind(new(claim.Members), new(*peer.Exchange)),
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
 		wire.Struct(new(section.Follower), "Log", "Clock"),
-		wire.Struct(new(target.Registry)),
+		wire.Struct(new(peer.Caller), "Net"),
+		provideRegistry,
+		provideCrashes,
+		provideMetrics,
 		wire.Struct(new(workspace.Admission), "*"),
 		wire.Struct(new(workspace.Retries), "*"),
 		wire.Struct(new(pipeline.Runner), "*"),
-		wire.Struct(new(Host), "*"),
+		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "Claims", "Claimer", "Caller", "Peers", "Report", "Metrics"),
 	))
 }
