--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -143,7 +143,7 @@
 		limit:     h.Limit,
 		stats:     h.Stats,
 		questions: make(chan *question),
-		reads:     make(chan readResult),
+		reads:     make(chan platform.TailRead),
 		appended:  make(chan appendResult),
 		done:      make(chan struct{}),
 		waiting:   map[string]*pending{},
--- a/internal/claim/partition.go
+++ b/internal/claim/partition.go
@@ -72,7 +72,7 @@
 	limit  int // of entries
 
 	questions chan *question
-	reads     chan readResult
+	reads     chan platform.TailRead
 	appended  chan appendResult
 	done      chan struct{}
 
@@ -92,7 +92,8 @@
 func (p *partition) run(ctx context.Context) {
 	defer close(p.done)
 	upkeep := p.clock.Subscribe(ctx, upkeepPeriod)
-	go p.read(ctx)
+	tail := platform.Tail{Log: p.log, Clock: p.clock, Stream: p.stream, Keep: Window + 2*MaxSkew, Reads: p.reads}
+	go tail.Run(ctx)
 	for {
 		select {
 		case q := <-p.questions:
@@ -265,21 +266,21 @@
 }
 
 // fold applies what was read and answers whoever waited for it.
-func (p *partition) fold(r readResult) {
-	if r.err != nil {
+func (p *partition) fold(r platform.TailRead) {
+	if r.Err != nil {
 		p.refuseHeld()
 		return
 	}
-	p.skip(r.batch)
-	for i := range r.batch.Records {
-		rec := &r.batch.Records[i]
+	p.skip(r.Batch)
+	for i := range r.Batch.Records {
+		rec := &r.Batch.Records[i]
 		if rec.Offset < p.next {
 			continue
 		}
 		p.next = rec.Offset + 1
 		p.seen(p.table.Apply(rec))
 	}
-	if !p.ready && p.next >= r.batch.Next {
+	if !p.ready && p.next >= r.Batch.Next {
 		p.ready = true
 		held := p.held
 		p.held = nil
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,137 @@
+// Package lease gives each shard of the targets to one host at a time. A lease
+// is taken by a record on the Leases stream; every reader folds the stream in
+// offset order and reaches the same state. The offset of the record that took
+// the lease is its fencing number, so later holders have larger ones.
+//
+// Whether a lease has run out is decided by the log service's clock alone: an
+// acquire takes effect if its record's time is later than the last renewal's
+// plus Term. The holder itself counts by its own monotonic clock from before it
+// sent the record, less MaxSkew, so it stops before anyone else can start.
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/platform"
+	"github.com/cespare/xxhash/v2"
+)
+
+// The sizes and times of leases.
+const (
+	// Shards is the number of leases. Targets are spread over them by name.
+	Shards = 64
+	// Term is the time that a lease lasts after its last renewal.
+	Term = 15 * time.Second
+	// RenewPeriod is the time between renewals, all leases of a host in one.
+	RenewPeriod = 5 * time.Second
+	// MaxSkew bounds how far a host's clock and the log service's drift apart
+	// within a Term, and how far apart they are.
+	MaxSkew = 2 * time.Second
+)
+
+// The kinds of records on the Leases stream.
+const (
+	// AcquireKind, RenewKind and ReleaseKind carry a Record.
+	AcquireKind = "Acquire"
+	RenewKind   = "Renew"
+	ReleaseKind = "Release"
+)
+
+// Record is what a host wants with some leases.
+type Record struct {
+	// Holder is unique to one life of one host.
+	Holder string
+	// Shards lists the leases; an acquire has one.
+	Shards []int
+	// SentAt is the holder's time before it sent the record. A record that
+	// reaches the log more than Term after it has no effect.
+	SentAt time.Time
+}
+
+// ShardOf returns the shard that a target belongs to.
+func ShardOf(target string) int { return int(xxhash.Sum64String(target) % Shards) }
+
+// Name returns the name of a shard's lease, by which its host is chosen.
+func Name(shard int) string { return fmt.Sprintf("%s/%02d", platform.LeasesStream, shard) }
+
+// Lease is a lease that this host holds. It is immutable.
+type Lease struct {
+	Shard int
+	// Fence is the fencing number.
+	Fence platform.Offset
+	// Since is when this host read that it holds the lease.
+	Since time.Time
+	// Until is the time at which this host must stop acting on the lease.
+	Until time.Time
+}
+
+// Valid reports whether the holder may act at now, a time just read from its
+// clock. Both the monotonic and the wall clock must be before Until.
+func (l *Lease) Valid(now time.Time) bool {
+	return now.Before(l.Until) && now.Round(0).Before(l.Until.Round(0))
+}
+
+// State is one lease as the fold has it.
+type State struct {
+	// Holder is empty when the lease was released or never taken.
+	Holder string
+	Fence  platform.Offset
+	// Expires is the time by the log service's clock after which another holder
+	// can take the lease.
+	Expires time.Time
+}
+
+// Table is the fold of the Leases stream. The zero value is the state before
+// the first record.
+type Table struct {
+	states [Shards]State
+}
+
+// State returns a lease.
+func (t *Table) State(shard int) State { return t.states[shard] }
+
+// Apply folds the next record and returns the shards that it gave to its
+// holder or renewed. Further copies of a record change nothing that matters: a
+// copy of an acquire is refused while the lease is held, and a copy of a
+// renewal only makes others wait, for at most Term after SentAt plus Term.
+func (t *Table) Apply(r *platform.Record) (holder string, shards []int) {
+	var rec Record
+	if json.Unmarshal(r.Data, &rec) != nil || rec.Holder == "" {
+		return "", nil
+	}
+	if r.At.After(rec.SentAt.Add(Term + MaxSkew)) {
+		return "", nil
+	}
+	for _, n := range rec.Shards {
+		if n >= 0 && n < Shards && t.states[n].apply(r, rec.Holder) {
+			shards = append(shards, n)
+		}
+	}
+	return rec.Holder, shards
+}
+
+// apply reports whether holder has the lease by r.
+func (s *State) apply(r *platform.Record, holder string) bool {
+	live := s.Holder != "" && !r.At.After(s.Expires)
+	switch r.Kind {
+	case AcquireKind:
+		if live {
+			return false
+		}
+		*s = State{Holder: holder, Fence: r.Offset, Expires: r.At.Add(Term)}
+		return true
+	case RenewKind:
+		if !live || s.Holder != holder {
+			return false
+		}
+		s.Expires = r.At.Add(Term)
+		return true
+	case ReleaseKind:
+		if s.Holder == holder {
+			s.Holder = ""
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/link/discard.go
@@ -0,0 +1,72 @@
+package link
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// discarder is a connection of a Memory that can drop what it can't deliver.
+type discarder interface {
+	discardLate(d time.Duration)
+}
+
+// DiscardLate bounds the life of the bytes written to conn: those that the
+// other side has not received within d are dropped with the connection, even
+// while this process is stopped, and closing conn drops what is still unsent.
+func DiscardLate(conn net.Conn, d time.Duration) error {
+	switch c := conn.(type) {
+	case *net.TCPConn:
+		if err := c.SetLinger(0); err != nil {
+			return err
+		}
+		return setUserTimeout(c, d)
+	case discarder:
+		c.discardLate(d)
+	}
+	return nil
+}
+
+// setUserTimeout makes the kernel end a connection whose data stays
+// unacknowledged for d.
+func setUserTimeout(c *net.TCPConn, d time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var set error
+	err = raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+func (c *memConn) discardLate(d time.Duration) {
+	c.out.mu.Lock()
+	defer c.out.mu.Unlock()
+	c.out.undelivered = d
+}
+
+// discarded drops what is still under way if the pipe was told to.
+func (p *pipe) discarded() bool {
+	p.mu.Lock()
+	discard := p.undelivered > 0
+	p.mu.Unlock()
+	if discard {
+		p.abort(syscall.ECONNRESET)
+	}
+	return discard
+}
+
+// late ends the pipe when c was not delivered in time; p.mu is held.
+func (p *pipe) late(c *chunk) bool {
+	if p.undelivered > 0 && time.Since(c.at) > p.undelivered {
+		p.broken = syscall.ECONNRESET
+	}
+	return p.broken != nil
+}
--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -281,7 +281,9 @@
 	c.m.mu.Lock()
 	delete(c.m.conns, c)
 	c.m.mu.Unlock()
-	c.out.finish(io.EOF)
+	if !c.out.discarded() {
+		c.out.finish(io.EOF)
+	}
 	c.in.abort(net.ErrClosed)
 	return nil
 }
@@ -331,6 +333,7 @@
 	broken        error // set once the pipe is dead for both sides
 	readDeadline  time.Time
 	writeDeadline time.Time
+	undelivered   time.Duration // after which chunks are dropped; zero is never
 	changed       chan struct{}
 }
 
@@ -417,6 +420,9 @@
 	if time.Until(first.at) > 0 {
 		return 0, earliest(first.at, p.readDeadline), nil
 	}
+	if p.late(first) {
+		return 0, time.Time{}, p.broken
+	}
 	n := copy(b, first.data)
 	first.data = first.data[n:]
 	if len(first.data) == 0 {
--- /dev/null
+++ b/internal/order/fuzz_test.go
@@ -0,0 +1,139 @@
+package order
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/lease"
+	"berylswitch.example/berylswitch/internal/standin"
+	"pgregory.net/rapid"
+)
+
+// Sizes of a fuzzed run. A longer one:
+//
+//	go test ./internal/order -run TestFuzz -rapid.checks=2000 -rapid.seed=N
+const (
+	fuzzSteps = 100
+	ciChecks  = "30"
+	ciSeed    = "8"
+)
+
+// settleTime covers a lease's term, the wait before orders, and some reviews.
+const settleTime = lease.Term + MaxOrderTime + 6*reviewPeriod
+
+// TestMain fixes the seed and the number of checks unless flags name them.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": ciSeed, "rapid.checks": ciChecks, "rapid.nofailfile": "true"} {
+		if !given[name] {
+			flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+type step struct {
+	Do     string
+	Host   int
+	Engine int
+	Pause  time.Duration
+	Delay  time.Duration
+}
+
+var doing = []string{
+	"declare", "declare", "declare", "declare", "kill", "start", "start", "freeze", "freeze", "thaw", "thaw",
+	"cutLog", "cutLog", "cutEngine", "cutEngine", "loseAnswers", "slowEngine", "slowEngine", "heal", "heal", "heal", "heal",
+	"members", "logDown", "logLose", "logUp", "logUp",
+}
+
+func drawSteps(t *rapid.T) []step {
+	steps := make([]step, fuzzSteps)
+	for i := range steps {
+		steps[i] = step{
+			Do:     rapid.SampledFrom(doing).Draw(t, "do"),
+			Host:   rapid.IntRange(0, 2).Draw(t, "host"),
+			Engine: rapid.IntRange(0, 3).Draw(t, "engine"),
+			Pause:  time.Duration(rapid.IntRange(1, 4000).Draw(t, "pause")) * time.Millisecond,
+			Delay:  time.Duration(rapid.IntRange(1, 2900).Draw(t, "delay")) * time.Millisecond,
+		}
+	}
+	return steps
+}
+
+// TestFuzzOrders draws faults and changes of the declaration and checks after
+// each step that no order of an earlier holder took effect after one of a later
+// holder, and at the end that every target has what is declared.
+func TestFuzzOrders(t *testing.T) {
+	orders := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		var faults []string
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, []time.Duration{0, lease.MaxSkew / 2, -lease.MaxSkew / 2}, 4)
+			for i := range steps {
+				w.step(&steps[i], fmt.Sprintf("m%d", i+2))
+				time.Sleep(steps[i].Pause)
+				faults = append(faults, w.faults()...)
+			}
+			w.heal()
+			for _, h := range w.hosts {
+				h.start()
+			}
+			time.Sleep(settleTime)
+			faults = append(append(faults, w.faults()...), w.missing()...)
+			for _, e := range w.engines {
+				orders += len(e.Orders())
+			}
+			w.close()
+		})
+		for _, f := range faults {
+			rt.Fatalf("%s", f)
+		}
+	})
+	t.Logf("%d orders taken", orders)
+	if orders == 0 {
+		t.Error("no order was taken")
+	}
+}
+
+// step performs one operation.
+func (w *world) step(s *step, model string) {
+	h, t := w.hosts[s.Host], w.targets[s.Engine]
+	switch s.Do {
+	case "declare":
+		w.declare(model)
+	case "kill":
+		h.kill()
+	case "start":
+		h.start()
+	case "freeze":
+		h.clock.Suspend()
+	case "thaw":
+		h.clock.Resume()
+	case "cutLog":
+		w.net.Cut(h.addr, logAddr.Addr())
+	case "cutEngine":
+		w.net.Cut(h.addr, t.Addr.Addr())
+	case "loseAnswers":
+		w.net.Cut(t.Addr.Addr(), h.addr)
+	case "slowEngine":
+		w.net.SetDelay(h.addr, t.Addr.Addr(), s.Delay)
+	case "heal":
+		w.connect(h, t.Addr.Addr())
+		w.connect(h, logAddr.Addr())
+	case "members":
+		h.setMembers(w.all(s.Engine))
+	case "logDown":
+		w.log.SetFaults(standin.LogFaults{Down: true})
+	case "logLose":
+		w.log.SetFaults(standin.LogFaults{LoseAnswers: true})
+	case "logUp":
+		w.log.SetFaults(standin.LogFaults{})
+	}
+}
--- /dev/null
+++ b/internal/order/keeper.go
@@ -0,0 +1,221 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sort"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/internal/lease"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+)
+
+// The pace and bounds of a Keeper.
+const (
+	// reviewPeriod is the time between two comparisons of a target's report with
+	// the declaration.
+	reviewPeriod = 5 * time.Second
+	// maxAsked bounds the reports that are asked for at once.
+	maxAsked = 16
+	// DefaultMaxLoads is the number of models that may be on their way from the
+	// weight store at once, over all hosts together.
+	DefaultMaxLoads = 32
+	// loadTimeout is the time after which a load that shows in no report is
+	// given up and ordered again.
+	loadTimeout = 10 * time.Minute
+	// reportTimeout bounds a question for a report.
+	reportTimeout = 2 * time.Second
+)
+
+// Leases names the leases that this host holds; *lease.Keeper does.
+type Leases interface {
+	Lookup(shard int) *lease.Lease
+	Held() int
+}
+
+var _ Leases = (*lease.Keeper)(nil)
+
+// Stats counts orders by their result.
+type Stats struct {
+	Taken, Lost, Superseded metrics.Counter
+}
+
+// Keeper orders targets to load the models that they are declared with. It
+// looks at the targets of the shards whose leases this host holds. Exported
+// fields are set before Run.
+type Keeper struct {
+	Clock  *clock.Service
+	Leases Leases
+	Sender *Sender
+	HTTP   *http.Client
+	// View returns the declaration in force, or nil.
+	View func() *declaration.View
+	// MaxLoads bounds the loads under way over all hosts; zero means
+	// DefaultMaxLoads. A host has a part in proportion to its leases, at least
+	// one.
+	MaxLoads int
+	Stats    Stats
+
+	// loads holds the time of the order of each load under way.
+	loads map[load]time.Time
+}
+
+type load struct {
+	target, model string
+}
+
+// Run compares and orders until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	k.loads = map[load]time.Time{}
+	for _, c := range []*metrics.Counter{&k.Stats.Taken, &k.Stats.Lost, &k.Stats.Superseded} {
+		if *c == nil {
+			*c = metrics.NewCounter()
+		}
+	}
+	tick := k.Clock.Subscribe(ctx, reviewPeriod)
+	for {
+		select {
+		case <-tick:
+			k.review(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// review compares each target of the held shards with its report and sends
+// what is missing, as far as the loads under way allow.
+func (k *Keeper) review(ctx context.Context) {
+	v := k.View()
+	if v == nil {
+		return
+	}
+	targets := k.owned(v)
+	reports := k.ask(ctx, targets)
+	k.forget(targets, reports)
+	for _, t := range targets {
+		if r := reports[t.Name]; r != nil {
+			k.order(ctx, t, r)
+		}
+	}
+}
+
+// owned returns the targets with declared models in the held shards, by name.
+func (k *Keeper) owned(v *declaration.View) []*declaration.Target {
+	var out []*declaration.Target
+	for _, t := range v.Targets {
+		if len(t.Models) > 0 && !t.Leaving && k.Leases.Lookup(lease.ShardOf(t.Name)) != nil {
+			out = append(out, t)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// ask gets the reports of targets; one without an answer has none.
+func (k *Keeper) ask(ctx context.Context, targets []*declaration.Target) map[string]*contract.Report {
+	reports := make([]*contract.Report, len(targets))
+	var g errgroup.Group
+	g.SetLimit(maxAsked)
+	for i, t := range targets {
+		g.Go(func() error {
+			reports[i] = k.report(ctx, t)
+			return nil
+		})
+	}
+	g.Wait()
+	out := map[string]*contract.Report{}
+	for i, t := range targets {
+		out[t.Name] = reports[i]
+	}
+	return out
+}
+
+func (k *Keeper) report(ctx context.Context, t *declaration.Target) *contract.Report {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", t.Addr, contract.ReportPath), nil)
+	if err != nil {
+		return nil
+	}
+	resp, err := k.HTTP.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	r := &contract.Report{}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(r) != nil {
+		return nil
+	}
+	return r
+}
+
+// forget ends the loads that a report shows as done, that have taken too long,
+// or whose target is no longer this host's.
+func (k *Keeper) forget(targets []*declaration.Target, reports map[string]*contract.Report) {
+	now := k.Clock.Now()
+	owned := map[string]bool{}
+	for _, t := range targets {
+		owned[t.Name] = true
+	}
+	for l, at := range k.loads {
+		r := reports[l.target]
+		if !owned[l.target] || now.Sub(at) > loadTimeout || (r != nil && slices.Contains(r.Models, l.model)) {
+			delete(k.loads, l)
+		}
+	}
+}
+
+// order sends the orders that one target lacks.
+func (k *Keeper) order(ctx context.Context, t *declaration.Target, r *contract.Report) {
+	for _, model := range t.Models {
+		l := load{t.Name, model}
+		if _, loading := k.loads[l]; loading || slices.Contains(r.Models, model) {
+			continue
+		}
+		held := k.Leases.Lookup(lease.ShardOf(t.Name))
+		if held == nil || len(k.loads) >= k.limit() {
+			return
+		}
+		result := k.Sender.Send(ctx, held, t, contract.Order{Kind: contract.LoadModel, Model: model})
+		k.count(result)
+		switch result {
+		case Taken:
+			k.loads[l] = k.Clock.Now()
+		case Lost:
+			// The load may be under way: it counts against the limit until the next
+			// order, which is sent as soon as a later report lacks the model.
+			k.loads[l] = k.Clock.Now().Add(reviewPeriod - loadTimeout)
+		default:
+			return
+		}
+	}
+}
+
+// limit returns this host's part of the loads.
+func (k *Keeper) limit() int {
+	n := k.MaxLoads
+	if n == 0 {
+		n = DefaultMaxLoads
+	}
+	return max(1, n*k.Leases.Held()/lease.Shards)
+}
+
+func (k *Keeper) count(r Result) {
+	switch r {
+	case Taken:
+		k.Stats.Taken.Inc(1)
+	case Lost:
+		k.Stats.Lost.Inc(1)
+	case Superseded:
+		k.Stats.Superseded.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/platform/tail.go
@@ -0,0 +1,116 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+)
+
+// tailWait is how long one read waits for a record, tailPause the time between
+// reads that failed.
+const (
+	tailWait  = 10 * time.Second
+	tailPause = 500 * time.Millisecond
+)
+
+// Tail follows a stream whose older records no longer matter. Exported fields
+// are set before Run.
+type Tail struct {
+	Log    Log
+	Clock  *clock.Service
+	Stream string
+	// Keep is the age, against the newest record, up to which records matter.
+	Keep time.Duration
+	// Reads gets the result of each read, in order.
+	Reads chan<- TailRead
+}
+
+// TailRead is the result of one read of a Tail.
+type TailRead struct {
+	Batch Batch
+	Err   error
+}
+
+// Run passes the stream on, from before the oldest record that matters, until
+// ctx ends.
+func (t *Tail) Run(ctx context.Context) {
+	next, wait := Offset(0), time.Duration(0)
+	for ctx.Err() == nil {
+		t.Clock.Now() // waits while the host is suspended
+		var r TailRead
+		if next == 0 {
+			next, r.Err = t.start(ctx)
+		}
+		if r.Err == nil {
+			r.Batch, r.Err = t.Log.Read(ctx, t.Stream, next, wait)
+		}
+		if r.Err == nil {
+			next = following(r.Batch, next)
+			wait = waitFor(r.Batch, next)
+		}
+		select {
+		case t.Reads <- r:
+		case <-ctx.Done():
+			return
+		}
+		if r.Err != nil {
+			t.Clock.Sleep(ctx, tailPause)
+		}
+	}
+}
+
+// waitFor returns how long the next read waits: not at all while more records
+// are there to be read.
+func waitFor(b Batch, next Offset) time.Duration {
+	if next < b.Next {
+		return 0
+	}
+	return tailWait
+}
+
+// following returns the offset after a batch that was read from next on.
+func following(b Batch, next Offset) Offset {
+	if n := len(b.Records); n > 0 {
+		return b.Records[n-1].Offset + 1
+	}
+	return max(next, b.Next)
+}
+
+// start finds an offset before every record that can still matter. Times are
+// those of the log service alone: what is too old by the newest record's time
+// is too old by the time of any record to come.
+func (t *Tail) start(ctx context.Context) (Offset, error) {
+	b, err := t.Log.Read(ctx, t.Stream, 1, 0)
+	if err != nil {
+		return 0, err
+	}
+	low, high := max(b.Oldest, 1), b.Next-1
+	if high <= low {
+		return low, nil
+	}
+	b, err = t.Log.Read(ctx, t.Stream, high, 0)
+	if err != nil {
+		return 0, err
+	}
+	if len(b.Records) == 0 {
+		return low, nil
+	}
+	from := b.Records[0].At.Add(-t.Keep)
+	for low < high {
+		mid := low + (high-low)/2
+		b, err = t.Log.Read(ctx, t.Stream, mid, 0)
+		if err != nil {
+			return 0, err
+		}
+		if len(b.Records) == 0 {
+			return low, nil
+		}
+		if b.Records[0].At.Before(from) {
+			low = max(mid+1, b.Records[0].Offset)
+		} else {
+			high = mid
+		}
+	}
+	return low, nil
+}
