--- a/internal/order/fuzz_test.go
+++ b/internal/order/fuzz_test.go
@@ -49,7 +49,7 @@
 var doing = []string{
 	"declare", "declare", "declare", "declare", "kill", "start", "start", "freeze", "freeze", "thaw", "thaw",
 	"cutLog", "cutLog", "cutEngine", "cutEngine", "loseAnswers", "slowEngine", "slowEngine", "heal", "heal", "heal", "heal",
-	"members", "logDown", "logLose", "logUp", "logUp",
+	"members", "logDown", "logLose", "logSlow", "logStale", "logUp", "logUp", "logUp",
 }
 
 func drawSteps(t *rapid.T) []step {
@@ -133,6 +133,10 @@
 		w.log.SetFaults(standin.LogFaults{Down: true})
 	case "logLose":
 		w.log.SetFaults(standin.LogFaults{LoseAnswers: true})
+	case "logSlow":
+		w.log.SetFaults(standin.LogFaults{Slow: s.Delay})
+	case "logStale":
+		w.log.SetFaults(standin.LogFaults{StaleBy: 3 * s.Delay})
 	case "logUp":
 		w.log.SetFaults(standin.LogFaults{})
 	}
--- /dev/null
+++ b/internal/order/script_test.go
@@ -0,0 +1,137 @@
+package order
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/lease"
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestScripts runs the scripts of testdata in virtual time. "first" names the
+// host that first holds the shard of engine e, "next" one of the others.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/orders", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{}
+			datadriven.RunTest(t, path, s.command)
+			s.w.close()
+		})
+	})
+}
+
+type script struct {
+	w      *world
+	engine int
+	first  int
+}
+
+func (s *script) command(t *testing.T, d *datadriven.TestData) string {
+	time.Sleep(time.Millisecond)
+	synctest.Wait()
+	switch d.Cmd {
+	case "start":
+		s.w = newWorld(t, make([]time.Duration, 3), 2)
+		if d.HasArg("ignoring") {
+			s.engine = 1
+		}
+		name := s.w.hosts[0].Members().Holder(lease.Name(lease.ShardOf(s.w.engines[s.engine].Name))).Name
+		fmt.Sscanf(name, "h%d", &s.first)
+	case "declare":
+		s.w.declare(d.CmdArgs[0].Key)
+	case "wait":
+		time.Sleep(s.duration(t, d, "for"))
+	case "first":
+		s.host(t, d, s.w.hosts[s.first])
+	case "orders":
+		return s.orders()
+	case "holder":
+		return s.holder()
+	default:
+		t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+	}
+	return ""
+}
+
+// host changes the first holder.
+func (s *script) host(t *testing.T, d *datadriven.TestData, h *orderHost) {
+	engine := s.w.targets[s.engine].Addr.Addr()
+	for _, a := range d.CmdArgs {
+		switch a.Key {
+		case "freeze":
+			h.clock.Suspend()
+		case "thaw":
+			h.clock.Resume()
+		case "kill":
+			h.kill()
+		case "cutLog":
+			s.cut(h, logAddr.Addr())
+		case "cutEngine":
+			s.w.net.Cut(h.addr, engine)
+		case "cutAnswers":
+			s.w.net.Cut(engine, h.addr)
+		case "healEngine":
+			s.w.connect(h, engine)
+		case "healLog":
+			s.w.connect(h, logAddr.Addr())
+		case "delay":
+			s.w.net.SetDelay(h.addr, engine, s.duration(t, d, "delay"))
+		case "left":
+			// The others no longer count it among the members.
+			for i, other := range s.w.hosts {
+				if i != s.first {
+					other.setMembers(s.w.all(s.first))
+				}
+			}
+		}
+	}
+}
+
+func (s *script) cut(h *orderHost, addr netip.Addr) {
+	s.w.net.Cut(h.addr, addr)
+	s.w.net.Cut(addr, h.addr)
+}
+
+// orders lists what the engine took, in its order.
+func (s *script) orders() string {
+	var out []string
+	fences := map[int64]int{}
+	for _, o := range s.w.engines[s.engine].Orders() {
+		if fences[o.Order.Fence] == 0 {
+			fences[o.Order.Fence] = len(fences) + 1
+		}
+		line := fmt.Sprintf("%s under lease %d", o.Order.Model, fences[o.Order.Fence])
+		if o.Stale {
+			line += ", stale"
+		}
+		out = append(out, line)
+	}
+	return strings.Join(out, "\n")
+}
+
+// holder tells who acts on the shard now.
+func (s *script) holder() string {
+	var out []string
+	for _, name := range s.w.holders(lease.ShardOf(s.w.engines[s.engine].Name)) {
+		if name == s.w.hosts[s.first].name {
+			out = append(out, "first")
+		} else {
+			out = append(out, "another")
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+func (s *script) duration(t *testing.T, d *datadriven.TestData, name string) time.Duration {
+	var text string
+	d.ScanArgs(t, name, &text)
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatalf("%s: %v", d.Pos, err)
+	}
+	return v
+}
--- a/internal/order/world_test.go
+++ b/internal/order/world_test.go
@@ -215,6 +215,9 @@
 			out = append(out, fmt.Sprintf("the shard of %s is held by %v", e.Name, names))
 		}
 		for _, o := range e.Orders() {
+			if o.Order.Fence == 0 {
+				out = append(out, fmt.Sprintf("%s took an order without a fencing number", e.Name))
+			}
 			if o.Stale {
 				out = append(out, fmt.Sprintf("%s (checks fencing: %t) took a stale order for %s with fence %d", e.Name, e.ChecksFencing, o.Order.Model, o.Order.Fence))
 			}
