--- a/internal/link/discard.go
+++ b/internal/link/discard.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -52,15 +53,19 @@
 	c.out.undelivered = d
 }
 
-// discarded drops what is still under way if the pipe was told to.
-func (p *pipe) discarded() bool {
+// lateAfterClose is the time for which bytes of a closed connection that have
+// arrived wait for the reader. What a cut link holds up is not sent again.
+const lateAfterClose = 10 * time.Millisecond
+
+// close ends the stream after the bytes already written. If the pipe was told
+// to discard, those that are on the link still arrive, unless it is cut.
+func (p *pipe) close() {
 	p.mu.Lock()
-	discard := p.undelivered > 0
-	p.mu.Unlock()
-	if discard {
-		p.abort(syscall.ECONNRESET)
+	if p.undelivered > 0 {
+		p.undelivered = lateAfterClose
 	}
-	return discard
+	p.mu.Unlock()
+	p.finish(io.EOF)
 }
 
 // late ends the pipe when c was not delivered in time; p.mu is held.
--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -281,9 +280,7 @@
 	c.m.mu.Lock()
 	delete(c.m.conns, c)
 	c.m.mu.Unlock()
-	if !c.out.discarded() {
-		c.out.finish(io.EOF)
-	}
+	c.out.close()
 	c.in.abort(net.ErrClosed)
 	return nil
 }
--- /dev/null
+++ b/internal/order/order_test.go
@@ -0,0 +1,107 @@
+package order
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/internal/lease"
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestOldHolderLateOrder gives the worst case to a target that ignores fencing
+// numbers: the old holder sends at the end of its lease over a slow link, and
+// the next holder has its lease as early as the log's clock allows.
+func TestOldHolderLateOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, make([]time.Duration, 2), 2)
+		defer w.close()
+		for _, h := range w.hosts {
+			h.kill()
+		}
+		target, engine := &w.targets[1], w.engines[1]
+		end := time.Now().Add(10 * time.Second)
+		old := &lease.Lease{Fence: 1, Since: end.Add(-lease.Term), Until: end}
+		next := &lease.Lease{Fence: 2, Since: end.Add(lease.MaxSkew), Until: end.Add(time.Minute)}
+		w.net.SetDelay(w.hosts[0].addr, target.Addr.Addr(), 2900*time.Millisecond)
+		first, second := sender(w, 0), sender(w, 1)
+		time.Sleep(time.Until(end.Add(-2950 * time.Millisecond)))
+		if got := first.Send(t.Context(), old, target, contract.Order{Kind: contract.LoadModel, Model: "old"}); got != Lost {
+			t.Errorf("the slow order ended as %v", got)
+		}
+		time.Sleep(time.Until(next.Since))
+		for second.Send(t.Context(), next, target, contract.Order{Kind: contract.LoadModel, Model: "new"}) != Taken {
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(MaxOrderTime)
+		var got []string
+		for _, o := range engine.Orders() {
+			got = append(got, o.Order.Model)
+		}
+		if diff := cmp.Diff([]string{"old", "new"}, got); diff != "" {
+			t.Errorf("orders taken (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestFrozenSender freezes a holder that is about to send. It wakes after the
+// next holder's order and must not send, to either kind of target.
+func TestFrozenSender(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, make([]time.Duration, 2), 2)
+		defer w.close()
+		for _, h := range w.hosts {
+			h.kill()
+		}
+		now := time.Now()
+		old := &lease.Lease{Fence: 1, Since: now.Add(-lease.Term), Until: now.Add(time.Second)}
+		next := &lease.Lease{Fence: 2, Since: now, Until: now.Add(time.Minute)}
+		w.hosts[0].clock.Suspend()
+		results := make(chan Result, len(w.targets))
+		for i := range w.targets {
+			go func() {
+				results <- sender(w, 0).Send(t.Context(), old, &w.targets[i], contract.Order{Kind: contract.LoadModel, Model: "old"})
+			}()
+		}
+		time.Sleep(MaxOrderTime)
+		for i := range w.targets {
+			if got := sender(w, 1).Send(t.Context(), next, &w.targets[i], contract.Order{Kind: contract.LoadModel, Model: "new"}); got != Taken {
+				t.Errorf("the next holder's order ended as %v", got)
+			}
+		}
+		w.hosts[0].clock.Resume()
+		for i := range w.targets {
+			if got := <-results; got != NotSent {
+				t.Errorf("the old holder's order ended as %v", got)
+			}
+			if got := len(w.engines[i].Orders()); got != 1 {
+				t.Errorf("%s took %d orders", w.engines[i].Name, got)
+			}
+		}
+	})
+}
+
+func sender(w *world, host int) *Sender {
+	h := w.hosts[host]
+	return &Sender{Clock: h.clock, Net: w.net.Process(h.addr)}
+}
+
+// TestLoadsAreBounded holds one lease of 64 and finds that only one model at a
+// time is ordered, since the weight store serves all hosts.
+func TestLoadsAreBounded(t *testing.T) {
+	k := &Keeper{Leases: fewLeases(1)}
+	if diff := cmp.Diff(1, k.limit()); diff != "" {
+		t.Errorf("loads at one lease (-want +got):\n%s", diff)
+	}
+	k.Leases = fewLeases(lease.Shards)
+	if diff := cmp.Diff(DefaultMaxLoads, k.limit()); diff != "" {
+		t.Errorf("loads at all leases (-want +got):\n%s", diff)
+	}
+}
+
+// fewLeases is a host that holds so many leases.
+type fewLeases int
+
+func (n fewLeases) Lookup(int) *lease.Lease { return nil }
+func (n fewLeases) Held() int               { return int(n) }
