--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -18,9 +18,53 @@
 	Speed float64
 	Slots int
 
-	mu    sync.Mutex
-	slots chan struct{}
-	runs  map[string]int // by key, or by request ID without one
+	mu      sync.Mutex
+	slots   chan struct{}
+	runs    map[string]int // by key, or by request ID without one
+	slowed  float64        // the factor of SetSlowdown, zero for none
+	changed chan struct{}  // closed when slowed changes
+}
+
+// SetSlowdown makes runs, those under way included, take factor times as long;
+// one is the worker's own speed.
+func (w *Worker) SetSlowdown(factor float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slowed = factor
+	if w.changed != nil {
+		close(w.changed)
+	}
+	w.changed = make(chan struct{})
+}
+
+// rate returns the present speed and a channel that is closed when it changes.
+func (w *Worker) rate() (float64, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.changed == nil {
+		w.changed = make(chan struct{})
+	}
+	if w.slowed == 0 {
+		return w.Speed, w.changed
+	}
+	return w.Speed / w.slowed, w.changed
+}
+
+// work spends service, the time at speed one, or returns when r is cancelled.
+func (w *Worker) work(r *http.Request, service time.Duration) {
+	for service > 0 && r.Context().Err() == nil {
+		speed, changed := w.rate()
+		start := time.Now()
+		t := time.NewTimer(time.Duration(float64(service) / speed))
+		select {
+		case <-t.C:
+			return
+		case <-changed:
+		case <-r.Context().Done():
+		}
+		t.Stop()
+		service -= time.Duration(float64(time.Since(start)) * speed)
+	}
 }
 
 // Runs returns how often each key, or request without key, was run.
@@ -51,7 +95,7 @@
 		return
 	}
 	start := time.Now()
-	pause(r, time.Duration(float64(work.Service)/w.Speed))
+	w.work(r, work.Service)
 	text := strings.TrimSpace(work.Previous + " " + w.Name + "(" + run.Stage + ": " + work.Text + ")")
 	enc := json.NewEncoder(rw)
 	enc.Encode(contract.Piece{AttemptID: run.AttemptID, Data: text})
