Add the queue policies

A board orders attempts by priority, class and deadline and grants the slots of its targets; each host has one with its share of the slots (OwnShare), or the holder of a shard has one for all hosts (SharedQueue), with leases, completions in batches and a fallback to the own share. Counts can be exchanged among hosts (LeastOfTwoExchanged). The policy is named in the settings.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -57,15 +57,25 @@
 // takes on a target of speed one, how many tokens it generates and the prefix
 // that its prompt shares with others.
 type Work struct {
-	Text     string        `json:",omitempty"`
-	Service  time.Duration `json:",omitempty"`
-	Tokens   int           `json:",omitempty"`
-	Prefix   string        `json:",omitempty"`
-	Previous string        `json:",omitempty"`
+	Text    string        `json:",omitempty"`
+	Service time.Duration `json:",omitempty"`
+	// StageService overrides Service for the stages it names.
+	StageService map[string]time.Duration `json:",omitempty"`
+	Tokens       int                      `json:",omitempty"`
+	Prefix       string                   `json:",omitempty"`
+	Previous     string                   `json:",omitempty"`
 	// Crash makes a target that runs the work break.
 	Crash bool `json:",omitempty"`
 }
 
+// ServiceOf returns the time that a stage takes on a target of speed one.
+func (w *Work) ServiceOf(stage string) time.Duration {
+	if d, ok := w.StageService[stage]; ok {
+		return d
+	}
+	return w.Service
+}
+
 // Report is a target's own, late word on its load.
 type Report struct {
 	Target      string
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -30,8 +30,18 @@
 	return x
 }
 
-func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry) *queue.Dispatcher {
-	return &queue.Dispatcher{Clock: c, Targets: r, Policy: queue.LeastOfTwo{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry, x *peer.Exchange, caller *peer.Caller, server *rpc.Server) *queue.Dispatcher {
+	d := &queue.Dispatcher{Clock: c, Targets: r, Exchange: x, Caller: caller, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	var err error
+	if d.Policy, err = queue.ParsePolicy(s.Policy); err != nil {
+		panic(err) // settings.Load checked the name
+	}
+	if err := server.RegisterName(d.Service()); err != nil {
+		panic(err)
+	}
+	return d
 }
 
+func provideCaller(n link.Network) *peer.Caller { return &peer.Caller{Net: n} }
+
 func provideRPC() *rpc.Server { return rpc.NewServer() }
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -21,6 +21,7 @@
 		provideClient,
 		provideExchange,
 		provideDispatcher,
+		provideCaller,
 		provideRPC,
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -28,7 +28,9 @@
 	}
 	exchange := provideExchange(s, n, c)
 	registry := &target.Registry{}
-	dispatcher := provideDispatcher(s, c, registry)
+	caller := provideCaller(n)
+	server := provideRPC()
+	dispatcher := provideDispatcher(s, c, registry, exchange, caller, server)
 	targetClient := target.NewClient(n)
 	retries := &workspace.Retries{
 		Clock: c,
@@ -42,7 +44,6 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
-	server := provideRPC()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -65,15 +65,18 @@
 	report := caller.StageReport{Stage: s.Name, Attempts: 1}
 	start := r.Clock.Now()
 	g, err := r.Dispatcher.Acquire(ctx, queue.Ask{
-		AttemptID: uuid.NewString(),
-		RequestID: req.ID,
-		Workspace: req.Workspace.Name,
-		Pipeline:  req.Pipeline.Name,
-		Pool:      s.Pool,
-		Model:     s.Model,
-		Priority:  req.Priority,
-		Deadline:  req.Deadline,
-		First:     i == 0,
+		AttemptID:   uuid.NewString(),
+		RequestID:   req.ID,
+		Workspace:   req.Workspace.Name,
+		Share:       req.Workspace.Share,
+		Pipeline:    req.Pipeline.Name,
+		Stage:       s.Name,
+		Pool:        s.Pool,
+		Model:       s.Model,
+		Priority:    req.Priority,
+		Deadline:    req.Deadline,
+		PromptBytes: len(req.Input),
+		First:       i == 0,
 	})
 	if err != nil {
 		return "", report, err
--- /dev/null
+++ b/internal/queue/board.go
@@ -0,0 +1,427 @@
+package queue
+
+import (
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"berylswitch.example/berylswitch/pkg/result"
+)
+
+// Parameters of a board.
+const (
+	// maxWaiting bounds the tickets of one class on a board.
+	maxWaiting = 4096
+	// longFactor is how many times the typical work of the pool makes a ticket
+	// long.
+	longFactor = 8
+	// longShare is the share of a board's slots that long work may hold.
+	longShare = 0.5
+	// urgentFactor is the time left, in multiples of the predicted time, at
+	// which long work goes among the short.
+	urgentFactor = 3
+	// leaseTimeout is how long a lease lasts without a word from its owner.
+	leaseTimeout = 3 * time.Second
+	// reportGrace is the age below which a lease may be missing from its
+	// owner's list, because the grant was still under way.
+	reportGrace = time.Second
+)
+
+// ticket is a waiting Ask.
+type ticket struct {
+	ask   Ask
+	owner string
+	key   workKey
+	work  float64 // predicted seconds at speed one
+	long  bool
+	over  bool // beyond its workspace's share
+	since time.Time
+	// deliver gets the decision, exactly once; it must not block.
+	deliver func(decision)
+}
+
+// decision is the end of a ticket: a target or a refusal.
+type decision struct {
+	target  string
+	code    result.Code
+	retry   time.Duration
+	message string
+}
+
+// board orders waiting tickets and grants the slots of a set of targets.
+type board struct {
+	pool string
+
+	mu      sync.Mutex
+	targets []*slotState
+	byName  map[string]*slotState
+	leases  map[string]*lease
+	short   []*ticket
+	long    []*ticket
+	work    predictor
+	shares  shares
+}
+
+func newBoard(pool string) *board {
+	return &board{pool: pool, byName: map[string]*slotState{}, leases: map[string]*lease{}}
+}
+
+// slotCount is how many slots of a target a board may grant.
+type slotCount struct {
+	target *declaration.Target
+	slots  int
+}
+
+// update sets the targets. What was observed of those that stay is kept.
+func (b *board) update(list []slotCount) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	byName := make(map[string]*slotState, len(list))
+	b.targets = b.targets[:0]
+	for _, c := range list {
+		s := b.byName[c.target.Name]
+		if s == nil {
+			s = &slotState{leases: map[string]*lease{}, ratio: 1}
+		}
+		s.target, s.slots = c.target, c.slots
+		byName[c.target.Name] = s
+		b.targets = append(b.targets, s)
+	}
+	b.byName = byName
+}
+
+// enqueue adds t and grants what can be granted. It may deliver a refusal.
+func (b *board) enqueue(t *ticket, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.since = now
+	t.key = workKeyOf(&t.ask)
+	t.work = math.Exp(b.work.estimate(t.key).mean)
+	t.long = t.work > longFactor*math.Exp(b.work.typical(b.pool).mean)
+	t.over = !b.shares.spend(&t.ask, t.work, b.capacity(), now)
+	if d, ok := b.refusal(t, now); ok {
+		t.deliver(d)
+		return
+	}
+	list := b.list(t)
+	i := sort.Search(len(*list), func(i int) bool { return before(t, (*list)[i]) })
+	*list = append(*list, nil)
+	copy((*list)[i+1:], (*list)[i:])
+	(*list)[i] = t
+	b.trim(list, now)
+	b.schedule(now)
+}
+
+func (b *board) list(t *ticket) *[]*ticket {
+	if t.long {
+		return &b.long
+	}
+	return &b.short
+}
+
+// before orders the tickets of one class.
+func before(x, y *ticket) bool {
+	if x.ask.Priority != y.ask.Priority {
+		return x.ask.Priority > y.ask.Priority
+	}
+	return x.ask.Deadline.Before(y.ask.Deadline)
+}
+
+// trim refuses the last ticket of a full list.
+func (b *board) trim(list *[]*ticket, now time.Time) {
+	if len(*list) <= maxWaiting {
+		return
+	}
+	last := (*list)[maxWaiting]
+	*list = (*list)[:maxWaiting]
+	last.deliver(decision{code: result.Overloaded, retry: b.wait(last), message: "the queue is full"})
+}
+
+// capacity is the predicted seconds of work that the targets do in a second.
+func (b *board) capacity() float64 {
+	sum := 0.0
+	for _, s := range b.targets {
+		sum += s.speed() * float64(s.slots)
+	}
+	return sum
+}
+
+// wait predicts how long t would wait behind the tickets of its class that go
+// before it.
+func (b *board) wait(t *ticket) time.Duration {
+	ahead := 0.0
+	for _, o := range *b.list(t) {
+		if before(t, o) {
+			break
+		}
+		ahead += o.work
+	}
+	if ahead == 0 {
+		return 0
+	}
+	return seconds(ahead / math.Max(b.capacity(), minSample))
+}
+
+// refusal says whether t can't be served in time.
+func (b *board) refusal(t *ticket, now time.Time) (decision, bool) {
+	if !b.served(t) {
+		return decision{code: result.NoTarget, message: "no usable target in pool " + b.pool}, true
+	}
+	left := t.ask.Deadline.Sub(now) - b.least(t)
+	if left < 0 {
+		return decision{code: result.DeadlineTooShort, message: "the stage takes longer than the time left"}, true
+	}
+	wait := b.wait(t)
+	switch {
+	case wait > left:
+		return decision{code: result.Overloaded, retry: wait - left, message: "the queue is longer than the time left"}, true
+	case t.over && wait > left/2:
+		return decision{code: result.OverShare, retry: wait, message: "the workspace is beyond its share"}, true
+	}
+	return decision{}, false
+}
+
+// served reports whether any target may run t.
+func (b *board) served(t *ticket) bool {
+	for _, s := range b.targets {
+		if suits(s, t) {
+			return true
+		}
+	}
+	return false
+}
+
+func suits(s *slotState, t *ticket) bool {
+	if t.ask.Model != "" && !contains(s.target.Models, t.ask.Model) {
+		return false
+	}
+	return !contains(t.ask.Exclude, s.target.Name)
+}
+
+// least is the predicted time of t on the fastest target.
+func (b *board) least(t *ticket) time.Duration {
+	best := 0.0
+	for _, s := range b.targets {
+		if suits(s, t) {
+			best = math.Max(best, s.speed())
+		}
+	}
+	return seconds(t.work / math.Max(best, minSample))
+}
+
+// schedule grants free slots: first to long work that is urgent, then to short
+// work, then to long work. b.mu is held.
+func (b *board) schedule(now time.Time) {
+	judge(b.targets)
+	urgent := func(t *ticket) bool {
+		return t.ask.Deadline.Sub(now) < urgentFactor*b.least(t)
+	}
+	b.long = b.grantFrom(b.long, now, urgent)
+	b.short = b.grantFrom(b.short, now, nil)
+	b.long = b.grantFrom(b.long, now, nil)
+}
+
+// grantFrom grants slots to the tickets of a list that only allows, and returns
+// those that go on waiting.
+func (b *board) grantFrom(list []*ticket, now time.Time, only func(*ticket) bool) []*ticket {
+	rest := list[:0]
+	for i, t := range list {
+		if !b.anyRoom(now) {
+			rest = append(rest, list[i:]...)
+			break
+		}
+		if (only != nil && !only(t)) || !b.settle(t, now) {
+			rest = append(rest, t)
+		}
+	}
+	for i := len(rest); i < len(list); i++ {
+		list[i] = nil
+	}
+	return rest
+}
+
+func (b *board) anyRoom(now time.Time) bool {
+	for _, s := range b.targets {
+		if s.room(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// settle grants a slot to t or refuses it, and reports whether it did.
+func (b *board) settle(t *ticket, now time.Time) bool {
+	if t.ask.Deadline.Sub(now) < b.least(t) {
+		t.deliver(decision{code: result.Overloaded, message: "no slot came free in time"})
+		return true
+	}
+	if t.long && !b.longRoom() {
+		return false
+	}
+	s := b.place(t, now)
+	if s == nil {
+		return false
+	}
+	b.lease(s, t, now)
+	t.deliver(decision{target: s.target.Name})
+	return true
+}
+
+// longRoom reports whether long work may hold one more slot.
+func (b *board) longRoom() bool {
+	slots, held := 0, 0
+	for _, s := range b.targets {
+		slots += s.slots
+		for _, l := range s.leases {
+			if l.long {
+				held++
+			}
+		}
+	}
+	return held == 0 || float64(held+1) <= longShare*float64(slots)
+}
+
+// place returns the target with room where t ends first. Long work takes the
+// slowest target that meets its deadline with room to spare.
+func (b *board) place(t *ticket, now time.Time) *slotState {
+	var best *slotState
+	left := t.ask.Deadline.Sub(now).Seconds()
+	for _, s := range b.targets {
+		if !suits(s, t) || !s.room(now) {
+			continue
+		}
+		takes := t.work / s.speed()
+		if takes > left && best != nil {
+			continue
+		}
+		if best == nil || b.better(t, s, best, left) {
+			best = s
+		}
+	}
+	if best != nil && best.ratio < trickleRatio && t.work/best.speed() > left {
+		return nil
+	}
+	return best
+}
+
+// spareFactor is the time left, in multiples of the predicted time, with which
+// long work may take a slower target.
+const spareFactor = 2.5
+
+// better reports whether t should rather go to x than to y.
+func (b *board) better(t *ticket, x, y *slotState, left float64) bool {
+	if t.long {
+		xs, ys := t.work/x.speed()*spareFactor < left, t.work/y.speed()*spareFactor < left
+		if xs != ys {
+			return xs
+		}
+		if xs {
+			return x.speed() < y.speed()
+		}
+	}
+	return x.speed() > y.speed()
+}
+
+// lease records that t holds a slot of s.
+func (b *board) lease(s *slotState, t *ticket, now time.Time) {
+	l := &lease{id: t.ask.AttemptID, owner: t.owner, at: now, renewed: now, work: t.work, long: t.long, key: t.key, target: s}
+	s.leases[l.id] = l
+	b.leases[l.id] = l
+	if s.ratio < trickleRatio {
+		s.trickle = now
+	}
+}
+
+// complete frees the slot of an attempt, or drops its ticket, and learns from
+// the outcome.
+func (b *board) complete(id string, o Outcome, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l := b.leases[id]; l != nil {
+		b.free(l)
+		if o.Kind == Succeeded {
+			b.learn(l, o.Took.Seconds())
+		}
+	} else {
+		b.short = dropTicket(b.short, id)
+		b.long = dropTicket(b.long, id)
+	}
+	b.schedule(now)
+}
+
+func (b *board) free(l *lease) {
+	delete(b.leases, l.id)
+	delete(l.target.leases, l.id)
+}
+
+// learn updates the target's speed and the estimate of this kind of work.
+func (b *board) learn(l *lease, took float64) {
+	if e := b.work.estimate(l.key); e.known() {
+		l.target.observe(l.work, took)
+	}
+	b.work.add(l.key, took*l.target.speed())
+}
+
+func dropTicket(list []*ticket, id string) []*ticket {
+	for i, t := range list {
+		if t.ask.AttemptID == id {
+			t.deliver(decision{code: result.Overloaded, message: "given up"})
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// tick refuses tickets that can no longer be served, drops leases whose owner
+// fell silent and looks for slowed targets.
+func (b *board) tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.targets {
+		s.lookAtRunning(now)
+	}
+	for _, l := range b.leases {
+		b.reclass(l, now)
+		if l.owner != "" && now.Sub(l.renewed) > leaseTimeout {
+			b.free(l)
+		}
+	}
+	b.short = b.expire(b.short, now)
+	b.long = b.expire(b.long, now)
+	b.schedule(now)
+}
+
+// reclass counts an attempt as long that runs for far longer than predicted.
+func (b *board) reclass(l *lease, now time.Time) {
+	if now.Sub(l.at).Seconds()*l.target.speed() > longFactor*l.work {
+		l.long = true
+	}
+}
+
+func (b *board) expire(list []*ticket, now time.Time) []*ticket {
+	rest := list[:0]
+	for _, t := range list {
+		if t.ask.Deadline.Sub(now) < b.least(t) {
+			t.deliver(decision{code: result.Overloaded, message: "no slot came free in time"})
+			continue
+		}
+		rest = append(rest, t)
+	}
+	for i := len(rest); i < len(list); i++ {
+		list[i] = nil
+	}
+	return rest
+}
+
+// backlog is the predicted time until short work that comes now would start.
+func (b *board) backlog() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0.0
+	for _, t := range b.short {
+		sum += t.work
+	}
+	return seconds(sum / math.Max(b.capacity(), minSample))
+}
--- /dev/null
+++ b/internal/queue/predictor.go
@@ -0,0 +1,119 @@
+package queue
+
+import (
+	"math"
+	"math/bits"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// workKey names a kind of work. Narrower kinds have more fields set.
+type workKey struct {
+	Pool      string
+	Stage     string
+	Pipeline  string
+	Workspace string
+	// Size is the number of binary digits of the prompt's length in bytes.
+	Size int
+}
+
+func workKeyOf(a *Ask) workKey {
+	return workKey{Pool: a.Pool, Stage: a.Stage, Pipeline: a.Pipeline, Workspace: a.Workspace, Size: bits.Len(uint(a.PromptBytes))}
+}
+
+// wider returns the kinds to use while k itself has been seen too rarely.
+func (k workKey) wider() [3]workKey {
+	sized := workKey{Pool: k.Pool, Stage: k.Stage, Pipeline: k.Pipeline, Size: k.Size}
+	stage := workKey{Pool: k.Pool, Stage: k.Stage, Size: k.Size}
+	return [3]workKey{sized, stage, {Pool: k.Pool}}
+}
+
+// Parameters of the estimates.
+const (
+	maxWorkKinds   = 4096
+	enoughSamples  = 5
+	workWeight     = 0.05                   // of a new sample, once there are many
+	ninthDecile    = 1.2816                 // of the standard normal distribution
+	unseenWork     = 100 * time.Millisecond // before anything was seen
+	unseenVariance = 1.0
+	minSample      = 1e-5 // seconds
+)
+
+// estimate is a log-normal distribution of seconds.
+type estimate struct {
+	mean, variance float64 // of the logarithm
+	n              int
+}
+
+func (e estimate) known() bool { return e.n >= enoughSamples }
+
+func (e estimate) median() time.Duration { return seconds(math.Exp(e.mean)) }
+
+func (e estimate) high() time.Duration {
+	return seconds(math.Exp(e.mean + ninthDecile*math.Sqrt(e.variance)))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// with returns e after one more sample of the logarithm x.
+func (e estimate) with(x float64) estimate {
+	e.n++
+	w := math.Max(workWeight, 1/float64(e.n))
+	d := x - e.mean
+	e.mean += w * d
+	e.variance = (1 - w) * (e.variance + w*d*d)
+	return e
+}
+
+// predictor keeps an estimate for each kind of work, for a bounded number of
+// kinds. The zero value is ready for use.
+type predictor struct {
+	mu    sync.Mutex
+	kinds *lru.Cache[workKey, estimate]
+}
+
+// add takes in a sample in seconds.
+func (p *predictor) add(k workKey, s float64) {
+	x := math.Log(math.Max(s, minSample))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.init()
+	p.addTo(k, x)
+	for _, w := range k.wider() {
+		p.addTo(w, x)
+	}
+}
+
+func (p *predictor) init() {
+	if p.kinds == nil {
+		p.kinds, _ = lru.New[workKey, estimate](maxWorkKinds) // fails only for a size below one
+	}
+}
+
+func (p *predictor) addTo(k workKey, x float64) {
+	e, _ := p.kinds.Get(k)
+	p.kinds.Add(k, e.with(x))
+}
+
+// estimate returns the narrowest estimate with enough samples.
+func (p *predictor) estimate(k workKey) estimate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.init()
+	if e, ok := p.kinds.Get(k); ok && e.known() {
+		return e
+	}
+	for _, w := range k.wider() {
+		if e, ok := p.kinds.Get(w); ok && e.known() {
+			return e
+		}
+	}
+	return estimate{mean: math.Log(unseenWork.Seconds()), variance: unseenVariance}
+}
+
+// typical returns the estimate over all work of a pool.
+func (p *predictor) typical(pool string) estimate {
+	return p.estimate(workKey{Pool: pool})
+}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -1,6 +1,14 @@
 // Package queue decides which target runs an attempt and when. A Dispatcher is
 // asked by the pipeline for each attempt, hands out a Grant of one slot and is
 // told when the attempt is done. The policy is chosen in the settings.
+//
+// Three parts make up the policies. A board orders waiting attempts and knows
+// the slots and the observed speed of a set of targets. With OwnShare each host
+// has a board of its own with its share of the slots. With SharedQueue the
+// targets of a pool are cut into shards, and one host, the holder, keeps the
+// board of a shard; entry hosts ask it over net/rpc and fall back to their own
+// share when it does not answer. Random and the LeastOfTwo policies keep counts
+// alone. All of it is soft state: losing it costs time, never an answer.
 package queue
 
 import (
@@ -10,6 +18,7 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
@@ -20,10 +29,13 @@
 	AttemptID string
 	RequestID string
 	Workspace string
-	Pipeline  string
-	Pool      string
-	Model     string
-	Priority  int
+	// Share is the weight of the workspace; zero is one.
+	Share    float64
+	Pipeline string
+	Stage    string
+	Pool     string
+	Model    string
+	Priority int
 	// Deadline is the time by which this stage should end for the request to
 	// meet its own deadline.
 	Deadline time.Time
@@ -43,8 +55,29 @@
 	Target    *declaration.Target
 	Ask       Ask
 	At        time.Time
+
+	from source
 }
 
+// source is where a grant came from and goes back to.
+type source interface{ isSource() }
+
+// counted grants come from the counts of this host.
+type counted struct{}
+
+// ownBoard grants come from this host's own board of a pool.
+type ownBoard struct{ board *board }
+
+// heldShard grants come from the holder of a shard.
+type heldShard struct {
+	key  shardKey
+	link *holderLink // nil when this host is the holder
+}
+
+func (counted) isSource()   {}
+func (ownBoard) isSource()  {}
+func (heldShard) isSource() {}
+
 // OutcomeKind says how an attempt ended.
 type OutcomeKind int
 
@@ -67,96 +100,98 @@
 
 // Dispatcher grants slots. Exported fields are set before Run.
 type Dispatcher struct {
-	Clock   *clock.Service
-	Targets *target.Registry
-	Policy  Policy
-	Rand    *rand.Rand
-
-	mu          sync.Mutex
-	outstanding map[string]int
+	Clock    *clock.Service
+	Targets  *target.Registry
+	Exchange *peer.Exchange
+	Caller   *peer.Caller
+	Policy   Policy
+	Rand     *rand.Rand
+
+	mu     sync.Mutex
+	counts counts
+	own    map[string]*board
+	holder holder
+	links  links
+	work   predictor // what this host saw itself
 }
 
-// Policy is a way to choose targets.
-type Policy interface{ isPolicy() }
-
-// Random picks any usable target.
-type Random struct{}
-
-// LeastOfTwo picks the less loaded of two random targets by this host's counts.
-type LeastOfTwo struct{}
-
-func (Random) isPolicy()     {}
-func (LeastOfTwo) isPolicy() {}
-
-// Acquire waits for a slot. Its error is a *result.Error.
+// Acquire waits for a slot until ctx ends. Its error is a *result.Error.
 func (d *Dispatcher) Acquire(ctx context.Context, a Ask) (*Grant, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.outstanding == nil {
-		d.outstanding = map[string]int{}
-	}
-	usable := without(d.Targets.Usable(a.Pool, a.Model), a.Exclude)
-	if len(usable) == 0 {
-		return nil, refuse(a, result.NoTarget, "no usable target in pool %s", a.Pool)
+	switch d.Policy.(type) {
+	case Random, LeastOfTwo, LeastOfTwoExchanged:
+		return d.pick(a)
+	case OwnShare:
+		return d.acquireOwn(ctx, a)
+	case SharedQueue:
+		return d.acquireShared(ctx, a)
+	default:
+		panic("queue: unexpected policy")
 	}
-	t := d.choose(usable)
-	d.outstanding[t.Name]++
-	return &Grant{AttemptID: a.AttemptID, Target: t, Ask: a, At: d.Clock.Now()}, nil
 }
 
-func (d *Dispatcher) choose(usable []*declaration.Target) *declaration.Target {
-	a := usable[d.Rand.IntN(len(usable))]
-	switch d.Policy.(type) {
-	case Random:
-		return a
+// Done gives the slot of g back. It must be called once for each grant.
+func (d *Dispatcher) Done(g *Grant, o Outcome) {
+	switch from := g.from.(type) {
+	case counted:
+		d.putBack(g)
+	case ownBoard:
+		from.board.complete(g.AttemptID, o, d.Clock.Now())
+	case heldShard:
+		d.report(from, g, o)
 	default:
-		b := usable[d.Rand.IntN(len(usable))]
-		if d.outstanding[b.Name]*a.Slots < d.outstanding[a.Name]*b.Slots {
-			return b
-		}
-		return a
+		panic("queue: unexpected source of a grant")
+	}
+	if o.Kind == Succeeded {
+		d.work.add(workKeyOf(&g.Ask), o.Took.Seconds())
 	}
 }
 
-// refuse says that nothing ran only where that is true.
-func refuse(a Ask, code result.Code, format string, args ...any) error {
-	if a.First {
-		return result.NotRun(code, format, args...)
-	}
-	return result.Failed(result.StageFailed, format, args...)
+// Quantiles returns the median and the ninth decile of the time that such
+// attempts took from this host, and false before enough were seen.
+func (d *Dispatcher) Quantiles(a *Ask) (median, high time.Duration, ok bool) {
+	e := d.work.estimate(workKeyOf(a))
+	return e.median(), e.high(), e.known()
 }
 
-func without(targets []*declaration.Target, names []string) []*declaration.Target {
-	if len(names) == 0 {
-		return targets
-	}
-	var out []*declaration.Target
-	for _, t := range targets {
-		if !contains(names, t.Name) {
-			out = append(out, t)
-		}
+// refuse says that nothing ran only where that is true.
+func refuse(a *Ask, code result.Code, retry time.Duration, format string, args ...any) error {
+	if !a.First {
+		return result.Failed(result.StageFailed, code.String()+": "+format, args...)
 	}
-	return out
+	err := result.NotRun(code, format, args...)
+	err.RetryAfter = retry
+	return err
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
+// tickPeriod is how often boards look for late work and links for silence.
+const tickPeriod = 50 * time.Millisecond
+
+// Run does the dispatcher's background work until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ticks := d.Clock.Subscribe(ctx, tickPeriod)
+	for {
+		select {
+		case <-ticks:
+			d.tick(ctx, d.Clock.Now())
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
-	return false
 }
 
-// Done gives the slot of g back.
-func (d *Dispatcher) Done(g *Grant, o Outcome) {
+func (d *Dispatcher) tick(ctx context.Context, now time.Time) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.outstanding[g.Target.Name]--
-}
-
-// Run does the dispatcher's background work until ctx ends.
-func (d *Dispatcher) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return ctx.Err()
+	boards := make([]*board, 0, len(d.own))
+	for _, b := range d.own {
+		boards = append(boards, b)
+	}
+	d.mu.Unlock()
+	for _, b := range boards {
+		b.tick(now)
+	}
+	d.holder.tick(now)
+	d.tickLinks(ctx, now)
+	if _, ok := d.Policy.(LeastOfTwoExchanged); ok {
+		d.exchangeCounts(ctx, now)
+	}
 }
--- /dev/null
+++ b/internal/queue/share.go
@@ -0,0 +1,140 @@
+package queue
+
+import (
+	"sort"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// Parameters of the workspaces' shares.
+const (
+	maxWorkspaces = 2048
+	// shareIdle is the time after which a silent workspace leaves its share to
+	// the others, shareBurst the time whose share of work it may use at once.
+	shareIdle  = 2 * time.Second
+	shareBurst = time.Second
+)
+
+// shares is a bucket of work for each workspace that was seen lately.
+type shares struct {
+	buckets *lru.Cache[string, *bucket]
+	sum     float64 // of the active workspaces' weights
+	counted time.Time
+}
+
+type bucket struct {
+	weight float64
+	left   float64 // seconds of work at speed one
+	at     time.Time
+}
+
+// spend takes work from the bucket of a's workspace. It reports whether the
+// workspace is within its share of capacity, which is work a second.
+func (s *shares) spend(a *Ask, work, capacity float64, now time.Time) bool {
+	if s.buckets == nil {
+		s.buckets, _ = lru.New[string, *bucket](maxWorkspaces) // fails only for a size below one
+	}
+	k, ok := s.buckets.Get(a.Workspace)
+	if !ok {
+		k = &bucket{at: now.Add(-shareBurst)}
+		s.buckets.Add(a.Workspace, k)
+		s.counted = time.Time{}
+	}
+	k.weight = a.Share
+	if k.weight <= 0 {
+		k.weight = 1
+	}
+	s.count(now)
+	rate := capacity * k.weight / max(s.sum, k.weight)
+	k.left = min(k.left+rate*now.Sub(k.at).Seconds(), rate*shareBurst.Seconds())
+	k.at = now
+	if k.left < work {
+		return false
+	}
+	k.left -= work
+	return true
+}
+
+// countPeriod is how often the active workspaces are counted anew.
+const countPeriod = 500 * time.Millisecond
+
+func (s *shares) count(now time.Time) {
+	if now.Sub(s.counted) < countPeriod {
+		return
+	}
+	s.counted = now
+	s.sum = 0
+	for _, k := range s.buckets.Values() {
+		if now.Sub(k.at) < shareIdle {
+			s.sum += k.weight
+		}
+	}
+}
+
+// ownSlots returns the slots of targets that self may grant alone: each host
+// gets an equal part, and the remainder goes by a hash of target and host. A
+// host that would get nothing gets one slot of one target.
+func ownSlots(targets []*declaration.Target, m *peer.Members, self string) []slotCount {
+	var out []slotCount
+	for _, t := range targets {
+		n := t.Slots / len(m.Hosts)
+		if rank(m, self, t.Name) < t.Slots%len(m.Hosts) {
+			n++
+		}
+		if n > 0 {
+			out = append(out, slotCount{target: t, slots: n})
+		}
+	}
+	if len(out) == 0 && len(targets) > 0 {
+		i := xxhash.Sum64String(self) % uint64(len(targets))
+		out = append(out, slotCount{target: targets[i], slots: 1})
+	}
+	return out
+}
+
+// rank is the place of self among the hosts by their hash with key.
+func rank(m *peer.Members, self, key string) int {
+	own := xxhash.Sum64String(self + "\x00" + key)
+	n := 0
+	for i := range m.Hosts {
+		if xxhash.Sum64String(m.Hosts[i].Name+"\x00"+key) > own {
+			n++
+		}
+	}
+	return n
+}
+
+// shardSize is the number of targets that a shard has on average at most.
+const shardSize = 24
+
+// shardKey names a shard of a pool.
+type shardKey struct {
+	Pool  string
+	Shard int
+}
+
+// shardCount returns the number of shards for n targets.
+func shardCount(n int) int {
+	if n <= shardSize {
+		return 1
+	}
+	return (n + shardSize - 1) / shardSize
+}
+
+// shardTargets returns the targets of one shard with all their slots, sorted by
+// name.
+func shardTargets(targets []*declaration.Target, shard int) []slotCount {
+	shards := uint64(shardCount(len(targets)))
+	var out []slotCount
+	for _, t := range targets {
+		if xxhash.Sum64String(t.Name)%shards == uint64(shard) {
+			out = append(out, slotCount{target: t, slots: t.Slots})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].target.Name < out[j].target.Name })
+	return out
+}
--- /dev/null
+++ b/internal/queue/shared.go
@@ -0,0 +1,86 @@
+package queue
+
+import (
+	"context"
+	"errors"
+	"fmt"
+)
+
+// acquireShared asks the holder of one of the pool's shards, and falls back to
+// this host's own share when it does not answer.
+func (d *Dispatcher) acquireShared(ctx context.Context, a Ask) (*Grant, error) {
+	k := d.shardFor(&a)
+	h := d.Exchange.Members().Holder(k.holderKey())
+	args := d.grantArgs(&a, k)
+	if h.Name == d.Exchange.Self.Name {
+		return d.acquireHere(ctx, a, args)
+	}
+	l := d.link(h)
+	reply, err := d.grant(ctx, l, args)
+	if errors.Is(err, errHolderDown) {
+		return d.acquireOwn(ctx, a)
+	}
+	if err != nil {
+		d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
+		return nil, ended(ctx, &a)
+	}
+	x := decision{target: reply.Target, code: reply.Code, retry: reply.Retry, message: reply.Message}
+	l.hold(&a, k, x.target, d)
+	return d.granted(&a, x, heldShard{key: k, link: l})
+}
+
+// hold records a grant of the holder, for the whole lists.
+func (l *holderLink) hold(a *Ask, k shardKey, target string, d *Dispatcher) {
+	if target == "" {
+		return
+	}
+	now := d.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held[a.AttemptID] = heldGrant{shard: k, target: target, at: now, work: workKeyOf(a)}
+}
+
+// acquireHere waits at a board that this host holds itself.
+func (d *Dispatcher) acquireHere(ctx context.Context, a Ask, args *GrantArgs) (*Grant, error) {
+	args.Host = "" // no lease: this host's own end frees the board too
+	b, answer := d.enqueueAt(args)
+	select {
+	case x := <-answer:
+		return d.granted(&a, x, heldShard{key: args.Shard})
+	case <-ctx.Done():
+		b.complete(a.AttemptID, Outcome{Kind: Abandoned}, d.Clock.Now())
+		return nil, ended(ctx, &a)
+	}
+}
+
+// report gives a slot back to the board that granted it.
+func (d *Dispatcher) report(from heldShard, g *Grant, o Outcome) {
+	if from.link == nil {
+		d.heldBoard(from.key).complete(g.AttemptID, o, d.Clock.Now())
+		return
+	}
+	d.send(from.link, Completion{Shard: from.key, AttemptID: g.AttemptID, Outcome: o})
+}
+
+func (d *Dispatcher) grantArgs(a *Ask, k shardKey) *GrantArgs {
+	return &GrantArgs{
+		Host: d.Exchange.Self.Name, Shard: k, AttemptID: a.AttemptID, Workspace: a.Workspace, Share: a.Share,
+		Pipeline: a.Pipeline, Stage: a.Stage, Model: a.Model, Priority: a.Priority,
+		TimeLeft: a.Deadline.Sub(d.Clock.Now()), PromptBytes: a.PromptBytes, Prefix: a.Prefix,
+		Exclude: a.Exclude, First: a.First,
+	}
+}
+
+// holderKey is what the holder of a shard is chosen by.
+func (k shardKey) holderKey() string { return fmt.Sprintf("Queue/%s/%d", k.Pool, k.Shard) }
+
+// shardFor chooses the shard of a pool for a.
+func (d *Dispatcher) shardFor(a *Ask) shardKey {
+	n := shardCount(len(d.Targets.Usable(a.Pool, "")))
+	if n == 1 {
+		return shardKey{Pool: a.Pool}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return shardKey{Pool: a.Pool, Shard: d.Rand.IntN(n)}
+}
--- /dev/null
+++ b/internal/queue/speed.go
@@ -0,0 +1,129 @@
+package queue
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"berylswitch.example/berylswitch/pkg/declaration"
+)
+
+// Parameters of the observed speeds.
+const (
+	pastWeight     = 0.02  // of a sample in the long-term speed, once there are many
+	slowPastWeight = 0.002 // while the target is slowed, so that it keeps its past
+	recentWeight   = 0.25
+	reliefWeight   = 0.5 // of a sample that is faster than the recent speed
+	maxLogSample   = 4.0
+	// slowedRatio is the recent speed relative to the past and to the shard
+	// below which a target gets fewer slots, trickleRatio that below which it
+	// gets one attempt a tricklePeriod.
+	slowedRatio   = 0.6
+	trickleRatio  = 0.34
+	tricklePeriod = time.Second
+	// overdueFactor is how many times its predicted time an attempt must run to
+	// count as evidence, and overdueLeast how many attempts of one target.
+	overdueFactor = 2.5
+	overdueLeast  = 2
+)
+
+// slotState is a target as a board sees it. The board's mutex guards it.
+type slotState struct {
+	target *declaration.Target
+	slots  int
+	leases map[string]*lease
+
+	past    float64 // logarithm of the speed, relative to predicted work
+	recent  float64
+	samples int
+	overdue float64 // logarithm of the speed that running attempts show, or 0
+	ratio   float64 // recent over past, relative to the shard's median
+	trickle time.Time
+}
+
+// lease is one granted slot.
+type lease struct {
+	id      string
+	owner   string // the entry host, empty for this one
+	at      time.Time
+	renewed time.Time
+	work    float64 // predicted seconds at speed one
+	long    bool
+	key     workKey
+	target  *slotState
+}
+
+// speed is the present speed relative to predicted work.
+func (s *slotState) speed() float64 { return math.Exp(s.past) * s.ratio }
+
+// observe takes in that work of the predicted size took so many seconds.
+func (s *slotState) observe(work, took float64) {
+	x := math.Log(work / math.Max(took, minSample))
+	x = math.Max(-maxLogSample, math.Min(maxLogSample, x))
+	s.samples++
+	if s.samples == 1 {
+		s.past, s.recent = x, x
+		return
+	}
+	w := recentWeight
+	if x > s.recent {
+		w = reliefWeight
+	}
+	s.recent += w * (x - s.recent)
+	w = math.Max(pastWeight, 1/float64(s.samples))
+	if s.ratio < slowedRatio {
+		w = slowPastWeight
+	}
+	s.past += w * (x - s.past)
+}
+
+// lookAtRunning notes the speed that attempts show which run for longer than
+// predicted, once they are half of those that run.
+func (s *slotState) lookAtRunning(now time.Time) {
+	s.overdue = 0
+	var late []float64
+	for _, l := range s.leases {
+		ran := now.Sub(l.at).Seconds() * math.Exp(s.past)
+		if ran > overdueFactor*l.work {
+			late = append(late, l.work/ran)
+		}
+	}
+	if len(late) >= overdueLeast && 2*len(late) >= len(s.leases) {
+		sort.Float64s(late)
+		s.overdue = math.Log(late[len(late)/2])
+	}
+}
+
+// ownRatio is the recent speed relative to the target's own past.
+func (s *slotState) ownRatio() float64 {
+	return math.Exp(math.Min(s.recent-s.past, s.overdue))
+}
+
+// judge sets the ratio of each target relative to the median of all.
+func judge(targets []*slotState) {
+	if len(targets) == 0 {
+		return
+	}
+	ratios := make([]float64, len(targets))
+	for i, s := range targets {
+		ratios[i] = s.ownRatio()
+	}
+	sorted := append([]float64(nil), ratios...)
+	sort.Float64s(sorted)
+	median := math.Max(sorted[len(sorted)/2], minSample)
+	for i, s := range targets {
+		s.ratio = math.Min(1, ratios[i]/median)
+	}
+}
+
+// room reports whether s may get one more attempt now.
+func (s *slotState) room(now time.Time) bool {
+	switch {
+	case s.ratio >= slowedRatio:
+		return len(s.leases) < s.slots
+	case s.ratio >= trickleRatio:
+		return len(s.leases) < int(math.Ceil(float64(s.slots)*s.ratio))
+	default:
+		return len(s.leases) == 0 && now.Sub(s.trickle) >= tricklePeriod
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -95,7 +95,7 @@
 		return
 	}
 	start := time.Now()
-	w.work(r, work.Service)
+	w.work(r, work.ServiceOf(run.Stage))
 	text := strings.TrimSpace(work.Previous + " " + w.Name + "(" + run.Stage + ": " + work.Text + ")")
 	enc := json.NewEncoder(rw)
 	enc.Encode(contract.Piece{AttemptID: run.AttemptID, Data: text})
