--- /dev/null
+++ b/internal/experiment/bound.go
@@ -0,0 +1,262 @@
+package experiment
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+// Rule orders the one queue of the bound.
+type Rule struct {
+	Name string
+	// Shortest goes by service time, otherwise by deadline.
+	Shortest bool
+	// LongShare is the share of the engines' slots that long work may hold.
+	LongShare float64
+}
+
+// rules are the orders of which the bound takes the best for each measure.
+var rules = []Rule{
+	{Name: "deadline", LongShare: 0.5},
+	{Name: "deadline, long work in few slots", LongShare: 0.3},
+	{Name: "deadline, long work in most slots", LongShare: 0.8},
+	{Name: "shortest", Shortest: true, LongShare: 0.5},
+	{Name: "shortest, long work in few slots", Shortest: true, LongShare: 0.3},
+}
+
+// Bound answers the requests by one queue for each pool that knows every
+// service time and every target's speed, now and later, without any network.
+func Bound(s *Site, l *Load, requests []Request, rule Rule) []Sample {
+	b := &bound{site: s, load: l, rule: rule, requests: requests, samples: make([]Sample, len(requests)), pools: map[string]*boundPool{}}
+	for _, t := range s.Targets {
+		p := b.pools[t.Pool]
+		if p == nil {
+			p = &boundPool{}
+			b.pools[t.Pool] = p
+		}
+		for range t.Slots {
+			p.slots = append(p.slots, &boundSlot{target: t})
+		}
+	}
+	for i := range requests {
+		heap.Push(&b.events, boundEvent{at: requests[i].At, job: i})
+	}
+	for b.events.Len() > 0 {
+		e := heap.Pop(&b.events).(boundEvent)
+		b.arrive(e)
+	}
+	return b.samples
+}
+
+type bound struct {
+	site     *Site
+	load     *Load
+	rule     Rule
+	requests []Request
+	samples  []Sample
+	pools    map[string]*boundPool
+	events   boundEvents
+}
+
+type boundPool struct {
+	slots   []*boundSlot
+	waiting []boundJob
+	long    int
+}
+
+type boundSlot struct {
+	target TargetSite
+	free   time.Duration
+	busy   bool
+}
+
+type boundJob struct{ job, stage int }
+
+// boundEvent is the arrival of a job at a stage, after slot ended its last one.
+type boundEvent struct {
+	at    time.Duration
+	job   int
+	stage int
+	slot  *boundSlot
+	pool  *boundPool
+	long  bool
+}
+
+type boundEvents []boundEvent
+
+func (e boundEvents) Len() int           { return len(e) }
+func (e boundEvents) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e boundEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *boundEvents) Push(x any)        { *e = append(*e, x.(boundEvent)) }
+func (e *boundEvents) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (b *bound) pipeline(job int) *PipelineSite { return &b.site.Pipelines[b.requests[job].Pipeline] }
+
+func (b *bound) deadline(job int) time.Duration {
+	return b.requests[job].At + b.pipeline(job).Deadline
+}
+
+// arrive frees the slot of the stage before and queues the next.
+func (b *bound) arrive(e boundEvent) {
+	if e.slot != nil {
+		e.slot.busy = false
+		if e.long {
+			e.pool.long--
+		}
+		b.dispatch(e.pool, e.at)
+	}
+	stages := b.pipeline(e.job).Stages
+	if e.stage == len(stages) {
+		b.finish(e.job, e.at)
+		return
+	}
+	p := b.pools[stages[e.stage].Pool]
+	j := boundJob{e.job, e.stage}
+	i := sort.Search(len(p.waiting), func(i int) bool { return b.before(j, p.waiting[i]) })
+	p.waiting = append(p.waiting, boundJob{})
+	copy(p.waiting[i+1:], p.waiting[i:])
+	p.waiting[i] = j
+	b.dispatch(p, e.at)
+}
+
+func (b *bound) finish(job int, at time.Duration) {
+	q := &b.requests[job]
+	b.samples[job] = Sample{Request: q, OK: true, Took: at - q.At, OnTime: at <= b.deadline(job)}
+}
+
+func (b *bound) before(x, y boundJob) bool {
+	lx, ly := b.pipeline(x.job).Long, b.pipeline(y.job).Long
+	if lx != ly {
+		return !lx
+	}
+	if b.rule.Shortest {
+		return b.requests[x.job].Service[x.stage] < b.requests[y.job].Service[y.stage]
+	}
+	return b.deadline(x.job) < b.deadline(y.job)
+}
+
+// dispatch starts what can be started, and drops what would be late.
+func (b *bound) dispatch(p *boundPool, now time.Duration) {
+	rest := p.waiting[:0]
+	for i, j := range p.waiting {
+		if !anyFree(p) {
+			rest = append(rest, p.waiting[i:]...)
+			break
+		}
+		if b.doomed(j, p, now) {
+			b.samples[j.job] = Sample{Request: &b.requests[j.job], Refused: true}
+			continue
+		}
+		if !b.start(j, p, now) {
+			rest = append(rest, j)
+		}
+	}
+	p.waiting = rest
+}
+
+func anyFree(p *boundPool) bool {
+	for _, s := range p.slots {
+		if !s.busy {
+			return true
+		}
+	}
+	return false
+}
+
+// end is when a job that starts now at a slot ends there.
+func (b *bound) end(j boundJob, s *boundSlot, now time.Duration) time.Duration {
+	left := float64(b.requests[j.job].Service[j.stage])
+	at := now
+	for {
+		speed := s.target.Speed / b.load.slowdown(s.target.Name, at)
+		done := at + time.Duration(left/speed)
+		change, ok := b.load.nextChange(s.target.Name, at)
+		if !ok || change >= done {
+			return done
+		}
+		left -= float64(change-at) * speed
+		at = change
+	}
+}
+
+// nextChange is the next time at which the slowdown of a target changes.
+func (l *Load) nextChange(target string, at time.Duration) (time.Duration, bool) {
+	next, ok := time.Duration(0), false
+	for _, d := range l.Slowdowns {
+		for _, t := range []time.Duration{d.From, d.To} {
+			if d.Target == target && t > at && (!ok || t < next) {
+				next, ok = t, true
+			}
+		}
+	}
+	return next, ok
+}
+
+// doomed reports whether j can't be on time even at once on the fastest target.
+func (b *bound) doomed(j boundJob, p *boundPool, now time.Duration) bool {
+	best := time.Duration(1<<63 - 1)
+	for _, s := range p.slots {
+		best = min(best, b.end(j, s, now))
+	}
+	return best > b.deadline(j.job)
+}
+
+// start gives j the slot where it ends first, unless one that is busy would
+// end it sooner.
+func (b *bound) start(j boundJob, p *boundPool, now time.Duration) bool {
+	long := b.pipeline(j.job).Long && b.site.Engine == b.pipeline(j.job).Stages[j.stage].Pool
+	if long && float64(p.long+1) > b.rule.LongShare*float64(len(p.slots)) {
+		return false
+	}
+	var best *boundSlot
+	for _, s := range p.slots {
+		if !s.busy && (best == nil || b.rather(j, s, best, now, long)) {
+			best = s
+		}
+	}
+	end := b.end(j, best, now)
+	if b.waits(j, p, now, end) {
+		return false
+	}
+	best.busy, best.free = true, end
+	if long {
+		p.long++
+	}
+	heap.Push(&b.events, boundEvent{at: end, job: j.job, stage: j.stage + 1, slot: best, pool: p, long: long})
+	return true
+}
+
+// rather reports whether j should go to x before y: short work where it ends
+// first, long work on the slowest target that is in time.
+func (b *bound) rather(j boundJob, x, y *boundSlot, now time.Duration, long bool) bool {
+	ex, ey := b.end(j, x, now), b.end(j, y, now)
+	if long {
+		left := (b.deadline(j.job) - now) / 2
+		if (ex-now < left) != (ey-now < left) {
+			return ex-now < left
+		}
+		if ex-now < left {
+			return ex > ey
+		}
+	}
+	return ex < ey
+}
+
+// waits reports whether j would end sooner on a slot that is busy until later.
+func (b *bound) waits(j boundJob, p *boundPool, now, end time.Duration) bool {
+	if b.pipeline(j.job).Long {
+		return end > b.deadline(j.job)
+	}
+	for _, s := range p.slots {
+		if s.busy && s.free < end && b.end(j, s, s.free) < end {
+			// Only a slowed target is worth waiting for another.
+			return end-now > 2*(b.end(j, s, s.free)-now)
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/queue"
+)
+
+var (
+	experimentFlag = flag.String("experiment", "", "names of experiments to run and print, or all")
+	seedFlag       = flag.Uint64("seed", 1, "seed of the arrivals")
+	siteFlag       = flag.String("site", "", "the site to run, or empty for all")
+	policyFlag     = flag.String("policy", "", "policies to run, comma-separated; empty means all")
+)
+
+// play runs one policy's load in a bubble.
+func play(t *testing.T, s *Site, l *Load, policy string, requests []Request) *Result {
+	t.Helper()
+	var out *Result
+	synctest.Test(t, func(t *testing.T) {
+		r := &Run{Site: s, Load: l, Policy: policy}
+		samples, err := r.Do(t.Context(), requests)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = Measure(s, l, policy, samples)
+	})
+	return out
+}
+
+func policies() []string {
+	if *policyFlag != "" {
+		return strings.Split(*policyFlag, ",")
+	}
+	return queue.PolicyNames
+}
+
+// TestExperiment runs the named experiments with every policy and the bound on
+// the same arrivals, and prints their tables.
+func TestExperiment(t *testing.T) {
+	if *experimentFlag == "" {
+		t.Skip("no -experiment")
+	}
+	for _, e := range Experiments(*seedFlag) {
+		if *experimentFlag != "all" && !strings.Contains(","+*experimentFlag+",", ","+e.Load.Name+",") {
+			continue
+		}
+		if *siteFlag != "" && *siteFlag != e.Site.Name {
+			continue
+		}
+		start := time.Now()
+		requests := e.Load.Requests(e.Site)
+		results := []*Result{BestBound(e.Site, e.Load, requests)}
+		for _, p := range policies() {
+			results = append(results, play(t, e.Site, e.Load, p, requests))
+		}
+		t.Logf("%s at %s, seed %d, %d requests, %v", e.Load.Name, e.Site.Name, *seedFlag, len(requests), time.Since(start))
+		Table(os.Stdout, results)
+		CostTable(os.Stdout, results[len(results)-1])
+	}
+}
