Judge targets by the median of recent work, and keep long work off short slots

The boards showed healthy targets judged as slowed down to 0.03 of their speed, because a few long jobs whose kind was not yet known counted as evidence. Change: the recent speed is the median of five samples, attempts found to be long give no evidence, running long work teaches its kind before it ends.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -15,6 +16,7 @@
 	experimentFlag = flag.String("experiment", "", "names of experiments to run and print, or all")
 	seedFlag       = flag.Uint64("seed", 1, "seed of the arrivals")
 	siteFlag       = flag.String("site", "", "the site to run, or empty for all")
+	traceFlag      = flag.Duration("boards", 0, "print the held boards of the engines at this period")
 	policyFlag     = flag.String("policy", "", "policies to run, comma-separated; empty means all")
 )
 
@@ -24,6 +26,10 @@
 	var out *Result
 	synctest.Test(t, func(t *testing.T) {
 		r := &Run{Site: s, Load: l, Policy: policy}
+		if *traceFlag > 0 {
+			r.Trace = func(at time.Duration) { trace(r, at) }
+			r.TracePeriod = *traceFlag
+		}
 		samples, err := r.Do(t.Context(), requests)
 		if err != nil {
 			t.Fatal(err)
@@ -33,6 +39,22 @@
 	return out
 }
 
+// trace prints the boards of the engines.
+func trace(r *Run, at time.Duration) {
+	for _, h := range r.hosts {
+		for _, b := range h.host.Dispatcher.Held() {
+			if b.Pool != r.Site.Engine {
+				continue
+			}
+			fmt.Printf("%v %s waiting %d+%d typical %v:", at, h.host.Settings.Name, b.Short, b.Long, b.Typical)
+			for _, t := range b.Targets {
+				fmt.Printf(" %d/%d(%d)x%.2f*%.2f", t.Held, t.Slots, t.Long, t.Speed, t.Ratio)
+			}
+			fmt.Println()
+		}
+	}
+}
+
 func policies() []string {
 	if *policyFlag != "" {
 		return strings.Split(*policyFlag, ",")
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -40,6 +40,9 @@
 	Site   *Site
 	Load   *Load
 	Policy string
+	// Trace, unless nil, is called every TracePeriod while requests arrive.
+	Trace       func(at time.Duration)
+	TracePeriod time.Duration
 
 	net     *link.Memory
 	hosts   []*runHost
@@ -198,6 +201,11 @@
 	for _, e := range r.Load.Events {
 		r.at(start, e.At, func() { r.happen(e) })
 	}
+	if r.Trace != nil {
+		for at := r.TracePeriod; at < r.Load.End; at += r.TracePeriod {
+			r.at(start, at, func() { r.Trace(at) })
+		}
+	}
 	for i := range requests {
 		time.Sleep(time.Until(start.Add(requests[i].At)))
 		wg.Add(1)
--- a/internal/queue/board.go
+++ b/internal/queue/board.go
@@ -17,8 +17,10 @@
 	// longFactor is how many times the typical work of the pool makes a ticket
 	// long.
 	longFactor = 8
-	// longShare is the share of a board's slots that long work may hold.
-	longShare = 0.5
+	// longShare is the share of a board's slots that long work may hold, and
+	// urgentShare the share once it is urgent.
+	longShare   = 0.25
+	urgentShare = 0.75
 	// urgentFactor is the time left, in multiples of the predicted time, at
 	// which long work goes among the short.
 	urgentFactor = 3
@@ -215,24 +217,26 @@
 // work, then to long work. b.mu is held.
 func (b *board) schedule(now time.Time) {
 	judge(b.targets)
-	urgent := func(t *ticket) bool {
-		return t.ask.Deadline.Sub(now) < urgentFactor*b.least(t)
-	}
-	b.long = b.grantFrom(b.long, now, urgent)
-	b.short = b.grantFrom(b.short, now, nil)
-	b.long = b.grantFrom(b.long, now, nil)
+	b.long = b.grantFrom(b.long, now, true)
+	b.short = b.grantFrom(b.short, now, false)
+	b.long = b.grantFrom(b.long, now, false)
+}
+
+// urgent reports whether a long ticket has little time left.
+func (b *board) urgent(t *ticket, now time.Time) bool {
+	return t.ask.Deadline.Sub(now) < urgentFactor*b.least(t)
 }
 
-// grantFrom grants slots to the tickets of a list that only allows, and returns
-// those that go on waiting.
-func (b *board) grantFrom(list []*ticket, now time.Time, only func(*ticket) bool) []*ticket {
+// grantFrom grants slots to the tickets of a list, or to the urgent ones alone,
+// and returns those that go on waiting.
+func (b *board) grantFrom(list []*ticket, now time.Time, urgent bool) []*ticket {
 	rest := list[:0]
 	for i, t := range list {
 		if !b.anyRoom(now) {
 			rest = append(rest, list[i:]...)
 			break
 		}
-		if (only != nil && !only(t)) || !b.settle(t, now) {
+		if (urgent && !b.urgent(t, now)) || !b.settle(t, now) {
 			rest = append(rest, t)
 		}
 	}
@@ -257,7 +261,7 @@
 		t.deliver(decision{code: result.Overloaded, message: "no slot came free in time"})
 		return true
 	}
-	if t.long && !b.longRoom() {
+	if t.long && !b.longRoom(b.urgent(t, now)) {
 		return false
 	}
 	s := b.place(t, now)
@@ -270,7 +274,11 @@
 }
 
 // longRoom reports whether long work may hold one more slot.
-func (b *board) longRoom() bool {
+func (b *board) longRoom(urgent bool) bool {
+	share := longShare
+	if urgent {
+		share = urgentShare
+	}
 	slots, held := 0, 0
 	for _, s := range b.targets {
 		slots += s.slots
@@ -280,7 +288,7 @@
 			}
 		}
 	}
-	return held == 0 || float64(held+1) <= longShare*float64(slots)
+	return held == 0 || float64(held+1) <= share*float64(slots)
 }
 
 // place returns the target with room where t ends first. Long work takes the
@@ -358,10 +366,12 @@
 
 // learn updates the target's speed and the estimate of this kind of work.
 func (b *board) learn(l *lease, took float64) {
-	if e := b.work.estimate(l.key); e.known() {
+	if b.work.estimate(l.key).known() && !l.misjudged {
 		l.target.observe(l.work, took)
 	}
-	b.work.add(l.key, took*l.target.speed())
+	if l.target.ratio >= slowedRatio {
+		b.work.add(l.key, took*math.Exp(l.target.past))
+	}
 }
 
 func dropTicket(list []*ticket, id string) []*ticket {
@@ -393,10 +403,13 @@
 	b.schedule(now)
 }
 
-// reclass counts an attempt as long that runs for far longer than predicted.
+// reclass counts an attempt as long that has run for as long as long work
+// does, and lets the next of its kind be taken for long too.
 func (b *board) reclass(l *lease, now time.Time) {
-	if now.Sub(l.at).Seconds()*l.target.speed() > longFactor*l.work {
-		l.long = true
+	ran := now.Sub(l.at).Seconds() * l.target.speed()
+	if !l.long && ran > longFactor*math.Exp(b.work.typical(b.pool).mean) {
+		l.long, l.misjudged = true, true
+		b.work.atLeast(l.key, ran)
 	}
 }
 
--- a/internal/queue/predictor.go
+++ b/internal/queue/predictor.go
@@ -33,7 +33,7 @@
 // Parameters of the estimates.
 const (
 	maxWorkKinds   = 4096
-	enoughSamples  = 5
+	enoughSamples  = 3
 	workWeight     = 0.05                   // of a new sample, once there are many
 	ninthDecile    = 1.2816                 // of the standard normal distribution
 	unseenWork     = 100 * time.Millisecond // before anything was seen
@@ -45,6 +45,8 @@
 type estimate struct {
 	mean, variance float64 // of the logarithm
 	n              int
+	floor          float64 // lower bound of the logarithm, shown by running work
+	floored        bool
 }
 
 func (e estimate) known() bool { return e.n >= enoughSamples }
@@ -60,6 +62,7 @@
 // with returns e after one more sample of the logarithm x.
 func (e estimate) with(x float64) estimate {
 	e.n++
+	e.floored = e.floored && e.n < enoughSamples
 	w := math.Max(workWeight, 1/float64(e.n))
 	d := x - e.mean
 	e.mean += w * d
@@ -97,14 +100,39 @@
 	p.kinds.Add(k, e.with(x))
 }
 
+// atLeast notes that work of a kind is running that has taken s seconds
+// already; it counts until enough work of the kind has ended.
+func (p *predictor) atLeast(k workKey, s float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.init()
+	e, _ := p.kinds.Get(k)
+	x := math.Log(math.Max(s, minSample))
+	if e.known() || (e.floored && e.floor >= x) {
+		return
+	}
+	e.floor, e.floored = x, true
+	p.kinds.Add(k, e)
+}
+
 // estimate returns the narrowest estimate with enough samples.
 func (p *predictor) estimate(k workKey) estimate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.init()
-	if e, ok := p.kinds.Get(k); ok && e.known() {
+	e, ok := p.kinds.Get(k)
+	if ok && e.known() {
 		return e
 	}
+	out := p.wide(k)
+	if ok && e.floored {
+		out.mean = math.Max(out.mean, e.floor)
+	}
+	return out
+}
+
+// wide returns the narrowest estimate of the wider kinds.
+func (p *predictor) wide(k workKey) estimate {
 	for _, w := range k.wider() {
 		if e, ok := p.kinds.Get(w); ok && e.known() {
 			return e
--- a/internal/queue/speed.go
+++ b/internal/queue/speed.go
@@ -12,9 +12,8 @@
 const (
 	pastWeight     = 0.02  // of a sample in the long-term speed, once there are many
 	slowPastWeight = 0.002 // while the target is slowed, so that it keeps its past
-	recentWeight   = 0.25
-	reliefWeight   = 0.5 // of a sample that is faster than the recent speed
-	maxLogSample   = 4.0
+	maxStep        = 0.7   // of one sample from the long-term speed, logarithmic
+	recentSamples  = 5     // whose median is the recent speed
 	// slowedRatio is the recent speed relative to the past and to the shard
 	// below which a target gets fewer slots, trickleRatio that below which it
 	// gets one attempt a tricklePeriod.
@@ -24,7 +23,7 @@
 	// overdueFactor is how many times its predicted time an attempt must run to
 	// count as evidence, and overdueLeast how many attempts of one target.
 	overdueFactor = 2.5
-	overdueLeast  = 2
+	overdueLeast  = 3
 )
 
 // slotState is a target as a board sees it. The board's mutex guards it.
@@ -35,6 +34,7 @@
 
 	past    float64 // logarithm of the speed, relative to predicted work
 	recent  float64
+	last    [recentSamples]float64
 	samples int
 	overdue float64 // logarithm of the speed that running attempts show, or 0
 	ratio   float64 // recent over past, relative to the shard's median
@@ -49,8 +49,10 @@
 	renewed time.Time
 	work    float64 // predicted seconds at speed one
 	long    bool
-	key     workKey
-	target  *slotState
+	// misjudged says that the attempt was found to be long while it ran.
+	misjudged bool
+	key       workKey
+	target    *slotState
 }
 
 // speed is the present speed relative to predicted work.
@@ -59,43 +61,56 @@
 // observe takes in that work of the predicted size took so many seconds.
 func (s *slotState) observe(work, took float64) {
 	x := math.Log(work / math.Max(took, minSample))
-	x = math.Max(-maxLogSample, math.Min(maxLogSample, x))
+	s.last[s.samples%len(s.last)] = x
 	s.samples++
-	if s.samples == 1 {
-		s.past, s.recent = x, x
+	if s.samples < len(s.last) {
+		s.past += (x - s.past) / float64(s.samples)
 		return
 	}
-	w := recentWeight
-	if x > s.recent {
-		w = reliefWeight
-	}
-	s.recent += w * (x - s.recent)
-	w = math.Max(pastWeight, 1/float64(s.samples))
+	w := pastWeight
 	if s.ratio < slowedRatio {
 		w = slowPastWeight
 	}
-	s.past += w * (x - s.past)
+	s.past += w * math.Max(-maxStep, math.Min(maxStep, x-s.past))
+	s.recent = median(s.last[:])
+	if x-s.past > math.Log(slowedRatio) {
+		s.trickle = time.Time{} // the next attempt need not wait
+	}
+}
+
+func median(x []float64) float64 {
+	sorted := append([]float64(nil), x...)
+	sort.Float64s(sorted)
+	return sorted[len(sorted)/2]
 }
 
 // lookAtRunning notes the speed that attempts show which run for longer than
-// predicted, once they are half of those that run.
+// predicted, once they are half of those that run. Work known to be long
+// doesn't count: its prediction was wrong, not the target slow.
 func (s *slotState) lookAtRunning(now time.Time) {
 	s.overdue = 0
 	var late []float64
+	running := 0
 	for _, l := range s.leases {
+		if l.long {
+			continue
+		}
+		running++
 		ran := now.Sub(l.at).Seconds() * math.Exp(s.past)
 		if ran > overdueFactor*l.work {
-			late = append(late, l.work/ran)
+			late = append(late, math.Log(l.work/ran))
 		}
 	}
-	if len(late) >= overdueLeast && 2*len(late) >= len(s.leases) {
-		sort.Float64s(late)
-		s.overdue = math.Log(late[len(late)/2])
+	if len(late) >= overdueLeast && 2*len(late) >= running {
+		s.overdue = median(late)
 	}
 }
 
 // ownRatio is the recent speed relative to the target's own past.
 func (s *slotState) ownRatio() float64 {
+	if s.samples < len(s.last) {
+		return math.Exp(s.overdue)
+	}
 	return math.Exp(math.Min(s.recent-s.past, s.overdue))
 }
 
@@ -110,9 +125,9 @@
 	}
 	sorted := append([]float64(nil), ratios...)
 	sort.Float64s(sorted)
-	median := math.Max(sorted[len(sorted)/2], minSample)
+	middle := math.Max(sorted[len(sorted)/2], minSample)
 	for i, s := range targets {
-		s.ratio = math.Min(1, ratios[i]/median)
+		s.ratio = math.Min(1, ratios[i]/middle)
 	}
 }
 
