--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -27,6 +27,12 @@
 	answers answerTable
 }
 
+// SetSlowdown makes runs, those under way included, take factor times as long;
+// one is the worker's own speed.
+func (w *Worker) SetSlowdown(factor float64) {
+	w.SetFaults(TargetFaults{Slow: factor})
+}
+
 // ServeHTTP runs an attempt, answers whether a key ran and reports the load.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == ControlPath {
@@ -101,7 +107,7 @@
 	var work contract.Work
 	json.Unmarshal(run.Input, &work)
 	start := time.Now()
-	if !w.work(work.Service+w.BaseService, w.Speed, r.Context().Done()) {
+	if !w.work(work.ServiceOf(run.Stage)+w.BaseService, w.Speed, r.Context().Done()) {
 		return "", 0, false
 	}
 	if work.Crash {
