Keep channel timers out of bubbles

Cause: one run of scripts/test.sh ended in SIGSEGV inside the race detector, in runtime.(*timer).maybeRunChan from a select on a timer's channel (log stand-in). A channel timer that has expired when it is looked at runs on the reader's thread with the bubble's one race context; two such threads at once crash. Ruled out: our own memory use (no cgo, no unsafe), the stand-in's logic.

Change: clock.Timer closes its channel from a timer function, which only the bubble's scheduler runs; all channel timers and tickers of the code use it, and the test command refuses others.

Conclusion: the runtime's fault is avoided, not mended; it would show again as a SIGSEGV in a bubble.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -64,10 +64,10 @@
 
 // Sleep waits for d. It returns ctx's error when ctx ends first.
 func (s *Service) Sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
+	done, stop := Timer(d)
+	defer stop()
 	select {
-	case <-t.C:
+	case <-done:
 		s.gate()
 		return nil
 	case <-ctx.Done():
@@ -75,6 +75,21 @@
 	}
 }
 
+// Timer returns a channel that is closed once d has passed, and a function that
+// releases the timer. Unlike the channel of a time.Timer it is closed by a
+// function of the timer's: a channel timer that has expired when it is looked at
+// runs on the reader's thread, and in a bubble, with the race detector, two such
+// threads share one of its contexts and crash the process (Go 1.26).
+func Timer(d time.Duration) (<-chan struct{}, func()) {
+	done := make(chan struct{})
+	if d <= 0 {
+		close(done)
+		return done, func() {}
+	}
+	t := time.AfterFunc(d, func() { close(done) })
+	return done, func() { t.Stop() }
+}
+
 // After returns a channel that is closed once d has passed, and a function
 // that releases the timer.
 func (s *Service) After(d time.Duration) (<-chan struct{}, func()) {
@@ -90,21 +105,28 @@
 // ends. A subscriber that is late misses ticks, never receives them in a burst.
 func (s *Service) Subscribe(ctx context.Context, period time.Duration) <-chan time.Time {
 	ch := make(chan time.Time, 1)
-	go func() {
-		t := time.NewTicker(period)
-		defer t.Stop()
-		for {
-			select {
-			case now := <-t.C:
-				s.gate()
-				select {
-				case ch <- now:
-				default:
-				}
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
+	go s.tick(ctx, period, ch)
 	return ch
 }
+
+// tick sends the times of the ticks on ch until ctx ends.
+func (s *Service) tick(ctx context.Context, period time.Duration, ch chan<- time.Time) {
+	next := time.Now().Add(period)
+	for {
+		done, stop := Timer(time.Until(next))
+		select {
+		case <-done:
+		case <-ctx.Done():
+			stop()
+			return
+		}
+		s.gate()
+		select {
+		case ch <- time.Now():
+		default:
+		}
+		for now := time.Now(); !next.After(now); {
+			next = next.Add(period)
+		}
+	}
+}
--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
 )
 
 // Memory is a network inside one process. Each process on it is known by its
@@ -223,10 +225,10 @@
 	if d <= 0 {
 		return ctx.Err()
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
+	done, stop := clock.Timer(d)
+	defer stop()
 	select {
-	case <-t.C:
+	case <-done:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -445,11 +447,11 @@
 // wait returns when either channel is closed or the time has come; a zero time
 // never comes.
 func wait(a, b <-chan struct{}, until time.Time) {
-	var timeout <-chan time.Time
+	var timeout <-chan struct{}
 	if !until.IsZero() {
-		t := time.NewTimer(time.Until(until))
-		defer t.Stop()
-		timeout = t.C
+		done, stop := clock.Timer(time.Until(until))
+		defer stop()
+		timeout = done
 	}
 	select {
 	case <-a:
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/platform"
 	"golang.org/x/time/rate"
 )
@@ -228,8 +229,8 @@
 		return
 	}
 	wait, _ := time.ParseDuration(q.Get(platform.WaitParam))
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
+	timeout, stop := clock.Timer(wait)
+	defer stop()
 	for {
 		faults, faultsChanged := l.faultsFor(callerOf(r))
 		if faults.Down {
@@ -245,7 +246,7 @@
 		case <-changed:
 		case <-faultsChanged:
 		case <-recheck:
-		case <-timeout.C:
+		case <-timeout:
 			writeJSON(w, batch)
 			return
 		case <-r.Context().Done():
@@ -256,7 +257,7 @@
 
 // read returns what a caller with these faults may see, and two channels that
 // say when to look again.
-func (l *Log) read(name string, from platform.Offset, faults LogFaults) (platform.Batch, <-chan struct{}, <-chan time.Time) {
+func (l *Log) read(name string, from platform.Offset, faults LogFaults) (platform.Batch, <-chan struct{}, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
 )
 
 // ControlPath is where a stand-in takes its faults (POST) and tells its counts
@@ -45,10 +47,10 @@
 	if d <= 0 {
 		return
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
+	done, stop := clock.Timer(d)
+	defer stop()
 	select {
-	case <-t.C:
+	case <-done:
 	case <-r.Context().Done():
 	}
 }
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/platform"
 )
 
@@ -19,7 +20,7 @@
 
 // visible returns the records that a reader with these faults sees and, when
 // waiting alone will show more, a channel that says when to look again.
-func (s *stream) visible(f LogFaults) ([]platform.Record, <-chan time.Time) {
+func (s *stream) visible(f LogFaults) ([]platform.Record, <-chan struct{}) {
 	until := time.Now()
 	if f.StaleBy > 0 {
 		until = until.Add(-f.StaleBy)
@@ -31,7 +32,8 @@
 	if n == len(s.records) || f.StaleReads {
 		return s.records[:n], nil
 	}
-	return s.records[:n], time.After(s.records[n].At.Sub(until))
+	again, _ := clock.Timer(s.records[n].At.Sub(until))
+	return s.records[:n], again
 }
 
 // stream returns the named stream; l.mu is held.
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/contract"
 )
 
@@ -204,9 +205,10 @@
 	for d > 0 {
 		f, changed, dead := c.now()
 		rate := f.rate(speed)
-		var end <-chan time.Time
+		var end <-chan struct{}
+		stop := func() {}
 		if rate > 0 {
-			end = time.After(time.Duration(float64(d) / rate))
+			end, stop = clock.Timer(time.Duration(float64(d) / rate))
 		}
 		start := time.Now()
 		select {
@@ -217,8 +219,10 @@
 		case <-dead:
 			return false
 		case <-done:
+			stop()
 			return false
 		}
+		stop()
 	}
 	return true
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,6 +10,12 @@
 	printf 'gofmt would change:\n%s\n' "$unformatted"
 	exit 1
 fi
+# Channel timers crash the race detector in bubbles; see clock.Timer.
+timers=$(grep -rnE 'time\.(NewTimer|NewTicker|After|Tick)\(' --include='*.go' --exclude='*_test.go' . || true)
+if [ -n "$timers" ]; then
+	printf 'Use internal/clock instead of:\n%s\n' "$timers"
+	exit 1
+fi
 go vet ./...
 go tool staticcheck ./...
 
