Send load in an open loop and measure what a host adds

berylload draws arrivals (steady or with a crest) and heavy-tailed work from a seed, measures from the time at which a request was due, checks the mark in each answer and the counts of the stand-ins, and exits with 1 on a lost, doubled or foreign answer or a false refusal.

Seen failing with the mechanism off (go test ./internal/load): doubled, foreign and falsely refused not looked for: TestFaultsAreFound; latency not taken from the due time: TestLateAnswersAreMeasuredFromTheirTime; crest off: TestArrivals; address check off: TestOtherAddressesAreRefused.

--- a/cmd/berylswitch/main_test.go
+++ b/cmd/berylswitch/main_test.go
@@ -3,7 +3,8 @@
 import (
 	"testing"
 
-	"berylswitch.example/berylswitch/internal/standin/process"
+	load "berylswitch.example/berylswitch/internal/load/process"
+	standin "berylswitch.example/berylswitch/internal/standin/process"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -11,6 +12,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"berylswitch": main,
-		"berylstand":  process.Main,
+		"berylstand":  standin.Main,
+		"berylload":   load.Main,
 	})
 }
--- /dev/null
+++ b/internal/load/arrivals.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Shape is how the rate of arrivals goes over a run.
+type Shape interface{ isShape() }
+
+// Steady keeps the rate.
+type Steady struct{}
+
+// Crest multiplies the rate by Factor from From for For.
+type Crest struct {
+	Factor float64
+	From   time.Duration
+	For    time.Duration
+}
+
+func (Steady) isShape() {}
+func (Crest) isShape()  {}
+
+// Arrivals are independent arrivals (a Poisson process) with the rate of Shape.
+type Arrivals struct {
+	// Rate is in requests a second.
+	Rate     float64
+	Shape    Shape
+	Duration time.Duration
+	// Max bounds the number of requests; zero means MaxRequests.
+	Max int
+}
+
+func (a *Arrivals) check() error {
+	switch {
+	case a.Rate <= 0:
+		return Error.New("the rate must be positive")
+	case a.Duration <= 0 || a.Duration > MaxDuration:
+		return Error.New("the duration must be positive and at most %v", MaxDuration)
+	case a.Max < 0 || a.Max > MaxRequests:
+		return Error.New("the number of requests must be at most %d", MaxRequests)
+	}
+	return nil
+}
+
+// rate is the rate after a time, peak the highest.
+func (a *Arrivals) rate(after time.Duration) float64 {
+	switch s := a.Shape.(type) {
+	case nil, Steady:
+		return a.Rate
+	case Crest:
+		if after >= s.From && after < s.From+s.For {
+			return a.Rate * s.Factor
+		}
+		return a.Rate
+	default:
+		panic(fmt.Sprintf("load: unexpected shape %T", s))
+	}
+}
+
+func (a *Arrivals) peak() float64 {
+	if s, ok := a.Shape.(Crest); ok {
+		return a.Rate * max(s.Factor, 1)
+	}
+	return a.Rate
+}
+
+// draw returns the times of the arrivals from the start. It draws them at the
+// peak rate and drops those that the present rate does not have.
+func (a *Arrivals) draw(rnd *rand.Rand) []time.Duration {
+	limit := a.Max
+	if limit == 0 {
+		limit = MaxRequests
+	}
+	var out []time.Duration
+	peak := a.peak()
+	for after := time.Duration(0); len(out) < limit; {
+		after += time.Duration(rnd.ExpFloat64() / peak * float64(time.Second))
+		if after >= a.Duration {
+			break
+		}
+		if rnd.Float64()*peak < a.rate(after) {
+			out = append(out, after)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/load/compare.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"berylswitch.example/berylswitch/internal/standin"
+	"berylswitch.example/berylswitch/pkg/result"
+)
+
+// compare sets the counts of the targets against the answers.
+func (r *Run) compare(ctx context.Context) error {
+	if len(r.Targets) == 0 {
+		return nil
+	}
+	ran := map[string]int{} // by key, or by request ID without one
+	for _, addr := range r.Targets {
+		status, err := r.status(ctx, addr)
+		if err != nil {
+			return err
+		}
+		if status.Uncounted > 0 {
+			return Error.New("target %s left %d runs uncounted", status.Name, status.Uncounted)
+		}
+		for id, n := range status.Runs {
+			request, _, _ := strings.Cut(id, "/")
+			ran[request] += n
+		}
+	}
+	for _, s := range r.sent {
+		r.compareOne(s, ran)
+	}
+	return nil
+}
+
+func (r *Run) status(ctx context.Context, addr netip.AddrPort) (*standin.TargetStatus, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+standin.ControlPath, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer resp.Body.Close()
+	status := &standin.TargetStatus{}
+	return status, Error.Wrap(json.NewDecoder(resp.Body).Decode(status))
+}
+
+// compareOne checks one request. The targets of a load with keys are those of
+// one stage, so that a key has one run at most.
+func (r *Run) compareOne(s *sent, ran map[string]int) {
+	id := s.key
+	if id == "" && s.answer != nil {
+		id = s.answer.RequestID
+	}
+	if id == "" {
+		return
+	}
+	n := ran[id]
+	switch {
+	case s.key != "" && n > 1:
+		r.summary.note(&r.summary.Doubled, s, fmt.Sprintf("the key ran %d times", n))
+	case s.answer == nil:
+	case s.answer.Code == result.OK && n == 0:
+		r.summary.note(&r.summary.Lost, s, "an answer without a run")
+	case s.answer.Ran == result.RanNo && n > 0 && !r.repeated(s):
+		r.summary.note(&r.summary.FalseRefusals, s, fmt.Sprintf("refused as not run, but ran %d times", n))
+	}
+}
+
+// repeated reports whether another send had the key of s, so that a refusal of
+// s says nothing about the key's runs.
+func (r *Run) repeated(s *sent) bool {
+	return s.key != "" && r.RepeatEvery > 0
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,174 @@
+// Package load sends requests to hosts in an open loop and checks every answer.
+//
+// A Run draws arrivals and work from a seed, sends each request at its time
+// whether or not earlier ones have been answered, and measures from that time.
+// Each body carries a mark that must come back in the answer and in no other.
+// At the end the counts of the stand-ins are compared with what the answers
+// said. Overhead compares the path through a host with calling the stand-in
+// directly, in turns in the same run.
+//
+// Load goes to loopback alone and is bounded in time and number.
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/pkg/caller"
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+	"github.com/zeebo/errs"
+)
+
+// Bounds of a run.
+const (
+	MaxDuration = 10 * time.Minute
+	MaxRequests = 1_000_000
+	maxInFlight = 20_000
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("load")
+
+// Run is one run of load. Exported fields are set before Do.
+type Run struct {
+	Net   link.Network
+	Clock *clock.Service
+	// Hosts are the callers' addresses of the hosts, used in turn.
+	Hosts []netip.AddrPort
+	// Targets are the addresses of the stand-ins whose counts are checked.
+	Targets   []netip.AddrPort
+	Workspace string
+	Pipeline  string
+	// Token authenticates the workspace, unless empty.
+	Token string
+	// Keys gives each request an idempotency key of its own.
+	Keys bool
+	// RepeatEvery sends each nth request a second time with the same key, to
+	// another host; zero repeats none. It needs Keys.
+	RepeatEvery int
+	// Deadline is what each request is given.
+	Deadline time.Duration
+	Arrivals Arrivals
+	Work     Work
+	Seed     uint64
+
+	client  *http.Client
+	mu      sync.Mutex
+	summary *Summary
+	sent    []*sent
+}
+
+// sent is a request with what came of it.
+type sent struct {
+	due    time.Time
+	mark   string
+	key    string
+	long   bool
+	host   netip.AddrPort
+	body   []byte
+	answer *caller.Answer // nil without one
+}
+
+// Range and precision of the histograms, in microseconds.
+const (
+	minMicroseconds = 10
+	maxMicroseconds = int64(MaxDuration / time.Microsecond)
+	precisionDigits = 3
+)
+
+// newHistogram returns a histogram of microseconds.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minMicroseconds, maxMicroseconds, precisionDigits)
+}
+
+// record adds d to h; what is longer than its range counts as its end.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(min(max(d.Microseconds(), 0), maxMicroseconds))
+}
+
+// Do sends the load and waits for the answers.
+func (r *Run) Do(ctx context.Context) (*Summary, error) {
+	if err := r.check(); err != nil {
+		return nil, err
+	}
+	transport := link.Transport(r.Net)
+	defer transport.CloseIdleConnections()
+	r.client = &http.Client{Transport: transport}
+	r.summary = &Summary{Seed: r.Seed, Short: newHistogram(), Long: newHistogram(), Codes: map[string]int{}}
+	start := r.Clock.Now()
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, maxInFlight)
+	for i, s := range r.plan(start) {
+		if r.Clock.Sleep(ctx, s.due.Sub(r.Clock.Now())) != nil {
+			break
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.summary.Unsent++
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			r.serve(ctx, i, s)
+		})
+	}
+	wg.Wait()
+	r.summary.Took = r.Clock.Since(start)
+	return r.summary, r.compare(ctx)
+}
+
+// check refuses addresses beyond loopback and loads beyond the bounds.
+func (r *Run) check() error {
+	if len(r.Hosts) == 0 {
+		return Error.New("no host")
+	}
+	for _, addr := range append(append([]netip.AddrPort(nil), r.Hosts...), r.Targets...) {
+		if !addr.Addr().IsLoopback() {
+			return Error.New("%s is not on loopback", addr)
+		}
+	}
+	if r.RepeatEvery > 0 && !r.Keys {
+		return Error.New("repeats need keys")
+	}
+	return r.Arrivals.check()
+}
+
+// plan draws the requests. Nothing of it depends on answers or on time.
+func (r *Run) plan(start time.Time) []*sent {
+	rnd := rand.New(rand.NewPCG(r.Seed, 1))
+	var all []*sent
+	for i, after := range r.Arrivals.draw(rnd) {
+		s := &sent{due: start.Add(after), mark: mark(r.Seed, i), host: r.Hosts[i%len(r.Hosts)]}
+		s.body, s.long = r.Work.draw(rnd, s.mark)
+		if r.Keys {
+			key, err := uuid.NewV7()
+			if err != nil {
+				panic(err) // the machine has no random numbers
+			}
+			s.key = key.String()
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// serve sends s, and once more if it is to be repeated.
+func (r *Run) serve(ctx context.Context, i int, s *sent) {
+	r.send(ctx, s)
+	if r.RepeatEvery == 0 || (i+1)%r.RepeatEvery != 0 {
+		return
+	}
+	again := *s
+	again.due = r.Clock.Now()
+	again.host = r.Hosts[(i+1)%len(r.Hosts)]
+	again.answer = nil
+	r.send(ctx, &again)
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,161 @@
+package load
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/standin"
+	"berylswitch.example/berylswitch/pkg/caller"
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/google/go-cmp/cmp"
+)
+
+// fakeHost answers requests and counts runs, as hosts and a target together
+// would, with one fault in each tenth request.
+type fakeHost struct {
+	fault string
+
+	mu       sync.Mutex
+	requests int
+	last     string
+	runs     map[string]int
+}
+
+func (f *fakeHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.URL.Path == standin.ControlPath {
+		json.NewEncoder(w).Encode(standin.TargetStatus{Runs: f.runs})
+		return
+	}
+	var work contract.Work
+	json.NewDecoder(r.Body).Decode(&work)
+	io.Copy(io.Discard, r.Body)
+	key := r.Header.Get(caller.KeyHeader)
+	f.requests++
+	fault := ""
+	if f.requests%10 == 0 {
+		fault = f.fault
+	}
+	a := caller.Answer{Name: result.OK.String(), Ran: result.RanYes, Output: "w(a: " + work.Text + ")"}
+	f.runs[key]++
+	switch fault {
+	case "lost":
+		panic(http.ErrAbortHandler)
+	case "doubled":
+		f.runs[key]++
+	case "foreign":
+		a.Output = f.last
+	case "not run":
+		delete(f.runs, key)
+	case "false refusal":
+		a = caller.Answer{Code: result.Overloaded, Name: result.Overloaded.String(), Ran: result.RanNo}
+	}
+	f.last = a.Output
+	json.NewEncoder(w).Encode(&a)
+}
+
+// TestFaultsAreFound checks that each fault of a host shows in the summary, and
+// that a host without faults has none.
+func TestFaultsAreFound(t *testing.T) {
+	type faults struct{ Lost, Doubled, Foreign, FalseRefusals int }
+	for fault, want := range map[string]faults{
+		"":              {},
+		"lost":          {Lost: 10},
+		"doubled":       {Doubled: 10},
+		"foreign":       {Foreign: 10, Lost: 10},
+		"not run":       {Lost: 10},
+		"false refusal": {FalseRefusals: 10},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := doRun(t, &fakeHost{fault: fault, runs: map[string]int{}})
+			if diff := cmp.Diff(want, faults{s.Lost, s.Doubled, s.Foreign, s.FalseRefusals}); diff != "" {
+				t.Errorf("%q (-want +got):\n%s", fault, diff)
+			}
+			if (s.Fault() != nil) != (fault != "") {
+				t.Errorf("%q: the run's fault is %v", fault, s.Fault())
+			}
+		})
+	}
+}
+
+// doRun sends a hundred requests with keys to h.
+func doRun(t *testing.T, h http.Handler) *Summary {
+	t.Helper()
+	m := &link.Memory{}
+	addr := netip.MustParseAddrPort("127.0.0.2:80")
+	server := &standin.Server{Net: m.Process(addr.Addr()), Addr: addr, Handler: h}
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer server.Stop()
+	r := &Run{
+		Net: m.Process(netip.MustParseAddr("127.0.0.1")), Clock: &clock.Service{},
+		Hosts: []netip.AddrPort{addr}, Targets: []netip.AddrPort{addr},
+		Workspace: "W", Pipeline: "P", Keys: true, Deadline: time.Second, Seed: 1,
+		Arrivals: Arrivals{Rate: 100, Duration: time.Minute, Max: 100},
+		Work:     Work{Service: time.Millisecond, Sigma: 1, LongShare: 0.1, LongFactor: 20},
+	}
+	s, err := r.Do(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(100, s.Sent+s.Unsent); diff != "" {
+		t.Errorf("requests (-want +got):\n%s", diff)
+	}
+	return s
+}
+
+// TestLateAnswersAreMeasuredFromTheirTime checks that a host that stands still
+// for a second costs every request of that second its deadline.
+func TestLateAnswersAreMeasuredFromTheirTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		f := &fakeHost{runs: map[string]int{}}
+		s := doRun(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if stop := 2*time.Second - time.Since(start); stop > 0 {
+				time.Sleep(stop)
+			}
+			f.ServeHTTP(w, r)
+		}))
+		if s.InTime == 0 || s.InTime > 60 {
+			t.Errorf("%d of %d were in time, though the host stood still for the first two seconds", s.InTime, s.Sent)
+		}
+	})
+}
+
+// TestArrivals checks the number of arrivals in and out of the crest, and that
+// a seed gives the same ones again.
+func TestArrivals(t *testing.T) {
+	a := Arrivals{Rate: 1000, Duration: 10 * time.Second, Shape: Crest{Factor: 3, From: 4 * time.Second, For: 2 * time.Second}}
+	got := a.draw(rand.New(rand.NewPCG(1, 1)))
+	crest := 0
+	for _, at := range got {
+		if at >= 4*time.Second && at < 6*time.Second {
+			crest++
+		}
+	}
+	if crest < 5700 || crest > 6300 || len(got)-crest < 7600 || len(got)-crest > 8400 {
+		t.Errorf("%d arrivals in the crest, %d out of it; 6000 and 8000 are due", crest, len(got)-crest)
+	}
+	if diff := cmp.Diff(got, a.draw(rand.New(rand.NewPCG(1, 1)))); diff != "" {
+		t.Error("the same seed gave other arrivals")
+	}
+}
+
+func TestOtherAddressesAreRefused(t *testing.T) {
+	r := &Run{Clock: &clock.Service{}, Hosts: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:80")}, Arrivals: Arrivals{Rate: 1, Duration: time.Second}}
+	if _, err := r.Do(t.Context()); err == nil {
+		t.Error("a host beyond loopback was taken")
+	}
+}
--- /dev/null
+++ b/internal/load/overhead.go
@@ -0,0 +1,264 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/internal/link"
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+)
+
+// Overhead compares the path through a host with calling a stand-in directly.
+// Host and stand-in run in this process, so that what the path through the host
+// costs beyond the direct call is the host's. Exported fields are set before
+// Do.
+type Overhead struct {
+	Net       link.Network
+	Clock     *clock.Service
+	Host      netip.AddrPort
+	Target    netip.AddrPort
+	Workspace string
+	Pipeline  string
+	// Stages is the number of stages of the pipeline; the direct way calls the
+	// target as many times.
+	Stages int
+	// Rate is the arrivals a second of each way while latency is measured, for
+	// Duration.
+	Rate     float64
+	Duration time.Duration
+	// Requests is the number of requests of each way while processor time is
+	// measured, sent by Workers at once in Rounds turns.
+	Requests int
+	Workers  int
+	Rounds   int
+	Seed     uint64
+
+	client *http.Client
+	number atomic.Int64
+}
+
+// Way is what one of the two ways costs.
+type Way struct {
+	Latency *hdrhistogram.Histogram `json:"-"`
+	// Requests, CPU, Mallocs and Took are those of the second part of the run.
+	Requests int
+	CPU      time.Duration
+	Mallocs  uint64
+	Took     time.Duration
+}
+
+// Comparison is what came of an Overhead.
+type Comparison struct {
+	Seed   uint64
+	Direct Way
+	Host   Way
+}
+
+// Added is what the host adds at a quantile, in percent.
+func (c *Comparison) Added(q float64) time.Duration {
+	return time.Duration(c.Host.Latency.ValueAtQuantile(q)-c.Direct.Latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// CPU is the processor time that the host spends on a request.
+func (c *Comparison) CPU() time.Duration { return c.Host.each() - c.Direct.each() }
+
+func (w *Way) each() time.Duration { return w.CPU / time.Duration(max(w.Requests, 1)) }
+
+// PerCore is the number of requests a second that a host serves on one core.
+func (c *Comparison) PerCore() float64 {
+	if c.CPU() <= 0 {
+		return 0
+	}
+	return float64(time.Second) / float64(c.CPU())
+}
+
+// Mallocs is the number of allocations that the host makes for a request.
+func (c *Comparison) Mallocs() float64 {
+	return float64(c.Host.Mallocs)/float64(max(c.Host.Requests, 1)) - float64(c.Direct.Mallocs)/float64(max(c.Direct.Requests, 1))
+}
+
+// Do runs the comparison.
+func (o *Overhead) Do(ctx context.Context) (*Comparison, error) {
+	if !o.Host.Addr().IsLoopback() || !o.Target.Addr().IsLoopback() {
+		return nil, Error.New("%s or %s is not on loopback", o.Host, o.Target)
+	}
+	arrivals := Arrivals{Rate: 2 * o.Rate, Duration: o.Duration}
+	if err := arrivals.check(); err != nil {
+		return nil, err
+	}
+	transport := link.Transport(o.Net)
+	transport.MaxIdleConnsPerHost = maxInFlight
+	defer transport.CloseIdleConnections()
+	o.client = &http.Client{Transport: transport}
+	c := &Comparison{Seed: o.Seed, Direct: Way{Latency: newHistogram()}, Host: Way{Latency: newHistogram()}}
+	if err := o.measureCost(ctx, c); err != nil {
+		return nil, err
+	}
+	return c, o.measureLatency(ctx, c, &arrivals)
+}
+
+// measureLatency sends requests in an open loop, alternating between the ways.
+func (o *Overhead) measureLatency(ctx context.Context, c *Comparison, arrivals *Arrivals) error {
+	var mu sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(maxInFlight)
+	start := o.Clock.Now()
+	for i, after := range arrivals.draw(rand.New(rand.NewPCG(o.Seed, 1))) {
+		due := start.Add(after)
+		if err := o.Clock.Sleep(ctx, due.Sub(o.Clock.Now())); err != nil {
+			return err
+		}
+		way, call := &c.Direct, o.callDirect
+		if i%2 == 1 {
+			way, call = &c.Host, o.callHost
+		}
+		g.Go(func() error {
+			began := o.Clock.Now()
+			err := call(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			record(way.Latency, o.Clock.Since(began))
+			return err
+		})
+	}
+	return g.Wait()
+}
+
+// measureCost sends requests in a closed loop, in turns, and adds up processor
+// time and allocations of each way. The first turn only warms up.
+func (o *Overhead) measureCost(ctx context.Context, c *Comparison) error {
+	n := o.Requests / max(o.Rounds, 1)
+	for round := range o.Rounds + 1 {
+		for _, w := range []struct {
+			way  *Way
+			call func(context.Context) error
+		}{{&c.Direct, o.callDirect}, {&c.Host, o.callHost}} {
+			spent, err := o.turn(ctx, n, w.call)
+			if err != nil {
+				return err
+			}
+			if round > 0 {
+				w.way.add(spent)
+			}
+		}
+	}
+	return nil
+}
+
+func (w *Way) add(o *Way) {
+	w.Requests += o.Requests
+	w.CPU += o.CPU
+	w.Mallocs += o.Mallocs
+	w.Took += o.Took
+}
+
+// turn sends n requests by o.Workers at once.
+func (o *Overhead) turn(ctx context.Context, n int, call func(context.Context) error) (*Way, error) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	cpu, start := cpuTime(), o.Clock.Now()
+	var left atomic.Int64
+	left.Store(int64(n))
+	var g errgroup.Group
+	for range o.Workers {
+		g.Go(func() error {
+			for left.Add(-1) >= 0 {
+				if err := call(ctx); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	err := g.Wait()
+	w := &Way{Requests: n, CPU: cpuTime() - cpu, Took: o.Clock.Since(start)}
+	runtime.ReadMemStats(&after)
+	w.Mallocs = after.Mallocs - before.Mallocs
+	return w, err
+}
+
+// cpuTime is the processor time that this process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// overheadText is the size of a request's text, that of a short question.
+const overheadText = "What is for lunch today without nuts, and what is left on my plan?"
+
+func (o *Overhead) callDirect(ctx context.Context) error {
+	input, err := json.Marshal(contract.Work{Text: overheadText})
+	if err != nil {
+		return err
+	}
+	for range max(o.Stages, 1) {
+		id := fmt.Sprintf("direct-%d", o.number.Add(1))
+		body, err := json.Marshal(contract.Run{AttemptID: id, RequestID: id, Stage: "a", Input: input})
+		if err != nil {
+			return err
+		}
+		if err := o.post(ctx, "http://"+o.Target.String()+contract.RunPath, body); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *Overhead) callHost(ctx context.Context) error {
+	body, err := json.Marshal(contract.Work{Text: overheadText})
+	if err != nil {
+		return err
+	}
+	return o.post(ctx, "http://"+o.Host.String()+"/v1/workspaces/"+o.Workspace+"/pipelines/"+o.Pipeline, body)
+}
+
+func (o *Overhead) post(ctx context.Context, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Error.New("%s: %s: %s", url, resp.Status, text)
+	}
+	return nil
+}
+
+// Write writes c for a terminal.
+func (c *Comparison) Write(w io.Writer) {
+	fmt.Fprintf(w, "overhead of a host, seed %d\n", c.Seed)
+	for _, q := range quantiles {
+		fmt.Fprintf(w, "  p%-5g direct %8v  through a host %8v  added %8v\n", q,
+			time.Duration(c.Direct.Latency.ValueAtQuantile(q))*time.Microsecond,
+			time.Duration(c.Host.Latency.ValueAtQuantile(q))*time.Microsecond, c.Added(q))
+	}
+	fmt.Fprintf(w, "  requests %d each way; processor time of the host %v a request, %.0f requests/s per core, %.0f allocations a request\n",
+		c.Host.Requests, c.CPU(), c.PerCore(), c.Mallocs())
+}
--- /dev/null
+++ b/internal/load/send.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"berylswitch.example/berylswitch/pkg/caller"
+	"berylswitch.example/berylswitch/pkg/result"
+)
+
+// grace is the time beyond its deadline after which a request counts as lost.
+const grace = 10 * time.Second
+
+// send posts s and records what came.
+func (r *Run) send(ctx context.Context, s *sent) {
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline+grace)
+	defer cancel()
+	answer, err := r.post(ctx, s)
+	took := r.Clock.Since(s.due)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.answer = answer
+	r.sent = append(r.sent, s)
+	r.summary.Sent++
+	if err != nil {
+		r.summary.note(&r.summary.Lost, s, err.Error())
+		return
+	}
+	r.judge(s, took)
+}
+
+func (r *Run) post(ctx context.Context, s *sent) (*caller.Answer, error) {
+	url := "http://" + s.host.String() + "/v1/workspaces/" + r.Workspace + "/pipelines/" + r.Pipeline
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(s.body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(caller.DeadlineHeader, r.Deadline.String())
+	if s.key != "" {
+		req.Header.Set(caller.KeyHeader, s.key)
+	}
+	if r.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+r.Token)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	a := &caller.Answer{}
+	return a, json.NewDecoder(resp.Body).Decode(a)
+}
+
+// judge counts an answer; r.mu is held.
+func (r *Run) judge(s *sent, took time.Duration) {
+	r.summary.Codes[s.answer.Name]++
+	own, foreign := marksIn(s.answer.Output, s.mark)
+	if foreign {
+		r.summary.note(&r.summary.Foreign, s, s.answer.Output)
+	}
+	if s.answer.Code != result.OK {
+		return
+	}
+	if !own {
+		r.summary.note(&r.summary.Lost, s, "the answer lacks the request's mark: "+s.answer.Output)
+		return
+	}
+	if took <= r.Deadline {
+		r.summary.InTime++
+	}
+	if s.long {
+		record(r.summary.Long, took)
+	} else {
+		record(r.summary.Short, took)
+	}
+}
