--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -63,12 +63,23 @@
 	return out, nil
 }
 
-func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry) *queue.Dispatcher {
-	return &queue.Dispatcher{Clock: c, Targets: r, Policy: queue.LeastOfTwo{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry, x *peer.Exchange, caller *peer.Caller) (*queue.Dispatcher, error) {
+	policy, err := queue.ParsePolicy(s.Policy)
+	if err != nil {
+		return nil, err
+	}
+	return &queue.Dispatcher{
+		Clock:    c,
+		Targets:  r,
+		Exchange: x,
+		Caller:   caller,
+		Policy:   policy,
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, nil
 }
 
 // providePeers registers the services that peers call.
-func providePeers(x *peer.Exchange, claims *claim.Holder, r *target.Registry, t *crash.Table) (*peer.Server, error) {
+func providePeers(x *peer.Exchange, claims *claim.Holder, r *target.Registry, t *crash.Table, d *queue.Dispatcher) (*peer.Server, error) {
 	s := &peer.Server{RPC: rpc.NewServer()}
 	if err := x.Register(s.RPC); err != nil {
 		return nil, err
@@ -79,6 +90,9 @@
 	if err := t.Register(s.RPC); err != nil {
 		return nil, err
 	}
+	if err := s.RPC.RegisterName(d.Service()); err != nil {
+		return nil, err
+	}
 	return s, s.RPC.RegisterName(claim.ServiceName, &claim.Service{Holder: claims})
 }
 
--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
 )
 
 // Memory is a network inside one process. Each process on it is known by its
@@ -25,6 +27,7 @@
 	cut       map[route]bool
 	delay     map[route]time.Duration
 	conns     map[*memConn]bool
+	killed    map[netip.Addr]bool
 	changed   chan struct{}
 	nextPort  uint16
 }
@@ -55,10 +58,12 @@
 }
 
 // Kill closes every listener and connection of the process at addr, as the end
-// of that process would.
+// of that process would. What is left of the process can't dial; the next
+// Listen at addr is that of its next life.
 func (m *Memory) Kill(addr netip.Addr) {
 	m.mu.Lock()
 	m.init()
+	m.killed[addr] = true
 	var conns []*memConn
 	for c := range m.conns {
 		if c.out.route.from == addr || c.out.route.to == addr {
@@ -106,6 +111,7 @@
 	m.cut = map[route]bool{}
 	m.delay = map[route]time.Duration{}
 	m.conns = map[*memConn]bool{}
+	m.killed = map[netip.Addr]bool{}
 	m.changed = make(chan struct{})
 	m.nextPort = firstDialPort
 }
@@ -145,6 +151,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.init()
+	delete(m.killed, addr.Addr())
 	if m.listeners[addr] != nil {
 		return nil, &net.OpError{Op: "listen", Net: "mem", Addr: net.TCPAddrFromAddrPort(addr), Err: syscall.EADDRINUSE}
 	}
@@ -192,6 +199,9 @@
 	if m.nextPort < firstDialPort {
 		m.nextPort = firstDialPort
 	}
+	if m.killed[from] {
+		return nil, netip.AddrPort{}
+	}
 	return m.listeners[addr], netip.AddrPortFrom(from, m.nextPort)
 }
 
@@ -214,10 +224,10 @@
 	if d <= 0 {
 		return ctx.Err()
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
+	done, stop := clock.Timer(d)
+	defer stop()
 	select {
-	case <-t.C:
+	case <-done:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -440,11 +450,11 @@
 // wait returns when either channel is closed or the time has come; a zero time
 // never comes.
 func wait(a, b <-chan struct{}, until time.Time) {
-	var timeout <-chan time.Time
+	var timeout <-chan struct{}
 	if !until.IsZero() {
-		t := time.NewTimer(time.Until(until))
-		defer t.Stop()
-		timeout = t.C
+		done, stop := clock.Timer(time.Until(until))
+		defer stop()
+		timeout = done
 	}
 	select {
 	case <-a:
