Start hosts anew on the network in the order tests

A killed process can't dial until its next life listens, so a test that used killed hosts as senders waited for ever: TestOldHolderLateOrder had no bound. Its hosts are no longer started, its tries are bounded, and a started host listens.

--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -15,11 +15,8 @@
 // the next holder has its lease as early as the log's clock allows.
 func TestOldHolderLateOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, make([]time.Duration, 2), 2)
+		w := newIdleWorld(t, make([]time.Duration, 2), 2)
 		defer w.close()
-		for _, h := range w.hosts {
-			h.kill()
-		}
 		target, engine := &w.targets[1], w.engines[1]
 		end := time.Now().Add(10 * time.Second)
 		old := &lease.Lease{Fence: 1, Since: end.Add(-lease.Term), Until: end}
@@ -31,7 +28,10 @@
 			t.Errorf("the slow order ended as %v", got)
 		}
 		time.Sleep(time.Until(next.Since))
-		for second.Send(t.Context(), next, target, contract.Order{Kind: contract.LoadModel, Model: "new"}) != Taken {
+		for range 100 {
+			if second.Send(t.Context(), next, target, contract.Order{Kind: contract.LoadModel, Model: "new"}) == Taken {
+				break
+			}
 			time.Sleep(100 * time.Millisecond)
 		}
 		time.Sleep(MaxOrderTime)
@@ -49,14 +49,11 @@
 // next holder's order and must not send, to either kind of target.
 func TestFrozenSender(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, make([]time.Duration, 2), 2)
+		w := newIdleWorld(t, make([]time.Duration, 2), 2)
 		defer w.close()
-		for _, h := range w.hosts {
-			h.kill()
-		}
 		now := time.Now()
 		old := &lease.Lease{Fence: 1, Since: now.Add(-lease.Term), Until: now.Add(time.Second)}
-		next := &lease.Lease{Fence: 2, Since: now, Until: now.Add(time.Minute)}
+		next := &lease.Lease{Fence: 2, Since: now.Add(-MaxOrderTime), Until: now.Add(time.Minute)}
 		w.hosts[0].clock.Suspend()
 		results := make(chan Result, len(w.targets))
 		for i := range w.targets {
@@ -64,7 +61,7 @@
 				results <- sender(w, 0).Send(t.Context(), old, &w.targets[i], contract.Order{Kind: contract.LoadModel, Model: "old"})
 			}()
 		}
-		time.Sleep(MaxOrderTime)
+		time.Sleep(2 * time.Second)
 		for i := range w.targets {
 			if got := sender(w, 1).Send(t.Context(), next, &w.targets[i], contract.Order{Kind: contract.LoadModel, Model: "new"}); got != Taken {
 				t.Errorf("the next holder's order ended as %v", got)
--- a/internal/order/world_test.go
+++ b/internal/order/world_test.go
@@ -64,6 +64,15 @@
 }
 
 func newWorld(t *testing.T, skews []time.Duration, engines int) *world {
+	w := newIdleWorld(t, skews, engines)
+	for _, h := range w.hosts {
+		h.start()
+	}
+	return w
+}
+
+// newIdleWorld returns a world whose hosts aren't started.
+func newIdleWorld(t *testing.T, skews []time.Duration, engines int) *world {
 	w := &world{t: t, net: &link.Memory{Delay: time.Millisecond}, log: &standin.Log{}}
 	w.serve(logAddr, w.log)
 	for i := range engines {
@@ -81,7 +90,6 @@
 	}
 	for _, h := range w.hosts {
 		h.setMembers(w.all(-1))
-		h.start()
 	}
 	return w
 }
@@ -131,6 +139,11 @@
 		return
 	}
 	network := h.w.net.Process(h.addr)
+	// The listener starts the next life of a killed process on the network.
+	listener, err := network.Listen(netip.AddrPortFrom(h.addr, 81))
+	if err != nil {
+		h.w.t.Fatal(err)
+	}
 	log := platform.NewClient(network, logAddr, logAddr)
 	reports := &http.Client{Transport: link.Transport(network)}
 	h.leases = &lease.Keeper{Clock: h.clock, Log: log, Members: h, Self: h.name}
@@ -147,6 +160,7 @@
 	h.done.Go(func() { leases.Run(ctx) })
 	h.done.Go(func() { orders.Run(ctx) })
 	context.AfterFunc(ctx, func() {
+		listener.Close()
 		log.HTTP.CloseIdleConnections()
 		reports.CloseIdleConnections()
 	})
