Let a host use six shards of a pool, and renew its slots by any message

Cause: at 4,100 targets a pool of 256 has many shards; each host drew among all of them, so it kept connections to every holder and target, and told every holder each second of all that it held from it. The number of shards followed the count of usable targets, so that one target more moved all of them. Each grant sorted the pool's targets anew.

Change: rendezvous subsets of six, of which the holder that last named the shorter wait of two is asked; shard counts are powers of two; any message from a host renews its leases, the whole list goes after a silent second or each 30 s; a board looks at the targets only when they changed.

Checks seen failing: TestTrafficRenewsLeases without renewal by traffic, TestShardsSplit with a modulo.

--- /dev/null
+++ b/internal/experiment/shards_test.go
@@ -0,0 +1,46 @@
+package experiment
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var shardsFlag = flag.Bool("shards", false, "measure a pool of several shards")
+
+// TestShards prints what a pool of several shards costs in messages and whether
+// its work is spread as well as by one queue.
+func TestShards(t *testing.T) {
+	if !*shardsFlag {
+		t.Skip("no -shards")
+	}
+	s := Large()
+	l := &Load{Name: "crest", Seed: *seedFlag, Base: 0.45, Crest: 0.95, CrestFrom: 5 * time.Second, CrestTo: 10 * time.Second, End: 15 * time.Second}
+	requests := l.Requests(s)
+	bound := BestBound(s, l, requests)
+	synctest.Test(t, func(t *testing.T) {
+		r := &Run{Site: s, Load: l, Policy: "SharedQueue"}
+		start := time.Now()
+		samples, err := r.Do(t.Context(), requests)
+		if err != nil {
+			t.Fatal(err)
+		}
+		took := time.Since(start).Seconds()
+		result := Measure(s, l, r.Policy, samples)
+		var asked, reports, lists, holders float64
+		for _, h := range r.hosts {
+			d := h.host.Dispatcher
+			asked += float64(d.Stats.Asked.Count())
+			reports += float64(d.Stats.Reports.Count())
+			lists += float64(d.Stats.Lists.Count())
+			holders += float64(d.Holders())
+		}
+		n := float64(len(r.hosts))
+		fmt.Println("| requests | crest on time | bound | short p99 | bound | holders a host | asked/s a host | reports/s | lists/s |")
+		fmt.Println("|---|---|---|---|---|---|---|---|---|")
+		fmt.Printf("| %d | %d of %d | %d | %v | %v | %.1f | %.1f | %.1f | %.2f |\n", result.Requests, result.CrestOnTime, result.CrestRequests, bound.CrestOnTime,
+			result.ShortP99, bound.ShortP99, holders/n, asked/n/took, reports/n/took, lists/n/took)
+	})
+}
--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -143,6 +143,23 @@
 	return s
 }
 
+// Large is a site whose engines make several shards: 16 hosts in 8 domains, 192
+// engines of one slot.
+func Large() *Site {
+	s := &Site{Name: "Large", Domains: 8, Engine: "engine"}
+	s.addHosts(16)
+	s.addTargets("engine", 192, 1, 1, 3)
+	s.addTargets("portal", 24, 4, 1, 2)
+	s.Workspaces = []WorkspaceSite{{"north", 0.5, 1}, {"south", 0.5, 1}}
+	s.Pipelines = []PipelineSite{
+		{Name: "Advice", Weight: 0.98, Deadline: 3 * time.Second, Stages: []StageSite{
+			{"read", "portal", 8 * time.Millisecond}, {"answer", "engine", engineMedian}}},
+		{Name: "WeeklyMenu", Weight: 0.02, Deadline: 60 * time.Second, Long: true, Stages: []StageSite{
+			{"draft", "engine", longFactor * engineMedian}}},
+	}
+	return s
+}
+
 // Addresses of the processes of a site.
 func (s *Site) hostAddr(i int) netip.Addr   { return netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}) }
 func (s *Site) targetAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}) }
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -63,12 +63,17 @@
 	return out, nil
 }
 
-func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry, x *peer.Exchange, caller *peer.Caller) (*queue.Dispatcher, error) {
+func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry, x *peer.Exchange, caller *peer.Caller, m metrics.Registry) (*queue.Dispatcher, error) {
 	policy, err := queue.ParsePolicy(s.Policy)
 	if err != nil {
 		return nil, err
 	}
+	stats := queue.NewStats()
+	if err := stats.Register(m); err != nil {
+		return nil, err
+	}
 	return &queue.Dispatcher{
+		Stats:    stats,
 		Clock:    c,
 		Targets:  r,
 		Exchange: x,
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -33,7 +33,8 @@
 	}
 	exchange := provideExchange(s, n, c, caller, client, follower)
 	registry := provideRegistry(s, c, client, exchange, caller)
-	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller)
+	metricsRegistry := provideMetrics()
+	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller, metricsRegistry)
 	if err != nil {
 		return nil, err
 	}
@@ -62,7 +63,6 @@
 		return nil, err
 	}
 	recorder := provideReport(s, c)
-	metricsRegistry := provideMetrics()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
--- a/internal/peer/measure_test.go
+++ b/internal/peer/measure_test.go
@@ -69,6 +69,81 @@
 	}
 }
 
+// parted is how long TestMeasureFaults parts a region.
+var parted = flag.Duration("parted", 5*time.Minute, "how long TestMeasureFaults parts a region from the others")
+
+// TestMeasureFaults prints, for each number of hosts in -sizes, what a day's
+// failures within two minutes and the parting of a region cost.
+func TestMeasureFaults(t *testing.T) {
+	if *sizes == "" {
+		t.Skip("a measurement, run with -sizes=128,520")
+	}
+	fmt.Println("| hosts | day in 2 min: bytes/s a host | core a host | agree after | region parted | healed: agree after | least members seen in a region of |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	for _, size := range strings.Split(*sizes, ",") {
+		n, err := strconv.Atoi(size)
+		if err != nil {
+			t.Fatal(err)
+		}
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			f := newFleet(t, ctx, n)
+			defer f.stop()
+			sent, cpu := f.bytes.Load(), processTime()
+			agreed := f.churn()
+			bytes := float64(f.bytes.Load()-sent) / float64(n) / churnPeriod.Seconds()
+			core := (processTime() - cpu).Seconds() / float64(n) / churnPeriod.Seconds()
+			healed, least := f.region(n / 3)
+			fmt.Printf("| %d | %.0f | %.3f%% | %v | %v | %v | %d of %d |\n", n, bytes, 100*core, agreed, *parted, healed, least, n/3)
+		})
+	}
+}
+
+// A day's failures of the full size, and the time into which they are pressed.
+const (
+	killsPerDay    = 43
+	restartsPerDay = 280
+	churnPeriod    = 2 * time.Minute
+)
+
+// churn kills and restarts hosts at the rate of a day in churnPeriod, scaled to
+// the fleet, and returns the time until all agree afterwards.
+func (f *fleet) churn() time.Duration {
+	events := (killsPerDay + restartsPerDay) * len(f.nodes) / 520
+	for e := range events {
+		i := (e * 37) % len(f.nodes)
+		f.kill(i)
+		time.Sleep(churnPeriod / time.Duration(events))
+		if e%(events/killsPerDay+1) == 0 {
+			// A failed host comes back only later.
+			time.Sleep(suspicionTimeout)
+		}
+		f.start(i)
+	}
+	return until(time.Minute, f.agree)
+}
+
+// region parts the first n hosts from the rest, heals the cut and returns the
+// time until all agree and the fewest members that one of the n saw meanwhile.
+func (f *fleet) region(n int) (time.Duration, int) {
+	hosts := make([]int, n)
+	for i := range hosts {
+		hosts[i] = i
+	}
+	f.part(hosts, true)
+	time.Sleep(*parted)
+	f.part(hosts, false)
+	least := n
+	took := until(time.Minute, func() bool {
+		for _, i := range hosts {
+			least = min(least, len(f.nodes[i].Members().Hosts))
+		}
+		return f.agree()
+	})
+	return took, least
+}
+
 // figures is what one fleet showed.
 type figures struct {
 	bytes, core, heap                       float64 // a second, share of a core and bytes, for each host
--- a/internal/queue/holder.go
+++ b/internal/queue/holder.go
@@ -1,9 +1,11 @@
 package queue
 
 import (
+	"maps"
 	"sync"
 	"time"
 
+	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
@@ -88,6 +90,7 @@
 
 // Grant waits for a slot. It returns when the slot is granted or refused.
 func (s *Service) Grant(args *GrantArgs, reply *GrantReply) error {
+	s.d.holder.hear(args.Host, s.d.Clock.Now())
 	s.d.finish(args.Host, args.Done)
 	*reply = s.d.grantAt(args)
 	return nil
@@ -95,6 +98,7 @@
 
 // Report takes completions and renews leases.
 func (s *Service) Report(args *ReportArgs, _ *ReportReply) error {
+	s.d.holder.hear(args.Host, s.d.Clock.Now())
 	s.d.finish(args.Host, args.Done)
 	if args.Whole {
 		s.d.renew(args)
@@ -113,11 +117,25 @@
 type holder struct {
 	mu     sync.Mutex
 	boards map[shardKey]*heldBoard
+	// owners has the time of the last message of each host that holds leases.
+	owners map[string]time.Time
+}
+
+// hear notes a message of a host, which renews its leases.
+func (h *holder) hear(owner string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.owners == nil {
+		h.owners = map[string]time.Time{}
+	}
+	h.owners[owner] = now
 }
 
 type heldBoard struct {
 	*board
 	used time.Time
+	// built is the list from which the targets were last set.
+	built []*declaration.Target
 }
 
 // boardTimeout is the time after which a board without leases and tickets is
@@ -139,13 +157,22 @@
 		h.boards[k] = b
 	}
 	b.used = now
-	b.update(shardTargets(d.Targets.Usable(k.Pool, ""), k.Shard))
+	if usable := d.Targets.Usable(k.Pool, ""); !sameList(b.built, usable) {
+		b.built = usable
+		b.update(shardTargets(usable, k.Shard))
+	}
 	return b.board
 }
 
 // tick does the boards' periodic work and forgets unused ones.
 func (h *holder) tick(now time.Time) {
 	h.mu.Lock()
+	for owner, heard := range h.owners {
+		if now.Sub(heard) > boardTimeout {
+			delete(h.owners, owner)
+		}
+	}
+	owners := maps.Clone(h.owners)
 	var boards []*board
 	for k, b := range h.boards {
 		if now.Sub(b.used) > boardTimeout && b.idle() {
@@ -156,10 +183,27 @@
 	}
 	h.mu.Unlock()
 	for _, b := range boards {
+		b.renewed(owners)
 		b.tick(now)
 	}
 }
 
+// renewed renews the leases of the owners by the times of their last messages.
+func (b *board) renewed(owners map[string]time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range b.leases {
+		if heard := owners[l.owner]; heard.After(l.renewed) {
+			l.renewed = heard
+		}
+	}
+}
+
+// sameList reports whether a and b are the same immutable list.
+func sameList(a, b []*declaration.Target) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 func (b *board) idle() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/queue/links.go
+++ b/internal/queue/links.go
@@ -15,8 +15,11 @@
 	// pending, before it is probed; probeTimeout bounds the probe.
 	silenceLimit = 250 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
-	// renewPeriod is how often a holder hears of all slots held from it.
+	// renewPeriod is the time without a message after which a holder hears of the
+	// slots held from it; any message renews them. wholePeriod is how often it
+	// hears of all of them even so, to make good what was lost.
 	renewPeriod = time.Second
+	wholePeriod = 30 * time.Second
 	// returnPeriod is how often a holder that is down is probed.
 	returnPeriod = 500 * time.Millisecond
 	reportLimit  = 2 * time.Second
@@ -41,6 +44,7 @@
 	pending  int // grants asked for
 	held     map[string]heldGrant
 	heard    time.Time
+	spoke    time.Time // the send of the last message that was answered
 	renewed  time.Time
 	probing  bool
 	down     chan struct{} // closed while the holder is down
@@ -98,7 +102,8 @@
 	case l.pending > 0 && now.Sub(l.heard) >= silenceLimit:
 		due = true
 	default:
-		due = len(l.held) > 0 && now.Sub(l.renewed) >= renewPeriod
+		silent := now.Sub(l.spoke) >= renewPeriod && now.Sub(l.renewed) >= renewPeriod
+		due = len(l.held) > 0 && (silent || now.Sub(l.renewed) >= wholePeriod)
 	}
 	if due {
 		l.probing = true
@@ -110,6 +115,7 @@
 // probe sends the whole list of held slots and judges the holder by the answer.
 func (d *Dispatcher) probe(ctx context.Context, l *holderLink) {
 	now := d.Clock.Now()
+	d.Stats.Lists.Inc(1)
 	args := &ReportArgs{Host: d.Exchange.Self.Name, Whole: true, Held: l.list(now)}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -121,7 +127,7 @@
 		l.fail()
 		return
 	}
-	l.hear(d.Clock.Now())
+	l.hear(d.Clock.Now(), now)
 }
 
 func (l *holderLink) list(now time.Time) []HeldSlot {
@@ -145,10 +151,13 @@
 }
 
 // hear notes that the holder answered.
-func (l *holderLink) hear(now time.Time) {
+func (l *holderLink) hear(now, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard = now
+	if sent.After(l.spoke) {
+		l.spoke = sent
+	}
 	if l.isDown {
 		l.isDown = false
 		l.down = make(chan struct{})
@@ -181,12 +190,14 @@
 
 // grant asks the holder for a slot. Its error is errHolderDown, or that of ctx.
 func (d *Dispatcher) grant(ctx context.Context, l *holderLink, args *GrantArgs) (*GrantReply, error) {
-	done, down, err := l.begin(d.Clock.Now())
+	sent := d.Clock.Now()
+	done, down, err := l.begin(sent)
 	if err != nil {
 		return nil, err
 	}
 	defer l.end()
 	args.Done = done
+	d.Stats.Asked.Inc(1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answer := make(chan error, 1)
@@ -204,7 +215,7 @@
 		l.fail()
 		return nil, errHolderDown
 	}
-	l.hear(d.Clock.Now())
+	l.hear(d.Clock.Now(), sent)
 	return reply, nil
 }
 
@@ -236,9 +247,11 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
 		args := &ReportArgs{Host: d.Exchange.Self.Name, Done: done}
+		sent := d.Clock.Now()
+		d.Stats.Reports.Inc(1)
 		// Lost completions are made good by the next whole list.
 		if d.Caller.Call(ctx, l.host.Addr, serviceName+".Report", args, &ReportReply{}) == nil {
-			l.hear(d.Clock.Now())
+			l.hear(d.Clock.Now(), sent)
 		}
 		cancel()
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -106,12 +106,14 @@
 	Caller   *peer.Caller
 	Policy   Policy
 	Rand     *rand.Rand
+	Stats    *Stats
 
 	mu     sync.Mutex
 	counts counts
 	own    map[string]*board
 	holder holder
 	links  links
+	waits  waits
 	work   predictor // what this host saw itself
 }
 
--- a/internal/queue/share.go
+++ b/internal/queue/share.go
@@ -117,21 +117,24 @@
 	Shard int
 }
 
-// shardCount returns the number of shards for n targets.
+// shardCount returns the number of shards for n targets, a power of two, so
+// that it changes only when a pool has doubled and hosts that count a few
+// targets differently agree on it.
 func shardCount(n int) int {
-	if n <= shardSize {
-		return 1
+	count := 1
+	for n > count*shardSize {
+		count *= 2
 	}
-	return (n + shardSize - 1) / shardSize
+	return count
 }
 
 // shardTargets returns the targets of one shard with all their slots, sorted by
 // name.
 func shardTargets(targets []*declaration.Target, shard int) []slotCount {
-	shards := uint64(shardCount(len(targets)))
+	shards := shardCount(len(targets))
 	var out []slotCount
 	for _, t := range targets {
-		if xxhash.Sum64String(t.Name)%shards == uint64(shard) {
+		if shardOf(t.Name, shards) == shard {
 			out = append(out, slotCount{target: t, slots: t.Slots})
 		}
 	}
--- a/internal/queue/shared.go
+++ b/internal/queue/shared.go
@@ -20,17 +20,20 @@
 	l := d.link(h)
 	reply, err := d.grant(ctx, l, args)
 	if errors.Is(err, errHolderDown) {
+		d.Stats.Fallbacks.Inc(1)
 		return d.acquireOwn(ctx, a)
 	}
 	if err != nil {
 		d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		return nil, ended(ctx, &a)
 	}
+	d.heardWait(k, reply.Backlog)
 	x := decision{target: reply.Target, code: reply.Code, retry: reply.Retry, message: reply.Message}
 	if d.holderLags(&a, x) {
 		if x.target != "" {
 			d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		}
+		d.Stats.Fallbacks.Inc(1)
 		return d.acquireOwn(ctx, a)
 	}
 	l.hold(&a, k, x.target, d)
@@ -91,14 +94,3 @@
 
 // holderKey is what the holder of a shard is chosen by.
 func (k shardKey) holderKey() string { return fmt.Sprintf("Queue/%s/%d", k.Pool, k.Shard) }
-
-// shardFor chooses the shard of a pool for a.
-func (d *Dispatcher) shardFor(a *Ask) shardKey {
-	n := shardCount(len(d.Targets.Usable(a.Pool, "")))
-	if n == 1 {
-		return shardKey{Pool: a.Pool}
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return shardKey{Pool: a.Pool, Shard: d.Rand.IntN(n)}
-}
--- /dev/null
+++ b/internal/queue/stats.go
@@ -0,0 +1,37 @@
+package queue
+
+import "github.com/rcrowley/go-metrics"
+
+// Stats counts the messages of a dispatcher to the holders of shards.
+type Stats struct {
+	// Asked counts grants asked of other hosts, Reports the messages that carry
+	// completions alone, Lists those that carry all held slots.
+	Asked, Reports, Lists metrics.Counter
+	// Fallbacks counts attempts that were served from the host's own share since
+	// a holder did not answer or lagged.
+	Fallbacks metrics.Counter
+}
+
+// NewStats returns counters at zero.
+func NewStats() *Stats {
+	return &Stats{metrics.NewCounter(), metrics.NewCounter(), metrics.NewCounter(), metrics.NewCounter()}
+}
+
+// Register adds the counters to r.
+func (s *Stats) Register(r metrics.Registry) error {
+	for name, c := range map[string]metrics.Counter{
+		"QueueAsked": s.Asked, "QueueReports": s.Reports, "QueueLists": s.Lists, "QueueFallbacks": s.Fallbacks,
+	} {
+		if err := r.Register(name, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Holders returns the number of holders that this host has used.
+func (d *Dispatcher) Holders() int {
+	d.links.mu.Lock()
+	defer d.links.mu.Unlock()
+	return len(d.links.byName)
+}
--- /dev/null
+++ b/internal/queue/subset_test.go
@@ -0,0 +1,72 @@
+package queue
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"berylswitch.example/berylswitch/pkg/declaration"
+)
+
+// TestSubsetSpread checks that the hosts of the full size spread over the
+// shards of a pool so that none gets over a quarter more of them than the mean.
+func TestSubsetSpread(t *testing.T) {
+	const hosts, shards = 520, 16
+	counts := make([]int, shards)
+	for h := range hosts {
+		for _, s := range subset(fmt.Sprintf("host-%d", h), "engine", shards) {
+			counts[s]++
+		}
+	}
+	mean := hosts * subsetSize / shards
+	for s, n := range counts {
+		if n > mean*5/4 {
+			t.Errorf("shard %d is used by %d hosts, the mean is %d", s, n, mean)
+		}
+	}
+}
+
+// TestShardsSplit checks that doubling the number of shards cuts each in two
+// and leaves no target in another's part.
+func TestShardsSplit(t *testing.T) {
+	for i := range 500 {
+		name := fmt.Sprintf("engine-%d", i)
+		before, after := shardOf(name, 8), shardOf(name, 16)
+		if after%8 != before {
+			t.Errorf("%s went from shard %d to %d", name, before, after)
+		}
+	}
+	if a, b := shardCount(100), shardCount(180); a != b {
+		t.Errorf("100 targets make %d shards, 180 make %d", a, b)
+	}
+}
+
+// TestTrafficRenewsLeases checks that any message of a host renews its leases,
+// and that they end once it is silent.
+func TestTrafficRenewsLeases(t *testing.T) {
+	start := time.Now()
+	var h holder
+	b := newBoard("engine")
+	b.update([]slotCount{{target: &declaration.Target{Name: "engine-1"}, slots: 1}})
+	var got []string
+	b.enqueue(&ticket{owner: "host-1", ask: Ask{AttemptID: "a1", Deadline: start.Add(time.Minute)}, deliver: func(x decision) {
+		got = append(got, x.target)
+	}}, start)
+	if !slices.Equal(got, []string{"engine-1"}) {
+		t.Fatalf("granted %v", got)
+	}
+	for at := time.Second; at <= 10*time.Second; at += time.Second {
+		h.hear("host-1", start.Add(at))
+		b.renewed(h.owners)
+		b.tick(start.Add(at))
+	}
+	if b.idle() {
+		t.Error("the lease of a host that is heard of ended")
+	}
+	b.renewed(h.owners)
+	b.tick(start.Add(10*time.Second + leaseTimeout + time.Second))
+	if !b.idle() {
+		t.Error("the lease of a silent host did not end")
+	}
+}
