Give scripts ports of their own and send histograms in one base64

Two scripts in parallel took a port from each other (seen once: the log stand-in of serve.txtar could not listen, and the script waited its whole patience). Each test process now uses a loopback address of its own, below the ports of outgoing connections. HDR's encoding is base64 already; as a string it is not encoded twice.

--- a/cmd/berylswitch/process_test.go
+++ b/cmd/berylswitch/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -14,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,7 +21,6 @@
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/internal/section"
-	"berylswitch.example/berylswitch/internal/site"
 	"berylswitch.example/berylswitch/internal/standin"
 	"berylswitch.example/berylswitch/pkg/caller"
 	"berylswitch.example/berylswitch/pkg/declaration"
@@ -36,7 +35,7 @@
 // TestProcesses runs the scripts of testdata/process, each with processes of
 // its own. Besides the commands of testscript they know
 //
-//	ports NAME...                      sets variables to free addresses
+//	ports NAME...                      sets variables to addresses of its own
 //	expand FILE                        replaces $NAME in the file
 //	start NAME PROGRAM ARG...          starts a process; its output goes to NAME.out
 //	signal NAME KILL|STOP|CONT|TERM
@@ -49,6 +48,9 @@
 //	streamed NAME WANT PIECES          waits for its end, which must be whole
 //	streaming NAME                     wants that a piece of it has come
 //	runs ADDR KEY N                    wants that a target ran KEY N times
+//	key NAME                           sets a variable to a new idempotency key
+//	output FILE TEXT                   wants TEXT in the file
+//	lines FILE WORD                    runs the lines of FILE that begin with WORD in a shell
 //	await COMMAND...                   repeats one of these until it passes
 func TestProcesses(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -64,6 +66,7 @@
 			"exited": doing(doExited), "publish": doing(doPublish), "get": doing(doGet), "control": doing(doControl),
 			"post": doing(doPost), "stream": doing(doStream), "streamed": doing(doStreamed),
 			"streaming": doing(doStreaming), "runs": doing(doRuns), "await": doing(doAwait),
+			"key": doing(doKey), "output": doing(doOutput), "lines": doing(doLines),
 		},
 	})
 }
@@ -101,7 +104,7 @@
 }
 
 // awaited are the commands that await repeats.
-var awaited = map[string]step{"get": doGet, "post": doPost, "runs": doRuns, "streaming": doStreaming, "publish": doPublish}
+var awaited = map[string]step{"get": doGet, "post": doPost, "runs": doRuns, "streaming": doStreaming, "publish": doPublish, "output": doOutput}
 
 func doAwait(ts *testscript.TestScript, s *processScript, args []string) error {
 	for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
@@ -112,14 +115,51 @@
 	}
 }
 
+// lastPort is the last port that a script was given.
+var lastPort atomic.Uint32
+
+// firstPort is below the ports that the machine gives to outgoing connections.
+const firstPort = 20000
+
+// doPorts gives out ports of a loopback address that only this process uses, so
+// that a port stays free until its script takes it, also again after a kill.
 func doPorts(ts *testscript.TestScript, _ *processScript, args []string) error {
+	pid := os.Getpid()
+	own := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16), byte(pid >> 8), byte(pid)})
 	for _, name := range args {
-		l, err := net.Listen("tcp", site.Loopback.String())
+		ts.Setenv(name, netip.AddrPortFrom(own, uint16(firstPort+lastPort.Add(1))).String())
+	}
+	return nil
+}
+
+func doKey(ts *testscript.TestScript, _ *processScript, args []string) error {
+	key, err := uuid.NewV7()
+	ts.Setenv(args[0], key.String())
+	return err
+}
+
+func doOutput(ts *testscript.TestScript, _ *processScript, args []string) error {
+	if !strings.Contains(ts.ReadFile(args[0]), args[1]) {
+		return fmt.Errorf("no %q in %s", args[1], args[0])
+	}
+	return nil
+}
+
+func doLines(ts *testscript.TestScript, _ *processScript, args []string) error {
+	n := 0
+	for _, line := range strings.Split(ts.ReadFile(args[0]), "\n") {
+		if !strings.HasPrefix(line, args[1]+" ") {
+			continue
+		}
+		n++
+		out, err := exec.Command("sh", "-c", line+" --fail-with-body").CombinedOutput()
 		if err != nil {
-			return err
+			return fmt.Errorf("%s: %w: %s", line, err, out)
 		}
-		defer l.Close() // after all, so that the ports differ
-		ts.Setenv(name, l.Addr().String())
+		ts.Logf("%s\n%s", line, out)
+	}
+	if n == 0 {
+		return fmt.Errorf("no line of %s begins with %s", args[0], args[1])
 	}
 	return nil
 }
--- a/internal/report/host.go
+++ b/internal/report/host.go
@@ -51,7 +51,7 @@
 	StageTotal
 	// RanHistogram holds the times that the stage ran, in microseconds, as an
 	// HDR histogram in its compressed text form.
-	RanHistogram []byte
+	RanHistogram string
 }
 
 // level returns the series as a host reports it.
@@ -146,12 +146,12 @@
 		return
 	}
 	to.StageTotal.add(&from.StageTotal)
-	a, errA := hdrhistogram.Decode(to.RanHistogram)
-	b, errB := hdrhistogram.Decode(from.RanHistogram)
+	a, errA := hdrhistogram.Decode([]byte(to.RanHistogram))
+	b, errB := hdrhistogram.Decode([]byte(from.RanHistogram))
 	if errA != nil || errB != nil {
-		to.RanHistogram = nil
+		to.RanHistogram = ""
 		return
 	}
 	a.Merge(b)
-	to.RanHistogram, _ = a.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	to.RanHistogram = encode(a)
 }
--- a/internal/report/stage.go
+++ b/internal/report/stage.go
@@ -79,9 +79,15 @@
 
 // cost returns the stage as a host reports it.
 func (s *stage) cost(key stageKey) StageCost {
-	ran, err := s.ran.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	return StageCost{Pipeline: key.pipeline, Stage: key.stage, StageTotal: s.total, RanHistogram: encode(s.ran)}
+}
+
+// encode returns the compressed text form of h, which is base64 already, or
+// nothing if it has none.
+func encode(h *hdrhistogram.Histogram) string {
+	text, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
 	if err != nil {
-		ran = nil
+		return ""
 	}
-	return StageCost{Pipeline: key.pipeline, Stage: key.stage, StageTotal: s.total, RanHistogram: ran}
+	return string(text)
 }
--- a/internal/report/summary.go
+++ b/internal/report/summary.go
@@ -166,7 +166,7 @@
 	if ofPipeline > 0 {
 		s.CostShare = float64(c.Cost) / float64(ofPipeline)
 	}
-	if ran, err := hdrhistogram.Decode(c.RanHistogram); err == nil {
+	if ran, err := hdrhistogram.Decode([]byte(c.RanHistogram)); err == nil {
 		s.RanP50 = time.Duration(ran.ValueAtQuantile(medianPercent)) * time.Microsecond
 		s.RanP99 = time.Duration(ran.ValueAtQuantile(tailPercent)) * time.Microsecond
 	}
