--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -26,6 +26,7 @@
 	cut       map[route]bool
 	delay     map[route]time.Duration
 	conns     map[*memConn]bool
+	killed    map[netip.Addr]bool
 	changed   chan struct{}
 	nextPort  uint16
 }
@@ -56,10 +57,12 @@
 }
 
 // Kill closes every listener and connection of the process at addr, as the end
-// of that process would.
+// of that process would. What is left of the process can't dial; the next
+// Listen at addr is that of its next life.
 func (m *Memory) Kill(addr netip.Addr) {
 	m.mu.Lock()
 	m.init()
+	m.killed[addr] = true
 	var conns []*memConn
 	for c := range m.conns {
 		if c.out.route.from == addr || c.out.route.to == addr {
@@ -107,6 +110,7 @@
 	m.cut = map[route]bool{}
 	m.delay = map[route]time.Duration{}
 	m.conns = map[*memConn]bool{}
+	m.killed = map[netip.Addr]bool{}
 	m.changed = make(chan struct{})
 	m.nextPort = firstDialPort
 }
@@ -146,6 +150,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.init()
+	delete(m.killed, addr.Addr())
 	if m.listeners[addr] != nil {
 		return nil, &net.OpError{Op: "listen", Net: "mem", Addr: net.TCPAddrFromAddrPort(addr), Err: syscall.EADDRINUSE}
 	}
@@ -193,6 +198,9 @@
 	if m.nextPort < firstDialPort {
 		m.nextPort = firstDialPort
 	}
+	if m.killed[from] {
+		return nil, netip.AddrPort{}
+	}
 	return m.listeners[addr], netip.AddrPortFrom(from, m.nextPort)
 }
 
