--- a/cmd/berylswitch/try.go
+++ b/cmd/berylswitch/try.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/report"
 	"berylswitch.example/berylswitch/internal/site"
 	"berylswitch.example/berylswitch/internal/standin"
@@ -149,7 +150,7 @@
 	}
 	fmt.Fprintf(t.out, "\nPipeline %s: one booking, sent twice with the key %s.\n", bookPipeline, key)
 	for i := range t.site.Callers {
-		a, err := t.call(ctx, i, bookPipeline, key.String(), `{"Text": "table 4 at nine"}`)
+		a, err := t.book(ctx, i, key.String())
 		if err != nil {
 			return err
 		}
@@ -166,6 +167,24 @@
 	return nil
 }
 
+// inProgressPause is the time before a key is asked for again whose first
+// attempt is still running, as far as the host knows.
+const inProgressPause = 100 * time.Millisecond
+
+// book sends the booking to the host with number i until there is an outcome.
+func (t *trySite) book(ctx context.Context, i int, key string) (*caller.Answer, error) {
+	var c clock.Service
+	for {
+		a, err := t.call(ctx, i, bookPipeline, key, `{"Text": "table 4 at nine"}`)
+		if err != nil || a.Code != result.InProgress {
+			return a, err
+		}
+		if err := c.Sleep(ctx, inProgressPause); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // call posts a request to the host with number i.
 func (t *trySite) call(ctx context.Context, i int, pipeline, key, body string) (*caller.Answer, error) {
 	return postRequest(ctx, http.DefaultClient, t.url(i, pipeline), key, body)
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -36,6 +36,8 @@
 		resp.WriteErrorString(http.StatusServiceUnavailable, "draining\n")
 	case h.Follower.State() == nil:
 		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration yet\n")
+	case !h.Targets.Ready():
+		resp.WriteErrorString(http.StatusServiceUnavailable, "no word on the targets yet\n")
 	default:
 		io.WriteString(resp, "ready\n")
 	}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -128,6 +128,10 @@
 // isLeft reports whether l is known to be leaving; r.mu is held.
 func (r *Registry) isLeft(l Life) bool { return r.left != nil && r.left.Contains(l) }
 
+// Ready reports whether the targets of the declaration can be told apart: a
+// starting host waits for its first word on those that are leaving.
+func (r *Registry) Ready() bool { return r.set.Load() != nil }
+
 // Lookup returns the usable target of that name, or nil.
 func (r *Registry) Lookup(name string) *declaration.Target {
 	if s := r.set.Load(); s != nil {
