--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -32,8 +32,8 @@
 }
 
 func (h *Host) ready(_ *restful.Request, resp *restful.Response) {
-	if h.Follower.State() == nil {
-		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration yet")
+	if h.Follower.Stale(h.Clock.Now()) {
+		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration, or too old a one")
 		return
 	}
 	io.WriteString(resp, "ready\n")
@@ -82,8 +82,8 @@
 // admit checks a request before anything of it runs.
 func (h *Host) admit(rest *restful.Request, id string, start time.Time) (*pipeline.Request, error) {
 	state := h.Follower.State()
-	if state == nil {
-		return nil, result.NotRun(result.ConfigStale, "no configuration yet")
+	if h.Follower.Stale(start) {
+		return nil, result.NotRun(result.ConfigStale, "no configuration, or no contact to log or peers")
 	}
 	w := state.View.Workspaces[rest.PathParameter("workspace")]
 	if w == nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := h.Net.Listen(h.Settings.PeerAddr)
+	peers, err := peerNetwork(h.Settings, h.Net).Listen(h.Settings.PeerAddr)
 	if err != nil {
 		callers.Close()
 		return err
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -7,7 +7,6 @@
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/platform"
-	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/internal/workspace"
@@ -24,7 +23,8 @@
 		provideRPC,
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
-		wire.Struct(new(section.Follower), "Log", "Clock"),
+		provideCaller,
+		provideFollower,
 		wire.Struct(new(target.Registry)),
 		wire.Struct(new(workspace.Admission), "*"),
 		wire.Struct(new(workspace.Retries), "*"),
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -10,7 +10,6 @@
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/pipeline"
-	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/internal/workspace"
@@ -22,11 +21,9 @@
 // New assembles a host from its settings.
 func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) *Host {
 	client := provideClient(s, n)
-	follower := &section.Follower{
-		Log:   client,
-		Clock: c,
-	}
 	exchange := provideExchange(s, n, c)
+	caller := provideCaller(s, n)
+	follower := provideFollower(s, client, c, exchange, caller)
 	registry := &target.Registry{}
 	dispatcher := provideDispatcher(s, c, registry)
 	targetClient := target.NewClient(n)
@@ -42,7 +39,7 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
-	server := provideRPC()
+	server := provideRPC(follower)
 	host := &Host{
 		Settings:   s,
 		Net:        n,
--- /dev/null
+++ b/internal/link/tls.go
@@ -0,0 +1,188 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+)
+
+// TLS is a Network whose connections are encrypted and on which both sides show
+// a certificate that leads to one in CAFile. A certificate must name the IP
+// number under which its owner is dialled. The files are PEM; they are read
+// again once they have changed, for the connections made from then on. Exported
+// fields are set before the first use.
+type TLS struct {
+	Network  Network
+	CertFile string
+	KeyFile  string
+	CAFile   string
+
+	mu      sync.Mutex
+	stamp   [3]stamp
+	config  *tls.Config
+	checked time.Time
+}
+
+var _ Network = (*TLS)(nil)
+
+// stamp tells whether a file has changed.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+// handshakeTimeout bounds a handshake, so that a peer that stays silent can't
+// hold a connection. reloadPeriod is the time between two looks at the files.
+const (
+	handshakeTimeout = 5 * time.Second
+	reloadPeriod     = time.Second
+)
+
+// Dial connects and completes the handshake.
+func (t *TLS) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	cfg, err := t.current()
+	if err != nil {
+		return nil, err
+	}
+	conn, err := t.Network.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	cfg = cfg.Clone()
+	cfg.ServerName = addr.Addr().String()
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secured := tls.Client(conn, cfg)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("link: TLS with %v: %w", addr, err)
+	}
+	return secured, nil
+}
+
+// Listen opens a listener whose connections shake hands on their first use.
+func (t *TLS) Listen(addr netip.AddrPort) (net.Listener, error) {
+	if _, err := t.current(); err != nil {
+		return nil, err
+	}
+	l, err := t.Network.Listen(addr)
+	if err != nil {
+		return nil, err
+	}
+	return &tlsListener{Listener: l, t: t}, nil
+}
+
+type tlsListener struct {
+	net.Listener
+	t *TLS
+}
+
+// Accept returns the next connection before its handshake, so that one slow
+// peer does not hold up the others.
+func (l *tlsListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := l.t.current()
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return &serverConn{Conn: tls.Server(conn, cfg)}, nil
+}
+
+// serverConn bounds the time of the handshake.
+type serverConn struct {
+	*tls.Conn
+	once sync.Once
+	err  error
+}
+
+func (c *serverConn) handshake() error {
+	c.once.Do(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+		defer cancel()
+		c.err = c.Conn.HandshakeContext(ctx)
+	})
+	return c.err
+}
+
+// Read reads after the handshake.
+func (c *serverConn) Read(b []byte) (int, error) {
+	if err := c.handshake(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+// Write writes after the handshake.
+func (c *serverConn) Write(b []byte) (int, error) {
+	if err := c.handshake(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// current returns the configuration made of the files. Files that became
+// unreadable leave the last one in use.
+func (t *TLS) current() (*tls.Config, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.config != nil && time.Since(t.checked) < reloadPeriod {
+		return t.config, nil
+	}
+	t.checked = time.Now()
+	now, err := t.stamps()
+	if err == nil && (t.config == nil || now != t.stamp) {
+		var cfg *tls.Config
+		if cfg, err = t.load(); err == nil {
+			t.config, t.stamp = cfg, now
+		}
+	}
+	if t.config == nil {
+		return nil, err
+	}
+	return t.config, nil
+}
+
+func (t *TLS) stamps() ([3]stamp, error) {
+	var out [3]stamp
+	for i, name := range []string{t.CertFile, t.KeyFile, t.CAFile} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return out, err
+		}
+		out[i] = stamp{info.ModTime(), info.Size()}
+	}
+	return out, nil
+}
+
+func (t *TLS) load() (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	pem, err := os.ReadFile(t.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.New("link: no certificate in " + t.CAFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
--- a/internal/section/section.go
+++ b/internal/section/section.go
@@ -1,97 +1,242 @@
-// Package section folds the Config stream into the document in force. Every
-// host that has read the same records holds the same document.
+// Package section folds the Config stream into the document in force.
+//
+// The log service has no compare-and-set, so every host folds the same records
+// in the order of their offsets and reaches the same verdict on each: a change
+// is accepted if it was made from the section's newest revision and leaves the
+// whole document valid. This is optimistic locking with log order in place of
+// compare-and-set.
+//
+// A Follower reads the stream, publishes each State, catches up from peers when
+// its reads lag or the log is down, and sees to it that a snapshot covers the
+// records that are about to leave the log's retention. The offset of a
+// Follower's state only ever grows.
+//
+// docs/design/configuration.md explains the rules.
 package section
 
 import (
 	"context"
-	"encoding/json"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/cenkalti/backoff/v5"
 )
 
-// ChangeKind is the kind of the records that carry a declaration.Change.
-const ChangeKind = "Change"
+// Times of a follower.
+const (
+	// longRead is how long a read of the log waits for a record while peers are
+	// in contact, shortRead while none is.
+	longRead  = 10 * time.Second
+	shortRead = 2 * time.Second
+	// minReadPause and maxReadPause bound the time between reads that failed.
+	minReadPause = 200 * time.Millisecond
+	maxReadPause = 2 * time.Second
+	// tickPeriod is the time between two looks at peers and snapshots.
+	tickPeriod = time.Second
+	// staleAfter is the time without contact to log or peers after which the
+	// state may be too old to serve by.
+	staleAfter = 5 * time.Second
+)
 
-// State is the document in force after the records up to Offset. It is
-// immutable.
-type State struct {
-	Offset    platform.Offset
-	Revisions map[string]platform.Offset
-	Document  *declaration.Document
-	View      *declaration.View
-}
+// Lister lists the hosts that are believed alive.
+type Lister interface{ Members() *peer.Members }
 
 // Follower keeps the state by reading the Config stream. Exported fields are
-// set before Run.
+// set before Run. Without Members it neither asks peers nor writes snapshots.
 type Follower struct {
 	Log   platform.Log
 	Clock *clock.Service
+
+	Self    peer.Host
+	Members Lister
+	Caller  *peer.Caller
+	// SnapshotAge is the age at which a needed record gets covered by a snapshot.
+	// It must be well under the log's retention.
+	SnapshotAge time.Duration
+	// LatestRule is the newest rule that is known; zero means that of this
+	// release.
+	LatestRule int
+
 	// OnState is called with each new state, in order, by one goroutine.
 	OnState func(*State)
+	// Observe, unless nil, is called like OnState; it is for tests.
+	Observe func(*State)
+
+	shared atomic.Pointer[shared]
+	hints  chan peer.Host
+	once   sync.Once
 
-	state atomic.Pointer[State]
+	mu      sync.Mutex
+	contact contact
 }
 
-// readWait is how long one read of the log waits for a record, readPause the
-// time between reads that failed.
-const (
-	readWait  = 10 * time.Second
-	readPause = 500 * time.Millisecond
-)
+// contact holds when the log and a peer last answered.
+type contact struct {
+	log, peer time.Time
+	halted    bool
+}
+
+// shared is what the control goroutine publishes to others.
+type shared struct {
+	state    *State
+	coverage Coverage
+	recent   []platform.Record
+}
 
 // State returns the state in force, or nil before the first.
-func (f *Follower) State() *State { return f.state.Load() }
+func (f *Follower) State() *State {
+	if s := f.shared.Load(); s != nil {
+		return s.state
+	}
+	return nil
+}
 
-// Run reads the stream until ctx ends.
-func (f *Follower) Run(ctx context.Context) error {
-	next := platform.Offset(1)
-	doc := &declaration.Document{Sections: map[string]declaration.Section{}}
-	revisions := map[string]platform.Offset{}
-	for ctx.Err() == nil {
-		batch, err := f.Log.Read(ctx, platform.ConfigStream, next, readWait)
-		if err != nil {
-			f.Clock.Sleep(ctx, readPause)
-			continue
-		}
-		for _, r := range batch.Records {
-			apply(doc, revisions, r)
-			next = r.Offset + 1
-		}
-		if len(batch.Records) > 0 || f.State() == nil {
-			f.publish(doc, revisions, next-1)
-		}
+// Offset returns the offset of the state in force, or zero before the first.
+func (f *Follower) Offset() platform.Offset {
+	if s := f.State(); s != nil {
+		return s.Offset
 	}
-	return ctx.Err()
+	return 0
 }
 
-func apply(doc *declaration.Document, revisions map[string]platform.Offset, r platform.Record) {
-	var c declaration.Change
-	if json.Unmarshal(r.Data, &c) != nil || c.Base != int64(revisions[c.Section]) {
+// Behind takes a peer's word that its state has the given offset. It is called
+// at each exchange, also when the offset is no news: it counts as contact.
+func (f *Follower) Behind(h peer.Host, offset platform.Offset) {
+	f.reachedPeer()
+	if offset <= f.Offset() {
 		return
 	}
-	var s declaration.Section
-	if json.Unmarshal(c.Text, &s) != nil {
-		return
+	select {
+	case f.hintQueue() <- h:
+	default:
 	}
-	doc.Sections[c.Section] = s
-	revisions[c.Section] = r.Offset
 }
 
-func (f *Follower) publish(doc *declaration.Document, revisions map[string]platform.Offset, at platform.Offset) {
-	s := &State{Offset: at, Revisions: map[string]platform.Offset{}, Document: &declaration.Document{Sections: map[string]declaration.Section{}}}
-	for name, sec := range doc.Sections {
-		s.Document.Sections[name] = sec
+// maxHints bounds the hints that wait.
+const maxHints = 16
+
+func (f *Follower) hintQueue() chan peer.Host {
+	f.once.Do(func() { f.hints = make(chan peer.Host, maxHints) })
+	return f.hints
+}
+
+func (f *Follower) reachedPeer() {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact.peer = now
+}
+
+func (f *Follower) reachedLog() {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact.log = now
+}
+
+func (f *Follower) contacts() contact {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact
+}
+
+// Stale reports whether the state may be too old to take new work by: there is
+// none, neither the log nor a peer answered for some seconds, or a rule is in
+// force that this release does not know.
+func (f *Follower) Stale(now time.Time) bool {
+	c := f.contacts()
+	last := c.log
+	if c.peer.After(last) {
+		last = c.peer
+	}
+	return f.State() == nil || c.halted || now.Sub(last) > staleAfter
+}
+
+func (f *Follower) latestRule() int {
+	if f.LatestRule == 0 {
+		return declaration.LatestRule
+	}
+	return f.LatestRule
+}
+
+// Run follows the stream until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	c := newControl(f)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { f.readLog(ctx, c.reads) })
+	ticks := f.Clock.Subscribe(ctx, tickPeriod)
+	c.probe(ctx, &wg)
+	for {
+		select {
+		case r := <-c.reads:
+			c.read(r.batch)
+			r.next <- c.position()
+		case p := <-c.replies:
+			c.peerReply(p)
+		case h := <-f.hintQueue():
+			c.ask(ctx, &wg, h)
+		case ok := <-c.appended:
+			c.snapshotDone(ok)
+		case <-ticks:
+			c.settle(false)
+			c.probe(ctx, &wg)
+			c.snapshot(ctx, &wg)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	for name, rev := range revisions {
-		s.Revisions[name] = rev
+}
+
+// logRead is a batch on its way to the control goroutine, which answers with
+// the offset to read from next.
+type logRead struct {
+	batch platform.Batch
+	next  chan platform.Offset
+}
+
+// readLog reads the stream, one batch at a time, until ctx ends or the control
+// goroutine answers zero.
+func (f *Follower) readLog(ctx context.Context, reads chan<- logRead) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = minReadPause, maxReadPause
+	next := make(chan platform.Offset, 1)
+	from := platform.Offset(1)
+	for ctx.Err() == nil && from > 0 {
+		batch, err := f.Log.Read(ctx, platform.ConfigStream, from, f.readWait())
+		if err != nil {
+			f.Clock.Sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		pause.Reset()
+		select {
+		case reads <- logRead{batch, next}:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case from = <-next:
+		case <-ctx.Done():
+			return
+		}
+		if len(batch.Records) == 0 && batch.Next < from {
+			f.Clock.Sleep(ctx, minReadPause) // a stale answer came at once
+		}
 	}
-	s.View = declaration.NewView(s.Document)
-	f.state.Store(s)
-	if f.OnState != nil {
-		f.OnState(s)
+}
+
+// readWait keeps reads short while the log is the only contact, so that one
+// that waits for a record is not taken for one that is lost.
+func (f *Follower) readWait() time.Duration {
+	if f.Clock.Since(f.contacts().peer) < staleAfter {
+		return longRead
 	}
+	return shortRead
 }
