--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -1,10 +1,12 @@
 package host
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/rpc"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -19,11 +21,18 @@
 	return platform.NewClient(platformNetwork(s, n), s.LogAddr, s.HostListAddr)
 }
 
-func provideExchange(s *settings.Settings, n link.Network, c *clock.Service) *peer.Exchange {
+func provideExchange(s *settings.Settings, n link.Network, c *clock.Service, caller *peer.Caller, client *platform.Client, f *section.Follower) *peer.Exchange {
 	x := &peer.Exchange{
-		Self:  peer.Host{Name: s.Name, Addr: s.PeerAddr, Domain: s.Domain, Incarnation: time.Now().UnixNano()},
-		Net:   peerNetwork(s, n),
-		Clock: c,
+		Self:   peer.Host{Name: s.Name, Addr: s.PeerAddr, Domain: s.Domain, Incarnation: time.Now().UnixNano()},
+		Net:    peerNetwork(s, n),
+		Clock:  c,
+		Caller: caller,
+		Offset: func() int64 { return int64(f.Offset()) },
+	}
+	x.OnBehind = func(h peer.Host, offset int64) { f.Behind(h, platform.Offset(offset)) }
+	f.Self, f.Members = x.Self, x
+	if s.HostListAddr.IsValid() {
+		x.Discover = func(ctx context.Context) ([]peer.Host, error) { return discover(ctx, client) }
 	}
 	for _, p := range s.Peers {
 		x.Seeds = append(x.Seeds, peer.Host{Name: p.Name, Addr: p.Addr, Domain: p.Domain})
@@ -31,6 +40,21 @@
 	return x
 }
 
+// discover returns the live hosts of the system on the host list.
+func discover(ctx context.Context, list platform.HostList) ([]peer.Host, error) {
+	entries, err := list.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []peer.Host
+	for _, e := range entries {
+		if e.Role == platform.HostRole && e.State == platform.Live {
+			out = append(out, peer.Host{Name: e.Name, Addr: e.Addr})
+		}
+	}
+	return out, nil
+}
+
 func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry) *queue.Dispatcher {
 	return &queue.Dispatcher{Clock: c, Targets: r, Policy: queue.LeastOfTwo{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
@@ -39,23 +63,8 @@
 	return &peer.Caller{Net: peerNetwork(s, n)}
 }
 
-func provideFollower(s *settings.Settings, log platform.Log, c *clock.Service, x *peer.Exchange, caller *peer.Caller) *section.Follower {
-	return &section.Follower{
-		Log:         log,
-		Clock:       c,
-		Self:        x.Self,
-		Members:     x,
-		Caller:      caller,
-		SnapshotAge: time.Duration(s.SnapshotAge),
-	}
-}
-
-func provideRPC(f *section.Follower) *rpc.Server {
-	s := rpc.NewServer()
-	if err := s.RegisterName(section.ServiceName, &section.Service{Follower: f}); err != nil {
-		panic(err)
-	}
-	return s
+func provideFollower(s *settings.Settings, log platform.Log, c *clock.Service, caller *peer.Caller) *section.Follower {
+	return &section.Follower{Log: log, Clock: c, Caller: caller, SnapshotAge: time.Duration(s.SnapshotAge)}
 }
 
 // peerNetwork is the way to other hosts, platformNetwork that to the platform.
@@ -71,3 +80,19 @@
 	}
 	return &link.TLS{Network: n, CertFile: t.CertFile, KeyFile: t.KeyFile, CAFile: t.CAFile}
 }
+
+// providePeers registers the services that peers call.
+func providePeers(x *peer.Exchange, f *section.Follower, claims *claim.Holder) (*peer.Server, error) {
+	s := &peer.Server{RPC: rpc.NewServer()}
+	if err := x.Register(s.RPC); err != nil {
+		return nil, err
+	}
+	if err := s.RPC.RegisterName(section.ServiceName, &section.Service{Follower: f}); err != nil {
+		return nil, err
+	}
+	return s, s.RPC.RegisterName(claim.ServiceName, &claim.Service{Holder: claims})
+}
+
+func provideHolder(s *settings.Settings, c *clock.Service, l platform.Log, x *peer.Exchange) *claim.Holder {
+	return &claim.Holder{Clock: c, Log: l, Members: x, Self: s.Name, Stats: claim.NewStats()}
+}
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -7,6 +7,7 @@
 package host
 
 import (
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/pipeline"
@@ -19,11 +20,11 @@
 // Injectors from wire.go:
 
 // New assembles a host from its settings.
-func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) *Host {
+func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) (*Host, error) {
 	client := provideClient(s, n)
-	exchange := provideExchange(s, n, c)
 	caller := provideCaller(s, n)
-	follower := provideFollower(s, client, c, exchange, caller)
+	follower := provideFollower(s, client, c, caller)
+	exchange := provideExchange(s, n, c, caller, client, follower)
 	registry := &target.Registry{}
 	dispatcher := provideDispatcher(s, c, registry)
 	targetClient := target.NewClient(n)
@@ -39,7 +40,12 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
-	server := provideRPC(follower)
+	holder := provideHolder(s, c, client, exchange)
+	claimClient := claim.NewClient(c, exchange, caller, holder)
+	server, err := providePeers(exchange, follower, holder)
+	if err != nil {
+		return nil, err
+	}
 	host := &Host{
 		Settings:   s,
 		Net:        n,
@@ -51,7 +57,10 @@
 		Dispatcher: dispatcher,
 		Runner:     runner,
 		Admission:  admission,
-		RPC:        server,
+		Claims:     holder,
+		Claimer:    claimClient,
+		Caller:     caller,
+		Peers:      server,
 	}
-	return host
+	return host, nil
 }
