Prove that a configuration never reverts, by drawn runs and scripts

Found by them and mended: a read that hung was given up after 15 s only, so that the end of an outage was noticed late (now 4 s); a host that woke took an answer from before its sleep for contact (answers now count from the end of the read's wait at the latest, a peer's from the sending); a fresh stream left hosts without a state for the whole of the first long read; a text that ended in a line comment was refused; the log stand-in held a hung append for ever, since the server sees a caller leave only once the body is read.

--- a/internal/section/control.go
+++ b/internal/section/control.go
@@ -42,6 +42,7 @@
 	return &control{
 		f:        f,
 		fold:     newFold(f.latestRule()),
+		recent:   recent{limit: f.recentLimit()},
 		started:  f.Clock.Now(),
 		reads:    make(chan logRead),
 		replies:  make(chan *FetchReply),
@@ -59,9 +60,10 @@
 }
 
 // read folds a batch of the log.
-func (c *control) read(b platform.Batch) {
+func (c *control) read(l logRead) {
+	b := l.batch
 	if b.Next > c.fold.offset {
-		c.f.reachedLog()
+		c.f.reachedLog(l.sent, l.wait)
 	}
 	c.seen.oldest = max(c.seen.oldest, b.Oldest)
 	c.seen.next = max(c.seen.next, b.Next)
@@ -142,7 +144,7 @@
 	if err != nil {
 		return false
 	}
-	c.fold, c.coverage, c.recent = next, coverage, recent{}
+	c.fold, c.coverage, c.recent = next, coverage, recent{limit: c.f.recentLimit()}
 	if next.offset+1 >= c.seen.oldest {
 		c.seek = 0
 	}
@@ -178,7 +180,7 @@
 	if p.failed {
 		return
 	}
-	c.f.reachedPeer()
+	c.f.reachedPeer(p.sent)
 	before := c.fold.offset
 	switch {
 	case p.Offset <= before || c.fold.halted():
--- a/internal/section/fold.go
+++ b/internal/section/fold.go
@@ -205,7 +205,11 @@
 	}
 	d.Check(func(section string, path declaration.Path, format string, args ...any) {
 		if len(reasons) < declaration.MaxReasons {
-			reasons = append(reasons, bounded(fmt.Sprintf("section %q: %s: ", section, path)+fmt.Sprintf(format, args...)))
+			place := section
+			if len(path) > 0 {
+				place += ": " + path.String()
+			}
+			reasons = append(reasons, bounded(place+": "+fmt.Sprintf(format, args...)))
 		}
 	})
 	return reasons
--- /dev/null
+++ b/internal/section/oracle_test.go
@@ -0,0 +1,127 @@
+package section
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/pkg/declaration"
+)
+
+// variant is a text whose worth the oracle knows without reading it.
+type variant struct {
+	declares []string // pools
+	refers   string   // to a pool, by a target
+	region   bool     // uses a field of rule 2
+	broken   bool     // is no section
+	removed  bool
+}
+
+var variants = []variant{
+	{declares: []string{"P1"}},
+	{declares: []string{"P2"}},
+	{declares: []string{"P1", "P2"}},
+	{refers: "P1"},
+	{declares: []string{"P3"}, refers: "P2"},
+	{declares: []string{"P4"}, refers: "P4", region: true},
+	{broken: true},
+	{removed: true},
+}
+
+// text writes v for a section.
+func (v *variant) text(section string) string {
+	var b strings.Builder
+	b.WriteString("{")
+	for i, p := range v.declares {
+		if i == 0 {
+			b.WriteString(`"Pools": [`)
+		}
+		fmt.Fprintf(&b, `{"Name": %q},`, p)
+	}
+	if len(v.declares) > 0 {
+		b.WriteString("],")
+	}
+	if v.refers != "" {
+		region := ""
+		if v.region {
+			region = `, "Region": "North"`
+		}
+		fmt.Fprintf(&b, `"Targets": [{"Name": "t-%s", "Pool": %q, "Addr": "10.0.0.1:80", "Domain": "A", "Slots": 1%s}]`, section, v.refers, region)
+	}
+	if v.broken {
+		b.WriteString(`"Pool": `)
+	}
+	return b.String() + "}"
+}
+
+// oracle judges the records of the stream by the rules as operators know them.
+type oracle struct {
+	variants map[string]int // by change ID
+	rule     int
+	inForce  map[string]string // change ID by section
+	revision map[string]int64
+	verdicts map[string]declaration.VerdictKind
+}
+
+func newOracle(variants map[string]int) *oracle {
+	return &oracle{variants: variants, rule: 1, inForce: map[string]string{}, revision: map[string]int64{}, verdicts: map[string]declaration.VerdictKind{}}
+}
+
+func (o *oracle) apply(r *platform.Record) {
+	switch r.Kind {
+	case RuleKind:
+		o.rule = 2 // the only rule that is drawn
+	case ChangeKind:
+		if o.verdicts[r.ID] == "" {
+			o.verdicts[r.ID] = o.judge(r)
+		}
+	}
+}
+
+func (o *oracle) judge(r *platform.Record) declaration.VerdictKind {
+	var c declaration.Change
+	if err := json.Unmarshal(r.Data, &c); err != nil {
+		panic(err)
+	}
+	if c.Base != o.revision[c.Section] {
+		return declaration.Overtaken
+	}
+	v := variants[o.variants[r.ID]]
+	if v.broken || (v.region && o.rule < 2) || (v.removed && o.inForce[c.Section] == "") {
+		return declaration.Invalid
+	}
+	before, existed := o.inForce[c.Section]
+	o.inForce[c.Section] = r.ID
+	if v.removed {
+		delete(o.inForce, c.Section)
+	}
+	if !o.whole() {
+		delete(o.inForce, c.Section)
+		if existed {
+			o.inForce[c.Section] = before
+		}
+		return declaration.Invalid
+	}
+	o.revision[c.Section] = int64(r.Offset)
+	return declaration.Accepted
+}
+
+// whole reports whether the sections in force fit together.
+func (o *oracle) whole() bool {
+	declared := map[string]bool{}
+	for _, id := range o.inForce {
+		for _, p := range variants[o.variants[id]].declares {
+			if declared[p] {
+				return false
+			}
+			declared[p] = true
+		}
+	}
+	for _, id := range o.inForce {
+		if p := variants[o.variants[id]].refers; p != "" && !declared[p] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/section/peers.go
+++ b/internal/section/peers.go
@@ -32,6 +32,7 @@
 	Coverage Coverage
 
 	from   string
+	sent   time.Time
 	failed bool
 }
 
@@ -92,8 +93,9 @@
 	maxRecentBytes   = 1 << 20
 )
 
-// recent keeps the newest records without gaps.
+// recent keeps the newest records without gaps, up to limit of them.
 type recent struct {
+	limit int
 	list  []platform.Record
 	bytes int
 }
@@ -104,7 +106,7 @@
 	}
 	q.list = append(q.list, *r)
 	q.bytes += len(r.Data)
-	for len(q.list) > maxRecentRecords || q.bytes > maxRecentBytes {
+	for len(q.list) > q.limit || q.bytes > maxRecentBytes {
 		q.bytes -= len(q.list[0].Data)
 		q.list = q.list[1:]
 	}
@@ -126,7 +128,7 @@
 	maxProbes = 8
 	// logQuiet is the time without an answer of the log after which more peers
 	// are asked.
-	logQuiet = shortRead + time.Second
+	logQuiet = readWait + readMargin
 )
 
 // probe asks some peers for what is newer. While the log answers these are a
@@ -138,9 +140,7 @@
 	others := c.others()
 	c.order(others)
 	n := probesPerTick
-	contact := c.f.contacts()
-	now := c.f.Clock.Now()
-	if now.Sub(contact.log) < logQuiet || (now.Sub(contact.log) < longRead+logQuiet && now.Sub(contact.peer) < logQuiet) {
+	if c.f.Clock.Since(c.f.contacts().log) < logQuiet {
 		others = others[:min(len(others), neighbours)]
 		n = 1
 	}
@@ -176,10 +176,11 @@
 func (f *Follower) fetch(ctx context.Context, h peer.Host, from platform.Offset) *FetchReply {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	sent := f.Clock.Now()
 	reply := &FetchReply{}
 	if err := f.Caller.Call(ctx, h.Addr, ServiceName+".Fetch", &FetchArgs{From: from}, reply); err != nil {
 		return &FetchReply{from: h.Name, failed: true}
 	}
-	reply.from = h.Name
+	reply.from, reply.sent = h.Name, sent
 	return reply
 }
--- /dev/null
+++ b/internal/section/random_test.go
@@ -0,0 +1,270 @@
+package section
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/internal/standin"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// Bounds of a drawn run.
+const (
+	drawnHosts    = 4
+	maxSteps      = 40
+	maxStepWait   = 2500 * time.Millisecond
+	maxFaultTime  = 9 * time.Second
+	healTime      = 5 * time.Second // the promise
+	quietTime     = worldRetention + 5*time.Second
+	drawnSections = 3
+)
+
+// step is one drawn operation. Steps that are faults end by themselves after
+// For; the last host meets only faults of the whole log, so that some host
+// reads each record within the retention.
+type step struct {
+	Kind    string
+	Host    int
+	Section int
+	Variant int
+	// BaseFrom is the host whose state tells the editor the base.
+	BaseFrom int
+	Copies   int
+	For      time.Duration
+	Wait     time.Duration
+}
+
+var kinds = []string{
+	"Publish", "Publish", "Publish", "Publish", "Publish", "Race", "Race", "Rule",
+	"CutLog", "CutPeers", "Freeze", "Restart", "StaleReads", "LagReads", "LogDown", "LogHangs", "LoseAnswers", "DropAppends",
+}
+
+func drawSteps(t *rapid.T) []step {
+	duration := func(limit time.Duration, label string) time.Duration {
+		return time.Duration(rapid.IntRange(0, int(limit/time.Millisecond)).Draw(t, label)) * time.Millisecond
+	}
+	steps := make([]step, rapid.IntRange(1, maxSteps).Draw(t, "Steps"))
+	for i := range steps {
+		steps[i] = step{
+			Kind:     rapid.SampledFrom(kinds).Draw(t, "Kind"),
+			Host:     rapid.IntRange(0, drawnHosts-2).Draw(t, "Host"),
+			Section:  rapid.IntRange(0, drawnSections-1).Draw(t, "Section"),
+			Variant:  rapid.IntRange(0, len(variants)-1).Draw(t, "Variant"),
+			BaseFrom: rapid.IntRange(0, drawnHosts-1).Draw(t, "BaseFrom"),
+			Copies:   rapid.IntRange(1, 2).Draw(t, "Copies"),
+			For:      duration(maxFaultTime, "For"),
+			Wait:     duration(maxStepWait, "Wait"),
+		}
+	}
+	return steps
+}
+
+// run is a world under drawn steps.
+type run struct {
+	w        *world
+	editor   *platform.Client
+	variants map[string]int
+	changes  int
+}
+
+// TestDrawnRuns holds promise 4 against the oracle.
+func TestDrawnRuns(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		old := rapid.Bool().Draw(rt, "OldRelease")
+		var faults []string
+		synctest.Test(t, func(*testing.T) { faults = runSteps(steps, old) })
+		if len(faults) > 0 {
+			rt.Fatalf("%d faults, the first: %s", len(faults), faults[0])
+		}
+	})
+}
+
+func runSteps(steps []step, old bool) []string {
+	latest := []int{declaration.LatestRule}
+	if old {
+		latest[0] = declaration.FirstRule
+	}
+	r := &run{w: newWorld(drawnHosts, latest...), variants: map[string]int{}}
+	r.editor = r.w.client(editorsAddr)
+	time.Sleep(2 * time.Second)
+	for _, s := range steps {
+		r.do(s)
+		time.Sleep(s.Wait)
+	}
+	r.w.heal()
+	time.Sleep(healTime)
+	faults := r.check()
+	faults = append(faults, r.checkFresh()...)
+	r.w.close()
+	r.editor.HTTP.CloseIdleConnections()
+	return faults
+}
+
+func (r *run) do(s step) {
+	h := r.w.hosts[s.Host]
+	addr := h.self.Addr.Addr()
+	until := func(undo func()) { time.AfterFunc(s.For, undo) }
+	logFaults := func(f standin.LogFaults) {
+		r.w.log.SetFaults(f)
+		until(func() { r.w.log.SetFaults(standin.LogFaults{}) })
+	}
+	readFaults := func(f standin.LogFaults) {
+		r.w.log.SetFaultsFor(addr, f)
+		until(func() { r.w.log.SetFaultsFor(addr, standin.LogFaults{}) })
+	}
+	switch s.Kind {
+	case "Publish":
+		r.publish(s, s.Section)
+	case "Race":
+		r.publish(s, s.Section)
+		r.publish(s, (s.Section+s.Copies-1)%drawnSections)
+	case "Rule":
+		r.w.wg.Go(func() {
+			r.w.append(r.editor, platform.Entry{ID: fmt.Sprint("rule", r.w.hosts[0].life), Kind: RuleKind, Data: []byte(`{"Version":2}`)}, 1)
+		})
+	case "CutLog":
+		r.w.cutLog(s.Host, true)
+		until(func() { r.w.cutLog(s.Host, false) })
+	case "CutPeers":
+		r.w.cutPeers(s.Host, true)
+		until(func() { r.w.cutPeers(s.Host, false) })
+	case "Freeze":
+		clock := h.clock
+		clock.Suspend()
+		until(clock.Resume)
+	case "Restart":
+		h.end()
+		h.start()
+	case "StaleReads":
+		readFaults(standin.LogFaults{StaleReads: true})
+	case "LagReads":
+		readFaults(standin.LogFaults{StaleBy: s.Wait})
+	case "LogDown":
+		logFaults(standin.LogFaults{Down: true})
+	case "LogHangs":
+		logFaults(standin.LogFaults{Hang: true})
+	case "LoseAnswers":
+		logFaults(standin.LogFaults{LoseAnswers: true})
+	case "DropAppends":
+		logFaults(standin.LogFaults{DropAppends: true})
+	default:
+		panic("unexpected step " + s.Kind)
+	}
+}
+
+// publish lets an editor send a change made from what one host has in force.
+func (r *run) publish(s step, section int) {
+	name := string(rune('A' + section))
+	v := &variants[s.Variant]
+	r.changes++
+	id := fmt.Sprintf("c%d", r.changes)
+	r.variants[id] = s.Variant
+	c := declaration.Change{Section: name, Author: "editor", Removed: v.removed}
+	if !v.removed {
+		c.Text = declaration.Text(v.text(name))
+	}
+	if st := r.w.hosts[s.BaseFrom].follower.State(); st != nil {
+		c.Base = int64(st.Revision(name))
+	}
+	r.w.wg.Go(func() { r.w.publish(r.editor, id, c, s.Copies) })
+}
+
+// check compares everything that was in force anywhere with the oracle.
+func (r *run) check() []string {
+	w := r.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var faults []string
+	type life struct{ host, life int }
+	last := map[life]platform.Offset{}
+	inForce, final := r.replay()
+	for _, s := range w.seen {
+		key := life{s.host, s.life}
+		if s.state.Offset < last[key] {
+			faults = append(faults, fmt.Sprintf("host %d: offset %d in force after %d", s.host, s.state.Offset, last[key]))
+		}
+		last[key] = s.state.Offset
+		if int(s.state.Offset) >= len(inForce) {
+			faults = append(faults, fmt.Sprintf("host %d: offset %d beyond the stream's %d", s.host, s.state.Offset, len(inForce)-1))
+			continue
+		}
+		if diff := cmp.Diff(inForce[s.state.Offset], idsOf(s.state)); diff != "" {
+			faults = append(faults, fmt.Sprintf("host %d at %d (-want +got):\n%s", s.host, s.state.Offset, diff))
+		}
+	}
+	for _, h := range w.hosts {
+		faults = append(faults, checkFinal(h, final, inForce[len(inForce)-1])...)
+	}
+	return faults
+}
+
+// replay returns what is in force after each offset, and the oracle at the end.
+func (r *run) replay() ([]map[string]string, *oracle) {
+	o := newOracle(r.variants)
+	out := []map[string]string{{}}
+	for i := range r.w.history {
+		if got := r.w.history[i].Offset; int(got) != i+1 {
+			panic(fmt.Sprintf("the history has %d at %d", got, i))
+		}
+		o.apply(&r.w.history[i])
+		out = append(out, maps.Clone(o.inForce))
+	}
+	return out, o
+}
+
+// idsOf returns the change ID of each section in force.
+func idsOf(s *State) map[string]string {
+	out := map[string]string{}
+	for _, name := range s.Names() {
+		out[name] = s.Entry(name).ChangeID
+	}
+	return out
+}
+
+// checkFinal checks a host after the last fault has healed.
+func checkFinal(h *node, o *oracle, want map[string]string) []string {
+	s := h.follower.State()
+	if h.latest == declaration.FirstRule && o.rule > declaration.FirstRule {
+		if !h.follower.Stale(time.Now()) {
+			return []string{fmt.Sprintf("host %d does not know rule 2 and serves on", h.index)}
+		}
+		return nil
+	}
+	if s == nil {
+		return []string{fmt.Sprintf("host %d has no state", h.index)}
+	}
+	var faults []string
+	if diff := cmp.Diff(want, idsOf(s)); diff != "" {
+		faults = append(faults, fmt.Sprintf("host %d at the end, offset %d (-want +got):\n%s", h.index, s.Offset, diff))
+	}
+	for id, kind := range o.verdicts {
+		if v := s.Verdict(id); v == nil || v.Kind != kind {
+			faults = append(faults, fmt.Sprintf("host %d: verdict on %s is %v, want %s", h.index, id, v, kind))
+		}
+	}
+	if h.follower.Stale(time.Now()) {
+		faults = append(faults, fmt.Sprintf("host %d is stale after the last fault", h.index))
+	}
+	return faults
+}
+
+// checkFresh lets the log's retention pass and starts a host that has no peer.
+func (r *run) checkFresh() []string {
+	time.Sleep(quietTime)
+	h := r.w.hosts[1]
+	r.w.cutPeers(h.index, true)
+	h.end()
+	h.start()
+	time.Sleep(healTime)
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	inForce, o := r.replay()
+	return checkFinal(h, o, inForce[len(inForce)-1])
+}
--- /dev/null
+++ b/internal/section/script_test.go
@@ -0,0 +1,161 @@
+package section
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/internal/standin"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestHosts runs the scripts under testdata/hosts in virtual time.
+func TestHosts(t *testing.T) {
+	datadriven.Walk(t, "testdata/hosts", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &hostScript{}
+			defer s.close()
+			datadriven.RunTest(t, path, s.command)
+		})
+	})
+}
+
+type hostScript struct {
+	w      *world
+	editor *platform.Client
+}
+
+func (s *hostScript) close() {
+	s.w.heal()
+	s.w.close()
+	s.editor.HTTP.CloseIdleConnections()
+}
+
+func number(t *testing.T, d *datadriven.TestData, key string) int {
+	var n int
+	d.ScanArgs(t, key, &n)
+	return n
+}
+
+func (s *hostScript) command(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "hosts":
+		latest := make([]int, number(t, d, "n"))
+		for i := range latest {
+			latest[i] = declaration.LatestRule
+		}
+		if d.HasArg("old") {
+			latest[number(t, d, "old")] = declaration.FirstRule
+		}
+		s.w = newWorld(len(latest), latest...)
+		s.editor = s.w.client(editorsAddr)
+	case "wait":
+		var text string
+		d.ScanArgs(t, "for", &text)
+		for_, err := time.ParseDuration(text)
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		time.Sleep(for_)
+		synctest.Wait()
+	case "publish":
+		return s.publish(t, d)
+	case "rule":
+		s.w.append(s.editor, platform.Entry{ID: "rule", Kind: RuleKind, Data: []byte(`{"Version":2}`)}, 1)
+	case "log":
+		s.w.log.SetFaults(standin.LogFaults{Down: d.HasArg("down"), Hang: d.HasArg("hang")})
+	case "host":
+		s.host(t, d)
+	case "show":
+		return s.show(t, d)
+	default:
+		d.Fatalf(t, "unknown command")
+	}
+	return ""
+}
+
+func (s *hostScript) publish(t *testing.T, d *datadriven.TestData) string {
+	var id string
+	c := declaration.Change{Author: "ann", Text: declaration.Text(d.Input), Removed: d.HasArg("removed")}
+	d.ScanArgs(t, "id", &id)
+	d.ScanArgs(t, "section", &c.Section)
+	c.Base = int64(s.w.hosts[number(t, d, "base")].follower.State().Revision(c.Section))
+	s.w.publish(s.editor, id, c, 1)
+	return ""
+}
+
+func (s *hostScript) host(t *testing.T, d *datadriven.TestData) {
+	h := s.w.hosts[number(t, d, "i")]
+	addr := h.self.Addr.Addr()
+	for _, arg := range d.CmdArgs {
+		switch arg.Key {
+		case "i":
+		case "cut-log", "heal-log":
+			s.w.cutLog(h.index, arg.Key == "cut-log")
+		case "cut-peers", "heal-peers":
+			s.w.cutPeers(h.index, arg.Key == "cut-peers")
+		case "stale-reads":
+			s.w.log.SetFaultsFor(addr, standin.LogFaults{StaleReads: true})
+		case "freeze":
+			h.clock.Suspend()
+		case "resume":
+			h.clock.Resume()
+		case "stop":
+			h.end()
+		case "start":
+			h.start()
+		default:
+			d.Fatalf(t, "unknown argument %s", arg.Key)
+		}
+	}
+}
+
+// show prints what is in force at each host; with records also what the log
+// keeps.
+func (s *hostScript) show(t *testing.T, d *datadriven.TestData) string {
+	var b strings.Builder
+	for _, h := range s.w.hosts {
+		fmt.Fprintf(&b, "%s:", h.self.Name)
+		if st := h.follower.State(); st == nil {
+			b.WriteString(" no state")
+		} else {
+			if d.HasArg("offsets") {
+				fmt.Fprintf(&b, " offset %d", st.Offset)
+			}
+			fmt.Fprintf(&b, " rule %d", st.Rule)
+			for _, name := range st.Names() {
+				fmt.Fprintf(&b, " %s=%s", name, st.Entry(name).ChangeID)
+			}
+		}
+		if h.follower.Stale(time.Now()) {
+			b.WriteString(" stale")
+		}
+		b.WriteString("\n")
+	}
+	if d.HasArg("first") {
+		s.first(&b)
+	}
+	if d.HasArg("records") {
+		for _, r := range s.w.log.Records(platform.ConfigStream) {
+			fmt.Fprintf(&b, "%d %s %s\n", r.Offset, r.Kind, r.ID)
+		}
+	}
+	return b.String()
+}
+
+// first prints the first state of each host's present life.
+func (s *hostScript) first(b *strings.Builder) {
+	s.w.mu.Lock()
+	defer s.w.mu.Unlock()
+	for _, h := range s.w.hosts {
+		i := slices.IndexFunc(s.w.seen, func(e seen) bool { return e.host == h.index && e.life == h.life })
+		if i >= 0 {
+			fmt.Fprintf(b, "%s started with offset %d\n", h.self.Name, s.w.seen[i].state.Offset)
+		}
+	}
+}
--- a/internal/section/section.go
+++ b/internal/section/section.go
@@ -25,17 +25,19 @@
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/pkg/declaration"
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Times of a follower.
 const (
-	// longRead is how long a read of the log waits for a record while peers are
-	// in contact, shortRead while none is.
-	longRead  = 10 * time.Second
-	shortRead = 2 * time.Second
+	// readWait is how long a read of the log waits for a record, readMargin what
+	// it may take beyond. A read that hangs is given up in time to be in force
+	// everywhere within 5 s once the log answers again.
+	readWait   = 3 * time.Second
+	readMargin = time.Second
 	// minReadPause and maxReadPause bound the time between reads that failed.
 	minReadPause = 200 * time.Millisecond
-	maxReadPause = 2 * time.Second
+	maxReadPause = time.Second
 	// tickPeriod is the time between two looks at peers and snapshots.
 	tickPeriod = time.Second
 	// staleAfter is the time without contact to log or peers after which the
@@ -67,6 +69,9 @@
 	// Observe, unless nil, is called like OnState; it is for tests.
 	Observe func(*State)
 
+	// maxRecent replaces maxRecentRecords in tests.
+	maxRecent int
+
 	shared atomic.Pointer[shared]
 	hints  chan peer.Host
 	once   sync.Once
@@ -75,7 +80,8 @@
 	contact contact
 }
 
-// contact holds when the log and a peer last answered.
+// contact holds the times up to which the log and a peer are known to have been
+// reached.
 type contact struct {
 	log, peer time.Time
 	halted    bool
@@ -104,10 +110,9 @@
 	return 0
 }
 
-// Behind takes a peer's word that its state has the given offset. It is called
-// at each exchange, also when the offset is no news: it counts as contact.
+// Behind takes a peer's word that its state has the given offset; the follower
+// asks that peer for what is newer. It does not block.
 func (f *Follower) Behind(h peer.Host, offset platform.Offset) {
-	f.reachedPeer()
 	if offset <= f.Offset() {
 		return
 	}
@@ -125,18 +130,24 @@
 	return f.hints
 }
 
-func (f *Follower) reachedPeer() {
-	now := f.Clock.Now()
+// reachedPeer notes an answer of a peer to a call sent at the given time.
+func (f *Follower) reachedPeer(sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.contact.peer = now
+	f.contact.peer = sent
 }
 
-func (f *Follower) reachedLog() {
-	now := f.Clock.Now()
+// reachedLog notes an answer of the log to a read sent at the given time. It
+// dates from the end of the read's wait at the latest: a host that was frozen
+// may find it much later.
+func (f *Follower) reachedLog(sent time.Time, wait time.Duration) {
+	at := f.Clock.Now()
+	if latest := sent.Add(wait); at.After(latest) {
+		at = latest
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.contact.log = now
+	f.contact.log = at
 }
 
 func (f *Follower) contacts() contact {
@@ -164,6 +175,13 @@
 	return f.LatestRule
 }
 
+func (f *Follower) recentLimit() int {
+	if f.maxRecent == 0 {
+		return maxRecentRecords
+	}
+	return f.maxRecent
+}
+
 // Run follows the stream until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -177,7 +195,7 @@
 	for {
 		select {
 		case r := <-c.reads:
-			c.read(r.batch)
+			c.read(r)
 			r.next <- c.position()
 		case p := <-c.replies:
 			c.peerReply(p)
@@ -198,6 +216,8 @@
 // logRead is a batch on its way to the control goroutine, which answers with
 // the offset to read from next.
 type logRead struct {
+	sent  time.Time
+	wait  time.Duration
 	batch platform.Batch
 	next  chan platform.Offset
 }
@@ -205,19 +225,20 @@
 // readLog reads the stream, one batch at a time, until ctx ends or the control
 // goroutine answers zero.
 func (f *Follower) readLog(ctx context.Context, reads chan<- logRead) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = minReadPause, maxReadPause
+	pause := f.readPause()
 	next := make(chan platform.Offset, 1)
 	from := platform.Offset(1)
+	wait := time.Duration(0) // the first read shows at once how far the stream goes
 	for ctx.Err() == nil && from > 0 {
-		batch, err := f.Log.Read(ctx, platform.ConfigStream, from, f.readWait())
+		sent := f.Clock.Now()
+		batch, err := f.readOnce(ctx, from, wait)
 		if err != nil {
 			f.Clock.Sleep(ctx, pause.NextBackOff())
 			continue
 		}
 		pause.Reset()
 		select {
-		case reads <- logRead{batch, next}:
+		case reads <- logRead{sent, wait, batch, next}:
 		case <-ctx.Done():
 			return
 		}
@@ -229,14 +250,22 @@
 		if len(batch.Records) == 0 && batch.Next < from {
 			f.Clock.Sleep(ctx, minReadPause) // a stale answer came at once
 		}
+		wait = readWait
 	}
 }
 
-// readWait keeps reads short while the log is the only contact, so that one
-// that waits for a record is not taken for one that is lost.
-func (f *Follower) readWait() time.Duration {
-	if f.Clock.Since(f.contacts().peer) < staleAfter {
-		return longRead
-	}
-	return shortRead
+func (f *Follower) readOnce(ctx context.Context, from platform.Offset, wait time.Duration) (platform.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readMargin)
+	defer cancel()
+	return f.Log.Read(ctx, platform.ConfigStream, from, wait)
+}
+
+// readPause returns the pauses between failed reads. They differ from host to
+// host, so that a log that comes back is not met by all at once.
+func (f *Follower) readPause() *backoff.ExponentialBackOff {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = minReadPause
+	pause.MaxInterval = maxReadPause/2 + time.Duration(xxhash.Sum64String(f.Self.Name)%uint64(maxReadPause/2))
+	pause.RandomizationFactor = 0
+	return pause
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,6 +11,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -53,8 +54,12 @@
 	}
 }
 
-// hang holds the request until its caller leaves.
-func hang(r *http.Request) { <-r.Context().Done() }
+// hang holds the request until its caller leaves, which the server notices
+// only once the body is read.
+func hang(r *http.Request) {
+	io.Copy(io.Discard, io.LimitReader(r.Body, maxRunBytes))
+	<-r.Context().Done()
+}
 
 // callerOf returns the IP number of the process that sent r.
 func callerOf(r *http.Request) netip.Addr {
--- a/pkg/declaration/source.go
+++ b/pkg/declaration/source.go
@@ -118,7 +118,8 @@
 		s.reportAt(at, "", "%s", fault)
 		return s
 	}
-	root, err := hujson.Parse(text)
+	// The parser wants a line comment to end before the text does.
+	root, err := hujson.Parse(append(text[:len(text):len(text)], '\n'))
 	if err != nil {
 		s.reportSyntax(err)
 		return s
@@ -226,7 +227,11 @@
 	if len(text) > maxSyntaxMessage {
 		text = strings.ToValidUTF8(text[:maxSyntaxMessage], "") + "..."
 	}
-	s.reportAt(s.lines[line-1]+column-1, "", "not JSON with comments: %s", text)
+	at := len(s.text)
+	if line <= len(s.lines) {
+		at = s.lines[line-1] + column - 1
+	}
+	s.reportAt(at, "", "not JSON with comments: %s", text)
 }
 
 // Path leads from the root of a text to a value.
