--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -38,7 +38,10 @@
 	Priority int
 	// TimeLeft is the time until the caller's deadline, in nanoseconds.
 	TimeLeft time.Duration
-	// ResumeFrom is the sequence number of the first piece that is wanted.
+	// ResumeFrom is the sequence number of the first piece that is wanted. A Run
+	// with ResumeFrom above zero has the AttemptID of the attempt that it
+	// resumes and goes to the same target, which answers with the pieces from
+	// there on. A target that can't resume answers with status 409.
 	ResumeFrom int `json:",omitempty"`
 	Input      json.RawMessage
 }
@@ -64,15 +67,25 @@
 // takes on a target of speed one, how many tokens it generates and the prefix
 // that its prompt shares with others.
 type Work struct {
-	Text     string        `json:",omitempty"`
-	Service  time.Duration `json:",omitempty"`
-	Tokens   int           `json:",omitempty"`
-	Prefix   string        `json:",omitempty"`
-	Previous string        `json:",omitempty"`
+	Text    string        `json:",omitempty"`
+	Service time.Duration `json:",omitempty"`
+	// StageService overrides Service for the stages it names.
+	StageService map[string]time.Duration `json:",omitempty"`
+	Tokens       int                      `json:",omitempty"`
+	Prefix       string                   `json:",omitempty"`
+	Previous     string                   `json:",omitempty"`
 	// Crash makes a target that runs the work break.
 	Crash bool `json:",omitempty"`
 }
 
+// ServiceOf returns the time that a stage takes on a target of speed one.
+func (w *Work) ServiceOf(stage string) time.Duration {
+	if d, ok := w.StageService[stage]; ok {
+		return d
+	}
+	return w.Service
+}
+
 // Report is a target's own, late word on its load.
 type Report struct {
 	Target      string
@@ -84,7 +97,8 @@
 	Role        string `json:",omitempty"`
 }
 
-// Cancel asks a target to give up an attempt.
+// Cancel, posted to CancelPath, asks a target to give up an attempt. A target
+// that doesn't know the attempt ignores it.
 type Cancel struct {
 	AttemptID string
 }
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -8,6 +8,7 @@
 
 	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/platform"
@@ -15,6 +16,7 @@
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
+	"github.com/rcrowley/go-metrics"
 )
 
 func provideClient(s *settings.Settings, n link.Network) *platform.Client {
@@ -55,44 +57,56 @@
 	return out, nil
 }
 
-func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry) *queue.Dispatcher {
-	return &queue.Dispatcher{Clock: c, Targets: r, Policy: queue.LeastOfTwo{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-}
-
-func provideCaller(s *settings.Settings, n link.Network) *peer.Caller {
-	return &peer.Caller{Net: peerNetwork(s, n)}
-}
-
-func provideFollower(s *settings.Settings, log platform.Log, c *clock.Service, caller *peer.Caller) *section.Follower {
-	return &section.Follower{Log: log, Clock: c, Caller: caller, SnapshotAge: time.Duration(s.SnapshotAge)}
-}
-
-// peerNetwork is the way to other hosts, platformNetwork that to the platform.
-func peerNetwork(s *settings.Settings, n link.Network) link.Network { return secure(s.PeerTLS, n) }
-
-func platformNetwork(s *settings.Settings, n link.Network) link.Network {
-	return secure(s.PlatformTLS, n)
-}
-
-func secure(t *settings.TLS, n link.Network) link.Network {
-	if t == nil {
-		return n
+func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry, x *peer.Exchange, caller *peer.Caller) (*queue.Dispatcher, error) {
+	policy, err := queue.ParsePolicy(s.Policy)
+	if err != nil {
+		return nil, err
 	}
-	return &link.TLS{Network: n, CertFile: t.CertFile, KeyFile: t.KeyFile, CAFile: t.CAFile}
+	return &queue.Dispatcher{
+		Clock:    c,
+		Targets:  r,
+		Exchange: x,
+		Caller:   caller,
+		Policy:   policy,
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, nil
 }
 
 // providePeers registers the services that peers call.
-func providePeers(x *peer.Exchange, f *section.Follower, claims *claim.Holder) (*peer.Server, error) {
+func providePeers(x *peer.Exchange, f *section.Follower, claims *claim.Holder, r *target.Registry, t *crash.Table, d *queue.Dispatcher) (*peer.Server, error) {
 	s := &peer.Server{RPC: rpc.NewServer()}
 	if err := x.Register(s.RPC); err != nil {
 		return nil, err
 	}
+	if err := r.Register(s.RPC); err != nil {
+		return nil, err
+	}
+	if err := t.Register(s.RPC); err != nil {
+		return nil, err
+	}
 	if err := s.RPC.RegisterName(section.ServiceName, &section.Service{Follower: f}); err != nil {
 		return nil, err
 	}
+	if err := s.RPC.RegisterName(d.Service()); err != nil {
+		return nil, err
+	}
 	return s, s.RPC.RegisterName(claim.ServiceName, &claim.Service{Holder: claims})
 }
 
 func provideHolder(s *settings.Settings, c *clock.Service, l platform.Log, x *peer.Exchange) *claim.Holder {
 	return &claim.Holder{Clock: c, Log: l, Members: x, Self: s.Name, Stats: claim.NewStats()}
 }
+
+func provideRegistry(s *settings.Settings, c *clock.Service, client *platform.Client, x *peer.Exchange, peers *peer.Caller) *target.Registry {
+	r := &target.Registry{Self: s.Name, Clock: c, Notes: x, Peers: peers}
+	if s.HostListAddr.IsValid() {
+		r.HostList = client
+	}
+	return r
+}
+
+func provideCrashes(s *settings.Settings, c *clock.Service, x *peer.Exchange, peers *peer.Caller) *crash.Table {
+	return &crash.Table{Self: s.Name, Clock: c, Members: x, Peers: peers}
+}
+
+func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -25,27 +25,37 @@
 	caller := provideCaller(s, n)
 	follower := provideFollower(s, client, c, caller)
 	exchange := provideExchange(s, n, c, caller, client, follower)
-	registry := &target.Registry{}
-	dispatcher := provideDispatcher(s, c, registry)
+	registry := provideRegistry(s, c, client, exchange, caller)
+	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller)
+	if err != nil {
+		return nil, err
+	}
 	targetClient := target.NewClient(n)
 	retries := &workspace.Retries{
 		Clock: c,
 	}
+	holder := provideHolder(s, c, client, exchange)
+	claimClient := claim.NewClient(c, exchange, caller, holder)
+	table := provideCrashes(s, c, exchange, caller)
 	runner := &pipeline.Runner{
 		Clock:      c,
 		Dispatcher: dispatcher,
+		Targets:    registry,
 		Client:     targetClient,
 		Retries:    retries,
+		Claims:     claimClient,
+		Crashes:    table,
+		Log:        log,
 	}
 	admission := &workspace.Admission{
 		Clock: c,
 	}
-	holder := provideHolder(s, c, client, exchange)
-	claimClient := claim.NewClient(c, exchange, caller, holder)
-	server, err := providePeers(exchange, follower, holder)
+	server, err := providePeers(exchange, follower, holder, registry, table, dispatcher)
 	if err != nil {
 		return nil, err
 	}
+	recorder := provideReport(s, c)
+	metricsRegistry := provideMetrics()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
@@ -61,6 +71,8 @@
 		Claimer:    claimClient,
 		Caller:     caller,
 		Peers:      server,
+		Report:     recorder,
+		Metrics:    metricsRegistry,
 	}
 	return host, nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 )
 
 // Server serves the RPC services of a host to its peers. Exported fields are
@@ -15,6 +16,8 @@
 	mu     sync.Mutex
 	closed bool
 	conns  map[net.Conn]bool
+
+	running atomic.Int64
 }
 
 // Serve accepts connections from l until Close; it closes l.
@@ -50,12 +53,15 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.RPC.ServeConn(conn)
+	s.RPC.ServeCodec(newCodec(conn, &s.running))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
 }
 
+// Running returns the number of calls that are being served.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
 // Close ends every connection. The listener of Serve is closed by its owner.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -3,10 +3,12 @@
 import (
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/platform"
 	"golang.org/x/time/rate"
 )
@@ -25,6 +27,8 @@
 	// Retention and MaxRecords bound what a stream keeps; zero means no bound.
 	Retention  time.Duration
 	MaxRecords int
+	// File, unless empty, gets every record, so that Load can bring them back.
+	File string
 
 	mu      sync.Mutex
 	streams map[string]*stream
@@ -32,6 +36,7 @@
 	byAddr  map[netip.Addr]LogFaults
 	limiter *rate.Limiter
 	appends int
+	file    *os.File
 	// changed is closed when the faults change.
 	changed chan struct{}
 }
@@ -203,9 +208,13 @@
 	l.appends++
 	s := l.stream(name)
 	first := s.next()
+	from := len(s.records)
 	for _, e := range entries {
 		s.records = append(s.records, platform.Record{Offset: s.next(), At: time.Now(), Entry: e})
 	}
+	if err := l.save(name, s.records[from:]); err != nil {
+		panic(err) // the stand-in can't keep what it would promise
+	}
 	l.trim(s)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -220,8 +229,8 @@
 		return
 	}
 	wait, _ := time.ParseDuration(q.Get(platform.WaitParam))
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
+	timeout, stop := clock.Timer(wait)
+	defer stop()
 	for {
 		faults, faultsChanged := l.faultsFor(callerOf(r))
 		if faults.Down {
@@ -237,7 +246,7 @@
 		case <-changed:
 		case <-faultsChanged:
 		case <-recheck:
-		case <-timeout.C:
+		case <-timeout:
 			writeJSON(w, batch)
 			return
 		case <-r.Context().Done():
@@ -248,7 +257,7 @@
 
 // read returns what a caller with these faults may see, and two channels that
 // say when to look again.
-func (l *Log) read(name string, from platform.Offset, faults LogFaults) (platform.Batch, <-chan struct{}, <-chan time.Time) {
+func (l *Log) read(name string, from platform.Offset, faults LogFaults) (platform.Batch, <-chan struct{}, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
