--- a/internal/host/admit.go
+++ b/internal/host/admit.go
@@ -23,8 +23,8 @@
 // *result.Error that says so.
 func (h *Host) admit(rest *restful.Request, resp *restful.Response, id string, start time.Time) (*pipeline.Request, error) {
 	state := h.Follower.State()
-	if state == nil {
-		return nil, result.NotRun(result.ConfigStale, "no configuration yet")
+	if h.Follower.Stale(start) {
+		return nil, result.NotRun(result.ConfigStale, "no configuration, or no contact to log or peers")
 	}
 	w := state.View.Workspaces[rest.PathParameter("workspace")]
 	if w == nil || !authorized(w, rest.Request.Header.Get("Authorization")) {
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -9,7 +9,6 @@
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/platform"
-	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/internal/workspace"
@@ -31,8 +30,8 @@
 		wire.Bind(new(claim.Members), new(*peer.Exchange)),
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
-		wire.Struct(new(section.Follower), "Log", "Clock"),
-		wire.Struct(new(peer.Caller), "Net"),
+		provideCaller,
+		provideFollower,
 		provideRegistry,
 		provideCrashes,
 		provideMetrics,
