--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -21,6 +21,7 @@
 	ws.Path("/v1").Produces("*/*")
 	ws.Route(ws.POST("/workspaces/{workspace}/pipelines/{pipeline}").To(h.call))
 	ws.Route(ws.GET("/ready").To(h.ready))
+	h.addReport(ws)
 	ws.Route(ws.GET("/live").To(h.live))
 	ws.Route(ws.GET("/metrics").To(h.metrics))
 	c := restful.NewContainer()
@@ -57,6 +58,7 @@
 	}
 	a.Took = h.Clock.Since(start)
 	h.count(rest.PathParameter("workspace"), rest.PathParameter("pipeline"), a)
+	h.record(rest.PathParameter("workspace"), rest.PathParameter("pipeline"), a)
 	h.Log.Info("request", zap.String("RequestID", id), zap.String("Workspace", rest.PathParameter("workspace")),
 		zap.String("Pipeline", rest.PathParameter("pipeline")), zap.Stringer("Code", a.Code), zap.Stringer("Ran", a.Ran),
 		zap.Bool("Repeated", a.Repeated), zap.Duration("Took", a.Took))
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/queue"
+	"berylswitch.example/berylswitch/internal/report"
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
@@ -42,6 +43,7 @@
 	Claimer    *claim.Client
 	Caller     *peer.Caller
 	Peers      *peer.Server
+	Report     *report.Recorder
 	Metrics    metrics.Registry
 
 	gate          gate
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -24,6 +24,7 @@
 		provideExchange,
 		provideDispatcher,
 		providePeers,
+		provideReport,
 		provideHolder,
 		claim.NewClient,
 		wire.Bind(new(claim.Claimer), new(*claim.Client)),
@@ -38,6 +39,6 @@
 		wire.Struct(new(workspace.Admission), "*"),
 		wire.Struct(new(workspace.Retries), "*"),
 		wire.Struct(new(pipeline.Runner), "*"),
-		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "Claims", "Claimer", "Caller", "Peers", "Metrics"),
+		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "Claims", "Claimer", "Caller", "Peers", "Report", "Metrics"),
 	))
 }
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -33,7 +33,10 @@
 	}
 	exchange := provideExchange(s, n, c, caller, client, follower)
 	registry := provideRegistry(s, c, client, exchange, caller)
-	dispatcher := provideDispatcher(s, c, registry)
+	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller)
+	if err != nil {
+		return nil, err
+	}
 	targetClient := target.NewClient(n)
 	retries := &workspace.Retries{
 		Clock: c,
@@ -54,10 +57,11 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
-	server, err := providePeers(exchange, holder, registry, table)
+	server, err := providePeers(exchange, holder, registry, table, dispatcher)
 	if err != nil {
 		return nil, err
 	}
+	recorder := provideReport(s, c)
 	metricsRegistry := provideMetrics()
 	host := &Host{
 		Settings:   s,
@@ -74,6 +78,7 @@
 		Claimer:    claimClient,
 		Caller:     caller,
 		Peers:      server,
+		Report:     recorder,
 		Metrics:    metricsRegistry,
 	}
 	return host, nil
