Add the callers' client and the call command; bound slow bodies

The client repeats a request only where that is safe (nothing ran, or a key, or no text handed on yet); call ends with an exit code for each class of result.

A stalled body held its connection for ever: the read deadline was lifted before the server drained the rest of the body, and a request that was refused before its body was read had none at all. TestSlowAndLargeBodies hung in the drain before the change. The deadline now stands until the body has been read.

A claim is also released when only repeatable stages of its request were sent, so that a repeat of the key may run (scenario once/released: the repeat was answered with the stored 301 StageFailed before).

--- a/internal/host/admit.go
+++ b/internal/host/admit.go
@@ -38,7 +38,7 @@
 	if err := readHeaders(rest.Request, req, start); err != nil {
 		return nil, err
 	}
-	body, err := readBody(resp.ResponseWriter, rest.Request, start)
+	body, err := readBody(resp.ResponseWriter, rest.Request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -51,6 +51,7 @@
 	start := h.Clock.Now()
 	id := uuid.NewString()
 	resp.AddHeader(caller.RequestHeader, id)
+	limitBodyTime(resp.ResponseWriter, start)
 	out := newReply(h.Clock, rest.Request, resp.ResponseWriter)
 	a := h.answer(rest, resp, out, id)
 	if a.RequestID == "" || !a.Repeated {
--- a/internal/host/limits.go
+++ b/internal/host/limits.go
@@ -35,19 +35,28 @@
 	}
 }
 
-// readBody reads the body of a request within its limits of size and time.
-func readBody(w http.ResponseWriter, r *http.Request, now time.Time) ([]byte, error) {
-	c := http.NewResponseController(w)
-	c.SetReadDeadline(now.Add(bodyTimeout))
+// limitBodyTime bounds the time for the body of a request, also of one that is
+// refused before its body is read: the server reads the rest of it.
+func limitBodyTime(w http.ResponseWriter, now time.Time) {
+	http.NewResponseController(w).SetReadDeadline(now.Add(bodyTimeout))
+}
+
+// readBody reads the body of a request within its limits of size and time. The
+// connection of a request whose body could not be read is closed after the
+// answer.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	c.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
+	if err != nil {
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, result.NotRun(result.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
 	case err != nil:
 		return nil, result.NotRun(result.BadRequest, "the body could not be read: %v", err)
 	}
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- /dev/null
+++ b/internal/host/limits_test.go
@@ -0,0 +1,121 @@
+package host
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestCheckBody compares checkBody with the standard library and a count of
+// the nesting on mangled JSON.
+func TestCheckBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := []string{"[", "]", "{", "}", `"a"`, `"\"["`, ":", ",", "1", "true", "\n", strings.Repeat("[", maxNesting), strings.Repeat("]", maxNesting), "\\", `"`}
+		body := []byte(strings.Join(rapid.SliceOf(rapid.SampledFrom(parts)).Draw(t, "parts"), ""))
+		err := checkBody(body)
+		if err == nil && !json.Valid(body) {
+			t.Fatalf("took %q", body)
+		}
+		if err != nil && json.Valid(body) && tooDeep(body) < 0 {
+			t.Fatalf("refused %q: %v", body, err)
+		}
+		var known *result.Error
+		if err != nil && (!errors.As(err, &known) || known.Ran != result.RanNo || !strings.HasPrefix(known.Place, "body:")) {
+			t.Fatalf("%q: error %v has no place", body, err)
+		}
+	})
+}
+
+// TestSlowAndLargeBodies sends bodies that never end and bodies that are too
+// large.
+func TestSlowAndLargeBodies(t *testing.T) {
+	tests := []struct {
+		name string
+		// sent is what the caller writes before it stops; size what it declares.
+		sent, size int
+		want       result.Code
+		within     time.Duration
+	}{
+		{"stalled", 10, 100, result.BadRequest, bodyTimeout + 10*time.Millisecond},
+		{"large", maxBodyBytes + 1, maxBodyBytes + 1, result.BodyTooLarge, bodyTimeout},
+		{"largest", maxBodyBytes, maxBodyBytes, result.OK, bodyTimeout},
+		{"refused unread", 10, 100, result.Draining, bodyTimeout + 10*time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				code, took := exchangeBody(t, test.sent, test.size, test.want == result.Draining)
+				if diff := cmp.Diff(test.want, code); diff != "" {
+					t.Errorf("code (-want +got):\n%s", diff)
+				}
+				if took > test.within {
+					t.Errorf("the answer took %v", took)
+				}
+			})
+		})
+	}
+}
+
+func readCode(w http.ResponseWriter, r *http.Request) result.Code {
+	_, err := readBody(w, r)
+	if e := result.From(err); e != nil {
+		return e.Code
+	}
+	return result.OK
+}
+
+// exchangeBody sends part of a body to a server of callers and returns the
+// code that readBody gave, or Draining from a server that refused the request
+// without a look at its body.
+func exchangeBody(t *testing.T, sent, size int, refused bool) (result.Code, time.Duration) {
+	m := &link.Memory{Delay: time.Millisecond}
+	addr := netip.MustParseAddrPort("10.0.0.1:80")
+	l, err := m.Process(addr.Addr()).Listen(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		limitBodyTime(w, time.Now())
+		code := result.Draining
+		if !refused {
+			code = readCode(w, r)
+		}
+		fmt.Fprintf(w, "code %d\n", int(code))
+	}))
+	go s.Serve(l)
+	defer time.Sleep(time.Second) // the server lingers on a connection that it closes
+	defer s.Close()
+	start := time.Now()
+	conn, err := m.Process(netip.MustParseAddr("10.0.3.1")).Dial(t.Context(), addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	go func() {
+		fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", size)
+		io.WriteString(conn, strings.Repeat(" ", sent))
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var code result.Code
+	if _, err := fmt.Fscanf(resp.Body, "code %d", (*int)(&code)); err != nil {
+		t.Fatal(err)
+	}
+	return code, time.Since(start)
+}
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -81,7 +81,7 @@
 	a.err = x.Client.Run(ctx, &target.Attempt{
 		Target: a.grant.Target,
 		Run:    m,
-		OnSend: func() { x.sent.Store(true) },
+		OnSend: func() { x.begin(st) },
 		Each:   func(p contract.Piece) error { return x.take(st, a, p) },
 	})
 	st.finish(a, x.Clock.Since(a.sentAt))
@@ -94,6 +94,14 @@
 		zap.String("Stage", st.stage.Name), zap.String("Target", a.grant.Target.Name), zap.Error(a.err))
 }
 
+// begin marks that a byte of st may reach a target from now on.
+func (x *execution) begin(st *stageRun) {
+	x.sent.Store(true)
+	if !st.repeatable {
+		x.spent.Store(true)
+	}
+}
+
 // mayStart checks, directly before the send, what may have changed while the
 // attempt waited for its grant. The permit is for Crashes.End.
 func (x *execution) mayStart(ctx context.Context, st *stageRun, a *attempt, m *contract.Run) (*crash.Permit, error) {
@@ -110,7 +118,7 @@
 		reason = fmt.Sprintf("target %s is leaving, or may be", a.grant.Target.Name)
 	case m.TimeLeft <= 0:
 		reason = "the deadline has passed"
-	case x.claim != nil && !x.sent.Load() && !x.claim.Valid(a.sentAt):
+	case x.claim != nil && !x.spent.Load() && !x.claim.Valid(a.sentAt):
 		reason = "the claim is no longer valid"
 	default:
 		return permit, nil
--- a/internal/pipeline/claimed.go
+++ b/internal/pipeline/claimed.go
@@ -133,10 +133,11 @@
 	<-recorded
 }
 
-// record releases the claim if nothing was sent, else stores the outcome.
+// record releases the claim if no stage that may not be repeated was sent, so
+// that a repeat of the key may run; else it stores the outcome.
 func (r *Runner) record(ctx context.Context, x *execution, c claim.Request, a *caller.Answer) {
 	var err error
-	if x.sent.Load() {
+	if x.spent.Load() {
 		err = r.Claims.Finish(ctx, c, outcome(a))
 	} else {
 		err = r.Claims.Release(ctx, c)
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -24,6 +24,8 @@
 
 	// sent is set before the first byte of any attempt may reach a target.
 	sent atomic.Bool
+	// spent is set before the first byte of a stage that may not be repeated.
+	spent atomic.Bool
 }
 
 // run executes the stages in order and returns the output of the last. Its
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -43,6 +43,7 @@
 //	target NAME pool=P [slots=N] [speed=F] [engine] [ask]
 //	pipeline NAME stages=(P,Q) [deadline=D]     stages are named as their pools
 //	publish                                     what was declared so far
+//	declare TARGET [leaving]                    for the next publish
 //	host NAME... [drain-delay=D] [drain-timeout=D]
 //	call ID host=H pipeline=P [text=T] [service=D] [tokens=N] [key=K] [stream]
 //	     [deadline=D] [priority=N] [crash]      the input, if any, is the body
@@ -62,7 +63,7 @@
 	switch d.Cmd {
 	case "standard":
 		s.standard(s.number(d, "hosts", "1"))
-	case "pool", "target", "pipeline", "publish", "host":
+	case "pool", "target", "pipeline", "declare", "publish", "host":
 		s.declare(d, names)
 	case "call":
 		s.send(s.call(d, names[0]))
@@ -159,6 +160,12 @@
 			p.Stages = append(p.Stages, declaration.Stage{Name: pool, Pool: pool})
 		}
 		s.section.Pipelines = append(s.section.Pipelines, p)
+	case "declare":
+		for i := range s.section.Targets {
+			if t := &s.section.Targets[i]; t.Name == names[0] {
+				t.Leaving = d.HasArg("leaving")
+			}
+		}
 	case "publish":
 		s.publish()
 	case "host":
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -120,6 +120,7 @@
 	for _, s := range w.servers {
 		s.Stop()
 	}
+	time.Sleep(time.Second) // servers linger on connections that they close
 }
 
 // publish appends the declared section as a change.
--- /dev/null
+++ b/internal/target/client_test.go
@@ -0,0 +1,87 @@
+package target
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestReadPieces mangles whole answers: an attempt that ends well gave exactly
+// the pieces that its target sent, once each and in order.
+func TestReadPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		run := &contract.Run{AttemptID: "a", ResumeFrom: rapid.IntRange(0, 3).Draw(t, "from")}
+		var lines []string
+		var want []string
+		n := rapid.IntRange(1, 6).Draw(t, "pieces")
+		for i := range n {
+			p := contract.Piece{AttemptID: "a", Seq: run.ResumeFrom + i, Data: fmt.Sprint("p", i), End: i == n-1}
+			lines = append(lines, encode(p))
+			want = append(want, p.Data)
+		}
+		for _, m := range rapid.SliceOfN(rapid.IntRange(0, 5), 0, 2).Draw(t, "faults") {
+			lines = mangle(t, lines, m)
+		}
+		var got []string
+		a := &Attempt{Target: &declaration.Target{Name: "t"}, Run: run, Each: func(p contract.Piece) error {
+			got = append(got, p.Data)
+			return nil
+		}}
+		s := newSend(t.Context(), a)
+		defer s.cancel()
+		err := s.readPieces(bufio.NewScanner(strings.NewReader(strings.Join(lines, ""))))
+		if err == nil {
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Fatalf("a whole answer differs (-want +got):\n%s", diff)
+			}
+		}
+		if len(got) > len(want) {
+			t.Fatalf("%d pieces of %d", len(got), len(want))
+		}
+	})
+}
+
+func encode(p contract.Piece) string {
+	data, err := json.Marshal(&p)
+	if err != nil {
+		panic(err)
+	}
+	return string(data) + "\n"
+}
+
+// mangle applies a fault to one line: 0 drops it, 1 doubles it, 2 swaps it with
+// the next, 3 makes it another attempt's, 4 cuts it, 5 ends the answer before it.
+func mangle(t *rapid.T, lines []string, fault int) []string {
+	if len(lines) == 0 {
+		return lines
+	}
+	i := rapid.IntRange(0, len(lines)-1).Draw(t, "line")
+	out := append([]string(nil), lines[:i]...)
+	rest := lines[i+1:]
+	switch fault {
+	case 0:
+	case 1:
+		out = append(out, lines[i], lines[i])
+	case 2:
+		if len(rest) > 0 {
+			out = append(out, rest[0], lines[i])
+			rest = rest[1:]
+		} else {
+			out = append(out, lines[i])
+		}
+	case 3:
+		out = append(out, strings.Replace(lines[i], `"AttemptID":"a"`, `"AttemptID":"b"`, 1))
+	case 4:
+		out = append(out, lines[i][:len(lines[i])/2])
+	case 5:
+		return out
+	}
+	return append(out, rest...)
+}
--- /dev/null
+++ b/pkg/caller/read.go
@@ -0,0 +1,64 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Bounds of an answer.
+const (
+	maxAnswerBytes = 64 << 20
+	maxEventBytes  = 64 << 20
+)
+
+// read takes the answer of a host in the form that it has.
+func (t *try) read(resp *http.Response, each func(string) error) {
+	body := io.LimitReader(resp.Body, maxAnswerBytes)
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), StreamType) {
+		t.readEvents(body, each)
+		return
+	}
+	a := &Answer{}
+	if err := json.NewDecoder(body).Decode(a); err != nil {
+		t.err = Error.New("%s: %v", resp.Status, err)
+		return
+	}
+	if a.Name == "" {
+		t.err = Error.New("%s: the answer is none of berylswitch", resp.Status)
+		return
+	}
+	t.answer = a
+}
+
+// readEvents hands on the text of a stream, which is whole only with its
+// answer.
+func (t *try) readEvents(body io.Reader, each func(string) error) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEventBytes)
+	for next := 0; lines.Scan(); next++ {
+		var e Event
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			t.err = Error.New("event %d: %v", next, err)
+			return
+		}
+		if e.Seq != next {
+			t.err = Error.New("event %d where %d was due", e.Seq, next)
+			return
+		}
+		if e.Answer != nil {
+			t.answer = e.Answer
+			return
+		}
+		t.given = true
+		if err := each(e.Data); err != nil {
+			t.err = err
+			return
+		}
+	}
+	if t.err = lines.Err(); t.err == nil {
+		t.err = Error.New("the stream ended without its answer")
+	}
+}
