--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"net/rpc"
 	"sync/atomic"
@@ -16,11 +15,11 @@
 
 // fleet is a number of exchanges over in-memory links. It runs in a bubble.
 type fleet struct {
-	t     *testing.T
-	net   link.Memory
-	bytes atomic.Int64
-	nodes []*node
-	ctx   context.Context
+	t               *testing.T
+	net             link.Memory
+	bytes, received atomic.Int64
+	nodes           []*node
+	ctx             context.Context
 }
 
 // node is one life of a host.
@@ -35,48 +34,6 @@
 	alive  bool
 }
 
-// countedNet counts the bytes that its process writes.
-type countedNet struct {
-	link.Network
-	bytes *atomic.Int64
-}
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-type countedListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (n countedNet) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	c, err := n.Network.Dial(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	return countedConn{c, n.bytes}, nil
-}
-
-func (n countedNet) Listen(addr netip.AddrPort) (net.Listener, error) {
-	l, err := n.Network.Listen(addr)
-	return countedListener{l, n.bytes}, err
-}
-
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countedConn{c, l.bytes}, nil
-}
-
-func (c countedConn) Write(b []byte) (int, error) {
-	c.bytes.Add(int64(len(b)))
-	return c.Conn.Write(b)
-}
-
 func (f *fleet) host(i int) Host {
 	ip := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)})
 	return Host{Name: fmt.Sprintf("h%d", i), Addr: netip.AddrPortFrom(ip, 81), Domain: fmt.Sprintf("d%d", i%8)}
@@ -89,7 +46,7 @@
 	n := &node{done: make(chan struct{}), alive: true}
 	n.Exchange = &Exchange{
 		Self:  self,
-		Net:   countedNet{f.net.Process(self.Addr.Addr()), &f.bytes},
+		Net:   link.Counted{Network: f.net.Process(self.Addr.Addr()), Sent: &f.bytes, Received: &f.received},
 		Clock: &n.clock,
 		Offset: func() int64 {
 			return n.offset.Load()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -77,7 +77,8 @@
 	State       HostState
 }
 
-// HostList is the platform's lagging list of hosts.
+// HostList is the platform's lagging list of hosts. While the list has not
+// changed, Hosts may return the very same entries, which nobody must change.
 type HostList interface {
 	Hosts(ctx context.Context) ([]HostEntry, error)
 }
--- a/internal/standin/hostlist.go
+++ b/internal/standin/hostlist.go
@@ -23,6 +23,7 @@
 	mu       sync.Mutex
 	versions []listVersion // oldest first; the first is visible
 	faults   HostListFaults
+	page     *listPage
 }
 
 type listVersion struct {
@@ -105,16 +106,35 @@
 		refuseDown(w)
 		return
 	}
-	var body bytes.Buffer
-	json.NewEncoder(&body).Encode(flap(hosts, &faults))
-	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body.Bytes()), 16))
-	w.Header().Set("ETag", tag)
-	if r.Header.Get("If-None-Match") == tag {
+	page := l.encode(flap(hosts, &faults))
+	w.Header().Set("ETag", page.tag)
+	if r.Header.Get("If-None-Match") == page.tag {
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(body.Bytes())
+	w.Write(page.body)
+}
+
+// listPage is an encoded list.
+type listPage struct {
+	hosts []platform.HostEntry
+	body  []byte
+	tag   string
+}
+
+// encode returns the page of hosts, the last one if it is of the same list.
+func (l *HostList) encode(hosts []platform.HostEntry) *listPage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.page; p != nil && len(hosts) > 0 && len(p.hosts) == len(hosts) && &p.hosts[0] == &hosts[0] {
+		return p
+	}
+	var body bytes.Buffer
+	json.NewEncoder(&body).Encode(hosts)
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body.Bytes()), 16))
+	l.page = &listPage{hosts, body.Bytes(), tag}
+	return l.page
 }
 
 // flap turns the state of the flapping hosts in every other period.
--- a/internal/target/leaving.go
+++ b/internal/target/leaving.go
@@ -98,12 +98,22 @@
 	if err != nil {
 		return false
 	}
+	if sameList(entries, r.lastList) {
+		return true
+	}
+	r.lastList = entries
 	for _, l := range r.takeList(entries) {
 		r.spread(l)
 	}
 	return true
 }
 
+// sameList reports whether a and b are the very same list, which a HostList
+// returns while nothing has changed.
+func sameList(a, b []platform.HostEntry) bool {
+	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
+}
+
 // takeList merges the host list and returns the lives that are newly known to
 // be leaving.
 func (r *Registry) takeList(entries []platform.HostEntry) []Life {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -49,6 +49,9 @@
 	// Self is the name of this host.
 	Self string
 
+	// lastList is the host list that was taken last. It belongs to Run.
+	lastList []platform.HostEntry
+
 	set atomic.Pointer[Set]
 	// alive is the time at which Run last had the words on its targets.
 	alive atomic.Pointer[time.Time]
