Spend less on a request: collector, one write, and connections that are kept

And each attempt whose target flushes its end mark cost a connection of its own (5 for 5 in the new test), since the body was closed before its last bytes.

serve sets the collector to 400 (GOGC and GOMEMLIMIT go before it), line buffers come from a pool, an answer that is not streamed goes out in one write with its length, and the end of a whole answer is awaited in the background, bounded in time, bytes and number.

Seen failing with the mechanism off (go test ./internal/target): body closed at the end mark, or the wait ended by the request's end: TestStreamedAnswersKeepTheirConnection.

--- a/cmd/berylswitch/serve.go
+++ b/cmd/berylswitch/serve.go
@@ -31,6 +31,7 @@
 		return err
 	}
 	defer log.Sync()
+	host.TuneCollector()
 	h, err := host.New(s, link.TCP{}, &clock.Service{}, log.With(zap.String("Host", s.Name)))
 	if err != nil {
 		return err
--- a/internal/host/reply.go
+++ b/internal/host/reply.go
@@ -1,7 +1,9 @@
 package host
 
 import (
+	"bytes"
 	"net/http"
+	"strconv"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
@@ -52,24 +54,30 @@
 	if o.onEnd != nil {
 		defer o.onEnd()
 	}
-	if o.seq == 0 {
-		o.begin(a)
-	}
 	if o.stream {
+		if o.seq == 0 {
+			o.begin(a, caller.StreamType)
+		}
 		o.event(&caller.Event{Answer: a})
 		return
 	}
+	o.whole(a)
+}
+
+// whole sends an answer that is not streamed. With its length in the head it
+// leaves in one write, and callers can use their connection again at once.
+func (o *reply) whole(a *caller.Answer) {
+	var body bytes.Buffer
+	encode(&body, a)
+	o.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+	o.begin(a, "application/json")
 	o.c.SetWriteDeadline(o.clock.Now().Add(writeTimeout))
-	encode(o.w, a)
+	o.w.Write(body.Bytes())
 	o.c.Flush()
 }
 
 // begin sends the head of an answer of which nothing was sent yet.
-func (o *reply) begin(a *caller.Answer) {
-	kind := "application/json"
-	if o.stream {
-		kind = caller.StreamType
-	}
+func (o *reply) begin(a *caller.Answer, kind string) {
 	o.w.Header().Set("Content-Type", kind)
 	o.w.WriteHeader(a.Code.Lookup().HTTPStatus)
 }
--- a/internal/load/process/process.go
+++ b/internal/load/process/process.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/host"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/load"
 	"berylswitch.example/berylswitch/internal/site"
@@ -128,6 +129,7 @@
 
 // overhead starts a host before one stand-in and compares the two ways.
 func overhead(ctx context.Context, o *options) error {
+	host.TuneCollector() // as serve does
 	worker := &standin.Worker{Speed: 1, Slots: overheadSlots}
 	p := declaration.Pipeline{Name: "Overhead", Deadline: declaration.Duration(o.Deadline)}
 	for i := range o.Stages {
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -26,10 +26,13 @@
 	maxOutputBytes = 16 << 20 // all data of an answer
 	maxReplyBytes  = 1 << 20  // the reply to anything but a Run
 	maxCancels     = 256      // cancels under way at once; more are dropped
+	maxDrains      = 1024     // ends of answers waited for at once; else the connection is closed
+	maxDrainBytes  = 4 << 10  // what may follow an end mark
 
 	connectTimeout = time.Second
 	cancelTimeout  = time.Second
 	askTimeout     = 2 * time.Second
+	drainTimeout   = time.Second
 )
 
 // BrokenKind says how an attempt broke.
@@ -88,6 +91,12 @@
 
 	once    sync.Once
 	cancels *semaphore.Weighted
+	drains  *semaphore.Weighted
+}
+
+func (c *Client) init() {
+	c.cancels = semaphore.NewWeighted(maxCancels)
+	c.drains = semaphore.NewWeighted(maxDrains)
 }
 
 // NewClient returns a client over n.
@@ -103,22 +112,52 @@
 		return &Broken{Target: a.Target.Name, Kind: NotSent, Reason: err.Error()}
 	}
 	s := newSend(ctx, a)
-	defer s.cancel()
 	req, err := post(s.ctx, a.Target, contract.RunPath, body)
 	if err != nil {
+		s.cancel()
 		return &Broken{Target: a.Target.Name, Kind: NotSent, Reason: err.Error()}
 	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
+		s.cancel()
 		return s.broken(err)
 	}
-	defer resp.Body.Close()
+	err = s.read(resp)
+	c.release(s, resp, err == nil)
+	return err
+}
+
+// read reads the answer.
+func (s *send) read(resp *http.Response) error {
 	if resp.StatusCode != http.StatusOK {
-		return &Failure{Target: a.Target.Name, Status: resp.StatusCode, Reason: resp.Status}
+		return &Failure{Target: s.attempt.Target.Name, Status: resp.StatusCode, Reason: resp.Status}
 	}
 	return s.readPieces(bufio.NewScanner(resp.Body))
 }
 
+// release ends s. The end of a whole answer without a length may come after its
+// end mark; it is waited for in the background, so that the connection can be
+// used again.
+func (c *Client) release(s *send, resp *http.Response, whole bool) {
+	end := func() {
+		resp.Body.Close()
+		s.cancel()
+	}
+	c.once.Do(c.init)
+	if !whole || resp.ContentLength >= 0 || !c.drains.TryAcquire(1) {
+		end()
+		return
+	}
+	s.detach()
+	go func() {
+		defer c.drains.Release(1)
+		defer end()
+		late := time.AfterFunc(drainTimeout, s.cancel)
+		defer late.Stop()
+		io.CopyN(io.Discard, resp.Body, maxDrainBytes)
+	}()
+}
+
 func post(ctx context.Context, t *declaration.Target, path string, body []byte) (*http.Request, error) {
 	url := "http://" + t.Addr.String() + path
 	return http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
@@ -130,16 +169,20 @@
 	parent  context.Context
 	ctx     context.Context
 	cancel  context.CancelFunc
-	begun   atomic.Bool
+	// detach keeps the end of parent from ending ctx.
+	detach func() bool
+	begun  atomic.Bool
 }
 
 // newSend returns a send whose context ends when no connection was made within
 // connectTimeout.
 func newSend(parent context.Context, a *Attempt) *send {
 	s := &send{attempt: a, parent: parent}
-	ctx, cancel := context.WithCancel(parent)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	s.detach = context.AfterFunc(parent, cancel)
 	connect := time.AfterFunc(connectTimeout, cancel)
 	s.cancel = func() {
+		s.detach()
 		connect.Stop()
 		cancel()
 	}
@@ -170,9 +213,21 @@
 	return &Broken{Target: s.attempt.Target.Name, Kind: Garbled, Reason: fmt.Sprintf(format, args...)}
 }
 
+// lineBytes is the size of the buffers for lines; a longer line has its own.
+const lineBytes = 4 << 10
+
+// lineBuffers holds the buffers for lines, each a *[]byte. A piece keeps nothing
+// of the line that it was decoded from.
+var lineBuffers = sync.Pool{New: func() any {
+	b := make([]byte, lineBytes)
+	return &b
+}}
+
 // readPieces checks attempt, sequence and end mark of the pieces.
 func (s *send) readPieces(lines *bufio.Scanner) error {
-	lines.Buffer(nil, maxPieceBytes)
+	buf := lineBuffers.Get().(*[]byte)
+	defer lineBuffers.Put(buf)
+	lines.Buffer(*buf, maxPieceBytes)
 	next, size := s.attempt.Run.ResumeFrom, 0
 	for lines.Scan() {
 		p, err := s.piece(lines.Bytes(), next)
@@ -227,7 +282,7 @@
 // Cancel tells t, in the background, that an attempt is no longer wanted. The
 // end of the connection says the same, so that a cancel may be dropped.
 func (c *Client) Cancel(t *declaration.Target, attemptID string) {
-	c.once.Do(func() { c.cancels = semaphore.NewWeighted(maxCancels) })
+	c.once.Do(c.init)
 	if !c.cancels.TryAcquire(1) {
 		return
 	}
