--- /dev/null
+++ b/cmd/berylswitch/config_show.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/internal/section"
+)
+
+// configShow prints the document in force, or one section as its owners wrote
+// it.
+type configShow struct {
+	connection
+	Section string `long:"section" description:"print this section alone, with its revision in the first line"`
+
+	ctx context.Context
+}
+
+// Execute runs the command.
+func (c *configShow) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
+	defer cancel()
+	o, err := c.follow(ctx)
+	if err != nil {
+		return err
+	}
+	s, err := o.first(ctx)
+	if err != nil {
+		return err
+	}
+	if c.Section != "" {
+		return showSection(s, c.Section)
+	}
+	fmt.Printf("// Offset %d, rule %d.\n{\"Sections\": {\n", s.Offset, s.Rule)
+	for i, name := range s.Names() {
+		e, comma := s.Entry(name), ","
+		if i == len(s.Names())-1 {
+			comma = ""
+		}
+		fmt.Printf("// %s is revision %d by %s (change %s).\n%q: %s\n%s\n", name, e.Revision, e.Author, e.ChangeID, name, e.Text, comma)
+	}
+	fmt.Println("}}")
+	return nil
+}
+
+func showSection(s *section.State, name string) error {
+	e := s.Entry(name)
+	if e == nil {
+		return fmt.Errorf("no section %q is in force", name)
+	}
+	fmt.Printf("%s%d of %s by %s (change %s).\n%s\n", revisionPrefix, e.Revision, name, e.Author, e.ChangeID, e.Text)
+	return nil
+}
+
+// configStatus asks the hosts that the flags name, and those that they know,
+// what is in force.
+type configStatus struct {
+	connection
+	ctx context.Context
+}
+
+// askTimeout bounds the question to one host.
+const askTimeout = 2 * time.Second
+
+// Execute runs the command.
+func (c *configStatus) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
+	defer cancel()
+	replies, err := c.askAll(ctx)
+	if err != nil {
+		return err
+	}
+	same := true
+	fmt.Printf("%-24s %10s %6s %6s  %s\n", "HOST", "OFFSET", "RULE", "KNOWS", "STATE")
+	for _, r := range replies {
+		fmt.Printf("%-24s %10d %6d %6d  %s\n", r.Host, r.Offset, r.Rule, r.LatestRule, r.word())
+		same = same && r.err == nil && !r.Stale && r.Offset == replies[0].Offset
+	}
+	if !same {
+		return errors.New("not the same offset is in force at all hosts")
+	}
+	fmt.Printf("offset %d is in force at all %d hosts\n", replies[0].Offset, len(replies))
+	return nil
+}
+
+// hostStatus is a host's answer, or why there is none.
+type hostStatus struct {
+	section.StatusReply
+	err error
+}
+
+func (s *hostStatus) word() string {
+	switch {
+	case s.err != nil:
+		return s.err.Error()
+	case s.Stale:
+		return "stale"
+	default:
+		return "in force"
+	}
+}
+
+// askAll asks every host that can be found from those that the flags name.
+func (c *connection) askAll(ctx context.Context) ([]hostStatus, error) {
+	hosts, err := c.hosts()
+	if err == nil && len(hosts) == 0 {
+		err = errNoHost
+	}
+	if err != nil {
+		return nil, err
+	}
+	caller := &peer.Caller{Net: c.network()}
+	defer caller.Close()
+	known := map[string]bool{}
+	var out []hostStatus
+	for len(hosts) > 0 {
+		h := hosts[0]
+		hosts = hosts[1:]
+		if known[h.Addr.String()] {
+			continue
+		}
+		known[h.Addr.String()] = true
+		s := ask(ctx, caller, h)
+		hosts = append(hosts, s.Peers...)
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func ask(ctx context.Context, caller *peer.Caller, h peer.Host) hostStatus {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply := &section.StatusReply{}
+	if err := caller.Call(ctx, h.Addr, section.ServiceName+".Status", &section.StatusArgs{}, reply); err != nil {
+		return hostStatus{section.StatusReply{Host: h.Name}, err}
+	}
+	return hostStatus{StatusReply: *reply}
+}
+
+// configRule brings the next rule version into force, once every host knows it.
+type configRule struct {
+	connection
+	Args struct {
+		Version int `positional-arg-name:"VERSION" required:"yes"`
+	} `positional-args:"yes"`
+
+	ctx context.Context
+}
+
+// Execute runs the command.
+func (c *configRule) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
+	defer cancel()
+	replies, err := c.askAll(ctx)
+	if err != nil {
+		return err
+	}
+	for _, r := range replies {
+		if r.err != nil || r.LatestRule < c.Args.Version {
+			return fmt.Errorf("host %s knows rules up to %d (%s); all hosts must know rule %d first", r.Host, r.LatestRule, r.word(), c.Args.Version)
+		}
+	}
+	o, err := c.follow(ctx)
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(section.RuleChange{Version: c.Args.Version})
+	if err != nil {
+		return err
+	}
+	e := platform.Entry{ID: fmt.Sprintf("Rule-%d", c.Args.Version), Kind: section.RuleKind, Data: data}
+	if _, err := o.log.Append(ctx, platform.ConfigStream, []platform.Entry{e}); err != nil {
+		return fmt.Errorf("%w; it is safe to repeat", err)
+	}
+	s, err := o.state(ctx, func(s *section.State) bool { return s.Rule >= c.Args.Version })
+	if err != nil {
+		return fmt.Errorf("rule %d is not in force: %w", c.Args.Version, err)
+	}
+	fmt.Printf("rule %d is in force\n", s.Rule)
+	return nil
+}
--- a/cmd/berylswitch/main.go
+++ b/cmd/berylswitch/main.go
@@ -25,6 +25,7 @@
 	p := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	p.Name = "berylswitch"
 	commands := []command{
+		{"config", "Check, publish and show the declared document", newConfigCommand(ctx)},
 		{"serve", "Run a host", &serveCommand{ctx: ctx}},
 		{"report", "Show service-level burn and cost by stage", &reportCommand{ctx: ctx}},
 		{"try", "Run stand-ins and two hosts in this process and send requests", &tryCommand{ctx: ctx}},
@@ -43,6 +44,7 @@
 func exitCode(parse func() ([]string, error)) int {
 	_, err := parse()
 	var usage *flags.Error
+	var coded *configError
 	switch {
 	case err == nil:
 		return 0
@@ -52,6 +54,9 @@
 	case errors.As(err, &usage):
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
+	case errors.As(err, &coded):
+		fmt.Fprintln(os.Stderr, "berylswitch:", err)
+		return coded.ExitCode()
 	default:
 		fmt.Fprintln(os.Stderr, "berylswitch:", err)
 		return 1
--- a/internal/section/control.go
+++ b/internal/section/control.go
@@ -213,7 +213,7 @@
 // snapshot writes one if it is due and this host's turn.
 func (c *control) snapshot(ctx context.Context, wg *sync.WaitGroup) {
 	now := c.f.Clock.Now()
-	if c.f.Members == nil || c.f.State() == nil || c.writing || c.seek > 0 || c.fold.halted() {
+	if c.f.Members == nil || c.f.SnapshotAge == 0 || c.f.State() == nil || c.writing || c.seek > 0 || c.fold.halted() {
 		return
 	}
 	if !c.coverage.due(now, c.f.SnapshotAge, c.seen) {
--- a/internal/section/section.go
+++ b/internal/section/section.go
@@ -58,7 +58,7 @@
 	Members Lister
 	Caller  *peer.Caller
 	// SnapshotAge is the age at which a needed record gets covered by a snapshot.
-	// It must be well under the log's retention.
+	// It must be well under the log's retention; zero writes no snapshots.
 	SnapshotAge time.Duration
 	// LatestRule is the newest rule that is known; zero means that of this
 	// release.
--- a/pkg/declaration/load.go
+++ b/pkg/declaration/load.go
@@ -115,3 +115,24 @@
 	sort.Strings(out)
 	return out
 }
+
+// ReadSection reads the text of one section from a file as ReadFiles takes it.
+// The problems are those of the file alone: what the section refers to may be
+// declared elsewhere.
+func ReadSection(rule int, file, section string) (Part, Problems, error) {
+	src, err := ReadSource(file)
+	if err != nil {
+		return Part{}, nil, err
+	}
+	src.Rule = rule
+	f := &Files{Document: &Document{Sections: map[string]Section{}}, Parts: map[string]Part{}}
+	f.add(src)
+	if child(&src.root, Step{Name: "Sections"}) == nil {
+		return Part{Name: section, Text: src.text, source: src}, src.Problems(), nil
+	}
+	p, ok := f.Parts[section]
+	if !ok {
+		src.Report(Path(nil).Member("Sections"), "no section %q; there are %s", section, list(f.Names()))
+	}
+	return p, src.Problems(), nil
+}
