--- a/internal/host/admit.go
+++ b/internal/host/admit.go
@@ -73,8 +73,8 @@
 		}
 		deadline = d
 	}
-	if deadline <= 0 || deadline > maxDeadline {
-		return badHeader(caller.DeadlineHeader, "%v is not between 0 and %v", deadline, maxDeadline)
+	if deadline <= 0 || deadline > declaration.MaxDeadline {
+		return badHeader(caller.DeadlineHeader, "%v is not between 0 and %v", deadline, declaration.MaxDeadline)
 	}
 	req.Deadline = start.Add(deadline)
 	if err := readPriority(r, req); err != nil {
--- a/internal/host/limits.go
+++ b/internal/host/limits.go
@@ -17,7 +17,6 @@
 	maxBodyBytes   = 4 << 20
 	maxHeaderBytes = 16 << 10
 	maxNesting     = 64
-	maxDeadline    = 10 * time.Minute
 
 	headerTimeout = 5 * time.Second
 	bodyTimeout   = 10 * time.Second
--- a/pkg/declaration/check.go
+++ b/pkg/declaration/check.go
@@ -13,12 +13,13 @@
 	MaxSections = 512
 	// MaxDocumentBytes bounds the texts of all sections together.
 	MaxDocumentBytes = 8 << 20
+	// MaxDeadline bounds the deadline of a pipeline and of a request.
+	MaxDeadline = 10 * time.Minute
 
 	maxStages     = 16
 	maxKeys       = 16
 	maxSlots      = 4096
 	maxPriority   = 1000
-	maxDeadline   = 24 * time.Hour
 	maxPipelines  = 512
 	maxWorkspaces = 8192
 	maxPools      = 512
@@ -40,8 +41,8 @@
 // Check reports what is wrong with p on its own.
 func (p *Pipeline) Check(r *Reporter) {
 	checkName(r, p.Name)
-	if p.Deadline <= 0 || time.Duration(p.Deadline) > maxDeadline {
-		r.Report("Deadline", "must be above 0s and at most %v, is %v", maxDeadline, time.Duration(p.Deadline))
+	if p.Deadline <= 0 || time.Duration(p.Deadline) > MaxDeadline {
+		r.Report("Deadline", "must be above 0s and at most %v, is %v", MaxDeadline, time.Duration(p.Deadline))
 	}
 	if p.Objective != 0 && !(p.Objective > 0 && p.Objective < 1) {
 		r.Report("Objective", "must lie between 0 and 1, both excluded, such as 0.99; is %v", p.Objective)
