--- a/cmd/berylswitch/process_test.go
+++ b/cmd/berylswitch/process_test.go
@@ -49,6 +49,7 @@
 //	streamed NAME WANT PIECES          waits for its end, which must be whole
 //	streaming NAME                     wants that a piece of it has come
 //	runs ADDR KEY N                    wants that a target ran KEY N times
+//	status PEERADDR                    wants one offset in force at all hosts
 //	await COMMAND...                   repeats one of these until it passes
 func TestProcesses(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -63,7 +64,7 @@
 			"ports": doing(doPorts), "expand": doing(doExpand), "start": doing(doStart), "signal": doing(doSignal),
 			"exited": doing(doExited), "publish": doing(doPublish), "get": doing(doGet), "control": doing(doControl),
 			"post": doing(doPost), "stream": doing(doStream), "streamed": doing(doStreamed),
-			"streaming": doing(doStreaming), "runs": doing(doRuns), "await": doing(doAwait),
+			"streaming": doing(doStreaming), "runs": doing(doRuns), "await": doing(doAwait), "status": doing(doStatus),
 		},
 	})
 }
@@ -101,7 +102,7 @@
 }
 
 // awaited are the commands that await repeats.
-var awaited = map[string]step{"get": doGet, "post": doPost, "runs": doRuns, "streaming": doStreaming, "publish": doPublish}
+var awaited = map[string]step{"get": doGet, "post": doPost, "runs": doRuns, "streaming": doStreaming, "publish": doPublish, "status": doStatus}
 
 func doAwait(ts *testscript.TestScript, s *processScript, args []string) error {
 	for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
@@ -112,6 +113,11 @@
 	}
 }
 
+func doStatus(_ *testscript.TestScript, _ *processScript, args []string) error {
+	c := configStatus{connection: connection{Hosts: args, Timeout: patience}, ctx: context.Background()}
+	return c.Execute(nil)
+}
+
 func doPorts(ts *testscript.TestScript, _ *processScript, args []string) error {
 	for _, name := range args {
 		l, err := net.Listen("tcp", site.Loopback.String())
--- a/internal/link/tls_test.go
+++ b/internal/link/tls_test.go
@@ -116,6 +116,11 @@
 	with := func(a *authority) func(m *Memory) Network {
 		return func(m *Memory) Network { return a.network(m, clientIP, "client") }
 	}
+	stranger := func(m *Memory) Network {
+		n := others.network(m, clientIP, "client")
+		n.CAFile = filepath.Join(ours.dir, "ca.pem")
+		return n
+	}
 	got := map[string]string{}
 	for name, c := range map[string]struct {
 		client func(m *Memory) Network
@@ -123,6 +128,7 @@
 	}{
 		"ours":          {with(ours), func(m *Memory) Network { return ours.network(m, serverIP, "server") }},
 		"other client":  {with(others), func(m *Memory) Network { return ours.network(m, serverIP, "server") }},
+		"stranger":      {stranger, func(m *Memory) Network { return ours.network(m, serverIP, "server") }},
 		"other server":  {with(ours), func(m *Memory) Network { return others.network(m, serverIP, "server") }},
 		"wrong address": {with(ours), func(m *Memory) Network { return ours.network(m, serverIP, "elsewhere") }},
 		"plain client":  {plain, func(m *Memory) Network { return ours.network(m, serverIP, "server") }},
@@ -136,7 +142,7 @@
 		})
 	}
 	want := map[string]string{
-		"ours": "hello", "other client": "refused", "other server": "refused",
+		"ours": "hello", "other client": "refused", "stranger": "refused", "other server": "refused",
 		"wrong address": "refused", "plain client": "refused", "plain server": "refused",
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
