--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -26,7 +26,8 @@
 	follower := provideFollower(s, client, c, caller)
 	exchange := provideExchange(s, n, c, caller, client, follower)
 	registry := provideRegistry(s, c, client, exchange, caller)
-	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller)
+	metricsRegistry := provideMetrics()
+	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller, metricsRegistry)
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +56,6 @@
 		return nil, err
 	}
 	recorder := provideReport(s, c)
-	metricsRegistry := provideMetrics()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
