--- a/cmd/berylswitch/config.go
+++ b/cmd/berylswitch/config.go
@@ -18,6 +18,7 @@
 type configCommand struct {
 	Check   configCheck   `command:"check" description:"Find every fault of documents or sections in files"`
 	Publish configPublish `command:"publish" description:"Publish a section and wait for the verdict"`
+	Restore configRestore `command:"restore" description:"Begin anew from files after the log has lost the document"`
 	Rule    configRule    `command:"rule" description:"Bring the next rule version into force"`
 	Show    configShow    `command:"show" description:"Print the document in force"`
 	Status  configStatus  `command:"status" description:"Print the offset in force at each host"`
@@ -26,7 +27,7 @@
 // newConfigCommand returns the command with its context set.
 func newConfigCommand(ctx context.Context) *configCommand {
 	c := &configCommand{}
-	c.Publish.ctx, c.Rule.ctx, c.Show.ctx, c.Status.ctx = ctx, ctx, ctx, ctx
+	c.Publish.ctx, c.Restore.ctx, c.Rule.ctx, c.Show.ctx, c.Status.ctx = ctx, ctx, ctx, ctx, ctx
 	return c
 }
 
--- a/cmd/berylswitch/config_show.go
+++ b/cmd/berylswitch/config_show.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -37,12 +38,10 @@
 		return showSection(s, c.Section)
 	}
 	fmt.Printf("// Offset %d, rule %d.\n{\"Sections\": {\n", s.Offset, s.Rule)
-	for i, name := range s.Names() {
-		e, comma := s.Entry(name), ","
-		if i == len(s.Names())-1 {
-			comma = ""
-		}
-		fmt.Printf("// %s is revision %d by %s (change %s).\n%q: %s\n%s\n", name, e.Revision, e.Author, e.ChangeID, name, e.Text, comma)
+	for _, name := range s.Names() {
+		e := s.Entry(name)
+		// The comma stands on a line of its own: a comment may end the text.
+		fmt.Printf("// %s is revision %d by %s (change %s).\n%q: %s\n,\n", name, e.Revision, e.Author, e.ChangeID, name, bytes.TrimSpace(e.Text))
 	}
 	fmt.Println("}}")
 	return nil
@@ -53,7 +52,7 @@
 	if e == nil {
 		return fmt.Errorf("no section %q is in force", name)
 	}
-	fmt.Printf("%s%d of %s by %s (change %s).\n%s\n", revisionPrefix, e.Revision, name, e.Author, e.ChangeID, e.Text)
+	fmt.Printf("%s%d of %s by %s (change %s).\n%s\n", revisionPrefix, e.Revision, name, e.Author, e.ChangeID, bytes.TrimSpace(e.Text))
 	return nil
 }
 
