--- a/internal/section/size_test.go
+++ b/internal/section/size_test.go
@@ -3,9 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/rpc"
 	"runtime"
+	"sync/atomic"
 	"testing"
 
+	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/pkg/declaration"
 )
@@ -147,3 +151,43 @@
 		runtime.KeepAlive(s)
 	}
 }
+
+// countedConn counts the bytes of both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkProbe asks a peer that has nothing newer, over one connection.
+func BenchmarkProbe(b *testing.B) {
+	f := &Follower{Clock: &clock.Service{}}
+	f.shared.Store(&shared{state: largeFold(b).state()})
+	server := rpc.NewServer()
+	if err := server.RegisterName(ServiceName, &Service{Follower: f}); err != nil {
+		b.Fatal(err)
+	}
+	near, far := net.Pipe()
+	go server.ServeConn(far)
+	var bytes atomic.Int64
+	client := rpc.NewClient(countedConn{near, &bytes})
+	defer client.Close()
+	args := &FetchArgs{From: f.Offset()}
+	for b.Loop() {
+		if err := client.Call(ServiceName+".Fetch", args, &FetchReply{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/probe")
+}
