--- a/cmd/berylswitch/config.go
+++ b/cmd/berylswitch/config.go
@@ -39,18 +39,6 @@
 	exitNoVerdict = 5
 )
 
-// configError is an error with an exit code of its own.
-type configError struct {
-	code int
-	err  error
-}
-
-// Error returns the text of the error.
-func (e *configError) Error() string { return e.err.Error() }
-
-// ExitCode returns the exit code of the process.
-func (e *configError) ExitCode() int { return e.code }
-
 // connection says how a command reaches log and hosts.
 type connection struct {
 	Log     string        `long:"log" value-name:"ADDR" description:"IP number and port of the log service"`
--- a/cmd/berylswitch/config_publish.go
+++ b/cmd/berylswitch/config_publish.go
@@ -62,7 +62,7 @@
 	fmt.Printf("publishing section %s, base %d, change %s\n", c.Section, base, c.ChangeID)
 	v, err := o.publish(ctx, entry)
 	if err != nil {
-		return &configError{exitNoVerdict, fmt.Errorf("no verdict on change %s: %w; repeat with --change-id %s --base %d", c.ChangeID, err, c.ChangeID, base)}
+		return &exitError{exitNoVerdict, fmt.Errorf("no verdict on change %s: %w; repeat with --change-id %s --base %d", c.ChangeID, err, c.ChangeID, base)}
 	}
 	return c.report(v)
 }
@@ -113,7 +113,7 @@
 		return nil, err
 	}
 	if len(problems) > 0 {
-		return nil, &configError{exitInvalid, fmt.Errorf("not published, %d problems\n%w", len(problems), problems)}
+		return nil, &exitError{exitInvalid, fmt.Errorf("not published, %d problems\n%w", len(problems), problems)}
 	}
 	return part.Text, nil
 }
@@ -199,9 +199,9 @@
 		fmt.Printf("accepted: section %s has revision %d\n", v.Section, v.Revision)
 		return nil
 	case declaration.Overtaken:
-		return &configError{exitOvertaken, fmt.Errorf("overtaken by %s (change %s): section %s has revision %d; look at 'config show --section %s' and publish again from there", v.By, v.ByChange, v.Section, v.Revision, v.Section)}
+		return &exitError{exitOvertaken, fmt.Errorf("overtaken by %s (change %s): section %s has revision %d; look at 'config show --section %s' and publish again from there", v.By, v.ByChange, v.Section, v.Revision, v.Section)}
 	case declaration.Invalid:
-		return &configError{exitInvalid, fmt.Errorf("invalid: nothing changed\n%s", strings.Join(v.Reasons, "\n"))}
+		return &exitError{exitInvalid, fmt.Errorf("invalid: nothing changed\n%s", strings.Join(v.Reasons, "\n"))}
 	default:
 		panic("unexpected verdict " + string(v.Kind))
 	}
--- a/cmd/berylswitch/main.go
+++ b/cmd/berylswitch/main.go
@@ -26,6 +26,7 @@
 	p.Name = "berylswitch"
 	commands := []command{
 		{"config", "Check, publish and show the declared document", newConfigCommand(ctx)},
+		{"call", "Send a request and print its answer", &callCommand{ctx: ctx}},
 		{"serve", "Run a host", &serveCommand{ctx: ctx}},
 		{"report", "Show service-level burn and cost by stage", &reportCommand{ctx: ctx}},
 		{"try", "Run stand-ins and two hosts in this process and send requests", &tryCommand{ctx: ctx}},
@@ -44,7 +45,7 @@
 func exitCode(parse func() ([]string, error)) int {
 	_, err := parse()
 	var usage *flags.Error
-	var coded *configError
+	var exit *exitError
 	switch {
 	case err == nil:
 		return 0
@@ -54,9 +55,9 @@
 	case errors.As(err, &usage):
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
-	case errors.As(err, &coded):
+	case errors.As(err, &exit):
 		fmt.Fprintln(os.Stderr, "berylswitch:", err)
-		return coded.ExitCode()
+		return exit.code
 	default:
 		fmt.Fprintln(os.Stderr, "berylswitch:", err)
 		return 1
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -12,7 +12,6 @@
 	"berylswitch.example/berylswitch/internal/standin"
 	"berylswitch.example/berylswitch/pkg/declaration"
 	"github.com/cockroachdb/datadriven"
-	"github.com/google/uuid"
 )
 
 // TestScripts runs each file under testdata in virtual time. Every script ends
@@ -22,7 +21,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t)
 			defer w.close()
-			s := &script{world: w, keys: map[string]string{}}
+			s := &script{world: w, named: map[string]string{}}
 			datadriven.RunTest(t, path, s.command)
 			for _, fault := range w.check() {
 				t.Error(fault)
@@ -34,7 +33,7 @@
 // script runs the commands of one file.
 type script struct {
 	*world
-	keys map[string]string // by name in the script
+	named map[string]string // by name in the script
 }
 
 // command runs one command. Commands that only change the world print nothing.
@@ -44,6 +43,7 @@
 //	target NAME pool=P [slots=N] [speed=F] [engine] [ask]
 //	pipeline NAME stages=(P,Q) [deadline=D]     stages are named as their pools
 //	publish                                     what was declared so far
+//	declare TARGET [leaving]                    for the next publish
 //	host NAME... [drain-delay=D] [drain-timeout=D]
 //	call ID host=H pipeline=P [text=T] [service=D] [tokens=N] [key=K] [stream]
 //	     [deadline=D] [priority=N] [crash]      the input, if any, is the body
@@ -63,7 +63,7 @@
 	switch d.Cmd {
 	case "standard":
 		s.standard(s.number(d, "hosts", "1"))
-	case "pool", "target", "pipeline", "publish", "host":
+	case "pool", "target", "pipeline", "declare", "publish", "host":
 		s.declare(d, names)
 	case "call":
 		s.send(s.call(d, names[0]))
@@ -160,6 +160,12 @@
 			p.Stages = append(p.Stages, declaration.Stage{Name: pool, Pool: pool})
 		}
 		s.section.Pipelines = append(s.section.Pipelines, p)
+	case "declare":
+		for i := range s.section.Targets {
+			if t := &s.section.Targets[i]; t.Name == names[0] {
+				t.Leaving = d.HasArg("leaving")
+			}
+		}
 	case "publish":
 		s.publish()
 	case "host":
@@ -184,10 +190,10 @@
 		},
 	}
 	if name := value(d, "key", ""); name != "" {
-		if s.keys[name] == "" {
-			s.keys[name] = uuid.Must(uuid.NewV7()).String()
+		if s.named[name] == "" {
+			s.named[name] = s.newKey()
 		}
-		c.key = s.keys[name]
+		c.key = s.named[name]
 	}
 	return c
 }
@@ -214,12 +220,10 @@
 		defer resp.Body.Close()
 		return fmt.Sprintln(resp.StatusCode)
 	}
-	select {
-	case <-h.done:
+	if h.ended() {
 		return "stopped\n"
-	default:
-		return "running\n"
 	}
+	return "running\n"
 }
 
 func (s *script) fail(d *datadriven.TestData, names []string) {
