Let the slots of long work grow as its time runs out, and probe slowed targets

Change: the share grows from 0.12 to 0.75 with the part of its time that the long ticket has waited; unseen kinds are taken to grow with their size; probes are at most one a second and one in 200 grants.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -17,6 +17,7 @@
 	seedFlag       = flag.Uint64("seed", 1, "seed of the arrivals")
 	siteFlag       = flag.String("site", "", "the site to run, or empty for all")
 	traceFlag      = flag.Duration("boards", 0, "print the held boards of the engines at this period")
+	failuresFlag   = flag.Bool("failures", false, "print the requests that were not answered on time")
 	policyFlag     = flag.String("policy", "", "policies to run, comma-separated; empty means all")
 )
 
@@ -34,11 +35,22 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if *failuresFlag {
+			failures(s, samples)
+		}
 		out = Measure(s, l, policy, samples)
 	})
 	return out
 }
 
+func failures(s *Site, samples []Sample) {
+	for _, m := range samples {
+		if !m.OnTime {
+			fmt.Printf("%v %s service %v took %v: %s: %+v\n", m.Request.At, s.Pipelines[m.Request.Pipeline].Name, m.Request.Service, m.Took, m.Message, m.Stages)
+		}
+	}
+}
+
 // trace prints the boards of the engines.
 func trace(r *Run, at time.Duration) {
 	for _, h := range r.hosts {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -292,7 +292,7 @@
 		m.Refused = err == nil && a.Ran == result.RanNo
 		m.OnTime = m.OK && m.Took <= p.Deadline
 		if a != nil {
-			m.Stages = a.Stages
+			m.Stages, m.Message = a.Stages, a.Name+": "+a.Message
 		}
 		if m.OK || try >= r.Load.Repeat || ctx.Err() != nil {
 			return m
--- a/internal/queue/board.go
+++ b/internal/queue/board.go
@@ -17,13 +17,13 @@
 	// longFactor is how many times the typical work of the pool makes a ticket
 	// long.
 	longFactor = 8
-	// longShare is the share of a board's slots that long work may hold, and
-	// urgentShare the share once it is urgent.
-	longShare   = 0.25
+	// longShare is the share of a board's slots that long work may hold when it
+	// has just come; it grows to urgentShare as its time runs out.
+	longShare   = 0.12
 	urgentShare = 0.75
 	// urgentFactor is the time left, in multiples of the predicted time, at
 	// which long work goes among the short.
-	urgentFactor = 3
+	urgentFactor = 4
 	// leaseTimeout is how long a lease lasts without a word from its owner.
 	leaseTimeout = 3 * time.Second
 	// reportGrace is the age below which a lease may be missing from its
@@ -60,6 +60,7 @@
 	targets []*slotState
 	byName  map[string]*slotState
 	leases  map[string]*lease
+	grants  int
 	short   []*ticket
 	long    []*ticket
 	work    predictor
@@ -232,7 +233,7 @@
 func (b *board) grantFrom(list []*ticket, now time.Time, urgent bool) []*ticket {
 	rest := list[:0]
 	for i, t := range list {
-		if !b.anyRoom(now) {
+		if !b.anyRoom() {
 			rest = append(rest, list[i:]...)
 			break
 		}
@@ -246,9 +247,9 @@
 	return rest
 }
 
-func (b *board) anyRoom(now time.Time) bool {
+func (b *board) anyRoom() bool {
 	for _, s := range b.targets {
-		if s.room(now) {
+		if s.room() {
 			return true
 		}
 	}
@@ -261,7 +262,7 @@
 		t.deliver(decision{code: result.Overloaded, message: "no slot came free in time"})
 		return true
 	}
-	if t.long && !b.longRoom(b.urgent(t, now)) {
+	if t.long && !b.longRoom(t, now) {
 		return false
 	}
 	s := b.place(t, now)
@@ -273,12 +274,8 @@
 	return true
 }
 
-// longRoom reports whether long work may hold one more slot.
-func (b *board) longRoom(urgent bool) bool {
-	share := longShare
-	if urgent {
-		share = urgentShare
-	}
+// longRoom reports whether t, which is long, may hold one more slot.
+func (b *board) longRoom(t *ticket, now time.Time) bool {
 	slots, held := 0, 0
 	for _, s := range b.targets {
 		slots += s.slots
@@ -288,6 +285,12 @@
 			}
 		}
 	}
+	waited := now.Sub(t.since).Seconds()
+	used := waited / math.Max(t.ask.Deadline.Sub(t.since).Seconds(), minSample)
+	share := longShare + (urgentShare-longShare)*used
+	if b.urgent(t, now) {
+		share = urgentShare
+	}
 	return held == 0 || float64(held+1) <= share*float64(slots)
 }
 
@@ -297,26 +300,27 @@
 	var best *slotState
 	left := t.ask.Deadline.Sub(now).Seconds()
 	for _, s := range b.targets {
-		if !suits(s, t) || !s.room(now) {
+		if !suits(s, t) {
 			continue
 		}
-		takes := t.work / s.speed()
-		if takes > left && best != nil {
-			continue
+		if !t.long && s.probeDue(now, b.grants) && probeSpare*t.work/s.speed() < left {
+			s.probed, s.probeGrant = now, b.grants
+			return s
 		}
-		if best == nil || b.better(t, s, best, left) {
+		if s.room() && (best == nil || b.better(t, s, best, left)) {
 			best = s
 		}
 	}
-	if best != nil && best.ratio < trickleRatio && t.work/best.speed() > left {
-		return nil
-	}
 	return best
 }
 
 // spareFactor is the time left, in multiples of the predicted time, with which
 // long work may take a slower target.
-const spareFactor = 2.5
+// A probe needs time for probeSpare times the predicted one.
+const (
+	spareFactor = 2.5
+	probeSpare  = 1.5
+)
 
 // better reports whether t should rather go to x than to y.
 func (b *board) better(t *ticket, x, y *slotState, left float64) bool {
@@ -337,9 +341,7 @@
 	l := &lease{id: t.ask.AttemptID, owner: t.owner, at: now, renewed: now, work: t.work, long: t.long, key: t.key, target: s}
 	s.leases[l.id] = l
 	b.leases[l.id] = l
-	if s.ratio < trickleRatio {
-		s.trickle = now
-	}
+	b.grants++
 }
 
 // complete frees the slot of an attempt, or drops its ticket, and learns from
--- a/internal/queue/predictor.go
+++ b/internal/queue/predictor.go
@@ -23,11 +23,12 @@
 	return workKey{Pool: a.Pool, Stage: a.Stage, Pipeline: a.Pipeline, Workspace: a.Workspace, Size: bits.Len(uint(a.PromptBytes))}
 }
 
-// wider returns the kinds to use while k itself has been seen too rarely.
-func (k workKey) wider() [3]workKey {
+// wider returns the kinds to use, in this order, while k itself has been seen
+// too rarely: those of all workspaces, of all sizes, and of all stages.
+func (k workKey) wider() [4]workKey {
 	sized := workKey{Pool: k.Pool, Stage: k.Stage, Pipeline: k.Pipeline, Size: k.Size}
-	stage := workKey{Pool: k.Pool, Stage: k.Stage, Size: k.Size}
-	return [3]workKey{sized, stage, {Pool: k.Pool}}
+	stage := workKey{Pool: k.Pool, Stage: k.Stage, Pipeline: k.Pipeline}
+	return [4]workKey{sized, stage, {Pool: k.Pool, Size: k.Size}, {Pool: k.Pool}}
 }
 
 // Parameters of the estimates.
@@ -39,6 +40,7 @@
 	unseenWork     = 100 * time.Millisecond // before anything was seen
 	unseenVariance = 1.0
 	minSample      = 1e-5 // seconds
+	maxDoublings   = 6    // of a prompt's size over those that were seen
 )
 
 // estimate is a log-normal distribution of seconds.
@@ -131,13 +133,25 @@
 	return out
 }
 
-// wide returns the narrowest estimate of the wider kinds.
+// wide returns the narrowest estimate of the wider kinds. Where the pool has
+// only seen smaller prompts, work is taken to grow with their size.
 func (p *predictor) wide(k workKey) estimate {
-	for _, w := range k.wider() {
+	wider := k.wider()
+	for _, w := range wider[:3] {
 		if e, ok := p.kinds.Get(w); ok && e.known() {
 			return e
 		}
 	}
+	for n := 1; n <= maxDoublings && n < k.Size; n++ {
+		if e, ok := p.kinds.Get(workKey{Pool: k.Pool, Size: k.Size - n}); ok && e.known() {
+			e.mean += float64(n) * math.Ln2
+			e.n = 0
+			return e
+		}
+	}
+	if e, ok := p.kinds.Get(wider[3]); ok && e.known() {
+		return e
+	}
 	return estimate{mean: math.Log(unseenWork.Seconds()), variance: unseenVariance}
 }
 
--- a/internal/queue/speed.go
+++ b/internal/queue/speed.go
@@ -16,10 +16,12 @@
 	recentSamples  = 5     // whose median is the recent speed
 	// slowedRatio is the recent speed relative to the past and to the shard
 	// below which a target gets fewer slots, trickleRatio that below which it
-	// gets one attempt a tricklePeriod.
-	slowedRatio   = 0.6
-	trickleRatio  = 0.34
-	tricklePeriod = time.Second
+	// gets one attempt a probePeriod, and not more than one in probeGrants of the
+	// board's.
+	slowedRatio  = 0.6
+	trickleRatio = 0.34
+	probePeriod  = time.Second
+	probeGrants  = 200
 	// overdueFactor is how many times its predicted time an attempt must run to
 	// count as evidence, and overdueLeast how many attempts of one target.
 	overdueFactor = 2.5
@@ -38,7 +40,11 @@
 	samples int
 	overdue float64 // logarithm of the speed that running attempts show, or 0
 	ratio   float64 // recent over past, relative to the shard's median
-	trickle time.Time
+	// probed and probeGrant are the time and the number of the last probe;
+	// relieved says that the last attempt was as fast as the target's past.
+	probed     time.Time
+	probeGrant int
+	relieved   bool
 }
 
 // lease is one granted slot.
@@ -73,9 +79,7 @@
 	}
 	s.past += w * math.Max(-maxStep, math.Min(maxStep, x-s.past))
 	s.recent = median(s.last[:])
-	if x-s.past > math.Log(slowedRatio) {
-		s.trickle = time.Time{} // the next attempt need not wait
-	}
+	s.relieved = x-s.past > math.Log(slowedRatio)
 }
 
 func median(x []float64) float64 {
@@ -131,14 +135,24 @@
 	}
 }
 
-// room reports whether s may get one more attempt now.
-func (s *slotState) room(now time.Time) bool {
+// room reports whether s may get one more attempt now. A target that is far
+// slower than it was gets only probes.
+func (s *slotState) room() bool {
 	switch {
 	case s.ratio >= slowedRatio:
 		return len(s.leases) < s.slots
 	case s.ratio >= trickleRatio:
 		return len(s.leases) < int(math.Ceil(float64(s.slots)*s.ratio))
 	default:
-		return len(s.leases) == 0 && now.Sub(s.trickle) >= tricklePeriod
+		return false
+	}
+}
+
+// probeDue reports whether one attempt should go to s to see whether it is
+// still slow. Probes are a bounded part of the board's grants.
+func (s *slotState) probeDue(now time.Time, grants int) bool {
+	if s.ratio >= trickleRatio || len(s.leases) >= s.slots {
+		return false
 	}
+	return s.relieved || (now.Sub(s.probed) >= probePeriod && grants-s.probeGrant >= probeGrants)
 }
