--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -19,6 +19,13 @@
 	OrderPath  = "/order"
 )
 
+// KeyParam is the parameter of AskPath that holds the idempotency key, FromParam
+// that of EventsPath that holds the first event that is wanted.
+const (
+	KeyParam  = "Key"
+	FromParam = "From"
+)
+
 // Run asks a target to execute one attempt of one stage.
 type Run struct {
 	AttemptID string
@@ -31,7 +38,10 @@
 	Priority int
 	// TimeLeft is the time until the caller's deadline, in nanoseconds.
 	TimeLeft time.Duration
-	// ResumeFrom is the sequence number of the first piece that is wanted.
+	// ResumeFrom is the sequence number of the first piece that is wanted. A Run
+	// with ResumeFrom above zero has the AttemptID of the attempt that it
+	// resumes and goes to the same target, which answers with the pieces from
+	// there on. A target that can't resume answers with status 409.
 	ResumeFrom int `json:",omitempty"`
 	Input      json.RawMessage
 }
@@ -84,6 +94,31 @@
 	Running     int
 	Waiting     int
 	Models      []string
+	Role        string `json:",omitempty"`
+}
+
+// Cancel, posted to CancelPath, asks a target to give up an attempt. A target
+// that doesn't know the attempt ignores it.
+type Cancel struct {
+	AttemptID string
+}
+
+// CacheEvent says that a model engine stored or evicted a prompt prefix.
+type CacheEvent struct {
+	Seq     int
+	At      time.Time
+	Prefix  string
+	Evicted bool `json:",omitempty"`
+}
+
+// CacheEvents is a model engine's late word on its prefix cache. Numbers that
+// are missing were lost.
+type CacheEvents struct {
+	Target      string
+	Incarnation string
+	Events      []CacheEvent
+	// Next is the number to ask from next time.
+	Next int
 }
 
 // OrderKind names what an order wants.
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -179,7 +179,11 @@
 	}
 	s.SetDefaults()
 	c := &clock.Service{}
-	return &runHost{host: host.New(s, r.net.Process(addr), c, zap.NewNop()), clock: c, addr: addr}
+	h, err := host.New(s, r.net.Process(addr), c, zap.NewNop())
+	if err != nil {
+		panic(err) // Run.Policy was checked with the command line
+	}
+	return &runHost{host: h, clock: c, addr: addr}
 }
 
 func (r *Run) startClients() {
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -1,28 +1,38 @@
 package host
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/rpc"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/internal/queue"
+	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
+	"github.com/rcrowley/go-metrics"
 )
 
 func provideClient(s *settings.Settings, n link.Network) *platform.Client {
 	return platform.NewClient(n, s.LogAddr, s.HostListAddr)
 }
 
-func provideExchange(s *settings.Settings, n link.Network, c *clock.Service) *peer.Exchange {
+func provideExchange(s *settings.Settings, n link.Network, c *clock.Service, caller *peer.Caller, client *platform.Client, f *section.Follower) *peer.Exchange {
 	x := &peer.Exchange{
-		Self:  peer.Host{Name: s.Name, Addr: s.PeerAddr, Domain: s.Domain, Incarnation: time.Now().UnixNano()},
-		Net:   n,
-		Clock: c,
+		Self:   peer.Host{Name: s.Name, Addr: s.PeerAddr, Domain: s.Domain, Incarnation: time.Now().UnixNano()},
+		Net:    n,
+		Clock:  c,
+		Caller: caller,
+		Offset: func() int64 { return offsetInForce(f) },
+	}
+	if s.HostListAddr.IsValid() {
+		x.Discover = func(ctx context.Context) ([]peer.Host, error) { return discover(ctx, client) }
 	}
 	for _, p := range s.Peers {
 		x.Seeds = append(x.Seeds, peer.Host{Name: p.Name, Addr: p.Addr, Domain: p.Domain})
@@ -30,18 +40,76 @@
 	return x
 }
 
-func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry, x *peer.Exchange, caller *peer.Caller, server *rpc.Server) *queue.Dispatcher {
-	d := &queue.Dispatcher{Clock: c, Targets: r, Exchange: x, Caller: caller, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-	var err error
-	if d.Policy, err = queue.ParsePolicy(s.Policy); err != nil {
-		panic(err) // settings.Load checked the name
+// offsetInForce returns the offset of the configuration in force, or zero.
+func offsetInForce(f *section.Follower) int64 {
+	if s := f.State(); s != nil {
+		return int64(s.Offset)
+	}
+	return 0
+}
+
+// discover returns the live hosts of the system on the host list.
+func discover(ctx context.Context, list platform.HostList) ([]peer.Host, error) {
+	entries, err := list.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []peer.Host
+	for _, e := range entries {
+		if e.Role == platform.HostRole && e.State == platform.Live {
+			out = append(out, peer.Host{Name: e.Name, Addr: e.Addr})
+		}
 	}
-	if err := server.RegisterName(d.Service()); err != nil {
-		panic(err)
+	return out, nil
+}
+
+func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry, x *peer.Exchange, caller *peer.Caller) (*queue.Dispatcher, error) {
+	policy, err := queue.ParsePolicy(s.Policy)
+	if err != nil {
+		return nil, err
 	}
-	return d
+	return &queue.Dispatcher{
+		Clock:    c,
+		Targets:  r,
+		Exchange: x,
+		Caller:   caller,
+		Policy:   policy,
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, nil
 }
 
-func provideCaller(n link.Network) *peer.Caller { return &peer.Caller{Net: n} }
+// providePeers registers the services that peers call.
+func providePeers(x *peer.Exchange, claims *claim.Holder, r *target.Registry, t *crash.Table, d *queue.Dispatcher) (*peer.Server, error) {
+	s := &peer.Server{RPC: rpc.NewServer()}
+	if err := x.Register(s.RPC); err != nil {
+		return nil, err
+	}
+	if err := r.Register(s.RPC); err != nil {
+		return nil, err
+	}
+	if err := t.Register(s.RPC); err != nil {
+		return nil, err
+	}
+	if err := s.RPC.RegisterName(d.Service()); err != nil {
+		return nil, err
+	}
+	return s, s.RPC.RegisterName(claim.ServiceName, &claim.Service{Holder: claims})
+}
+
+func provideHolder(s *settings.Settings, c *clock.Service, l platform.Log, x *peer.Exchange) *claim.Holder {
+	return &claim.Holder{Clock: c, Log: l, Members: x, Self: s.Name, Stats: claim.NewStats()}
+}
+
+func provideRegistry(s *settings.Settings, c *clock.Service, client *platform.Client, x *peer.Exchange, peers *peer.Caller) *target.Registry {
+	r := &target.Registry{Self: s.Name, Clock: c, Notes: x, Peers: peers}
+	if s.HostListAddr.IsValid() {
+		r.HostList = client
+	}
+	return r
+}
+
+func provideCrashes(s *settings.Settings, c *clock.Service, x *peer.Exchange, peers *peer.Caller) *crash.Table {
+	return &crash.Table{Self: s.Name, Clock: c, Members: x, Peers: peers}
+}
 
-func provideRPC() *rpc.Server { return rpc.NewServer() }
+func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -7,8 +7,10 @@
 package host
 
 import (
+	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
@@ -20,30 +22,47 @@
 // Injectors from wire.go:
 
 // New assembles a host from its settings.
-func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) *Host {
+func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) (*Host, error) {
 	client := provideClient(s, n)
 	follower := &section.Follower{
 		Log:   client,
 		Clock: c,
 	}
-	exchange := provideExchange(s, n, c)
-	registry := &target.Registry{}
-	caller := provideCaller(n)
-	server := provideRPC()
-	dispatcher := provideDispatcher(s, c, registry, exchange, caller, server)
+	caller := &peer.Caller{
+		Net: n,
+	}
+	exchange := provideExchange(s, n, c, caller, client, follower)
+	registry := provideRegistry(s, c, client, exchange, caller)
+	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller)
+	if err != nil {
+		return nil, err
+	}
 	targetClient := target.NewClient(n)
 	retries := &workspace.Retries{
 		Clock: c,
 	}
+	holder := provideHolder(s, c, client, exchange)
+	claimClient := claim.NewClient(c, exchange, caller, holder)
+	table := provideCrashes(s, c, exchange, caller)
 	runner := &pipeline.Runner{
 		Clock:      c,
 		Dispatcher: dispatcher,
+		Targets:    registry,
 		Client:     targetClient,
 		Retries:    retries,
+		Claims:     claimClient,
+		Crashes:    table,
+		Log:        log,
 	}
 	admission := &workspace.Admission{
 		Clock: c,
 	}
+	server, err := providePeers(exchange, holder, registry, table, dispatcher)
+	if err != nil {
+		return nil, err
+	}
+	recorder := provideReport(s, c)
+	metricsRegistry := provideMetrics()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
@@ -55,7 +74,12 @@
 		Dispatcher: dispatcher,
 		Runner:     runner,
 		Admission:  admission,
-		RPC:        server,
+		Claims:     holder,
+		Claimer:    claimClient,
+		Caller:     caller,
+		Peers:      server,
+		Report:     recorder,
+		Metrics:    metricsRegistry,
 	}
-	return host
+	return host, nil
 }
--- a/internal/queue/shared.go
+++ b/internal/queue/shared.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+
+	"berylswitch.example/berylswitch/pkg/result"
 )
 
 // acquireShared asks the holder of one of the pool's shards, and falls back to
@@ -25,10 +27,26 @@
 		return nil, ended(ctx, &a)
 	}
 	x := decision{target: reply.Target, code: reply.Code, retry: reply.Retry, message: reply.Message}
+	if d.holderLags(&a, x) {
+		if x.target != "" {
+			d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
+		}
+		return d.acquireOwn(ctx, a)
+	}
 	l.hold(&a, k, x.target, d)
 	return d.granted(&a, x, heldShard{key: k, link: l})
 }
 
+// holderLags reports whether the holder's word on targets is older than what
+// this host knows: it knows of no target where there is one, or grants one that
+// is leaving.
+func (d *Dispatcher) holderLags(a *Ask, x decision) bool {
+	if x.target != "" {
+		return d.Targets.Lookup(x.target) == nil
+	}
+	return x.code == result.NoTarget && len(without(d.Targets.Usable(a.Pool, a.Model), a.Exclude)) > 0
+}
+
 // hold records a grant of the holder, for the whole lists.
 func (l *holderLink) hold(a *Ask, k shardKey, target string, d *Dispatcher) {
 	if target == "" {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -11,108 +11,117 @@
 )
 
 // Worker is a member of a stage pool or a plain service: it runs up to Slots
-// attempts at once, each for its service time divided by Speed. Exported
-// fields are set before the first request.
+// attempts at once, each for its service time divided by Speed; others wait in
+// order of arrival. Exported fields are set before the first request.
 type Worker struct {
+	core
 	Name  string
 	Speed float64
 	Slots int
+	// BaseService is the time that each run takes beyond that of its work.
+	BaseService time.Duration
 
-	mu      sync.Mutex
+	once    sync.Once
 	slots   chan struct{}
-	runs    map[string]int // by key, or by request ID without one
-	slowed  float64        // the factor of SetSlowdown, zero for none
-	changed chan struct{}  // closed when slowed changes
+	load    loadCount
+	answers answerTable
 }
 
 // SetSlowdown makes runs, those under way included, take factor times as long;
 // one is the worker's own speed.
 func (w *Worker) SetSlowdown(factor float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.slowed = factor
-	if w.changed != nil {
-		close(w.changed)
-	}
-	w.changed = make(chan struct{})
+	w.SetFaults(TargetFaults{Slow: factor})
 }
 
-// rate returns the present speed and a channel that is closed when it changes.
-func (w *Worker) rate() (float64, <-chan struct{}) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.changed == nil {
-		w.changed = make(chan struct{})
+// ServeHTTP runs an attempt, answers whether a key ran and reports the load.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ControlPath {
+		w.serveControl(rw, r, w.Name)
+		return
+	}
+	faults, _, _ := w.now()
+	if faults.Down {
+		panic(http.ErrAbortHandler)
 	}
-	if w.slowed == 0 {
-		return w.Speed, w.changed
+	switch r.URL.Path {
+	case contract.RunPath:
+		w.serveRun(rw, r, &faults)
+	case contract.AskPath:
+		w.serveAsk(rw, r)
+	case contract.ReportPath:
+		running, waiting := w.load.read()
+		writeJSON(rw, contract.Report{Target: w.Name, Incarnation: w.Incarnation(), At: time.Now(), Running: running, Waiting: waiting})
+	default:
+		http.NotFound(rw, r)
 	}
-	return w.Speed / w.slowed, w.changed
 }
 
-// work spends service, the time at speed one, or returns when r is cancelled.
-func (w *Worker) work(r *http.Request, service time.Duration) {
-	for service > 0 && r.Context().Err() == nil {
-		speed, changed := w.rate()
-		start := time.Now()
-		t := time.NewTimer(time.Duration(float64(service) / speed))
-		select {
-		case <-t.C:
-			return
-		case <-changed:
-		case <-r.Context().Done():
-		}
-		t.Stop()
-		service -= time.Duration(float64(time.Since(start)) * speed)
+func (w *Worker) serveRun(rw http.ResponseWriter, r *http.Request, faults *TargetFaults) {
+	var run contract.Run
+	if !readJSON(rw, r, maxRunBytes, &run) {
+		return
 	}
+	a := w.answer(rw, &run)
+	if faults.Fail {
+		a.end(contract.Piece{Failure: "the target fails every run"})
+		return
+	}
+	if !w.take(r) {
+		panic(http.ErrAbortHandler)
+	}
+	defer w.give()
+	w.count(&run)
+	text, cost, ok := w.execute(r, &run)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	w.answers.put(run.Key, text)
+	pause(r, faults.AnswerDelay)
+	a.piece(text)
+	a.end(contract.Piece{Cost: cost})
 }
 
-// Runs returns how often each key, or request without key, was run.
-func (w *Worker) Runs() map[string]int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	out := map[string]int{}
-	for k, n := range w.runs {
-		out[k] = n
+// take waits for a slot.
+func (w *Worker) take(r *http.Request) bool {
+	w.once.Do(func() { w.slots = make(chan struct{}, max(w.Slots, 1)) })
+	_, _, dead := w.now()
+	w.load.wait()
+	select {
+	case w.slots <- struct{}{}:
+		w.load.begin()
+		return true
+	case <-r.Context().Done():
+	case <-dead:
 	}
-	return out
+	w.load.leave()
+	return false
 }
 
-// ServeHTTP runs an attempt.
-func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	var run contract.Run
-	if err := json.NewDecoder(r.Body).Decode(&run); err != nil {
-		http.Error(rw, err.Error(), http.StatusBadRequest)
-		return
-	}
+func (w *Worker) give() {
+	w.load.end()
+	<-w.slots
+}
+
+// execute spends the service time of run and returns its output and cost.
+func (w *Worker) execute(r *http.Request, run *contract.Run) (string, time.Duration, bool) {
 	var work contract.Work
 	json.Unmarshal(run.Input, &work)
-	slots := w.count(&run)
-	select {
-	case slots <- struct{}{}:
-		defer func() { <-slots }()
-	case <-r.Context().Done():
-		return
-	}
 	start := time.Now()
-	w.work(r, work.ServiceOf(run.Stage))
+	if !w.work(work.ServiceOf(run.Stage)+w.BaseService, w.Speed, r.Context().Done()) {
+		return "", 0, false
+	}
+	if work.Crash {
+		w.Crash()
+		return "", 0, false
+	}
 	text := strings.TrimSpace(work.Previous + " " + w.Name + "(" + run.Stage + ": " + work.Text + ")")
-	enc := json.NewEncoder(rw)
-	enc.Encode(contract.Piece{AttemptID: run.AttemptID, Data: text})
-	enc.Encode(contract.Piece{AttemptID: run.AttemptID, Seq: 1, End: true, Cost: time.Since(start)})
+	return text, time.Since(start), true
 }
 
-func (w *Worker) count(run *contract.Run) chan struct{} {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.runs == nil {
-		w.runs = map[string]int{}
-		w.slots = make(chan struct{}, w.Slots)
-	}
-	id := run.Key
-	if id == "" {
-		id = run.RequestID
-	}
-	w.runs[id]++
-	return w.slots
+// serveAsk answers whether the key of the query ran to its end here. A run
+// that arrives after the answer still runs.
+func (w *Worker) serveAsk(rw http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get(contract.KeyParam)
+	text, ran := w.answers.get(key)
+	writeJSON(rw, contract.AskReply{Ran: ran || w.Runs()[key] > 0, Answer: text})
 }
