Tell each holder what is held from its shards, and script the queue

A new holder learned nothing of what the dead one had granted. Every host now lists its running attempts to the present holder of their shards once a second, those granted by its own share included. Long work may use what short work, at three times its level of late, does not need: in an idle pool it no longer waits. A workspace alone is never beyond its share.

--- a/internal/queue/board.go
+++ b/internal/queue/board.go
@@ -21,6 +21,10 @@
 	// has just come; it grows to urgentShare as its time runs out.
 	longShare   = 0.12
 	urgentShare = 0.75
+	// swing is by how many times the level of short work may rise while long
+	// work runs; levelFall is the time in which a level is forgotten.
+	swing     = 3
+	levelFall = 30 * time.Second
 	// urgentFactor is the time left, in multiples of the predicted time, at
 	// which long work goes among the short.
 	urgentFactor = 4
@@ -56,15 +60,17 @@
 type board struct {
 	pool string
 
-	mu      sync.Mutex
-	targets []*slotState
-	byName  map[string]*slotState
-	leases  map[string]*lease
-	grants  int
-	short   []*ticket
-	long    []*ticket
-	work    predictor
-	shares  shares
+	mu       sync.Mutex
+	targets  []*slotState
+	byName   map[string]*slotState
+	leases   map[string]*lease
+	grants   int
+	level    float64 // slots that short work used lately
+	followed time.Time
+	short    []*ticket
+	long     []*ticket
+	work     predictor
+	shares   shares
 }
 
 func newBoard(pool string) *board {
@@ -139,7 +145,7 @@
 	}
 	last := (*list)[maxWaiting]
 	*list = (*list)[:maxWaiting]
-	last.deliver(decision{code: result.Overloaded, retry: b.wait(last), message: "the queue is full"})
+	last.deliver(decision{code: result.Overloaded, retry: b.wait(last, now), message: "the queue is full"})
 }
 
 // capacity is the predicted seconds of work that the targets do in a second.
@@ -151,9 +157,9 @@
 	return sum
 }
 
-// wait predicts how long t would wait behind the tickets of its class that go
-// before it.
-func (b *board) wait(t *ticket) time.Duration {
+// wait predicts how long t would wait for a slot behind the tickets of its
+// class that go before it.
+func (b *board) wait(t *ticket, now time.Time) time.Duration {
 	ahead := 0.0
 	for _, o := range *b.list(t) {
 		if before(t, o) {
@@ -161,10 +167,24 @@
 		}
 		ahead += o.work
 	}
-	if ahead == 0 {
+	return seconds(ahead/math.Max(b.capacity(), minSample)) + b.nextFree(now)
+}
+
+// nextFree predicts the time until a slot is free.
+func (b *board) nextFree(now time.Time) time.Duration {
+	least := math.Inf(1)
+	for _, s := range b.targets {
+		if s.room() {
+			return 0
+		}
+		for _, l := range s.leases {
+			least = math.Min(least, l.work/s.speed()-now.Sub(l.at).Seconds())
+		}
+	}
+	if math.IsInf(least, 1) {
 		return 0
 	}
-	return seconds(ahead / math.Max(b.capacity(), minSample))
+	return seconds(math.Max(0, least))
 }
 
 // refusal says whether t can't be served in time.
@@ -176,7 +196,7 @@
 	if left < 0 {
 		return decision{code: result.DeadlineTooShort, message: "the stage takes longer than the time left"}, true
 	}
-	wait := b.wait(t)
+	wait := b.wait(t, now)
 	switch {
 	case wait > left:
 		return decision{code: result.Overloaded, retry: wait - left, message: "the queue is longer than the time left"}, true
@@ -285,13 +305,33 @@
 			}
 		}
 	}
-	waited := now.Sub(t.since).Seconds()
-	used := waited / math.Max(t.ask.Deadline.Sub(t.since).Seconds(), minSample)
-	share := longShare + (urgentShare-longShare)*used
+	share := b.longPart(t, now)
 	if b.urgent(t, now) {
 		share = urgentShare
 	}
-	return held == 0 || float64(held+1) <= share*float64(slots)
+	room := math.Max(share*float64(slots), math.Min(urgentShare*float64(slots), float64(slots)-swing*b.level))
+	return held == 0 || float64(held+1) <= room
+}
+
+// longPart is the share of slots that t may use even while short work needs
+// the rest.
+func (b *board) longPart(t *ticket, now time.Time) float64 {
+	waited := now.Sub(t.since).Seconds()
+	used := waited / math.Max(t.ask.Deadline.Sub(t.since).Seconds(), minSample)
+	return longShare + (urgentShare-longShare)*used
+}
+
+// follow updates the level of short work: it rises at once and falls slowly.
+func (b *board) follow(now time.Time) {
+	n := float64(len(b.short))
+	for _, l := range b.leases {
+		if !l.long {
+			n++
+		}
+	}
+	b.level *= math.Exp(-now.Sub(b.followed).Seconds() / levelFall.Seconds())
+	b.level = math.Max(b.level, n)
+	b.followed = now
 }
 
 // place returns the target with room where t ends first. Long work takes the
@@ -391,6 +431,7 @@
 func (b *board) tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.follow(now)
 	for _, s := range b.targets {
 		s.lookAtRunning(now)
 	}
--- /dev/null
+++ b/internal/queue/board_test.go
@@ -0,0 +1,146 @@
+package queue
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/cockroachdb/datadriven"
+)
+
+// boardScript plays a script against one board under a clock of its own.
+//
+//	targets NAME=SLOTS ...
+//	history kind=K work=D count=N   teaches the board a kind of work
+//	ask ID [kind=K] [size=N] [deadline=D] [priority=N] [workspace=W] [share=F] [exclude=NAME]
+//	done ID took=D                  and "renew OWNER ID ..."
+//	wait D                          passes in ticks
+//	show                            targets with leases
+type boardScript struct {
+	b   *board
+	now time.Time
+	out []string
+}
+
+func TestBoard(t *testing.T) {
+	datadriven.Walk(t, "testdata/board", func(t *testing.T, path string) {
+		s := &boardScript{b: newBoard("P"), now: time.Unix(1000, 0)}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.out = nil
+			s.run(t, d)
+			if len(s.out) == 0 {
+				return "ok\n"
+			}
+			return strings.Join(s.out, "\n") + "\n"
+		})
+	})
+}
+
+func (s *boardScript) run(t *testing.T, d *datadriven.TestData) {
+	switch d.Cmd {
+	case "targets":
+		s.targets(d)
+	case "history":
+		s.history(t, d)
+	case "ask":
+		s.ask(t, d)
+	case "done":
+		o := Outcome{Kind: Succeeded, Took: scanDuration(t, d, "took", 0)}
+		s.b.complete(d.CmdArgs[0].Key, o, s.now)
+	case "renew":
+		var held []HeldSlot
+		for _, a := range d.CmdArgs[1:] {
+			held = append(held, HeldSlot{Shard: shardKey{Pool: "P"}, AttemptID: a.Key, Target: a.Vals[0]})
+		}
+		s.b.adopt(d.CmdArgs[0].Key, held, s.now)
+	case "wait":
+		s.wait(t, d)
+	case "show":
+	default:
+		d.Fatalf(t, "unknown command")
+	}
+	if d.Cmd == "show" || d.HasArg("show") {
+		s.show()
+	}
+}
+
+func (s *boardScript) targets(d *datadriven.TestData) {
+	var list []slotCount
+	for _, a := range d.CmdArgs {
+		var n int
+		fmt.Sscan(a.Vals[0], &n)
+		list = append(list, slotCount{target: &declaration.Target{Name: a.Key, Pool: "P", Slots: n}, slots: n})
+	}
+	s.b.update(list)
+}
+
+func (s *boardScript) history(t *testing.T, d *datadriven.TestData) {
+	kind, count := "", enoughSamples
+	d.MaybeScanArgs(t, "kind", &kind)
+	d.MaybeScanArgs(t, "count", &count)
+	for range count {
+		s.b.work.add(workKey{Pool: "P", Stage: kind}, scanDuration(t, d, "work", 0).Seconds())
+	}
+}
+
+func (s *boardScript) ask(t *testing.T, d *datadriven.TestData) {
+	a := Ask{AttemptID: d.CmdArgs[0].Key, Pool: "P", First: true}
+	d.MaybeScanArgs(t, "kind", &a.Stage)
+	d.MaybeScanArgs(t, "priority", &a.Priority)
+	d.MaybeScanArgs(t, "workspace", &a.Workspace)
+	exclude, owner := "", ""
+	d.MaybeScanArgs(t, "exclude", &exclude)
+	d.MaybeScanArgs(t, "owner", &owner)
+	if exclude != "" {
+		a.Exclude = []string{exclude}
+	}
+	a.Deadline = s.now.Add(scanDuration(t, d, "deadline", 10*time.Second))
+	s.b.enqueue(&ticket{ask: a, owner: owner, deliver: func(x decision) { s.delivered(a.AttemptID, x) }}, s.now)
+}
+
+func (s *boardScript) delivered(id string, x decision) {
+	if x.target != "" {
+		s.out = append(s.out, fmt.Sprintf("%s: %s", id, x.target))
+		return
+	}
+	s.out = append(s.out, fmt.Sprintf("%s: refused, %v, %s", id, x.code, x.message))
+}
+
+func (s *boardScript) wait(t *testing.T, d *datadriven.TestData) {
+	left, err := time.ParseDuration(d.CmdArgs[0].Key)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	for ; left > 0; left -= tickPeriod {
+		s.now = s.now.Add(tickPeriod)
+		s.b.tick(s.now)
+	}
+}
+
+func (s *boardScript) show() {
+	for _, x := range s.b.state().Targets {
+		s.out = append(s.out, fmt.Sprintf("%s: %d of %d, long %d, ratio %.1f", x.Target, x.Held, x.Slots, x.Long, x.Ratio))
+	}
+	var ids []string
+	for _, t := range append(append([]*ticket(nil), s.b.short...), s.b.long...) {
+		ids = append(ids, t.ask.AttemptID)
+	}
+	sort.Strings(ids)
+	s.out = append(s.out, fmt.Sprintf("waiting: %v", ids))
+}
+
+func scanDuration(t *testing.T, d *datadriven.TestData, name string, otherwise time.Duration) time.Duration {
+	text := ""
+	d.MaybeScanArgs(t, name, &text)
+	if text == "" {
+		return otherwise
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return v
+}
--- a/internal/queue/links.go
+++ b/internal/queue/links.go
@@ -39,7 +39,6 @@
 	outbox   []Completion
 	flushing bool
 	pending  int // grants asked for
-	held     map[string]heldGrant
 	heard    time.Time
 	renewed  time.Time
 	probing  bool
@@ -47,6 +46,7 @@
 	isDown   bool
 }
 
+// heldGrant is a running attempt of this host, whoever granted it.
 type heldGrant struct {
 	shard  shardKey
 	target string
@@ -62,30 +62,53 @@
 		d.links.byName = map[string]*holderLink{}
 	}
 	l := d.links.byName[h.Name]
-	if l == nil || l.host.Addr != h.Addr {
-		l = &holderLink{host: h, held: map[string]heldGrant{}, down: make(chan struct{}), heard: d.Clock.Now()}
+	if l == nil || l.host != h {
+		l = &holderLink{host: h, down: make(chan struct{}), heard: d.Clock.Now()}
 		d.links.byName[h.Name] = l
 	}
 	return l
 }
 
-// tickLinks probes silent holders and renews what is held from them.
+// tickLinks probes silent holders and tells each holder what is held from its
+// shards, so that a new holder learns what an earlier one granted.
 func (d *Dispatcher) tickLinks(ctx context.Context, now time.Time) {
+	lists := d.heldByHolder(now)
 	d.links.mu.Lock()
 	var due []*holderLink
 	for _, l := range d.links.byName {
-		if l.probeDue(now) {
+		if l.probeDue(len(lists[l.host]) > 0, now) {
 			due = append(due, l)
 		}
 	}
 	d.links.mu.Unlock()
 	for _, l := range due {
-		go d.probe(ctx, l)
+		go d.probe(ctx, l, lists[l.host])
 	}
 }
 
+// heldByHolder lists the running attempts by the present holder of their
+// shards, and makes sure that there is a link to each.
+func (d *Dispatcher) heldByHolder(now time.Time) map[peer.Host][]HeldSlot {
+	members := d.Exchange.Members()
+	lists := map[peer.Host][]HeldSlot{}
+	d.mu.Lock()
+	for id, g := range d.running {
+		h := members.Holder(g.shard.holderKey())
+		lists[h] = append(lists[h], HeldSlot{Shard: g.shard, AttemptID: id, Target: g.target, Age: now.Sub(g.at), Work: g.work})
+	}
+	d.mu.Unlock()
+	for h, held := range lists {
+		if h.Name == d.Exchange.Self.Name {
+			d.renew(&ReportArgs{Held: held})
+		} else {
+			d.link(h)
+		}
+	}
+	return lists
+}
+
 // probeDue reports whether l is to be probed now, and notes that it is.
-func (l *holderLink) probeDue(now time.Time) bool {
+func (l *holderLink) probeDue(holds bool, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.probing {
@@ -98,7 +121,7 @@
 	case l.pending > 0 && now.Sub(l.heard) >= silenceLimit:
 		due = true
 	default:
-		due = len(l.held) > 0 && now.Sub(l.renewed) >= renewPeriod
+		due = holds && now.Sub(l.renewed) >= renewPeriod
 	}
 	if due {
 		l.probing = true
@@ -108,9 +131,8 @@
 }
 
 // probe sends the whole list of held slots and judges the holder by the answer.
-func (d *Dispatcher) probe(ctx context.Context, l *holderLink) {
-	now := d.Clock.Now()
-	args := &ReportArgs{Host: d.Exchange.Self.Name, Whole: true, Held: l.list(now)}
+func (d *Dispatcher) probe(ctx context.Context, l *holderLink, held []HeldSlot) {
+	args := &ReportArgs{Host: d.Exchange.Self.Name, Whole: true, Held: held}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	err := d.Caller.Call(ctx, l.host.Addr, serviceName+".Report", args, &ReportReply{})
@@ -124,16 +146,6 @@
 	l.hear(d.Clock.Now())
 }
 
-func (l *holderLink) list(now time.Time) []HeldSlot {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	held := make([]HeldSlot, 0, len(l.held))
-	for id, g := range l.held {
-		held = append(held, HeldSlot{Shard: g.shard, AttemptID: id, Target: g.target, Age: now.Sub(g.at), Work: g.work})
-	}
-	return held
-}
-
 // fail marks the holder as down; those who wait for it fall back.
 func (l *holderLink) fail() {
 	l.mu.Lock()
@@ -212,7 +224,6 @@
 func (d *Dispatcher) send(l *holderLink, c Completion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.held, c.AttemptID)
 	if l.isDown {
 		return // the next whole list says the same
 	}
--- a/internal/queue/own.go
+++ b/internal/queue/own.go
@@ -49,7 +49,9 @@
 		d.Done(&Grant{AttemptID: a.AttemptID, Ask: *a, from: from}, Outcome{Kind: Abandoned})
 		return nil, refuse(a, result.NoTarget, 0, "target %s is leaving", x.target)
 	}
-	return &Grant{AttemptID: a.AttemptID, Target: t, Ask: *a, At: d.Clock.Now(), from: from}, nil
+	g := &Grant{AttemptID: a.AttemptID, Target: t, Ask: *a, At: d.Clock.Now(), from: from}
+	d.note(g)
+	return g, nil
 }
 
 // ended is the error of an Ask whose context ended before its grant.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -110,9 +110,11 @@
 	mu     sync.Mutex
 	counts counts
 	own    map[string]*board
-	holder holder
-	links  links
-	work   predictor // what this host saw itself
+	// running are this host's attempts, under SharedQueue.
+	running map[string]heldGrant
+	holder  holder
+	links   links
+	work    predictor // what this host saw itself
 }
 
 // Acquire waits for a slot until ctx ends. Its error is a *result.Error.
@@ -141,6 +143,7 @@
 	default:
 		panic("queue: unexpected source of a grant")
 	}
+	d.reportToHolder(g, o)
 	if o.Kind == Succeeded {
 		d.work.add(workKeyOf(&g.Ask), o.Took.Seconds())
 	}
--- a/internal/queue/share.go
+++ b/internal/queue/share.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -16,7 +17,7 @@
 	// shareIdle is the time after which a silent workspace leaves its share to
 	// the others, shareBurst the time whose share of work it may use at once.
 	shareIdle  = 2 * time.Second
-	shareBurst = time.Second
+	shareBurst = 2 * time.Second
 )
 
 // shares is a bucket of work for each workspace that was seen lately.
@@ -40,7 +41,7 @@
 	}
 	k, ok := s.buckets.Get(a.Workspace)
 	if !ok {
-		k = &bucket{at: now.Add(-shareBurst)}
+		k = &bucket{at: now, left: math.Inf(1)}
 		s.buckets.Add(a.Workspace, k)
 		s.counted = time.Time{}
 	}
@@ -53,7 +54,7 @@
 	k.left = min(k.left+rate*now.Sub(k.at).Seconds(), rate*shareBurst.Seconds())
 	k.at = now
 	if k.left < work {
-		return false
+		return s.sum <= k.weight // alone it has no one to give way to
 	}
 	k.left -= work
 	return true
@@ -125,13 +126,16 @@
 	return (n + shardSize - 1) / shardSize
 }
 
+// shardIndex is the shard, of n, to which a target belongs.
+func shardIndex(name string, n int) int { return int(xxhash.Sum64String(name) % uint64(n)) }
+
 // shardTargets returns the targets of one shard with all their slots, sorted by
 // name.
 func shardTargets(targets []*declaration.Target, shard int) []slotCount {
-	shards := uint64(shardCount(len(targets)))
+	shards := shardCount(len(targets))
 	var out []slotCount
 	for _, t := range targets {
-		if xxhash.Sum64String(t.Name)%shards == uint64(shard) {
+		if shardIndex(t.Name, shards) == shard {
 			out = append(out, slotCount{target: t, slots: t.Slots})
 		}
 	}
--- a/internal/queue/shared.go
+++ b/internal/queue/shared.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
@@ -33,7 +34,6 @@
 		}
 		return d.acquireOwn(ctx, a)
 	}
-	l.hold(&a, k, x.target, d)
 	return d.granted(&a, x, heldShard{key: k, link: l})
 }
 
@@ -47,15 +47,23 @@
 	return x.code == result.NoTarget && len(without(d.Targets.Usable(a.Pool, a.Model), a.Exclude)) > 0
 }
 
-// hold records a grant of the holder, for the whole lists.
-func (l *holderLink) hold(a *Ask, k shardKey, target string, d *Dispatcher) {
-	if target == "" {
+// note records a running attempt for the lists that holders get.
+func (d *Dispatcher) note(g *Grant) {
+	if _, ok := d.Policy.(SharedQueue); !ok {
 		return
 	}
-	now := d.Clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.held[a.AttemptID] = heldGrant{shard: k, target: target, at: now, work: workKeyOf(a)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running == nil {
+		d.running = map[string]heldGrant{}
+	}
+	d.running[g.AttemptID] = heldGrant{shard: d.shardOf(g.Target), target: g.Target.Name, at: g.At, work: workKeyOf(&g.Ask)}
+}
+
+// shardOf is the shard that a target belongs to.
+func (d *Dispatcher) shardOf(t *declaration.Target) shardKey {
+	n := shardCount(len(d.Targets.Usable(t.Pool, "")))
+	return shardKey{Pool: t.Pool, Shard: shardIndex(t.Name, n)}
 }
 
 // acquireHere waits at a board that this host holds itself.
@@ -80,6 +88,28 @@
 	d.send(from.link, Completion{Shard: from.key, AttemptID: g.AttemptID, Outcome: o})
 }
 
+// reportToHolder tells the present holder of a shard of the end of an attempt
+// that another one granted.
+func (d *Dispatcher) reportToHolder(g *Grant, o Outcome) {
+	d.mu.Lock()
+	held, ok := d.running[g.AttemptID]
+	delete(d.running, g.AttemptID)
+	d.mu.Unlock()
+	if !ok {
+		return
+	}
+	h := d.Exchange.Members().Holder(held.shard.holderKey())
+	from, isHeld := g.from.(heldShard)
+	switch {
+	case h.Name == d.Exchange.Self.Name:
+		if !isHeld || from.link != nil {
+			d.heldBoard(held.shard).complete(g.AttemptID, o, d.Clock.Now())
+		}
+	case !isHeld || from.link == nil || from.link.host != h:
+		d.send(d.link(h), Completion{Shard: held.shard, AttemptID: g.AttemptID, Outcome: o})
+	}
+}
+
 func (d *Dispatcher) grantArgs(a *Ask, k shardKey) *GrantArgs {
 	return &GrantArgs{
 		Host: d.Exchange.Self.Name, Shard: k, AttemptID: a.AttemptID, Workspace: a.Workspace, Share: a.Share,
--- /dev/null
+++ b/internal/queue/shared_test.go
@@ -0,0 +1,240 @@
+package queue
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"net/rpc"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/target"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"github.com/cockroachdb/datadriven"
+)
+
+// sharedScript plays a script against the dispatchers of several hosts before
+// one pool, in a bubble. The holder of the pool's shard is called holder, the
+// host that follows when it dies next, the others a, b and so on.
+//
+//	hosts N slots=N     targets t1 and t2 with so many slots each
+//	acquire HOST ID ... [deadline=D]
+//	done HOST ID ...
+//	freeze|thaw|kill|cut|heal HOST    cut parts it from all its peers
+//	wait D
+//	granted             what was granted since, and how many attempts run
+type sharedScript struct {
+	t   *testing.T
+	ctx context.Context
+	net link.Memory
+
+	nodes map[string]*queueNode
+
+	mu      sync.Mutex
+	news    []string
+	running map[string]*Grant
+}
+
+type queueNode struct {
+	*Dispatcher
+	addr  netip.Addr
+	clock *clock.Service
+	end   context.CancelFunc
+	peers *peer.Server
+}
+
+func TestShared(t *testing.T) {
+	datadriven.Walk(t, "testdata/shared", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &sharedScript{t: t, ctx: ctx, nodes: map[string]*queueNode{}, running: map[string]*Grant{}}
+			s.net.Delay = 500 * time.Microsecond
+			datadriven.RunTest(t, path, s.command)
+			cancel()
+			for _, n := range s.nodes {
+				n.clock.Resume()
+				n.end()
+				n.peers.Close()
+				n.Caller.Close()
+				s.net.Kill(n.addr)
+			}
+		})
+	})
+}
+
+func (s *sharedScript) command(t *testing.T, d *datadriven.TestData) string {
+	name := ""
+	if len(d.CmdArgs) > 0 {
+		name = d.CmdArgs[0].Key
+	}
+	n := s.nodes[name]
+	switch d.Cmd {
+	case "hosts":
+		s.hosts(d)
+	case "acquire":
+		for _, a := range d.CmdArgs[1:] {
+			if a.Key != "deadline" {
+				go s.acquire(n, a.Key, scanDuration(t, d, "deadline", time.Minute))
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		return s.granted()
+	case "done":
+		for _, a := range d.CmdArgs[1:] {
+			s.done(n, a.Key)
+			time.Sleep(10 * time.Millisecond)
+		}
+		return s.granted()
+	case "freeze":
+		n.clock.Suspend()
+	case "thaw":
+		n.clock.Resume()
+	case "kill":
+		n.end()
+		n.peers.Close()
+		s.net.Kill(n.addr)
+	case "cut", "heal":
+		s.part(n, d.Cmd == "cut")
+	case "wait":
+		v, err := time.ParseDuration(name)
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		time.Sleep(v)
+		return s.granted()
+	default:
+		d.Fatalf(t, "unknown command")
+	}
+	return "ok\n"
+}
+
+// hosts starts the hosts and names them by who holds the queue.
+func (s *sharedScript) hosts(d *datadriven.TestData) {
+	var count, slots int
+	fmt.Sscan(d.CmdArgs[0].Key, &count)
+	d.ScanArgs(s.t, "slots", &slots)
+	view := &declaration.View{Targets: map[string]*declaration.Target{}}
+	for _, name := range []string{"t1", "t2"} {
+		view.Targets[name] = &declaration.Target{Name: name, Pool: "P", Slots: slots}
+	}
+	var hosts []peer.Host
+	for i := range count {
+		addr := netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)})
+		hosts = append(hosts, peer.Host{Name: fmt.Sprintf("host-%d", i), Addr: netip.AddrPortFrom(addr, 81)})
+	}
+	key := shardKey{Pool: "P"}.holderKey()
+	for i, name := range s.names(hosts, key) {
+		s.nodes[name] = s.start(i, hosts, view)
+	}
+	time.Sleep(3 * time.Second)
+}
+
+// names returns the script's name of each host.
+func (s *sharedScript) names(hosts []peer.Host, key string) []string {
+	holder := peer.NewMembers(hosts).Holder(key).Name
+	var others []peer.Host
+	for _, h := range hosts {
+		if h.Name != holder {
+			others = append(others, h)
+		}
+	}
+	next := peer.NewMembers(others).Holder(key).Name
+	out, letter := []string{}, 'a'
+	for _, h := range hosts {
+		switch h.Name {
+		case holder:
+			out = append(out, "holder")
+		case next:
+			out = append(out, "next")
+		default:
+			out = append(out, string(letter))
+			letter++
+		}
+	}
+	return out
+}
+
+func (s *sharedScript) start(i int, hosts []peer.Host, view *declaration.View) *queueNode {
+	self := hosts[i]
+	ctx, cancel := context.WithCancel(s.ctx)
+	n := &queueNode{addr: self.Addr.Addr(), clock: &clock.Service{}, end: cancel, peers: &peer.Server{RPC: rpc.NewServer()}}
+	net := s.net.Process(n.addr)
+	x := &peer.Exchange{Self: self, Seeds: hosts, Net: net, Clock: n.clock, Caller: &peer.Caller{Net: net}}
+	r := &target.Registry{Self: self.Name, Clock: n.clock}
+	r.Publish(view)
+	n.Dispatcher = &Dispatcher{Clock: n.clock, Targets: r, Exchange: x, Caller: x.Caller, Policy: SharedQueue{}, Rand: rand.New(rand.NewPCG(1, uint64(i)))}
+	l, err := net.Listen(self.Addr)
+	if err == nil {
+		err = x.Register(n.peers.RPC)
+	}
+	if err == nil {
+		err = n.peers.RPC.RegisterName(n.Dispatcher.Service())
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	go n.peers.Serve(l)
+	go x.Run(ctx)
+	go n.Dispatcher.Run(ctx)
+	return n
+}
+
+func (s *sharedScript) acquire(n *queueNode, id string, limit time.Duration) {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(s.ctx, limit)
+	defer cancel()
+	g, err := n.Acquire(ctx, Ask{AttemptID: id, Pool: "P", Deadline: start.Add(limit), First: true})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.news = append(s.news, fmt.Sprintf("%s: %v", id, err))
+		return
+	}
+	s.running[id] = g
+	from := "own share"
+	if _, ok := g.from.(heldShard); ok {
+		from = "holder"
+	}
+	s.news = append(s.news, fmt.Sprintf("%s: by %s", id, from))
+}
+
+func (s *sharedScript) done(n *queueNode, id string) {
+	s.mu.Lock()
+	g := s.running[id]
+	delete(s.running, id)
+	s.mu.Unlock()
+	n.Done(g, Outcome{Kind: Succeeded, Took: 100 * time.Millisecond})
+}
+
+func (s *sharedScript) part(n *queueNode, cut bool) {
+	for _, o := range s.nodes {
+		if o == n {
+			continue
+		}
+		if cut {
+			s.net.Cut(n.addr, o.addr)
+			s.net.Cut(o.addr, n.addr)
+		} else {
+			s.net.Heal(n.addr, o.addr)
+			s.net.Heal(o.addr, n.addr)
+		}
+	}
+}
+
+func (s *sharedScript) granted() string {
+	synctest.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sort.Strings(s.news)
+	out := strings.Join(append(s.news, fmt.Sprintf("running: %d", len(s.running))), "\n") + "\n"
+	s.news = nil
+	return out
+}
