Hedge short idempotent stages within a budget counted in time

An attempt that runs 1.8 times its expected time gets another beside it; the first whole answer wins and the other is cancelled. Probes of slowed targets take small work alone.

--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -17,6 +17,8 @@
 	// CrestFrom and CrestTo bound the crest; the rate takes ramp to get there.
 	CrestFrom, CrestTo time.Duration
 	End                time.Duration
+	// MeasureFrom is when the measurement starts: the hosts learn before.
+	MeasureFrom time.Duration
 	// Skew gives one host a third of the callers.
 	Skew bool
 	// NoLong leaves the long pipelines out, at the same rate of short work.
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -43,9 +43,6 @@
 	Cost, Extra     time.Duration
 }
 
-// warmup is the time after the first arrival that isn't measured.
-const warmup = 4 * time.Second
-
 // Measure sums up the samples of one policy.
 func Measure(s *Site, l *Load, policy string, samples []Sample) *Result {
 	r := &Result{Policy: policy, ByWorkspace: map[string]float64{}}
@@ -56,7 +53,7 @@
 	costs := map[[2]string]*StageCost{}
 	for i := range samples {
 		m := &samples[i]
-		if m.Request == nil || m.Request.At < warmup {
+		if m.Request == nil || m.Request.At < l.MeasureFrom {
 			continue
 		}
 		r.count(l, m)
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -37,7 +37,7 @@
 		provideCrashes,
 		provideMetrics,
 		wire.Struct(new(workspace.Admission), "*"),
-		wire.Struct(new(workspace.Retries), "*"),
+		wire.Struct(new(workspace.Retries)),
 		wire.Struct(new(pipeline.Runner), "*"),
 		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "Claims", "Claimer", "Caller", "Peers", "Report", "Metrics"),
 	))
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -38,9 +38,7 @@
 		return nil, err
 	}
 	targetClient := target.NewClient(n)
-	retries := &workspace.Retries{
-		Clock: c,
-	}
+	retries := &workspace.Retries{}
 	holder := provideHolder(s, c, client, exchange)
 	claimClient := claim.NewClient(c, exchange, caller, holder)
 	table := provideCrashes(s, c, exchange, caller)
--- a/internal/pipeline/ask.go
+++ b/internal/pipeline/ask.go
@@ -10,6 +10,8 @@
 
 // ask describes the next attempt of st to the dispatcher.
 func (x *execution) ask(st *stageRun) queue.Ask {
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	return queue.Ask{
 		AttemptID:   uuid.NewString(),
 		RequestID:   x.req.ID,
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,6 +24,8 @@
 	// sentAt and firstPiece are zero until the send began and a piece came.
 	sentAt     time.Time
 	firstPiece time.Duration
+	// extra says that the stage had an attempt before.
+	extra bool
 	// err is nil when the whole answer came, else a *target.Broken, a
 	// *target.Failure, a withdrawn, a diverged or a callerGone.
 	err error
@@ -51,15 +54,29 @@
 	if a.err != nil && st.repeatable && !isNotSent(a.err) {
 		x.Client.Cancel(g.Target, g.AttemptID)
 	}
-	x.Dispatcher.Done(g, a.outcome(x.Clock.Now()))
+	o := a.outcome(x.Clock.Now())
+	x.Dispatcher.Done(g, o)
+	if a.err == nil {
+		x.Retries.Earn(x.req.Workspace.Name, o.Took)
+	}
+	st.close(a)
 	return a
 }
 
+// close notes that a has ended.
+func (st *stageRun) close(a *attempt) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.open = slices.DeleteFunc(st.open, func(o *attempt) bool { return o == a })
+}
+
 // note counts a and keeps its target from further attempts of st.
 func (st *stageRun) note(a *attempt) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	name := a.grant.Target.Name
+	a.extra = st.report.Attempts > 0
+	st.open = append(st.open, a)
 	st.report.Attempts++
 	st.report.Target = name
 	st.exclude = append(st.exclude[:len(st.exclude):len(st.exclude)], name)
@@ -128,7 +145,7 @@
 	a.data.WriteString(p.Data)
 	a.next = p.Seq + 1
 	if p.End {
-		st.addCost(p)
+		st.addCost(a, p)
 	}
 	if st.last {
 		return x.emitter.offer(pos, p.Data)
@@ -136,11 +153,11 @@
 	return nil
 }
 
-func (st *stageRun) addCost(p contract.Piece) {
+func (st *stageRun) addCost(a *attempt, p contract.Piece) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.report.Cost += p.Cost
-	if st.report.Attempts > 1 {
+	if a.extra {
 		st.report.Extra += p.Cost
 	}
 	st.report.PromptTokens += p.PromptTokens
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -58,8 +58,10 @@
 	exclude []string
 	report  caller.StageReport
 
-	// mu guards report while attempts run beside each other.
+	// mu guards report, exclude and open while attempts run beside each other.
 	mu sync.Mutex
+	// open are the attempts that have not ended.
+	open []*attempt
 }
 
 func (x *execution) newStage(i int, previous string) *stageRun {
@@ -77,15 +79,14 @@
 // stage makes attempts until one succeeds or none may follow.
 func (x *execution) stage(ctx context.Context, i int, previous string) (string, error) {
 	st := x.newStage(i, previous)
-	defer func() { x.reports = append(x.reports, st.report) }()
-	x.Retries.Earn(x.req.Workspace.Name)
+	defer func() { x.reports = append(x.reports, st.summary()) }()
 	var failed error
 	for {
 		g, err := x.acquire(ctx, st)
 		if err != nil {
 			return "", x.noGrant(err, failed)
 		}
-		a := x.attempt(ctx, st, g)
+		a := x.hedged(ctx, st, g)
 		if a.err == nil {
 			return a.text(), nil
 		}
@@ -104,10 +105,19 @@
 func (x *execution) acquire(ctx context.Context, st *stageRun) (*queue.Grant, error) {
 	start := x.Clock.Now()
 	g, err := x.Dispatcher.Acquire(ctx, x.ask(st))
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	st.report.Queued += x.Clock.Since(start)
 	return g, err
 }
 
+// summary returns the report so far; an attempt that lost may still be ending.
+func (st *stageRun) summary() caller.StageReport {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.report
+}
+
 // noGrant is the result of a stage for which no slot was granted. After a
 // failed attempt that attempt is the reason.
 func (x *execution) noGrant(err, failed error) error {
--- /dev/null
+++ b/internal/pipeline/hedge.go
@@ -0,0 +1,106 @@
+package pipeline
+
+import (
+	"context"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/queue"
+)
+
+// Times of hedges.
+const (
+	// hedgeFactor is how many times its expected time an attempt runs before
+	// another is made beside it.
+	hedgeFactor = 1.8
+	// hedgeLeast is the shortest time after which a hedge is made.
+	hedgeLeast = 5 * time.Millisecond
+)
+
+// hedged runs st at the target of g. When that takes far longer than expected
+// and the stage may be repeated, it runs another attempt beside it, within the
+// workspace's budget, takes the first whole answer and cancels the other.
+func (x *execution) hedged(ctx context.Context, st *stageRun, g *queue.Grant) *attempt {
+	delay, ok := x.hedgeDelay(st, g)
+	if !ok {
+		return x.attempt(ctx, st, g)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ends := make(chan *attempt, 2)
+	go func() { ends <- x.attempt(ctx, st, g) }()
+	due, stop := x.Clock.After(delay)
+	defer stop()
+	select {
+	case a := <-ends:
+		return a
+	case <-due:
+	}
+	go func() { ends <- x.hedge(ctx, st, g) }()
+	return x.firstWhole(st, ends)
+}
+
+// hedgeDelay returns when to hedge an attempt, and false for never. Long work
+// isn't hedged: it would cost more than it saves.
+func (x *execution) hedgeDelay(st *stageRun, g *queue.Grant) (time.Duration, bool) {
+	if !st.repeatable || g.Long || x.emitter.begun() {
+		return 0, false
+	}
+	expected := x.expected(g)
+	if expected == 0 {
+		return 0, false
+	}
+	return max(hedgeLeast, time.Duration(hedgeFactor*float64(expected))), true
+}
+
+// expected is the predicted time of an attempt, or zero if nothing is known.
+func (x *execution) expected(g *queue.Grant) time.Duration {
+	if g.Expected > 0 {
+		return g.Expected
+	}
+	if _, high, ok := x.Dispatcher.Quantiles(&g.Ask); ok {
+		return high
+	}
+	return 0
+}
+
+// hedge makes the second attempt, or returns nil when the budget, the text that
+// the caller has or the queue does not allow one.
+func (x *execution) hedge(ctx context.Context, st *stageRun, g *queue.Grant) *attempt {
+	// The price is the hedge and what the first attempt took in vain.
+	price := time.Duration((hedgeFactor + 1) * float64(x.expected(g)))
+	if x.emitter.begun() || !x.Retries.Take(x.req.Workspace.Name, price) {
+		return nil
+	}
+	second, err := x.Dispatcher.Acquire(ctx, x.ask(st))
+	if err != nil {
+		return nil
+	}
+	return x.attempt(ctx, st, second)
+}
+
+// firstWhole returns the first of two attempts that has a whole answer, or the
+// last to fail. The time of the one that goes on running is extra cost.
+func (x *execution) firstWhole(st *stageRun, ends <-chan *attempt) *attempt {
+	a := <-ends
+	if a != nil && a.err == nil {
+		st.abandon(x.Clock.Now())
+		return a
+	}
+	b := <-ends
+	if b == nil {
+		return a
+	}
+	return b
+}
+
+// abandon adds the time of the attempt that has not ended to the extra cost.
+func (st *stageRun) abandon(now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, a := range st.open {
+		if !a.sentAt.IsZero() {
+			st.report.Cost += now.Sub(a.sentAt)
+			st.report.Extra += now.Sub(a.sentAt)
+		}
+	}
+}
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -46,7 +46,7 @@
 		return x.settle(ctx, st, a, failed)
 	case x.Crashes.Guilty(x.req.BodyDigest):
 		return giveUp{x.crashed(a)}
-	case refusedForGood(a.err), !x.Retries.Take(x.req.Workspace.Name):
+	case refusedForGood(a.err), !x.Retries.Take(x.req.Workspace.Name, x.expected(a.grant)):
 		return giveUp{failed}
 	}
 	return x.elsewhere(st, failed)
@@ -136,7 +136,7 @@
 	if !isBroken(a.err) || !st.repeatable || !x.emitter.begun() || ctx.Err() != nil {
 		return
 	}
-	if x.Crashes.Guilty(x.req.BodyDigest) || !x.Retries.Take(x.req.Workspace.Name) {
+	if x.Crashes.Guilty(x.req.BodyDigest) || !x.Retries.Take(x.req.Workspace.Name, x.expected(a.grant)) {
 		return
 	}
 	m := x.message(st, a.grant.AttemptID)
--- a/internal/queue/board.go
+++ b/internal/queue/board.go
@@ -51,6 +51,8 @@
 // decision is the end of a ticket: a target or a refusal.
 type decision struct {
 	target  string
+	expects time.Duration
+	long    bool
 	code    result.Code
 	retry   time.Duration
 	message string
@@ -290,7 +292,7 @@
 		return false
 	}
 	b.lease(s, t, now)
-	t.deliver(decision{target: s.target.Name})
+	t.deliver(decision{target: s.target.Name, expects: b.expects(s, t), long: t.long})
 	return true
 }
 
@@ -339,11 +341,12 @@
 func (b *board) place(t *ticket, now time.Time) *slotState {
 	var best *slotState
 	left := t.ask.Deadline.Sub(now).Seconds()
+	small := t.work <= math.Exp(b.work.typical(b.pool).mean) // good for a probe
 	for _, s := range b.targets {
 		if !suits(s, t) {
 			continue
 		}
-		if !t.long && s.probeDue(now, b.grants) && probeSpare*t.work/s.speed() < left {
+		if small && s.probeDue(now, b.grants) && probeSpare*t.work/s.speed() < left {
 			s.probed, s.probeGrant = now, b.grants
 			return s
 		}
@@ -376,6 +379,15 @@
 	return x.speed() > y.speed()
 }
 
+// expects is the predicted time of t at s, or zero when its kind is not known.
+// A target that is slow now is expected to be as fast as it was.
+func (b *board) expects(s *slotState, t *ticket) time.Duration {
+	if !b.work.estimate(t.key).known() {
+		return 0
+	}
+	return seconds(t.work / math.Exp(s.past))
+}
+
 // lease records that t holds a slot of s.
 func (b *board) lease(s *slotState, t *ticket, now time.Time) {
 	l := &lease{id: t.ask.AttemptID, owner: t.owner, at: now, renewed: now, work: t.work, long: t.long, key: t.key, target: s}
--- a/internal/queue/holder.go
+++ b/internal/queue/holder.go
@@ -33,10 +33,12 @@
 
 // GrantReply is a grant, or a refusal with its code.
 type GrantReply struct {
-	Target  string
-	Code    result.Code
-	Retry   time.Duration
-	Message string
+	Target   string
+	Expected time.Duration
+	Long     bool
+	Code     result.Code
+	Retry    time.Duration
+	Message  string
 	// Backlog is the predicted wait of the next short attempt.
 	Backlog time.Duration
 }
@@ -170,7 +172,7 @@
 func (d *Dispatcher) grantAt(args *GrantArgs) GrantReply {
 	b, answer := d.enqueueAt(args)
 	x := <-answer
-	return GrantReply{Target: x.target, Code: x.code, Retry: x.retry, Message: x.message, Backlog: b.backlog()}
+	return GrantReply{Target: x.target, Expected: x.expects, Long: x.long, Code: x.code, Retry: x.retry, Message: x.message, Backlog: b.backlog()}
 }
 
 // enqueueAt adds a ticket to a board of this host and returns the channel that
--- a/internal/queue/own.go
+++ b/internal/queue/own.go
@@ -49,7 +49,7 @@
 		d.Done(&Grant{AttemptID: a.AttemptID, Ask: *a, from: from}, Outcome{Kind: Abandoned})
 		return nil, refuse(a, result.NoTarget, 0, "target %s is leaving", x.target)
 	}
-	g := &Grant{AttemptID: a.AttemptID, Target: t, Ask: *a, At: d.Clock.Now(), from: from}
+	g := &Grant{AttemptID: a.AttemptID, Target: t, Ask: *a, At: d.Clock.Now(), Expected: x.expects, Long: x.long, from: from}
 	d.note(g)
 	return g, nil
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -55,6 +55,10 @@
 	Target    *declaration.Target
 	Ask       Ask
 	At        time.Time
+	// Expected is the predicted time of the attempt at Target, zero if unknown.
+	Expected time.Duration
+	// Long says that the attempt is of the long class.
+	Long bool
 
 	from source
 }
--- a/internal/queue/shared.go
+++ b/internal/queue/shared.go
@@ -27,7 +27,7 @@
 		d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		return nil, ended(ctx, &a)
 	}
-	x := decision{target: reply.Target, code: reply.Code, retry: reply.Retry, message: reply.Message}
+	x := decision{target: reply.Target, expects: reply.Expected, long: reply.Long, code: reply.Code, retry: reply.Retry, message: reply.Message}
 	if d.holderLags(&a, x) {
 		if x.target != "" {
 			d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -20,15 +20,3 @@
 func (a *Admission) Admit(w *declaration.Workspace, p *declaration.Pipeline, priority int, deadline time.Time) (release func(), err error) {
 	return func() {}, nil
 }
-
-// Retries is the budget of extra attempts of each workspace. Exported fields
-// are set before the first call.
-type Retries struct {
-	Clock *clock.Service
-}
-
-// Earn credits the workspace for a first attempt.
-func (r *Retries) Earn(workspace string) {}
-
-// Take spends one extra attempt and reports whether the budget had it.
-func (r *Retries) Take(workspace string) bool { return true }
