Refuse early by the queues' last words, and keep off targets that fail at once

Admission refuses a request before anything of it runs when its stages surely take longer than the time left, when the queues are longer, or when its workspace is beyond its share and half of the time would go in queues. A target that failed four attempts in a row gets only probes until one succeeds: it would otherwise draw all work to itself, being always free. Hedges leave a reserve of the budget for retries.

--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -9,6 +9,7 @@
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/internal/queue"
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
@@ -37,6 +38,7 @@
 		provideCrashes,
 		provideMetrics,
 		wire.Struct(new(workspace.Admission), "*"),
+		wire.Bind(new(workspace.Outlooks), new(*queue.Dispatcher)),
 		wire.Struct(new(workspace.Retries)),
 		wire.Struct(new(pipeline.Runner), "*"),
 		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "Claims", "Claimer", "Caller", "Peers", "Report", "Metrics"),
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -53,7 +53,8 @@
 		Log:        log,
 	}
 	admission := &workspace.Admission{
-		Clock: c,
+		Clock:  c,
+		Queues: dispatcher,
 	}
 	server, err := providePeers(exchange, holder, registry, table, dispatcher)
 	if err != nil {
--- a/internal/pipeline/hedge.go
+++ b/internal/pipeline/hedge.go
@@ -68,7 +68,7 @@
 func (x *execution) hedge(ctx context.Context, st *stageRun, g *queue.Grant) *attempt {
 	// The price is the hedge and what the first attempt took in vain.
 	price := time.Duration((hedgeFactor + 1) * float64(x.expected(g)))
-	if x.emitter.begun() || !x.Retries.Take(x.req.Workspace.Name, price) {
+	if x.emitter.begun() || !x.Retries.TakeHedge(x.req.Workspace.Name, price) {
 		return nil
 	}
 	second, err := x.Dispatcher.Acquire(ctx, x.ask(st))
--- a/internal/queue/board.go
+++ b/internal/queue/board.go
@@ -53,6 +53,8 @@
 	target  string
 	expects time.Duration
 	long    bool
+	wait    time.Duration // predicted for the next ticket like this one
+	over    bool
 	code    result.Code
 	retry   time.Duration
 	message string
@@ -113,7 +115,7 @@
 	t.long = t.work > longFactor*math.Exp(b.work.typical(b.pool).mean)
 	t.over = !b.shares.spend(&t.ask, t.work, b.capacity(), now)
 	if d, ok := b.refusal(t, now); ok {
-		t.deliver(d)
+		b.deliver(t, d, now)
 		return
 	}
 	list := b.list(t)
@@ -125,6 +127,18 @@
 	b.schedule(now)
 }
 
+// deliver ends t with x and the outlook of the next short ticket that comes
+// with as much time as t had.
+func (b *board) deliver(t *ticket, x decision, now time.Time) {
+	if !t.long {
+		next := *t
+		next.ask.Deadline = now.Add(t.ask.Deadline.Sub(t.since))
+		x.wait = b.wait(&next, now)
+	}
+	x.over = t.over
+	t.deliver(x)
+}
+
 func (b *board) list(t *ticket) *[]*ticket {
 	if t.long {
 		return &b.long
@@ -147,7 +161,7 @@
 	}
 	last := (*list)[maxWaiting]
 	*list = (*list)[:maxWaiting]
-	last.deliver(decision{code: result.Overloaded, retry: b.wait(last, now), message: "the queue is full"})
+	b.deliver(last, decision{code: result.Overloaded, retry: b.wait(last, now), message: "the queue is full"}, now)
 }
 
 // capacity is the predicted seconds of work that the targets do in a second.
@@ -281,7 +295,7 @@
 // settle grants a slot to t or refuses it, and reports whether it did.
 func (b *board) settle(t *ticket, now time.Time) bool {
 	if t.ask.Deadline.Sub(now) < b.least(t) {
-		t.deliver(decision{code: result.Overloaded, message: "no slot came free in time"})
+		b.deliver(t, decision{code: result.Overloaded, message: "no slot came free in time"}, now)
 		return true
 	}
 	if t.long && !b.longRoom(t, now) {
@@ -292,7 +306,7 @@
 		return false
 	}
 	b.lease(s, t, now)
-	t.deliver(decision{target: s.target.Name, expects: b.expects(s, t), long: t.long})
+	b.deliver(t, decision{target: s.target.Name, expects: b.expects(s, t), long: t.long}, now)
 	return true
 }
 
@@ -403,9 +417,7 @@
 	defer b.mu.Unlock()
 	if l := b.leases[id]; l != nil {
 		b.free(l)
-		if o.Kind == Succeeded {
-			b.learn(l, o.Took.Seconds())
-		}
+		b.learn(l, o)
 	} else {
 		b.short = dropTicket(b.short, id)
 		b.long = dropTicket(b.long, id)
@@ -418,8 +430,17 @@
 	delete(l.target.leases, l.id)
 }
 
-// learn updates the target's speed and the estimate of this kind of work.
-func (b *board) learn(l *lease, took float64) {
+// learn updates what is known of the target and of this kind of work.
+func (b *board) learn(l *lease, o Outcome) {
+	switch o.Kind {
+	case Failed, BrokeTarget:
+		l.target.failed++
+		return
+	case Abandoned:
+		return
+	}
+	took := o.Took.Seconds()
+	l.target.failed = 0
 	if b.work.estimate(l.key).known() && !l.misjudged {
 		l.target.observe(l.work, took)
 	}
@@ -472,7 +493,7 @@
 	rest := list[:0]
 	for _, t := range list {
 		if t.ask.Deadline.Sub(now) < b.least(t) {
-			t.deliver(decision{code: result.Overloaded, message: "no slot came free in time"})
+			b.deliver(t, decision{code: result.Overloaded, message: "no slot came free in time"}, now)
 			continue
 		}
 		rest = append(rest, t)
@@ -482,14 +503,3 @@
 	}
 	return rest
 }
-
-// backlog is the predicted time until short work that comes now would start.
-func (b *board) backlog() time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	sum := 0.0
-	for _, t := range b.short {
-		sum += t.work
-	}
-	return seconds(sum / math.Max(b.capacity(), minSample))
-}
--- a/internal/queue/board_test.go
+++ b/internal/queue/board_test.go
@@ -16,7 +16,7 @@
 //	targets NAME=SLOTS ...
 //	history kind=K work=D count=N   teaches the board a kind of work
 //	ask ID [kind=K] [size=N] [deadline=D] [priority=N] [workspace=W] [share=F] [exclude=NAME]
-//	done ID took=D                  and "renew OWNER ID ..."
+//	done ID took=D|failed           and "renew OWNER ID ..."
 //	wait D                          passes in ticks
 //	show                            targets with leases
 type boardScript struct {
@@ -49,6 +49,9 @@
 		s.ask(t, d)
 	case "done":
 		o := Outcome{Kind: Succeeded, Took: scanDuration(t, d, "took", 0)}
+		if d.HasArg("failed") {
+			o.Kind = Failed
+		}
 		s.b.complete(d.CmdArgs[0].Key, o, s.now)
 	case "renew":
 		var held []HeldSlot
--- a/internal/queue/holder.go
+++ b/internal/queue/holder.go
@@ -39,8 +39,10 @@
 	Code     result.Code
 	Retry    time.Duration
 	Message  string
-	// Backlog is the predicted wait of the next short attempt.
-	Backlog time.Duration
+	// Wait is the predicted wait of the next such attempt, Over says that the
+	// workspace is beyond its share.
+	Wait time.Duration
+	Over bool
 }
 
 // Completion gives a slot back.
@@ -170,9 +172,9 @@
 
 // grantAt waits for a slot at a board of this host.
 func (d *Dispatcher) grantAt(args *GrantArgs) GrantReply {
-	b, answer := d.enqueueAt(args)
+	_, answer := d.enqueueAt(args)
 	x := <-answer
-	return GrantReply{Target: x.target, Expected: x.expects, Long: x.long, Code: x.code, Retry: x.retry, Message: x.message, Backlog: b.backlog()}
+	return GrantReply{Target: x.target, Expected: x.expects, Long: x.long, Code: x.code, Retry: x.retry, Message: x.message, Wait: x.wait, Over: x.over}
 }
 
 // enqueueAt adds a ticket to a board of this host and returns the channel that
--- a/internal/queue/own.go
+++ b/internal/queue/own.go
@@ -15,6 +15,7 @@
 	b.enqueue(&ticket{ask: a, deliver: func(x decision) { answer <- x }}, d.Clock.Now())
 	select {
 	case x := <-answer:
+		d.hear(&a, x)
 		return d.granted(&a, x, ownBoard{b})
 	case <-ctx.Done():
 		b.complete(a.AttemptID, Outcome{Kind: Abandoned}, d.Clock.Now())
--- a/internal/queue/predictor.go
+++ b/internal/queue/predictor.go
@@ -55,6 +55,10 @@
 
 func (e estimate) median() time.Duration { return seconds(math.Exp(e.mean)) }
 
+func (e estimate) low() time.Duration {
+	return seconds(math.Exp(e.mean - ninthDecile*math.Sqrt(e.variance)))
+}
+
 func (e estimate) high() time.Duration {
 	return seconds(math.Exp(e.mean + ninthDecile*math.Sqrt(e.variance)))
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -22,6 +22,7 @@
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // Ask describes an attempt that needs a slot.
@@ -114,6 +115,8 @@
 	mu     sync.Mutex
 	counts counts
 	own    map[string]*board
+	// outlooks are the queues' last words.
+	outlooks *lru.Cache[outlookKey, heardOutlook]
 	// running are this host's attempts, under SharedQueue.
 	running map[string]heldGrant
 	holder  holder
--- a/internal/queue/shared.go
+++ b/internal/queue/shared.go
@@ -27,7 +27,8 @@
 		d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		return nil, ended(ctx, &a)
 	}
-	x := decision{target: reply.Target, expects: reply.Expected, long: reply.Long, code: reply.Code, retry: reply.Retry, message: reply.Message}
+	x := decision{target: reply.Target, wait: reply.Wait, over: reply.Over, expects: reply.Expected, long: reply.Long, code: reply.Code, retry: reply.Retry, message: reply.Message}
+	d.hear(&a, x)
 	if d.holderLags(&a, x) {
 		if x.target != "" {
 			d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
@@ -72,6 +73,7 @@
 	b, answer := d.enqueueAt(args)
 	select {
 	case x := <-answer:
+		d.hear(&a, x)
 		return d.granted(&a, x, heldShard{key: args.Shard})
 	case <-ctx.Done():
 		b.complete(a.AttemptID, Outcome{Kind: Abandoned}, d.Clock.Now())
--- a/internal/queue/speed.go
+++ b/internal/queue/speed.go
@@ -26,6 +26,9 @@
 	// count as evidence, and overdueLeast how many attempts of one target.
 	overdueFactor = 2.5
 	overdueLeast  = 3
+	// A target gets only probes after failedLimit attempts in a row failed.
+	failedLimit = 4
+	failedRatio = 0.05
 )
 
 // slotState is a target as a board sees it. The board's mutex guards it.
@@ -39,6 +42,7 @@
 	last    [recentSamples]float64
 	samples int
 	overdue float64 // logarithm of the speed that running attempts show, or 0
+	failed  int     // attempts that failed since the last that did not
 	ratio   float64 // recent over past, relative to the shard's median
 	// probed and probeGrant are the time and the number of the last probe;
 	// relieved says that the last attempt was as fast as the target's past.
@@ -112,6 +116,9 @@
 
 // ownRatio is the recent speed relative to the target's own past.
 func (s *slotState) ownRatio() float64 {
+	if s.failed >= failedLimit {
+		return failedRatio
+	}
 	if s.samples < len(s.last) {
 		return math.Exp(s.overdue)
 	}
--- a/internal/workspace/retries.go
+++ b/internal/workspace/retries.go
@@ -14,8 +14,10 @@
 	retryShare = 0.05
 	// firstBudget is what a workspace may spend before it has earned anything,
 	// maxBudget the most that it may save.
-	firstBudget = 500 * time.Millisecond
-	maxBudget   = 20 * time.Second
+	firstBudget = 5 * time.Second
+	maxBudget   = 25 * time.Second
+	// retryReserve is left by hedges for retries.
+	retryReserve = 4500 * time.Millisecond
 	// leastPrice is the price of an attempt of which nothing is known.
 	leastPrice = 50 * time.Millisecond
 	// maxBudgets bounds the workspaces with a budget; the one that was used
@@ -39,14 +41,23 @@
 	r.budgets.Add(workspace, min(maxBudget, b+time.Duration(retryShare*float64(took))))
 }
 
-// Take spends one extra attempt that is expected to take so long, and reports
-// whether the budget had it.
+// Take spends a retry that is expected to take so long, and reports whether the
+// budget had it.
 func (r *Retries) Take(workspace string, expected time.Duration) bool {
+	return r.take(workspace, expected, 0)
+}
+
+// TakeHedge spends a hedge; it leaves a reserve for retries.
+func (r *Retries) TakeHedge(workspace string, expected time.Duration) bool {
+	return r.take(workspace, expected, retryReserve)
+}
+
+func (r *Retries) take(workspace string, expected, reserve time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.budget(workspace)
 	price := max(leastPrice, expected)
-	if b < price {
+	if b-reserve < price {
 		return false
 	}
 	r.budgets.Add(workspace, b-price)
