--- a/internal/experiment/aims_test.go
+++ b/internal/experiment/aims_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package experiment
 
 import (
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -98,3 +98,20 @@
 		CostTable(os.Stdout, results[len(results)-1])
 	}
 }
+
+// TestPoliciesRun runs a short load with every policy, under the race detector
+// in CI.
+func TestPoliciesRun(t *testing.T) {
+	s := SharedTable()
+	l := &Load{Name: "short", Seed: 1, Base: 0.3, Crest: 0.9, CrestFrom: time.Second, CrestTo: 2 * time.Second, End: 2 * time.Second, NoLong: true}
+	for i := range s.Targets {
+		s.Targets[i].Slots /= 4
+	}
+	requests := l.Requests(s)
+	for _, p := range queue.PolicyNames {
+		r := play(t, s, l, p, requests)
+		if r.OnTime == 0 || r.Requests != len(requests) {
+			t.Errorf("%s: %d of %d requests on time, %d sent", p, r.OnTime, r.Requests, len(requests))
+		}
+	}
+}
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -20,17 +20,19 @@
 )
 
 func provideClient(s *settings.Settings, n link.Network) *platform.Client {
-	return platform.NewClient(n, s.LogAddr, s.HostListAddr)
+	return platform.NewClient(platformNetwork(s, n), s.LogAddr, s.HostListAddr)
 }
 
 func provideExchange(s *settings.Settings, n link.Network, c *clock.Service, caller *peer.Caller, client *platform.Client, f *section.Follower) *peer.Exchange {
 	x := &peer.Exchange{
 		Self:   peer.Host{Name: s.Name, Addr: s.PeerAddr, Domain: s.Domain, Incarnation: time.Now().UnixNano()},
-		Net:    n,
+		Net:    peerNetwork(s, n),
 		Clock:  c,
 		Caller: caller,
-		Offset: func() int64 { return offsetInForce(f) },
+		Offset: func() int64 { return int64(f.Offset()) },
 	}
+	x.OnBehind = func(h peer.Host, offset int64) { f.Behind(h, platform.Offset(offset)) }
+	f.Self, f.Members = x.Self, x
 	if s.HostListAddr.IsValid() {
 		x.Discover = func(ctx context.Context) ([]peer.Host, error) { return discover(ctx, client) }
 	}
@@ -40,14 +42,6 @@
 	return x
 }
 
-// offsetInForce returns the offset of the configuration in force, or zero.
-func offsetInForce(f *section.Follower) int64 {
-	if s := f.State(); s != nil {
-		return int64(s.Offset)
-	}
-	return 0
-}
-
 // discover returns the live hosts of the system on the host list.
 func discover(ctx context.Context, list platform.HostList) ([]peer.Host, error) {
 	entries, err := list.Hosts(ctx)
@@ -63,12 +57,17 @@
 	return out, nil
 }
 
-func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry, x *peer.Exchange, caller *peer.Caller) (*queue.Dispatcher, error) {
+func provideDispatcher(s *settings.Settings, c *clock.Service, r *target.Registry, x *peer.Exchange, caller *peer.Caller, m metrics.Registry) (*queue.Dispatcher, error) {
 	policy, err := queue.ParsePolicy(s.Policy)
 	if err != nil {
 		return nil, err
 	}
+	stats := queue.NewStats()
+	if err := stats.Register(m); err != nil {
+		return nil, err
+	}
 	return &queue.Dispatcher{
+		Stats:    stats,
 		Clock:    c,
 		Targets:  r,
 		Exchange: x,
@@ -79,7 +78,7 @@
 }
 
 // providePeers registers the services that peers call.
-func providePeers(x *peer.Exchange, claims *claim.Holder, r *target.Registry, t *crash.Table, d *queue.Dispatcher) (*peer.Server, error) {
+func providePeers(x *peer.Exchange, f *section.Follower, claims *claim.Holder, r *target.Registry, t *crash.Table, d *queue.Dispatcher) (*peer.Server, error) {
 	s := &peer.Server{RPC: rpc.NewServer()}
 	if err := x.Register(s.RPC); err != nil {
 		return nil, err
@@ -90,6 +89,9 @@
 	if err := t.Register(s.RPC); err != nil {
 		return nil, err
 	}
+	if err := s.RPC.RegisterName(section.ServiceName, &section.Service{Follower: f}); err != nil {
+		return nil, err
+	}
 	if err := s.RPC.RegisterName(d.Service()); err != nil {
 		return nil, err
 	}
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -34,8 +34,10 @@
 	switch {
 	case h.leaving.Load():
 		resp.WriteErrorString(http.StatusServiceUnavailable, "draining\n")
-	case h.Follower.State() == nil:
-		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration yet\n")
+	case h.Follower.Stale(h.Clock.Now()):
+		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration, or too old a one\n")
+	case !h.Targets.Ready():
+		resp.WriteErrorString(http.StatusServiceUnavailable, "no word on the targets yet\n")
 	default:
 		io.WriteString(resp, "ready\n")
 	}
@@ -51,6 +53,7 @@
 	start := h.Clock.Now()
 	id := uuid.NewString()
 	resp.AddHeader(caller.RequestHeader, id)
+	limitBodyTime(resp.ResponseWriter, start)
 	out := newReply(h.Clock, rest.Request, resp.ResponseWriter)
 	a := h.answer(rest, resp, out, id)
 	if a.RequestID == "" || !a.Repeated {
--- /dev/null
+++ b/internal/host/configuration.go
@@ -0,0 +1,34 @@
+package host
+
+import (
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/internal/section"
+	"berylswitch.example/berylswitch/internal/settings"
+)
+
+func provideCaller(s *settings.Settings, n link.Network) *peer.Caller {
+	return &peer.Caller{Net: peerNetwork(s, n)}
+}
+
+func provideFollower(s *settings.Settings, log platform.Log, c *clock.Service, caller *peer.Caller) *section.Follower {
+	return &section.Follower{Log: log, Clock: c, Caller: caller, SnapshotAge: time.Duration(s.SnapshotAge)}
+}
+
+// peerNetwork is the way to other hosts, platformNetwork that to the platform.
+func peerNetwork(s *settings.Settings, n link.Network) link.Network { return secure(s.PeerTLS, n) }
+
+func platformNetwork(s *settings.Settings, n link.Network) link.Network {
+	return secure(s.PlatformTLS, n)
+}
+
+func secure(t *settings.TLS, n link.Network) link.Network {
+	if t == nil {
+		return n
+	}
+	return &link.TLS{Network: n, CertFile: t.CertFile, KeyFile: t.KeyFile, CAFile: t.CAFile}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -59,7 +59,10 @@
 // run until then.
 func (h *Host) Run(ctx context.Context) error {
 	h.gate.Clock = h.Clock
-	h.Follower.OnState = func(s *section.State) { h.Targets.Publish(s.View) }
+	h.Follower.OnState = func(s *section.State) {
+		h.Targets.Publish(s.View)
+		go h.Exchange.Announce()
+	}
 	if err := h.listen(); err != nil {
 		return err
 	}
@@ -97,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := h.Net.Listen(h.Settings.PeerAddr)
+	peers, err := peerNetwork(h.Settings, h.Net).Listen(h.Settings.PeerAddr)
 	if err != nil {
 		callers.Close()
 		return err
--- a/internal/queue/links.go
+++ b/internal/queue/links.go
@@ -15,8 +15,11 @@
 	// pending, before it is probed; probeTimeout bounds the probe.
 	silenceLimit = 250 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
-	// renewPeriod is how often a holder hears of all slots held from it.
+	// renewPeriod is the time without a message after which a holder hears of the
+	// slots held from it; any message renews them. wholePeriod is how often it
+	// hears of all of them even so, to make good what was lost.
 	renewPeriod = time.Second
+	wholePeriod = 30 * time.Second
 	// returnPeriod is how often a holder that is down is probed.
 	returnPeriod = 500 * time.Millisecond
 	reportLimit  = 2 * time.Second
@@ -40,6 +43,7 @@
 	flushing bool
 	pending  int // grants asked for
 	heard    time.Time
+	spoke    time.Time // the send of the last message that was answered
 	renewed  time.Time
 	probing  bool
 	down     chan struct{} // closed while the holder is down
@@ -52,6 +56,14 @@
 	target string
 	at     time.Time
 	work   workKey
+	told   peer.Host // the holder that knows of it
+}
+
+// heldList are the attempts that run at targets of one holder's shards; untold
+// says that the holder may not know of all of them.
+type heldList struct {
+	held   []HeldSlot
+	untold bool
 }
 
 // link returns the link to a holder, a new one for each incarnation.
@@ -76,7 +88,7 @@
 	d.links.mu.Lock()
 	var due []*holderLink
 	for _, l := range d.links.byName {
-		if l.probeDue(len(lists[l.host]) > 0, now) {
+		if l.probeDue(lists[l.host], now) {
 			due = append(due, l)
 		}
 	}
@@ -88,27 +100,32 @@
 
 // heldByHolder lists the running attempts by the present holder of their
 // shards, and makes sure that there is a link to each.
-func (d *Dispatcher) heldByHolder(now time.Time) map[peer.Host][]HeldSlot {
+func (d *Dispatcher) heldByHolder(now time.Time) map[peer.Host]heldList {
 	members := d.Exchange.Members()
-	lists := map[peer.Host][]HeldSlot{}
+	lists := map[peer.Host]heldList{}
 	d.mu.Lock()
 	for id, g := range d.running {
 		h := members.Holder(g.shard.holderKey())
-		lists[h] = append(lists[h], HeldSlot{Shard: g.shard, AttemptID: id, Target: g.target, Age: now.Sub(g.at), Work: g.work})
+		list := lists[h]
+		list.untold = list.untold || g.told != h
+		list.held = append(list.held, HeldSlot{Shard: g.shard, AttemptID: id, Target: g.target, Age: now.Sub(g.at), Work: g.work})
+		lists[h] = list
 	}
 	d.mu.Unlock()
-	for h, held := range lists {
-		if h.Name == d.Exchange.Self.Name {
-			d.renew(&ReportArgs{Held: held})
-		} else {
+	for h, list := range lists {
+		switch {
+		case h.Name != d.Exchange.Self.Name:
 			d.link(h)
+		case list.untold:
+			d.renew(&ReportArgs{Held: list.held})
+			d.tell(h, list)
 		}
 	}
 	return lists
 }
 
 // probeDue reports whether l is to be probed now, and notes that it is.
-func (l *holderLink) probeDue(holds bool, now time.Time) bool {
+func (l *holderLink) probeDue(list heldList, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.probing {
@@ -121,7 +138,8 @@
 	case l.pending > 0 && now.Sub(l.heard) >= silenceLimit:
 		due = true
 	default:
-		due = holds && now.Sub(l.renewed) >= renewPeriod
+		silent := now.Sub(l.spoke) >= renewPeriod && now.Sub(l.renewed) >= renewPeriod
+		due = list.untold || (len(list.held) > 0 && (silent || now.Sub(l.renewed) >= wholePeriod))
 	}
 	if due {
 		l.probing = true
@@ -131,8 +149,10 @@
 }
 
 // probe sends the whole list of held slots and judges the holder by the answer.
-func (d *Dispatcher) probe(ctx context.Context, l *holderLink, held []HeldSlot) {
-	args := &ReportArgs{Host: d.Exchange.Self.Name, Whole: true, Held: held}
+func (d *Dispatcher) probe(ctx context.Context, l *holderLink, list heldList) {
+	now := d.Clock.Now()
+	d.Stats.Lists.Inc(1)
+	args := &ReportArgs{Host: d.Exchange.Self.Name, Whole: true, Held: list.held}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	err := d.Caller.Call(ctx, l.host.Addr, serviceName+".Report", args, &ReportReply{})
@@ -143,7 +163,20 @@
 		l.fail()
 		return
 	}
-	l.hear(d.Clock.Now())
+	d.tell(l.host, list)
+	l.hear(d.Clock.Now(), now)
+}
+
+// tell notes that h knows of a list.
+func (d *Dispatcher) tell(h peer.Host, list heldList) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range list.held {
+		if g, ok := d.running[s.AttemptID]; ok {
+			g.told = h
+			d.running[s.AttemptID] = g
+		}
+	}
 }
 
 // fail marks the holder as down; those who wait for it fall back.
@@ -157,10 +190,13 @@
 }
 
 // hear notes that the holder answered.
-func (l *holderLink) hear(now time.Time) {
+func (l *holderLink) hear(now, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard = now
+	if sent.After(l.spoke) {
+		l.spoke = sent
+	}
 	if l.isDown {
 		l.isDown = false
 		l.down = make(chan struct{})
@@ -193,12 +229,14 @@
 
 // grant asks the holder for a slot. Its error is errHolderDown, or that of ctx.
 func (d *Dispatcher) grant(ctx context.Context, l *holderLink, args *GrantArgs) (*GrantReply, error) {
-	done, down, err := l.begin(d.Clock.Now())
+	sent := d.Clock.Now()
+	done, down, err := l.begin(sent)
 	if err != nil {
 		return nil, err
 	}
 	defer l.end()
 	args.Done = done
+	d.Stats.Asked.Inc(1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answer := make(chan error, 1)
@@ -216,7 +254,7 @@
 		l.fail()
 		return nil, errHolderDown
 	}
-	l.hear(d.Clock.Now())
+	l.hear(d.Clock.Now(), sent)
 	return reply, nil
 }
 
@@ -247,9 +285,11 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
 		args := &ReportArgs{Host: d.Exchange.Self.Name, Done: done}
+		sent := d.Clock.Now()
+		d.Stats.Reports.Inc(1)
 		// Lost completions are made good by the next whole list.
 		if d.Caller.Call(ctx, l.host.Addr, serviceName+".Report", args, &ReportReply{}) == nil {
-			l.hear(d.Clock.Now())
+			l.hear(d.Clock.Now(), sent)
 		}
 		cancel()
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -111,6 +111,7 @@
 	Caller   *peer.Caller
 	Policy   Policy
 	Rand     *rand.Rand
+	Stats    *Stats
 
 	mu     sync.Mutex
 	counts counts
@@ -121,6 +122,7 @@
 	running map[string]heldGrant
 	holder  holder
 	links   links
+	waits   waits
 	work    predictor // what this host saw itself
 }
 
--- a/internal/queue/shared.go
+++ b/internal/queue/shared.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"berylswitch.example/berylswitch/pkg/declaration"
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
@@ -21,18 +21,21 @@
 	l := d.link(h)
 	reply, err := d.grant(ctx, l, args)
 	if errors.Is(err, errHolderDown) {
+		d.Stats.Fallbacks.Inc(1)
 		return d.acquireOwn(ctx, a)
 	}
 	if err != nil {
 		d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		return nil, ended(ctx, &a)
 	}
+	d.heardWait(k, reply.Wait)
 	x := decision{target: reply.Target, wait: reply.Wait, over: reply.Over, expects: reply.Expected, long: reply.Long, code: reply.Code, retry: reply.Retry, message: reply.Message}
 	d.hear(&a, x)
 	if d.holderLags(&a, x) {
 		if x.target != "" {
 			d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		}
+		d.Stats.Fallbacks.Inc(1)
 		return d.acquireOwn(ctx, a)
 	}
 	return d.granted(&a, x, heldShard{key: k, link: l})
@@ -58,13 +61,20 @@
 	if d.running == nil {
 		d.running = map[string]heldGrant{}
 	}
-	d.running[g.AttemptID] = heldGrant{shard: d.shardOf(g.Target), target: g.Target.Name, at: g.At, work: workKeyOf(&g.Ask)}
+	held := heldGrant{target: g.Target.Name, at: g.At, work: workKeyOf(&g.Ask)}
+	held.shard = shardKey{g.Target.Pool, shardOf(g.Target.Name, shardCount(len(d.Targets.Usable(g.Target.Pool, ""))))}
+	if from, ok := g.from.(heldShard); ok {
+		held.told = from.holder(d)
+	}
+	d.running[g.AttemptID] = held
 }
 
-// shardOf is the shard that a target belongs to.
-func (d *Dispatcher) shardOf(t *declaration.Target) shardKey {
-	n := shardCount(len(d.Targets.Usable(t.Pool, "")))
-	return shardKey{Pool: t.Pool, Shard: shardIndex(t.Name, n)}
+// holder is the host that granted.
+func (s heldShard) holder(d *Dispatcher) peer.Host {
+	if s.link == nil {
+		return d.Exchange.Self
+	}
+	return s.link.host
 }
 
 // acquireHere waits at a board that this host holds itself.
@@ -74,6 +84,7 @@
 	select {
 	case x := <-answer:
 		d.hear(&a, x)
+		d.heardWait(args.Shard, x.wait)
 		return d.granted(&a, x, heldShard{key: args.Shard})
 	case <-ctx.Done():
 		b.complete(a.AttemptID, Outcome{Kind: Abandoned}, d.Clock.Now())
@@ -123,14 +134,3 @@
 
 // holderKey is what the holder of a shard is chosen by.
 func (k shardKey) holderKey() string { return fmt.Sprintf("Queue/%s/%d", k.Pool, k.Shard) }
-
-// shardFor chooses the shard of a pool for a.
-func (d *Dispatcher) shardFor(a *Ask) shardKey {
-	n := shardCount(len(d.Targets.Usable(a.Pool, "")))
-	if n == 1 {
-		return shardKey{Pool: a.Pool}
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return shardKey{Pool: a.Pool, Shard: d.Rand.IntN(n)}
-}
