--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -17,6 +17,7 @@
 	seedFlag       = flag.Uint64("seed", 1, "seed of the arrivals")
 	siteFlag       = flag.String("site", "", "the site to run, or empty for all")
 	traceFlag      = flag.Duration("boards", 0, "print the held boards of the engines at this period")
+	failuresFlag   = flag.Bool("failures", false, "print the requests that were not answered on time")
 	policyFlag     = flag.String("policy", "", "policies to run, comma-separated; empty means all")
 )
 
@@ -34,11 +35,22 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if *failuresFlag {
+			failures(s, samples)
+		}
 		out = Measure(s, l, policy, samples)
 	})
 	return out
 }
 
+func failures(s *Site, samples []Sample) {
+	for _, m := range samples {
+		if !m.OnTime {
+			fmt.Printf("%v %s service %v took %v: %s: %+v\n", m.Request.At, s.Pipelines[m.Request.Pipeline].Name, m.Request.Service, m.Took, m.Message, m.Stages)
+		}
+	}
+}
+
 // trace prints the boards of the engines.
 func trace(r *Run, at time.Duration) {
 	for _, h := range r.hosts {
@@ -86,3 +98,20 @@
 		CostTable(os.Stdout, results[len(results)-1])
 	}
 }
+
+// TestPoliciesRun runs a short load with every policy, under the race detector
+// in CI.
+func TestPoliciesRun(t *testing.T) {
+	s := SharedTable()
+	l := &Load{Name: "short", Seed: 1, Base: 0.3, Crest: 0.9, CrestFrom: time.Second, CrestTo: 2 * time.Second, End: 2 * time.Second, NoLong: true}
+	for i := range s.Targets {
+		s.Targets[i].Slots /= 4
+	}
+	requests := l.Requests(s)
+	for _, p := range queue.PolicyNames {
+		r := play(t, s, l, p, requests)
+		if r.OnTime == 0 || r.Requests != len(requests) {
+			t.Errorf("%s: %d of %d requests on time, %d sent", p, r.OnTime, r.Requests, len(requests))
+		}
+	}
+}
--- a/internal/queue/board.go
+++ b/internal/queue/board.go
@@ -17,13 +17,17 @@
 	// longFactor is how many times the typical work of the pool makes a ticket
 	// long.
 	longFactor = 8
-	// longShare is the share of a board's slots that long work may hold, and
-	// urgentShare the share once it is urgent.
-	longShare   = 0.25
+	// longShare is the share of a board's slots that long work may hold when it
+	// has just come; it grows to urgentShare as its time runs out.
+	longShare   = 0.12
 	urgentShare = 0.75
+	// swing is by how many times the level of short work may rise while long
+	// work runs; levelFall is the time in which a level is forgotten.
+	swing     = 3
+	levelFall = 30 * time.Second
 	// urgentFactor is the time left, in multiples of the predicted time, at
 	// which long work goes among the short.
-	urgentFactor = 3
+	urgentFactor = 4
 	// leaseTimeout is how long a lease lasts without a word from its owner.
 	leaseTimeout = 3 * time.Second
 	// reportGrace is the age below which a lease may be missing from its
@@ -47,6 +51,10 @@
 // decision is the end of a ticket: a target or a refusal.
 type decision struct {
 	target  string
+	expects time.Duration
+	long    bool
+	wait    time.Duration // predicted for the next ticket like this one
+	over    bool
 	code    result.Code
 	retry   time.Duration
 	message string
@@ -56,14 +64,17 @@
 type board struct {
 	pool string
 
-	mu      sync.Mutex
-	targets []*slotState
-	byName  map[string]*slotState
-	leases  map[string]*lease
-	short   []*ticket
-	long    []*ticket
-	work    predictor
-	shares  shares
+	mu       sync.Mutex
+	targets  []*slotState
+	byName   map[string]*slotState
+	leases   map[string]*lease
+	grants   int
+	level    float64 // slots that short work used lately
+	followed time.Time
+	short    []*ticket
+	long     []*ticket
+	work     predictor
+	shares   shares
 }
 
 func newBoard(pool string) *board {
@@ -104,7 +115,7 @@
 	t.long = t.work > longFactor*math.Exp(b.work.typical(b.pool).mean)
 	t.over = !b.shares.spend(&t.ask, t.work, b.capacity(), now)
 	if d, ok := b.refusal(t, now); ok {
-		t.deliver(d)
+		b.deliver(t, d, now)
 		return
 	}
 	list := b.list(t)
@@ -116,6 +127,18 @@
 	b.schedule(now)
 }
 
+// deliver ends t with x and the outlook of the next short ticket that comes
+// with as much time as t had.
+func (b *board) deliver(t *ticket, x decision, now time.Time) {
+	if !t.long {
+		next := *t
+		next.ask.Deadline = now.Add(t.ask.Deadline.Sub(t.since))
+		x.wait = b.wait(&next, now)
+	}
+	x.over = t.over
+	t.deliver(x)
+}
+
 func (b *board) list(t *ticket) *[]*ticket {
 	if t.long {
 		return &b.long
@@ -138,7 +161,7 @@
 	}
 	last := (*list)[maxWaiting]
 	*list = (*list)[:maxWaiting]
-	last.deliver(decision{code: result.Overloaded, retry: b.wait(last), message: "the queue is full"})
+	b.deliver(last, decision{code: result.Overloaded, retry: b.wait(last, now), message: "the queue is full"}, now)
 }
 
 // capacity is the predicted seconds of work that the targets do in a second.
@@ -150,9 +173,9 @@
 	return sum
 }
 
-// wait predicts how long t would wait behind the tickets of its class that go
-// before it.
-func (b *board) wait(t *ticket) time.Duration {
+// wait predicts how long t would wait for a slot behind the tickets of its
+// class that go before it.
+func (b *board) wait(t *ticket, now time.Time) time.Duration {
 	ahead := 0.0
 	for _, o := range *b.list(t) {
 		if before(t, o) {
@@ -160,10 +183,24 @@
 		}
 		ahead += o.work
 	}
-	if ahead == 0 {
+	return seconds(ahead/math.Max(b.capacity(), minSample)) + b.nextFree(now)
+}
+
+// nextFree predicts the time until a slot is free.
+func (b *board) nextFree(now time.Time) time.Duration {
+	least := math.Inf(1)
+	for _, s := range b.targets {
+		if s.room() {
+			return 0
+		}
+		for _, l := range s.leases {
+			least = math.Min(least, l.work/s.speed()-now.Sub(l.at).Seconds())
+		}
+	}
+	if math.IsInf(least, 1) {
 		return 0
 	}
-	return seconds(ahead / math.Max(b.capacity(), minSample))
+	return seconds(math.Max(0, least))
 }
 
 // refusal says whether t can't be served in time.
@@ -175,7 +212,7 @@
 	if left < 0 {
 		return decision{code: result.DeadlineTooShort, message: "the stage takes longer than the time left"}, true
 	}
-	wait := b.wait(t)
+	wait := b.wait(t, now)
 	switch {
 	case wait > left:
 		return decision{code: result.Overloaded, retry: wait - left, message: "the queue is longer than the time left"}, true
@@ -232,7 +269,7 @@
 func (b *board) grantFrom(list []*ticket, now time.Time, urgent bool) []*ticket {
 	rest := list[:0]
 	for i, t := range list {
-		if !b.anyRoom(now) {
+		if !b.anyRoom() {
 			rest = append(rest, list[i:]...)
 			break
 		}
@@ -246,9 +283,9 @@
 	return rest
 }
 
-func (b *board) anyRoom(now time.Time) bool {
+func (b *board) anyRoom() bool {
 	for _, s := range b.targets {
-		if s.room(now) {
+		if s.room() {
 			return true
 		}
 	}
@@ -258,10 +295,10 @@
 // settle grants a slot to t or refuses it, and reports whether it did.
 func (b *board) settle(t *ticket, now time.Time) bool {
 	if t.ask.Deadline.Sub(now) < b.least(t) {
-		t.deliver(decision{code: result.Overloaded, message: "no slot came free in time"})
+		b.deliver(t, decision{code: result.Overloaded, message: "no slot came free in time"}, now)
 		return true
 	}
-	if t.long && !b.longRoom(b.urgent(t, now)) {
+	if t.long && !b.longRoom(t, now) {
 		return false
 	}
 	s := b.place(t, now)
@@ -269,16 +306,12 @@
 		return false
 	}
 	b.lease(s, t, now)
-	t.deliver(decision{target: s.target.Name})
+	b.deliver(t, decision{target: s.target.Name, expects: b.expects(s, t), long: t.long}, now)
 	return true
 }
 
-// longRoom reports whether long work may hold one more slot.
-func (b *board) longRoom(urgent bool) bool {
-	share := longShare
-	if urgent {
-		share = urgentShare
-	}
+// longRoom reports whether t, which is long, may hold one more slot.
+func (b *board) longRoom(t *ticket, now time.Time) bool {
 	slots, held := 0, 0
 	for _, s := range b.targets {
 		slots += s.slots
@@ -288,7 +321,33 @@
 			}
 		}
 	}
-	return held == 0 || float64(held+1) <= share*float64(slots)
+	share := b.longPart(t, now)
+	if b.urgent(t, now) {
+		share = urgentShare
+	}
+	room := math.Max(share*float64(slots), math.Min(urgentShare*float64(slots), float64(slots)-swing*b.level))
+	return held == 0 || float64(held+1) <= room
+}
+
+// longPart is the share of slots that t may use even while short work needs
+// the rest.
+func (b *board) longPart(t *ticket, now time.Time) float64 {
+	waited := now.Sub(t.since).Seconds()
+	used := waited / math.Max(t.ask.Deadline.Sub(t.since).Seconds(), minSample)
+	return longShare + (urgentShare-longShare)*used
+}
+
+// follow updates the level of short work: it rises at once and falls slowly.
+func (b *board) follow(now time.Time) {
+	n := float64(len(b.short))
+	for _, l := range b.leases {
+		if !l.long {
+			n++
+		}
+	}
+	b.level *= math.Exp(-now.Sub(b.followed).Seconds() / levelFall.Seconds())
+	b.level = math.Max(b.level, n)
+	b.followed = now
 }
 
 // place returns the target with room where t ends first. Long work takes the
@@ -296,27 +355,29 @@
 func (b *board) place(t *ticket, now time.Time) *slotState {
 	var best *slotState
 	left := t.ask.Deadline.Sub(now).Seconds()
+	small := t.work <= math.Exp(b.work.typical(b.pool).mean) // good for a probe
 	for _, s := range b.targets {
-		if !suits(s, t) || !s.room(now) {
+		if !suits(s, t) {
 			continue
 		}
-		takes := t.work / s.speed()
-		if takes > left && best != nil {
-			continue
+		if small && s.probeDue(now, b.grants) && probeSpare*t.work/s.speed() < left {
+			s.probed, s.probeGrant = now, b.grants
+			return s
 		}
-		if best == nil || b.better(t, s, best, left) {
+		if s.room() && (best == nil || b.better(t, s, best, left)) {
 			best = s
 		}
 	}
-	if best != nil && best.ratio < trickleRatio && t.work/best.speed() > left {
-		return nil
-	}
 	return best
 }
 
 // spareFactor is the time left, in multiples of the predicted time, with which
 // long work may take a slower target.
-const spareFactor = 2.5
+// A probe needs time for probeSpare times the predicted one.
+const (
+	spareFactor = 2.5
+	probeSpare  = 1.5
+)
 
 // better reports whether t should rather go to x than to y.
 func (b *board) better(t *ticket, x, y *slotState, left float64) bool {
@@ -332,14 +393,21 @@
 	return x.speed() > y.speed()
 }
 
+// expects is the predicted time of t at s, or zero when its kind is not known.
+// A target that is slow now is expected to be as fast as it was.
+func (b *board) expects(s *slotState, t *ticket) time.Duration {
+	if !b.work.estimate(t.key).known() {
+		return 0
+	}
+	return seconds(t.work / math.Exp(s.past))
+}
+
 // lease records that t holds a slot of s.
 func (b *board) lease(s *slotState, t *ticket, now time.Time) {
 	l := &lease{id: t.ask.AttemptID, owner: t.owner, at: now, renewed: now, work: t.work, long: t.long, key: t.key, target: s}
 	s.leases[l.id] = l
 	b.leases[l.id] = l
-	if s.ratio < trickleRatio {
-		s.trickle = now
-	}
+	b.grants++
 }
 
 // complete frees the slot of an attempt, or drops its ticket, and learns from
@@ -349,9 +417,7 @@
 	defer b.mu.Unlock()
 	if l := b.leases[id]; l != nil {
 		b.free(l)
-		if o.Kind == Succeeded {
-			b.learn(l, o.Took.Seconds())
-		}
+		b.learn(l, o)
 	} else {
 		b.short = dropTicket(b.short, id)
 		b.long = dropTicket(b.long, id)
@@ -364,8 +430,17 @@
 	delete(l.target.leases, l.id)
 }
 
-// learn updates the target's speed and the estimate of this kind of work.
-func (b *board) learn(l *lease, took float64) {
+// learn updates what is known of the target and of this kind of work.
+func (b *board) learn(l *lease, o Outcome) {
+	switch o.Kind {
+	case Failed, BrokeTarget:
+		l.target.failed++
+		return
+	case Abandoned:
+		return
+	}
+	took := o.Took.Seconds()
+	l.target.failed = 0
 	if b.work.estimate(l.key).known() && !l.misjudged {
 		l.target.observe(l.work, took)
 	}
@@ -389,6 +464,7 @@
 func (b *board) tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.follow(now)
 	for _, s := range b.targets {
 		s.lookAtRunning(now)
 	}
@@ -417,7 +493,7 @@
 	rest := list[:0]
 	for _, t := range list {
 		if t.ask.Deadline.Sub(now) < b.least(t) {
-			t.deliver(decision{code: result.Overloaded, message: "no slot came free in time"})
+			b.deliver(t, decision{code: result.Overloaded, message: "no slot came free in time"}, now)
 			continue
 		}
 		rest = append(rest, t)
@@ -427,14 +503,3 @@
 	}
 	return rest
 }
-
-// backlog is the predicted time until short work that comes now would start.
-func (b *board) backlog() time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	sum := 0.0
-	for _, t := range b.short {
-		sum += t.work
-	}
-	return seconds(sum / math.Max(b.capacity(), minSample))
-}
