--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -58,8 +58,8 @@
 }
 
 // Kill closes every listener and connection of the process at addr, as the end
-// of that process would. What is left of the process can't dial; the next
-// Listen at addr is that of its next life.
+// of that process would. What is left of the process can't dial until Revive or
+// the next Listen at addr, which begin its next life.
 func (m *Memory) Kill(addr netip.Addr) {
 	m.mu.Lock()
 	m.init()
@@ -85,6 +85,13 @@
 	}
 }
 
+// Revive lets the process at addr dial again after Kill.
+func (m *Memory) Revive(addr netip.Addr) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.killed, addr)
+}
+
 // Reset breaks every connection between two processes; what was under way is
 // lost.
 func (m *Memory) Reset(a, b netip.Addr) {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -19,6 +19,7 @@
 		defer w.close()
 		for _, h := range w.hosts {
 			h.kill()
+			w.net.Revive(h.addr) // the test sends in the host's place
 		}
 		target, engine := &w.targets[1], w.engines[1]
 		end := time.Now().Add(10 * time.Second)
@@ -53,6 +54,7 @@
 		defer w.close()
 		for _, h := range w.hosts {
 			h.kill()
+			w.net.Revive(h.addr) // the test sends in the host's place
 		}
 		now := time.Now()
 		old := &lease.Lease{Fence: 1, Since: now.Add(-lease.Term), Until: now.Add(time.Second)}
--- a/internal/order/world_test.go
+++ b/internal/order/world_test.go
@@ -130,6 +130,7 @@
 	if h.alive {
 		return
 	}
+	h.w.net.Revive(h.addr)
 	network := h.w.net.Process(h.addr)
 	log := platform.NewClient(network, logAddr, logAddr)
 	reports := &http.Client{Transport: link.Transport(network)}
