--- a/internal/section/control.go
+++ b/internal/section/control.go
@@ -33,6 +33,9 @@
 	asking map[string]bool // hosts with a probe under way
 	asked  int             // probes so far
 
+	hinted  hint            // the latest offset that a peer told of
+	hintDue <-chan struct{} // closed when the hint is to be followed
+
 	writing  bool
 	dueSince time.Time
 	wroteAt  time.Time
--- a/internal/section/peers.go
+++ b/internal/section/peers.go
@@ -150,6 +150,31 @@
 	}
 }
 
+// hintGrace is the time that the log has to bring what a peer told of. It spares
+// the hosts from fetching each change from peers besides reading it.
+const hintGrace = 200 * time.Millisecond
+
+// hint keeps the latest offset that was told and begins the grace.
+func (c *control) hint(h hint) {
+	if h.offset <= max(c.fold.offset, c.hinted.offset) {
+		return
+	}
+	c.hinted = h
+	if c.hintDue == nil {
+		c.hintDue, _ = c.f.Clock.After(hintGrace)
+	}
+}
+
+// followHint asks the peer unless the log has brought the offset meanwhile. The
+// probes see to it that an answer which is lost is made up for.
+func (c *control) followHint(ctx context.Context, wg *sync.WaitGroup) {
+	c.hintDue = nil
+	if h := c.hinted; h.offset > c.fold.offset {
+		c.ask(ctx, wg, h.host)
+	}
+	c.hinted = hint{}
+}
+
 // order sorts hosts in an order of this host's own, so that the neighbours of
 // all hosts together tie the hosts into one net.
 func (c *control) order(hosts []peer.Host) {
--- a/internal/section/section.go
+++ b/internal/section/section.go
@@ -73,7 +73,7 @@
 	maxRecent int
 
 	shared atomic.Pointer[shared]
-	hints  chan peer.Host
+	hints  chan hint
 	once   sync.Once
 
 	mu      sync.Mutex
@@ -110,14 +110,21 @@
 	return 0
 }
 
-// Behind takes a peer's word that its state has the given offset; the follower
-// asks that peer for what is newer. It does not block.
+// hint is a peer's word that it has a later offset in force.
+type hint struct {
+	host   peer.Host
+	offset platform.Offset
+}
+
+// Behind takes a peer's word that its state has the given offset. If the log
+// does not bring the follower there within hintGrace, it asks that peer. Behind
+// does not block.
 func (f *Follower) Behind(h peer.Host, offset platform.Offset) {
 	if offset <= f.Offset() {
 		return
 	}
 	select {
-	case f.hintQueue() <- h:
+	case f.hintQueue() <- hint{h, offset}:
 	default:
 	}
 }
@@ -125,8 +132,8 @@
 // maxHints bounds the hints that wait.
 const maxHints = 16
 
-func (f *Follower) hintQueue() chan peer.Host {
-	f.once.Do(func() { f.hints = make(chan peer.Host, maxHints) })
+func (f *Follower) hintQueue() chan hint {
+	f.once.Do(func() { f.hints = make(chan hint, maxHints) })
 	return f.hints
 }
 
@@ -200,7 +207,9 @@
 		case p := <-c.replies:
 			c.peerReply(p)
 		case h := <-f.hintQueue():
-			c.ask(ctx, &wg, h)
+			c.hint(h)
+		case <-c.hintDue:
+			c.followHint(ctx, &wg)
 		case ok := <-c.appended:
 			c.snapshotDone(ok)
 		case <-ticks:
