--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -9,6 +9,7 @@
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/platform"
+	"berylswitch.example/berylswitch/internal/queue"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/internal/workspace"
@@ -36,7 +37,8 @@
 		provideCrashes,
 		provideMetrics,
 		wire.Struct(new(workspace.Admission), "*"),
-		wire.Struct(new(workspace.Retries), "*"),
+		wire.Bind(new(workspace.Outlooks), new(*queue.Dispatcher)),
+		wire.Struct(new(workspace.Retries)),
 		wire.Struct(new(pipeline.Runner), "*"),
 		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "Claims", "Claimer", "Caller", "Peers", "Report", "Metrics"),
 	))
--- a/internal/queue/own.go
+++ b/internal/queue/own.go
@@ -15,6 +15,7 @@
 	b.enqueue(&ticket{ask: a, deliver: func(x decision) { answer <- x }}, d.Clock.Now())
 	select {
 	case x := <-answer:
+		d.hear(&a, x)
 		return d.granted(&a, x, ownBoard{b})
 	case <-ctx.Done():
 		b.complete(a.AttemptID, Outcome{Kind: Abandoned}, d.Clock.Now())
@@ -49,7 +50,9 @@
 		d.Done(&Grant{AttemptID: a.AttemptID, Ask: *a, from: from}, Outcome{Kind: Abandoned})
 		return nil, refuse(a, result.NoTarget, 0, "target %s is leaving", x.target)
 	}
-	return &Grant{AttemptID: a.AttemptID, Target: t, Ask: *a, At: d.Clock.Now(), from: from}, nil
+	g := &Grant{AttemptID: a.AttemptID, Target: t, Ask: *a, At: d.Clock.Now(), Expected: x.expects, Long: x.long, from: from}
+	d.note(g)
+	return g, nil
 }
 
 // ended is the error of an Ask whose context ended before its grant.
--- a/internal/queue/shared.go
+++ b/internal/queue/shared.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
@@ -27,8 +28,9 @@
 		d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		return nil, ended(ctx, &a)
 	}
-	d.heardWait(k, reply.Backlog)
-	x := decision{target: reply.Target, code: reply.Code, retry: reply.Retry, message: reply.Message}
+	d.heardWait(k, reply.Wait)
+	x := decision{target: reply.Target, wait: reply.Wait, over: reply.Over, expects: reply.Expected, long: reply.Long, code: reply.Code, retry: reply.Retry, message: reply.Message}
+	d.hear(&a, x)
 	if d.holderLags(&a, x) {
 		if x.target != "" {
 			d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
@@ -36,7 +38,6 @@
 		d.Stats.Fallbacks.Inc(1)
 		return d.acquireOwn(ctx, a)
 	}
-	l.hold(&a, k, x.target, d)
 	return d.granted(&a, x, heldShard{key: k, link: l})
 }
 
@@ -50,15 +51,30 @@
 	return x.code == result.NoTarget && len(without(d.Targets.Usable(a.Pool, a.Model), a.Exclude)) > 0
 }
 
-// hold records a grant of the holder, for the whole lists.
-func (l *holderLink) hold(a *Ask, k shardKey, target string, d *Dispatcher) {
-	if target == "" {
+// note records a running attempt for the lists that holders get.
+func (d *Dispatcher) note(g *Grant) {
+	if _, ok := d.Policy.(SharedQueue); !ok {
 		return
 	}
-	now := d.Clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.held[a.AttemptID] = heldGrant{shard: k, target: target, at: now, work: workKeyOf(a)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running == nil {
+		d.running = map[string]heldGrant{}
+	}
+	held := heldGrant{target: g.Target.Name, at: g.At, work: workKeyOf(&g.Ask)}
+	held.shard = shardKey{g.Target.Pool, shardOf(g.Target.Name, shardCount(len(d.Targets.Usable(g.Target.Pool, ""))))}
+	if from, ok := g.from.(heldShard); ok {
+		held.told = from.holder(d)
+	}
+	d.running[g.AttemptID] = held
+}
+
+// holder is the host that granted.
+func (s heldShard) holder(d *Dispatcher) peer.Host {
+	if s.link == nil {
+		return d.Exchange.Self
+	}
+	return s.link.host
 }
 
 // acquireHere waits at a board that this host holds itself.
@@ -67,6 +83,8 @@
 	b, answer := d.enqueueAt(args)
 	select {
 	case x := <-answer:
+		d.hear(&a, x)
+		d.heardWait(args.Shard, x.wait)
 		return d.granted(&a, x, heldShard{key: args.Shard})
 	case <-ctx.Done():
 		b.complete(a.AttemptID, Outcome{Kind: Abandoned}, d.Clock.Now())
@@ -83,6 +101,28 @@
 	d.send(from.link, Completion{Shard: from.key, AttemptID: g.AttemptID, Outcome: o})
 }
 
+// reportToHolder tells the present holder of a shard of the end of an attempt
+// that another one granted.
+func (d *Dispatcher) reportToHolder(g *Grant, o Outcome) {
+	d.mu.Lock()
+	held, ok := d.running[g.AttemptID]
+	delete(d.running, g.AttemptID)
+	d.mu.Unlock()
+	if !ok {
+		return
+	}
+	h := d.Exchange.Members().Holder(held.shard.holderKey())
+	from, isHeld := g.from.(heldShard)
+	switch {
+	case h.Name == d.Exchange.Self.Name:
+		if !isHeld || from.link != nil {
+			d.heldBoard(held.shard).complete(g.AttemptID, o, d.Clock.Now())
+		}
+	case !isHeld || from.link == nil || from.link.host != h:
+		d.send(d.link(h), Completion{Shard: held.shard, AttemptID: g.AttemptID, Outcome: o})
+	}
+}
+
 func (d *Dispatcher) grantArgs(a *Ask, k shardKey) *GrantArgs {
 	return &GrantArgs{
 		Host: d.Exchange.Self.Name, Shard: k, AttemptID: a.AttemptID, Workspace: a.Workspace, Share: a.Share,
