--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -33,8 +33,10 @@
 	switch {
 	case h.leaving.Load():
 		resp.WriteErrorString(http.StatusServiceUnavailable, "draining\n")
-	case h.Follower.State() == nil:
-		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration yet\n")
+	case h.Follower.Stale(h.Clock.Now()):
+		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration, or too old a one\n")
+	case !h.Targets.Ready():
+		resp.WriteErrorString(http.StatusServiceUnavailable, "no word on the targets yet\n")
 	default:
 		io.WriteString(resp, "ready\n")
 	}
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -10,9 +10,7 @@
 	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
-	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
-	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/internal/workspace"
@@ -24,16 +22,12 @@
 // New assembles a host from its settings.
 func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) (*Host, error) {
 	client := provideClient(s, n)
-	follower := &section.Follower{
-		Log:   client,
-		Clock: c,
-	}
-	caller := &peer.Caller{
-		Net: n,
-	}
+	caller := provideCaller(s, n)
+	follower := provideFollower(s, client, c, caller)
 	exchange := provideExchange(s, n, c, caller, client, follower)
 	registry := provideRegistry(s, c, client, exchange, caller)
-	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller)
+	metricsRegistry := provideMetrics()
+	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller, metricsRegistry)
 	if err != nil {
 		return nil, err
 	}
@@ -57,12 +51,11 @@
 	admission := &workspace.Admission{
 		Clock: c,
 	}
-	server, err := providePeers(exchange, holder, registry, table, dispatcher)
+	server, err := providePeers(exchange, follower, holder, registry, table, dispatcher)
 	if err != nil {
 		return nil, err
 	}
 	recorder := provideReport(s, c)
-	metricsRegistry := provideMetrics()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
