--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -110,11 +110,12 @@
 	if err != nil {
 		return nil, withdrawn{err.Error()}
 	}
+	known := x.Targets.MayStart(ctx, a.grant.Target.Name)
 	a.sentAt = x.Clock.Now()
 	m.TimeLeft = x.req.Deadline.Sub(a.sentAt)
 	reason := ""
 	switch {
-	case !x.Targets.MayStart(a.grant.Target.Name, a.sentAt):
+	case !known:
 		reason = fmt.Sprintf("target %s is leaving, or may be", a.grant.Target.Name)
 	case m.TimeLeft <= 0:
 		reason = "the deadline has passed"
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -9,6 +9,7 @@
 package target
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -141,12 +142,21 @@
 }
 
 // MayStart reports whether a new run may be sent to the target of that name now.
-// After a pause of the host itself the set may be old: nothing is sent until the
-// host has heard of its targets again.
-func (r *Registry) MayStart(name string, now time.Time) bool {
-	return !r.paused(now) && r.Lookup(name) != nil
+// After a pause of the host itself the set may be old: MayStart then waits until
+// the host has heard of its targets again, at most until ctx ends.
+func (r *Registry) MayStart(ctx context.Context, name string) bool {
+	for r.Clock != nil && r.paused(r.Clock.Now()) {
+		if r.Clock.Sleep(ctx, pausePoll) != nil {
+			return false
+		}
+	}
+	return r.Lookup(name) != nil
 }
 
+// pausePoll is the time between two looks whether the host has heard of its
+// targets after a pause.
+const pausePoll = 10 * time.Millisecond
+
 // Usable returns the targets of pool that may get new work and, unless model
 // is empty, serve it, by name. The caller must not change the slice or the
 // targets.
