--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -77,7 +77,8 @@
 			out = append(out, lines[i])
 		}
 	case 3:
-		out = append(out, strings.Replace(lines[i], `"AttemptID":"a"`, `"AttemptID":"b"`, 1))
+		foreign := strings.Replace(lines[i], `"AttemptID":"a"`, `"AttemptID":"b"`, 1)
+		out = append(out, strings.Replace(foreign, `"Data":"p`, `"Data":"q`, 1))
 	case 4:
 		out = append(out, lines[i][:len(lines[i])/2])
 	case 5:
