Go to the next host when the holder is gone, and forget asks that were given up

Change: a completion of an unknown attempt is remembered, so that its ask is refused when it comes; completions wait for a holder that is down; whole lists go each second after doubt. An entry host asks the host that follows in rendezvous order, which grants only if the holder does not answer it either, and falls back to its own share after that; the own share learns from all attempts.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -18,6 +18,7 @@
 	siteFlag       = flag.String("site", "", "the site to run, or empty for all")
 	traceFlag      = flag.Duration("boards", 0, "print the held boards of the engines at this period")
 	failuresFlag   = flag.Bool("failures", false, "print the requests that were not answered on time")
+	boardFlag      = flag.String("board", "engine", "the pool whose boards are printed")
 	policyFlag     = flag.String("policy", "", "policies to run, comma-separated; empty means all")
 )
 
@@ -55,7 +56,7 @@
 func trace(r *Run, at time.Duration) {
 	for _, h := range r.hosts {
 		for _, b := range h.host.Dispatcher.Held() {
-			if b.Pool != r.Site.Engine {
+			if b.Pool != *boardFlag {
 				continue
 			}
 			fmt.Printf("%v %s waiting %d+%d typical %v:", at, h.host.Settings.Name, b.Short, b.Long, b.Typical)
@@ -95,7 +96,10 @@
 		}
 		t.Logf("%s at %s, seed %d, %d requests, %v", e.Load.Name, e.Site.Name, *seedFlag, len(requests), time.Since(start))
 		Table(os.Stdout, results)
-		CostTable(os.Stdout, results[len(results)-1])
+		last := results[len(results)-1]
+		CostTable(os.Stdout, last)
+		WorkspaceTable(os.Stdout, e.Site, last)
+		fmt.Printf("share on time by second: %.2f\n", last.Series)
 	}
 }
 
--- a/internal/experiment/experiments.go
+++ b/internal/experiment/experiments.go
@@ -27,7 +27,7 @@
 		{Target: "engine-10", Factor: 10, From: 12 * time.Second, To: 32 * time.Second},
 	}
 	var out []Experiment
-	for _, l := range []Load{crest, crest2, crest3, below, noLong, steady, slowed} {
+	for _, l := range append([]Load{crest, crest2, crest3, below, noLong, steady, slowed}, faults(crest)...) {
 		for _, s := range []*Site{SharedTable(), Forbund()} {
 			if l.Skew {
 				s.Skew()
@@ -37,3 +37,41 @@
 	}
 	return out
 }
+
+// faults returns the loads that add faults to the crest.
+func faults(crest Load) []Load {
+	with := func(name string, change func(*Load)) Load {
+		l := crest
+		l.Name = name
+		change(&l)
+		return l
+	}
+	return []Load{
+		with("holder-killed", func(l *Load) {
+			l.Events = []Event{{At: 14 * time.Second, Kind: KillHost, Pool: "engine"}}
+		}),
+		with("holder-frozen", func(l *Load) {
+			l.Events = []Event{{At: 13 * time.Second, Kind: FreezeHost, Pool: "engine"}, {At: 16 * time.Second, Kind: ThawHost, Pool: "engine"}}
+		}),
+		with("host-cut", func(l *Load) {
+			l.Events = []Event{{At: 13 * time.Second, Kind: CutHost, Host: "host-1"}, {At: 18 * time.Second, Kind: HealHost, Host: "host-1"}}
+		}),
+		with("hosts-parted", func(l *Load) {
+			l.Events = []Event{{At: 12 * time.Second, Kind: PartHosts}, {At: 20 * time.Second, Kind: JoinHosts}}
+		}),
+		with("flood", func(l *Load) {
+			l.Crest, l.Base, l.Skew = 0.6, 0.4, false
+			l.Flood, l.FloodFactor = "last", 20
+		}),
+		with("metastable", func(l *Load) {
+			l.Crest, l.Base, l.Repeat, l.End = 3, 0.5, 20, 40*time.Second
+			l.Slowdowns = []Slowdown{
+				{Target: "engine-04", Factor: 10, From: 10 * time.Second, To: 20 * time.Second},
+				{Target: "engine-10", Factor: 10, From: 10 * time.Second, To: 20 * time.Second},
+			}
+		}),
+		with("misjudged", func(l *Load) {
+			l.Crest, l.Base, l.Misjudged = 0.85, 0.85/3, 0.5
+		}),
+	}
+}
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -25,7 +25,8 @@
 	NoLong bool
 	// Slowdowns of targets.
 	Slowdowns []Slowdown
-	// Flood multiplies the arrivals of a workspace during the crest.
+	// Flood names a workspace, "last" for the last of the site, whose arrivals
+	// are FloodFactor times as many during the crest.
 	Flood       string
 	FloodFactor float64
 	// Misjudged is the share of long jobs whose size doesn't show.
@@ -63,6 +64,8 @@
 	ThawHost   EventKind = "Thaw"
 	CutHost    EventKind = "Cut" // from its peers only
 	HealHost   EventKind = "Heal"
+	PartHosts  EventKind = "Part" // every second host from the others
+	JoinHosts  EventKind = "Join"
 )
 
 // ramp is the time in which the rate swings.
@@ -199,8 +202,9 @@
 	}
 	r := rand.New(rand.NewPCG(l.Seed, 2))
 	extra := out
+	flooding := s.workspace(l.Flood)
 	for _, q := range out {
-		if s.Workspaces[q.Workspace].Name != l.Flood || q.At < l.CrestFrom || q.At > l.CrestTo {
+		if q.Workspace != flooding || q.At < l.CrestFrom || q.At > l.CrestTo {
 			continue
 		}
 		for range int(l.FloodFactor) - 1 {
@@ -215,6 +219,16 @@
 	return extra
 }
 
+// workspace is the number of the workspace of that name.
+func (s *Site) workspace(name string) int {
+	for i := range s.Workspaces {
+		if s.Workspaces[i].Name == name {
+			return i
+		}
+	}
+	return len(s.Workspaces) - 1
+}
+
 func (l *Load) drawShort(s *Site, r *rand.Rand) []time.Duration {
 	var out []time.Duration
 	for _, g := range s.Pipelines[0].Stages {
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -35,6 +35,31 @@
 	Extra       float64 // cost of extra attempts relative to the rest
 	Cost        []StageCost
 	ByWorkspace map[string]float64 // share on time
+	CrestBy     map[string]float64 // the same for arrivals at the crest
+	BaseBy      map[string]float64 // the same for arrivals before it
+	Series      []float64          // share on time by second of arrival
+}
+
+// Series is the share on time, by second of arrival.
+func Series(samples []Sample) []float64 {
+	var total, onTime []float64
+	for i := range samples {
+		if samples[i].Request == nil {
+			continue
+		}
+		s := int(samples[i].Request.At / time.Second)
+		for len(total) <= s {
+			total, onTime = append(total, 0), append(onTime, 0)
+		}
+		total[s]++
+		if samples[i].OnTime {
+			onTime[s]++
+		}
+	}
+	for s := range total {
+		onTime[s] /= max(total[s], 1)
+	}
+	return onTime
 }
 
 // StageCost is the time that targets spent on one stage of a pipeline.
@@ -45,7 +70,9 @@
 
 // Measure sums up the samples of one policy.
 func Measure(s *Site, l *Load, policy string, samples []Sample) *Result {
-	r := &Result{Policy: policy, ByWorkspace: map[string]float64{}}
+	r := &Result{Policy: policy, ByWorkspace: map[string]float64{}, Series: Series(samples)}
+	r.BaseBy = shares(s, samples, l.MeasureFrom, l.CrestFrom-ramp)
+	r.CrestBy = shares(s, samples, l.CrestFrom, l.CrestTo)
 	var short, fast []time.Duration
 	long, longOnTime := 0, 0
 	total := map[string]int{}
@@ -88,6 +115,26 @@
 	return r
 }
 
+// shares is the share on time of each workspace among the arrivals of a time.
+func shares(s *Site, samples []Sample, from, to time.Duration) map[string]float64 {
+	total, onTime := map[string]float64{}, map[string]float64{}
+	for i := range samples {
+		m := &samples[i]
+		if m.Request == nil || m.Request.At < from || m.Request.At > to {
+			continue
+		}
+		w := s.Workspaces[m.Request.Workspace].Name
+		total[w]++
+		if m.OnTime {
+			onTime[w]++
+		}
+	}
+	for w := range total {
+		onTime[w] /= total[w]
+	}
+	return onTime
+}
+
 func (r *Result) count(l *Load, m *Sample) {
 	crest := m.Request.At >= l.CrestFrom && m.Request.At <= l.CrestTo
 	r.Requests++
@@ -209,3 +256,12 @@
 	}
 	return fmt.Sprintf("%s %.1f%%", name, 100*least)
 }
+
+// WorkspaceTable writes the share on time of each workspace before and during
+// the crest.
+func WorkspaceTable(w io.Writer, s *Site, r *Result) {
+	fmt.Fprintln(w, "| workspace | on time before the crest | during |\n| --- | --- | --- |")
+	for _, x := range s.Workspaces {
+		fmt.Fprintf(w, "| %s | %.2f%% | %.2f%% |\n", x.Name, 100*r.BaseBy[x.Name], 100*r.CrestBy[x.Name])
+	}
+}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -233,6 +233,10 @@
 
 // happen makes e happen.
 func (r *Run) happen(e Event) {
+	if e.Kind == PartHosts || e.Kind == JoinHosts {
+		r.part(e.Kind == PartHosts)
+		return
+	}
 	h := r.find(e)
 	switch e.Kind {
 	case KillHost:
@@ -245,12 +249,8 @@
 		h.clock.Resume()
 	case CutHost, HealHost:
 		for _, o := range r.hosts {
-			if o != h && e.Kind == CutHost {
-				r.net.Cut(h.addr, o.addr)
-				r.net.Cut(o.addr, h.addr)
-			} else if o != h {
-				r.net.Heal(h.addr, o.addr)
-				r.net.Heal(o.addr, h.addr)
+			if o != h {
+				r.cut(h, o, e.Kind == CutHost)
 			}
 		}
 	default:
@@ -258,6 +258,27 @@
 	}
 }
 
+// part cuts or heals the links between every second host and the others.
+func (r *Run) part(cut bool) {
+	for i, h := range r.hosts {
+		for j, o := range r.hosts {
+			if i%2 == 0 && j%2 == 1 {
+				r.cut(h, o, cut)
+			}
+		}
+	}
+}
+
+// cut cuts or heals both directions between two hosts.
+func (r *Run) cut(a, b *runHost, cut bool) {
+	set := r.net.Heal
+	if cut {
+		set = r.net.Cut
+	}
+	set(a.addr, b.addr)
+	set(b.addr, a.addr)
+}
+
 // find returns the host that e happens to.
 func (r *Run) find(e Event) *runHost {
 	name := e.Host
@@ -289,6 +310,9 @@
 	start := time.Now()
 	m := Sample{Request: q}
 	at := q.Host
+	for r.hosts[at].killed {
+		at = (at + 1) % len(r.hosts) // the balancer knows
+	}
 	for try := 0; ; try++ {
 		a, err := r.post(ctx, q, c, at)
 		m.Took = time.Since(start)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,6 +47,21 @@
 	return m.Hosts[best]
 }
 
+// Without returns the members but for the host of that name. Without other
+// hosts it returns m.
+func (m *Members) Without(name string) *Members {
+	out := &Members{}
+	for _, h := range m.Hosts {
+		if h.Name != name {
+			out.Hosts = append(out.Hosts, h)
+		}
+	}
+	if len(out.Hosts) == 0 {
+		return m
+	}
+	return out
+}
+
 func weight(host, key string) uint64 {
 	d := xxhash.New()
 	d.WriteString(host)
--- a/internal/queue/board.go
+++ b/internal/queue/board.go
@@ -8,12 +8,15 @@
 
 	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // Parameters of a board.
 const (
 	// maxWaiting bounds the tickets of one class on a board.
 	maxWaiting = 4096
+	// maxEnded bounds the attempts that are remembered as given up.
+	maxEnded = 4096
 	// longFactor is how many times the typical work of the pool makes a ticket
 	// long.
 	longFactor = 8
@@ -73,12 +76,14 @@
 	followed time.Time
 	short    []*ticket
 	long     []*ticket
+	ended    *lru.Cache[string, bool] // attempts given up, perhaps before they were asked for
 	work     predictor
 	shares   shares
 }
 
 func newBoard(pool string) *board {
-	return &board{pool: pool, byName: map[string]*slotState{}, leases: map[string]*lease{}}
+	ended, _ := lru.New[string, bool](maxEnded) // fails only for a size below one
+	return &board{pool: pool, byName: map[string]*slotState{}, leases: map[string]*lease{}, ended: ended}
 }
 
 // slotCount is how many slots of a target a board may grant.
@@ -109,6 +114,10 @@
 func (b *board) enqueue(t *ticket, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.ended.Contains(t.ask.AttemptID) {
+		t.deliver(decision{code: result.Overloaded, message: "given up"})
+		return
+	}
 	t.since = now
 	t.key = workKeyOf(&t.ask)
 	t.work = math.Exp(b.work.estimate(t.key).mean)
@@ -419,6 +428,8 @@
 		b.free(l)
 		b.learn(l, o)
 	} else {
+		// The ask may still be under way, on a link that was cut.
+		b.ended.Add(id, true)
 		b.short = dropTicket(b.short, id)
 		b.long = dropTicket(b.long, id)
 	}
@@ -439,8 +450,21 @@
 	case Abandoned:
 		return
 	}
-	took := o.Took.Seconds()
 	l.target.failed = 0
+	b.observe(l, o.Took.Seconds())
+}
+
+// witness learns from an attempt that another board granted.
+func (b *board) witness(target string, k workKey, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.byName[target]; s != nil {
+		b.observe(&lease{key: k, target: s, work: math.Exp(b.work.estimate(k).mean)}, took.Seconds())
+	}
+}
+
+// observe takes in the time of a whole attempt.
+func (b *board) observe(l *lease, took float64) {
 	if b.work.estimate(l.key).known() && !l.misjudged {
 		l.target.observe(l.work, took)
 	}
--- a/internal/queue/holder.go
+++ b/internal/queue/holder.go
@@ -29,6 +29,8 @@
 	Prefix      string
 	Exclude     []string
 	First       bool
+	// Second says that the holder did not answer the sender.
+	Second bool
 	// Done are completions that ride along.
 	Done []Completion
 }
@@ -45,6 +47,8 @@
 	// workspace is beyond its share.
 	Wait time.Duration
 	Over bool
+	// NotHolder says that the receiver can reach the holder.
+	NotHolder bool
 }
 
 // Completion gives a slot back.
@@ -96,6 +100,10 @@
 func (s *Service) Grant(args *GrantArgs, reply *GrantReply) error {
 	s.d.holder.hear(args.Host, s.d.Clock.Now())
 	s.d.finish(args.Host, args.Done)
+	if args.Second && !s.d.mayHold(args.Shard) {
+		reply.NotHolder = true
+		return nil
+	}
 	*reply = s.d.grantAt(args)
 	return nil
 }
--- a/internal/queue/links.go
+++ b/internal/queue/links.go
@@ -23,6 +23,16 @@
 	// returnPeriod is how often a holder that is down is probed.
 	returnPeriod = 500 * time.Millisecond
 	reportLimit  = 2 * time.Second
+	// An answer within freshTime says that a host can be reached; else it is asked
+	// and has pingTimeout to answer.
+	freshTime   = 200 * time.Millisecond
+	pingTimeout = 150 * time.Millisecond
+	// maxOutbox bounds the completions that wait for a holder.
+	maxOutbox = 4096
+	// doubtTime is how long, after a holder was down or an ask was given up, the
+	// whole list goes each renewPeriod: asks that were on their way may still be
+	// granted.
+	doubtTime = 4 * time.Second
 )
 
 // errHolderDown says that the holder of a shard does not answer.
@@ -48,6 +58,7 @@
 	probing  bool
 	down     chan struct{} // closed while the holder is down
 	isDown   bool
+	doubted  time.Time // the end of doubtTime
 }
 
 // heldGrant is a running attempt of this host, whoever granted it.
@@ -137,6 +148,8 @@
 		due = now.Sub(l.renewed) >= returnPeriod
 	case l.pending > 0 && now.Sub(l.heard) >= silenceLimit:
 		due = true
+	case now.Before(l.doubted):
+		due = now.Sub(l.renewed) >= renewPeriod
 	default:
 		silent := now.Sub(l.spoke) >= renewPeriod && now.Sub(l.renewed) >= renewPeriod
 		due = list.untold || (len(list.held) > 0 && (silent || now.Sub(l.renewed) >= wholePeriod))
@@ -165,6 +178,26 @@
 	}
 	d.tell(l.host, list)
 	l.hear(d.Clock.Now(), now)
+	d.flushLater(l)
+}
+
+// reachable reports whether the host of l answers now.
+func (d *Dispatcher) reachable(l *holderLink) bool {
+	now := d.Clock.Now()
+	l.mu.Lock()
+	down, spoke := l.isDown, l.spoke
+	l.mu.Unlock()
+	if down || now.Sub(spoke) < freshTime {
+		return !down
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	if d.Caller.Call(ctx, l.host.Addr, serviceName+".Report", &ReportArgs{Host: d.Exchange.Self.Name}, &ReportReply{}) != nil {
+		l.fail()
+		return false
+	}
+	l.hear(d.Clock.Now(), now)
+	return true
 }
 
 // tell notes that h knows of a list.
@@ -200,6 +233,17 @@
 	if l.isDown {
 		l.isDown = false
 		l.down = make(chan struct{})
+		l.doubted = now.Add(doubtTime)
+	}
+}
+
+// flushLater sends what waits for a holder that is up again.
+func (d *Dispatcher) flushLater(l *holderLink) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.outbox) > 0 && !l.flushing {
+		l.flushing = true
+		go d.flush(l)
 	}
 }
 
@@ -245,6 +289,7 @@
 	select {
 	case err = <-answer:
 	case <-down:
+		d.send(l, Completion{Shard: args.Shard, AttemptID: args.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		return nil, errHolderDown
 	}
 	if ctx.Err() != nil {
@@ -262,11 +307,10 @@
 func (d *Dispatcher) send(l *holderLink, c Completion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.isDown {
-		return // the next whole list says the same
+	if len(l.outbox) < maxOutbox { // the next whole list says the same
+		l.outbox = append(l.outbox, c)
 	}
-	l.outbox = append(l.outbox, c)
-	if !l.flushing {
+	if !l.flushing && !l.isDown {
 		l.flushing = true
 		go d.flush(l)
 	}
--- a/internal/queue/own.go
+++ b/internal/queue/own.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
@@ -23,20 +25,31 @@
 	}
 }
 
+// ownedBoard is a host's own board and from what its slots were worked out.
+type ownedBoard struct {
+	*board
+	built   []*declaration.Target
+	members *peer.Members
+}
+
 // ownBoard returns this host's board of pool with its present share.
 func (d *Dispatcher) ownBoard(pool string) *board {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.own == nil {
-		d.own = map[string]*board{}
+		d.own = map[string]*ownedBoard{}
 	}
 	b := d.own[pool]
 	if b == nil {
-		b = newBoard(pool)
+		b = &ownedBoard{board: newBoard(pool)}
 		d.own[pool] = b
 	}
-	b.update(ownSlots(d.Targets.Usable(pool, ""), d.Exchange.Members(), d.Exchange.Self.Name))
-	return b
+	usable, members := d.Targets.Usable(pool, ""), d.Exchange.Members()
+	if b.members != members || !sameList(b.built, usable) {
+		b.built, b.members = usable, members
+		b.update(ownSlots(usable, members, d.Exchange.Self.Name))
+	}
+	return b.board
 }
 
 // granted turns a decision into a grant or an error. A target that is no
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -115,7 +115,7 @@
 
 	mu     sync.Mutex
 	counts counts
-	own    map[string]*board
+	own    map[string]*ownedBoard
 	// outlooks are the queues' last words.
 	outlooks *lru.Cache[outlookKey, heardOutlook]
 	// running are this host's attempts, under SharedQueue.
@@ -149,6 +149,10 @@
 		from.board.complete(g.AttemptID, o, d.Clock.Now())
 	case heldShard:
 		d.report(from, g, o)
+		if o.Kind == Succeeded {
+			// The own share is the fallback, so it learns too.
+			d.ownBoard(g.Ask.Pool).witness(g.Target.Name, workKeyOf(&g.Ask), o.Took)
+		}
 	default:
 		panic("queue: unexpected source of a grant")
 	}
@@ -195,7 +199,7 @@
 	d.mu.Lock()
 	boards := make([]*board, 0, len(d.own))
 	for _, b := range d.own {
-		boards = append(boards, b)
+		boards = append(boards, b.board)
 	}
 	d.mu.Unlock()
 	for _, b := range boards {
--- a/internal/queue/shared.go
+++ b/internal/queue/shared.go
@@ -21,9 +21,44 @@
 	l := d.link(h)
 	reply, err := d.grant(ctx, l, args)
 	if errors.Is(err, errHolderDown) {
+		return d.acquireSecond(ctx, a, args, h)
+	}
+	return d.takeReply(ctx, a, k, l, reply, err)
+}
+
+// acquireSecond asks the host that would hold the shard without the holder,
+// which does not answer. That host grants only if the holder does not answer it
+// either; else this host falls back to its own share.
+func (d *Dispatcher) acquireSecond(ctx context.Context, a Ask, args *GrantArgs, holder peer.Host) (*Grant, error) {
+	second := d.Exchange.Members().Without(holder.Name).Holder(args.Shard.holderKey())
+	args.Second, args.TimeLeft = true, a.Deadline.Sub(d.Clock.Now())
+	if second.Name == d.Exchange.Self.Name {
+		return d.acquireHere(ctx, a, args)
+	}
+	l := d.link(second)
+	reply, err := (*GrantReply)(nil), errHolderDown
+	if d.reachable(l) {
+		reply, err = d.grant(ctx, l, args)
+	}
+	if errors.Is(err, errHolderDown) || (err == nil && reply.NotHolder) {
 		d.Stats.Fallbacks.Inc(1)
 		return d.acquireOwn(ctx, a)
 	}
+	return d.takeReply(ctx, a, args.Shard, l, reply, err)
+}
+
+// mayHold reports whether this host may grant for a shard whose holder an entry
+// host could not reach.
+func (d *Dispatcher) mayHold(k shardKey) bool {
+	h := d.Exchange.Members().Holder(k.holderKey())
+	if h.Name == d.Exchange.Self.Name {
+		return true
+	}
+	return !d.reachable(d.link(h))
+}
+
+// takeReply turns a holder's reply into a grant or an error.
+func (d *Dispatcher) takeReply(ctx context.Context, a Ask, k shardKey, l *holderLink, reply *GrantReply, err error) (*Grant, error) {
 	if err != nil {
 		d.send(l, Completion{Shard: k, AttemptID: a.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		return nil, ended(ctx, &a)
--- a/internal/queue/shared_test.go
+++ b/internal/queue/shared_test.go
@@ -57,19 +57,23 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			s := &sharedScript{t: t, ctx: ctx, nodes: map[string]*queueNode{}, running: map[string]*Grant{}}
 			s.net.Delay = 500 * time.Microsecond
+			defer s.stop(cancel)
 			datadriven.RunTest(t, path, s.command)
-			cancel()
-			for _, n := range s.nodes {
-				n.clock.Resume()
-				n.end()
-				n.peers.Close()
-				n.Caller.Close()
-				s.net.Kill(n.addr)
-			}
 		})
 	})
 }
 
+func (s *sharedScript) stop(cancel func()) {
+	cancel()
+	for _, n := range s.nodes {
+		n.clock.Resume()
+		n.end()
+		n.peers.Close()
+		n.Caller.Close()
+		s.net.Kill(n.addr)
+	}
+}
+
 func (s *sharedScript) command(t *testing.T, d *datadriven.TestData) string {
 	name := ""
 	if len(d.CmdArgs) > 0 {
@@ -200,12 +204,21 @@
 	}
 	s.running[id] = g
 	from := "own share"
-	if _, ok := g.from.(heldShard); ok {
-		from = "holder"
+	if held, ok := g.from.(heldShard); ok {
+		from = s.nameOf(held.holder(n.Dispatcher).Addr.Addr())
 	}
 	s.news = append(s.news, fmt.Sprintf("%s: by %s", id, from))
 }
 
+func (s *sharedScript) nameOf(addr netip.Addr) string {
+	for name, n := range s.nodes {
+		if n.addr == addr {
+			return name
+		}
+	}
+	return "?"
+}
+
 func (s *sharedScript) done(n *queueNode, id string) {
 	s.mu.Lock()
 	g := s.running[id]
