--- a/internal/host/admit.go
+++ b/internal/host/admit.go
@@ -23,8 +23,8 @@
 // *result.Error that says so.
 func (h *Host) admit(rest *restful.Request, resp *restful.Response, id string, start time.Time) (*pipeline.Request, error) {
 	state := h.Follower.State()
-	if state == nil {
-		return nil, result.NotRun(result.ConfigStale, "no configuration yet")
+	if h.Follower.Stale(start) {
+		return nil, result.NotRun(result.ConfigStale, "no configuration, or no contact to log or peers")
 	}
 	w := state.View.Workspaces[rest.PathParameter("workspace")]
 	if w == nil || !authorized(w, rest.Request.Header.Get("Authorization")) {
@@ -38,7 +38,7 @@
 	if err := readHeaders(rest.Request, req, start); err != nil {
 		return nil, err
 	}
-	body, err := readBody(resp.ResponseWriter, rest.Request, start)
+	body, err := readBody(resp.ResponseWriter, rest.Request)
 	if err != nil {
 		return nil, err
 	}
@@ -73,8 +73,8 @@
 		}
 		deadline = d
 	}
-	if deadline <= 0 || deadline > maxDeadline {
-		return badHeader(caller.DeadlineHeader, "%v is not between 0 and %v", deadline, maxDeadline)
+	if deadline <= 0 || deadline > declaration.MaxDeadline {
+		return badHeader(caller.DeadlineHeader, "%v is not between 0 and %v", deadline, declaration.MaxDeadline)
 	}
 	req.Deadline = start.Add(deadline)
 	if err := readPriority(r, req); err != nil {
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -9,7 +9,6 @@
 
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/pkg/caller"
-	"berylswitch.example/berylswitch/pkg/result"
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -34,8 +33,10 @@
 	switch {
 	case h.leaving.Load():
 		resp.WriteErrorString(http.StatusServiceUnavailable, "draining\n")
-	case h.Follower.State() == nil:
-		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration yet\n")
+	case h.Follower.Stale(h.Clock.Now()):
+		resp.WriteErrorString(http.StatusServiceUnavailable, "no configuration, or too old a one\n")
+	case !h.Targets.Ready():
+		resp.WriteErrorString(http.StatusServiceUnavailable, "no word on the targets yet\n")
 	default:
 		io.WriteString(resp, "ready\n")
 	}
@@ -51,6 +52,7 @@
 	start := h.Clock.Now()
 	id := uuid.NewString()
 	resp.AddHeader(caller.RequestHeader, id)
+	limitBodyTime(resp.ResponseWriter, start)
 	out := newReply(h.Clock, rest.Request, resp.ResponseWriter)
 	a := h.answer(rest, resp, out, id)
 	if a.RequestID == "" || !a.Repeated {
@@ -68,11 +70,9 @@
 // answer runs one request between the gate and its answer. The answer is
 // written before the request leaves the gate.
 func (h *Host) answer(rest *restful.Request, resp *restful.Response, out *reply, id string) *caller.Answer {
-	leave, ok := h.gate.enter(id)
-	if !ok {
-		e := result.NotRun(result.Draining, "the host is shutting down")
-		e.RetryAfter = drainRetryAfter
-		return pipeline.Answer(nil, "", e)
+	leave, err := h.gate.enter(id)
+	if err != nil {
+		return pipeline.Answer(nil, "", err)
 	}
 	out.onEnd = leave
 	req, err := h.admit(rest, resp, id, h.Clock.Now())
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -9,7 +9,7 @@
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/platform"
-	"berylswitch.example/berylswitch/internal/section"
+	"berylswitch.example/berylswitch/internal/queue"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/internal/workspace"
@@ -31,13 +31,14 @@
 		wire.Bind(new(claim.Members), new(*peer.Exchange)),
 		target.NewClient,
 		wire.Bind(new(platform.Log), new(*platform.Client)),
-		wire.Struct(new(section.Follower), "Log", "Clock"),
-		wire.Struct(new(peer.Caller), "Net"),
+		provideCaller,
+		provideFollower,
 		provideRegistry,
 		provideCrashes,
 		provideMetrics,
 		wire.Struct(new(workspace.Admission), "*"),
-		wire.Struct(new(workspace.Retries), "*"),
+		wire.Bind(new(workspace.Outlooks), new(*queue.Dispatcher)),
+		wire.Struct(new(workspace.Retries)),
 		wire.Struct(new(pipeline.Runner), "*"),
 		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "Claims", "Claimer", "Caller", "Peers", "Report", "Metrics"),
 	))
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -10,9 +10,7 @@
 	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
-	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
-	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/internal/workspace"
@@ -24,23 +22,17 @@
 // New assembles a host from its settings.
 func New(s *settings.Settings, n link.Network, c *clock.Service, log *zap.Logger) (*Host, error) {
 	client := provideClient(s, n)
-	follower := &section.Follower{
-		Log:   client,
-		Clock: c,
-	}
-	caller := &peer.Caller{
-		Net: n,
-	}
+	caller := provideCaller(s, n)
+	follower := provideFollower(s, client, c, caller)
 	exchange := provideExchange(s, n, c, caller, client, follower)
 	registry := provideRegistry(s, c, client, exchange, caller)
-	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller)
+	metricsRegistry := provideMetrics()
+	dispatcher, err := provideDispatcher(s, c, registry, exchange, caller, metricsRegistry)
 	if err != nil {
 		return nil, err
 	}
 	targetClient := target.NewClient(n)
-	retries := &workspace.Retries{
-		Clock: c,
-	}
+	retries := &workspace.Retries{}
 	holder := provideHolder(s, c, client, exchange)
 	claimClient := claim.NewClient(c, exchange, caller, holder)
 	table := provideCrashes(s, c, exchange, caller)
@@ -55,14 +47,14 @@
 		Log:        log,
 	}
 	admission := &workspace.Admission{
-		Clock: c,
+		Clock:  c,
+		Queues: dispatcher,
 	}
-	server, err := providePeers(exchange, holder, registry, table, dispatcher)
+	server, err := providePeers(exchange, follower, holder, registry, table, dispatcher)
 	if err != nil {
 		return nil, err
 	}
 	recorder := provideReport(s, c)
-	metricsRegistry := provideMetrics()
 	host := &Host{
 		Settings:   s,
 		Net:        n,
--- a/internal/order/world_test.go
+++ b/internal/order/world_test.go
@@ -138,6 +138,7 @@
 	if h.alive {
 		return
 	}
+	h.w.net.Revive(h.addr)
 	network := h.w.net.Process(h.addr)
 	// The listener starts the next life of a killed process on the network.
 	listener, err := network.Listen(netip.AddrPortFrom(h.addr, 81))
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,6 +24,8 @@
 	// sentAt and firstPiece are zero until the send began and a piece came.
 	sentAt     time.Time
 	firstPiece time.Duration
+	// extra says that the stage had an attempt before.
+	extra bool
 	// err is nil when the whole answer came, else a *target.Broken, a
 	// *target.Failure, a withdrawn, a diverged or a callerGone.
 	err error
@@ -51,15 +54,29 @@
 	if a.err != nil && st.repeatable && !isNotSent(a.err) {
 		x.Client.Cancel(g.Target, g.AttemptID)
 	}
-	x.Dispatcher.Done(g, a.outcome(x.Clock.Now()))
+	o := a.outcome(x.Clock.Now())
+	x.Dispatcher.Done(g, o)
+	if a.err == nil {
+		x.Retries.Earn(x.req.Workspace.Name, o.Took)
+	}
+	st.close(a)
 	return a
 }
 
+// close notes that a has ended.
+func (st *stageRun) close(a *attempt) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.open = slices.DeleteFunc(st.open, func(o *attempt) bool { return o == a })
+}
+
 // note counts a and keeps its target from further attempts of st.
 func (st *stageRun) note(a *attempt) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	name := a.grant.Target.Name
+	a.extra = st.report.Attempts > 0
+	st.open = append(st.open, a)
 	st.report.Attempts++
 	st.report.Target = name
 	st.exclude = append(st.exclude[:len(st.exclude):len(st.exclude)], name)
@@ -81,7 +98,7 @@
 	a.err = x.Client.Run(ctx, &target.Attempt{
 		Target: a.grant.Target,
 		Run:    m,
-		OnSend: func() { x.sent.Store(true) },
+		OnSend: func() { x.begin(st) },
 		Each:   func(p contract.Piece) error { return x.take(st, a, p) },
 	})
 	st.finish(a, x.Clock.Since(a.sentAt))
@@ -94,6 +111,14 @@
 		zap.String("Stage", st.stage.Name), zap.String("Target", a.grant.Target.Name), zap.Error(a.err))
 }
 
+// begin marks that a byte of st may reach a target from now on.
+func (x *execution) begin(st *stageRun) {
+	x.sent.Store(true)
+	if !st.repeatable {
+		x.spent.Store(true)
+	}
+}
+
 // mayStart checks, directly before the send, what may have changed while the
 // attempt waited for its grant. The permit is for Crashes.End.
 func (x *execution) mayStart(ctx context.Context, st *stageRun, a *attempt, m *contract.Run) (*crash.Permit, error) {
@@ -102,15 +127,16 @@
 	if err != nil {
 		return nil, withdrawn{err.Error()}
 	}
+	known := x.Targets.MayStart(ctx, a.grant.Target.Name)
 	a.sentAt = x.Clock.Now()
 	m.TimeLeft = x.req.Deadline.Sub(a.sentAt)
 	reason := ""
 	switch {
-	case !x.Targets.MayStart(a.grant.Target.Name, a.sentAt):
+	case !known:
 		reason = fmt.Sprintf("target %s is leaving, or may be", a.grant.Target.Name)
 	case m.TimeLeft <= 0:
 		reason = "the deadline has passed"
-	case x.claim != nil && !x.sent.Load() && !x.claim.Valid(a.sentAt):
+	case x.claim != nil && !x.spent.Load() && !x.claim.Valid(a.sentAt):
 		reason = "the claim is no longer valid"
 	default:
 		return permit, nil
@@ -128,7 +154,7 @@
 	a.data.WriteString(p.Data)
 	a.next = p.Seq + 1
 	if p.End {
-		st.addCost(p)
+		st.addCost(a, p)
 	}
 	if st.last {
 		return x.emitter.offer(pos, p.Data)
@@ -136,11 +162,11 @@
 	return nil
 }
 
-func (st *stageRun) addCost(p contract.Piece) {
+func (st *stageRun) addCost(a *attempt, p contract.Piece) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.report.Cost += p.Cost
-	if st.report.Attempts > 1 {
+	if a.extra {
 		st.report.Extra += p.Cost
 	}
 	st.report.PromptTokens += p.PromptTokens
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,8 @@
 
 	// sent is set before the first byte of any attempt may reach a target.
 	sent atomic.Bool
+	// spent is set before the first byte of a stage that may not be repeated.
+	spent atomic.Bool
 }
 
 // run executes the stages in order and returns the output of the last. Its
@@ -58,8 +61,10 @@
 	exclude []string
 	report  caller.StageReport
 
-	// mu guards report while attempts run beside each other.
+	// mu guards report, exclude and open while attempts run beside each other.
 	mu sync.Mutex
+	// open are the attempts that have not ended.
+	open []*attempt
 }
 
 func (x *execution) newStage(i int, previous string) *stageRun {
@@ -77,15 +82,14 @@
 // stage makes attempts until one succeeds or none may follow.
 func (x *execution) stage(ctx context.Context, i int, previous string) (string, error) {
 	st := x.newStage(i, previous)
-	defer func() { x.reports = append(x.reports, st.report) }()
-	x.Retries.Earn(x.req.Workspace.Name)
+	defer func() { x.reports = append(x.reports, st.summary()) }()
 	var failed error
 	for {
 		g, err := x.acquire(ctx, st)
 		if err != nil {
-			return "", x.noGrant(err, failed)
+			return "", x.noGrant(ctx, err, failed)
 		}
-		a := x.attempt(ctx, st, g)
+		a := x.hedged(ctx, st, g)
 		if a.err == nil {
 			return a.text(), nil
 		}
@@ -104,21 +108,32 @@
 func (x *execution) acquire(ctx context.Context, st *stageRun) (*queue.Grant, error) {
 	start := x.Clock.Now()
 	g, err := x.Dispatcher.Acquire(ctx, x.ask(st))
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	st.report.Queued += x.Clock.Since(start)
 	return g, err
 }
 
+// summary returns the report so far; an attempt that lost may still be ending.
+func (st *stageRun) summary() caller.StageReport {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.report
+}
+
 // noGrant is the result of a stage for which no slot was granted. After a
 // failed attempt that attempt is the reason.
-func (x *execution) noGrant(err, failed error) error {
-	if failed != nil {
-		return failed
-	}
+func (x *execution) noGrant(ctx context.Context, err, failed error) error {
 	e := result.From(err)
-	if x.sent.Load() && e.Ran == result.RanNo {
-		return result.Failed(result.StageFailed, "%s", e.Message)
+	switch {
+	case failed != nil:
+		return failed
+	case !x.sent.Load() || e.Ran != result.RanNo && e.Code != result.StageFailed:
+		return e
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.Failed(result.DeadlineExceeded, "%s", e.Message)
 	}
-	return e
+	return result.Failed(result.StageFailed, "%s", e.Message)
 }
 
 // emitter hands the text of the last stage to the caller, in order and once,
--- a/internal/queue/links.go
+++ b/internal/queue/links.go
@@ -15,11 +15,24 @@
 	// pending, before it is probed; probeTimeout bounds the probe.
 	silenceLimit = 250 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
-	// renewPeriod is how often a holder hears of all slots held from it.
+	// renewPeriod is the time without a message after which a holder hears of the
+	// slots held from it; any message renews them. wholePeriod is how often it
+	// hears of all of them even so, to make good what was lost.
 	renewPeriod = time.Second
+	wholePeriod = 30 * time.Second
 	// returnPeriod is how often a holder that is down is probed.
 	returnPeriod = 500 * time.Millisecond
 	reportLimit  = 2 * time.Second
+	// An answer within freshTime says that a host can be reached; else it is asked
+	// and has pingTimeout to answer.
+	freshTime   = 200 * time.Millisecond
+	pingTimeout = 150 * time.Millisecond
+	// maxOutbox bounds the completions that wait for a holder.
+	maxOutbox = 4096
+	// doubtTime is how long, after a holder was down or an ask was given up, the
+	// whole list goes each renewPeriod: asks that were on their way may still be
+	// granted.
+	doubtTime = 4 * time.Second
 )
 
 // errHolderDown says that the holder of a shard does not answer.
@@ -39,19 +52,29 @@
 	outbox   []Completion
 	flushing bool
 	pending  int // grants asked for
-	held     map[string]heldGrant
 	heard    time.Time
+	spoke    time.Time // the send of the last message that was answered
 	renewed  time.Time
 	probing  bool
 	down     chan struct{} // closed while the holder is down
 	isDown   bool
+	doubted  time.Time // the end of doubtTime
 }
 
+// heldGrant is a running attempt of this host, whoever granted it.
 type heldGrant struct {
 	shard  shardKey
 	target string
 	at     time.Time
 	work   workKey
+	told   peer.Host // the holder that knows of it
+}
+
+// heldList are the attempts that run at targets of one holder's shards; untold
+// says that the holder may not know of all of them.
+type heldList struct {
+	held   []HeldSlot
+	untold bool
 }
 
 // link returns the link to a holder, a new one for each incarnation.
@@ -62,30 +85,58 @@
 		d.links.byName = map[string]*holderLink{}
 	}
 	l := d.links.byName[h.Name]
-	if l == nil || l.host.Addr != h.Addr {
-		l = &holderLink{host: h, held: map[string]heldGrant{}, down: make(chan struct{}), heard: d.Clock.Now()}
+	if l == nil || l.host != h {
+		l = &holderLink{host: h, down: make(chan struct{}), heard: d.Clock.Now()}
 		d.links.byName[h.Name] = l
 	}
 	return l
 }
 
-// tickLinks probes silent holders and renews what is held from them.
+// tickLinks probes silent holders and tells each holder what is held from its
+// shards, so that a new holder learns what an earlier one granted.
 func (d *Dispatcher) tickLinks(ctx context.Context, now time.Time) {
+	lists := d.heldByHolder(now)
 	d.links.mu.Lock()
 	var due []*holderLink
 	for _, l := range d.links.byName {
-		if l.probeDue(now) {
+		if l.probeDue(lists[l.host], now) {
 			due = append(due, l)
 		}
 	}
 	d.links.mu.Unlock()
 	for _, l := range due {
-		go d.probe(ctx, l)
+		go d.probe(ctx, l, lists[l.host])
+	}
+}
+
+// heldByHolder lists the running attempts by the present holder of their
+// shards, and makes sure that there is a link to each.
+func (d *Dispatcher) heldByHolder(now time.Time) map[peer.Host]heldList {
+	members := d.Exchange.Members()
+	lists := map[peer.Host]heldList{}
+	d.mu.Lock()
+	for id, g := range d.running {
+		h := members.Holder(g.shard.holderKey())
+		list := lists[h]
+		list.untold = list.untold || g.told != h
+		list.held = append(list.held, HeldSlot{Shard: g.shard, AttemptID: id, Target: g.target, Age: now.Sub(g.at), Work: g.work})
+		lists[h] = list
+	}
+	d.mu.Unlock()
+	for h, list := range lists {
+		switch {
+		case h.Name != d.Exchange.Self.Name:
+			d.link(h)
+		case list.untold:
+			d.renew(&ReportArgs{Held: list.held})
+			d.tell(h, list)
+		}
 	}
+	return lists
 }
 
 // probeDue reports whether l is to be probed now, and notes that it is.
-func (l *holderLink) probeDue(now time.Time) bool {
+func (l *holderLink) probeDue(list heldList, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.probing {
@@ -97,8 +148,11 @@
 		due = now.Sub(l.renewed) >= returnPeriod
 	case l.pending > 0 && now.Sub(l.heard) >= silenceLimit:
 		due = true
+	case now.Before(l.doubted):
+		due = now.Sub(l.renewed) >= renewPeriod
 	default:
-		due = len(l.held) > 0 && now.Sub(l.renewed) >= renewPeriod
+		silent := now.Sub(l.spoke) >= renewPeriod && now.Sub(l.renewed) >= renewPeriod
+		due = list.untold || (len(list.held) > 0 && (silent || now.Sub(l.renewed) >= wholePeriod))
 	}
 	if due {
 		l.probing = true
@@ -108,9 +162,10 @@
 }
 
 // probe sends the whole list of held slots and judges the holder by the answer.
-func (d *Dispatcher) probe(ctx context.Context, l *holderLink) {
+func (d *Dispatcher) probe(ctx context.Context, l *holderLink, list heldList) {
 	now := d.Clock.Now()
-	args := &ReportArgs{Host: d.Exchange.Self.Name, Whole: true, Held: l.list(now)}
+	d.Stats.Lists.Inc(1)
+	args := &ReportArgs{Host: d.Exchange.Self.Name, Whole: true, Held: list.held}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	err := d.Caller.Call(ctx, l.host.Addr, serviceName+".Report", args, &ReportReply{})
@@ -121,17 +176,40 @@
 		l.fail()
 		return
 	}
-	l.hear(d.Clock.Now())
+	d.tell(l.host, list)
+	l.hear(d.Clock.Now(), now)
+	d.flushLater(l)
 }
 
-func (l *holderLink) list(now time.Time) []HeldSlot {
+// reachable reports whether the host of l answers now.
+func (d *Dispatcher) reachable(l *holderLink) bool {
+	now := d.Clock.Now()
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	held := make([]HeldSlot, 0, len(l.held))
-	for id, g := range l.held {
-		held = append(held, HeldSlot{Shard: g.shard, AttemptID: id, Target: g.target, Age: now.Sub(g.at), Work: g.work})
+	down, spoke := l.isDown, l.spoke
+	l.mu.Unlock()
+	if down || now.Sub(spoke) < freshTime {
+		return !down
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	if d.Caller.Call(ctx, l.host.Addr, serviceName+".Report", &ReportArgs{Host: d.Exchange.Self.Name}, &ReportReply{}) != nil {
+		l.fail()
+		return false
+	}
+	l.hear(d.Clock.Now(), now)
+	return true
+}
+
+// tell notes that h knows of a list.
+func (d *Dispatcher) tell(h peer.Host, list heldList) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range list.held {
+		if g, ok := d.running[s.AttemptID]; ok {
+			g.told = h
+			d.running[s.AttemptID] = g
+		}
 	}
-	return held
 }
 
 // fail marks the holder as down; those who wait for it fall back.
@@ -145,13 +223,27 @@
 }
 
 // hear notes that the holder answered.
-func (l *holderLink) hear(now time.Time) {
+func (l *holderLink) hear(now, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard = now
+	if sent.After(l.spoke) {
+		l.spoke = sent
+	}
 	if l.isDown {
 		l.isDown = false
 		l.down = make(chan struct{})
+		l.doubted = now.Add(doubtTime)
+	}
+}
+
+// flushLater sends what waits for a holder that is up again.
+func (d *Dispatcher) flushLater(l *holderLink) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.outbox) > 0 && !l.flushing {
+		l.flushing = true
+		go d.flush(l)
 	}
 }
 
@@ -181,12 +273,14 @@
 
 // grant asks the holder for a slot. Its error is errHolderDown, or that of ctx.
 func (d *Dispatcher) grant(ctx context.Context, l *holderLink, args *GrantArgs) (*GrantReply, error) {
-	done, down, err := l.begin(d.Clock.Now())
+	sent := d.Clock.Now()
+	done, down, err := l.begin(sent)
 	if err != nil {
 		return nil, err
 	}
 	defer l.end()
 	args.Done = done
+	d.Stats.Asked.Inc(1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answer := make(chan error, 1)
@@ -195,6 +289,7 @@
 	select {
 	case err = <-answer:
 	case <-down:
+		d.send(l, Completion{Shard: args.Shard, AttemptID: args.AttemptID, Outcome: Outcome{Kind: Abandoned}})
 		return nil, errHolderDown
 	}
 	if ctx.Err() != nil {
@@ -204,7 +299,7 @@
 		l.fail()
 		return nil, errHolderDown
 	}
-	l.hear(d.Clock.Now())
+	l.hear(d.Clock.Now(), sent)
 	return reply, nil
 }
 
@@ -212,12 +307,10 @@
 func (d *Dispatcher) send(l *holderLink, c Completion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.held, c.AttemptID)
-	if l.isDown {
-		return // the next whole list says the same
+	if len(l.outbox) < maxOutbox { // the next whole list says the same
+		l.outbox = append(l.outbox, c)
 	}
-	l.outbox = append(l.outbox, c)
-	if !l.flushing {
+	if !l.flushing && !l.isDown {
 		l.flushing = true
 		go d.flush(l)
 	}
@@ -236,9 +329,11 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
 		args := &ReportArgs{Host: d.Exchange.Self.Name, Done: done}
+		sent := d.Clock.Now()
+		d.Stats.Reports.Inc(1)
 		// Lost completions are made good by the next whole list.
 		if d.Caller.Call(ctx, l.host.Addr, serviceName+".Report", args, &ReportReply{}) == nil {
-			l.hear(d.Clock.Now())
+			l.hear(d.Clock.Now(), sent)
 		}
 		cancel()
 	}
--- a/internal/queue/own.go
+++ b/internal/queue/own.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
@@ -15,6 +17,7 @@
 	b.enqueue(&ticket{ask: a, deliver: func(x decision) { answer <- x }}, d.Clock.Now())
 	select {
 	case x := <-answer:
+		d.hear(&a, x)
 		return d.granted(&a, x, ownBoard{b})
 	case <-ctx.Done():
 		b.complete(a.AttemptID, Outcome{Kind: Abandoned}, d.Clock.Now())
@@ -22,20 +25,31 @@
 	}
 }
 
+// ownedBoard is a host's own board and from what its slots were worked out.
+type ownedBoard struct {
+	*board
+	built   []*declaration.Target
+	members *peer.Members
+}
+
 // ownBoard returns this host's board of pool with its present share.
 func (d *Dispatcher) ownBoard(pool string) *board {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.own == nil {
-		d.own = map[string]*board{}
+		d.own = map[string]*ownedBoard{}
 	}
 	b := d.own[pool]
 	if b == nil {
-		b = newBoard(pool)
+		b = &ownedBoard{board: newBoard(pool)}
 		d.own[pool] = b
 	}
-	b.update(ownSlots(d.Targets.Usable(pool, ""), d.Exchange.Members(), d.Exchange.Self.Name))
-	return b
+	usable, members := d.Targets.Usable(pool, ""), d.Exchange.Members()
+	if b.members != members || !sameList(b.built, usable) {
+		b.built, b.members = usable, members
+		b.update(ownSlots(usable, members, d.Exchange.Self.Name))
+	}
+	return b.board
 }
 
 // granted turns a decision into a grant or an error. A target that is no
@@ -49,7 +63,9 @@
 		d.Done(&Grant{AttemptID: a.AttemptID, Ask: *a, from: from}, Outcome{Kind: Abandoned})
 		return nil, refuse(a, result.NoTarget, 0, "target %s is leaving", x.target)
 	}
-	return &Grant{AttemptID: a.AttemptID, Target: t, Ask: *a, At: d.Clock.Now(), from: from}, nil
+	g := &Grant{AttemptID: a.AttemptID, Target: t, Ask: *a, At: d.Clock.Now(), Expected: x.expects, Long: x.long, from: from}
+	d.note(g)
+	return g, nil
 }
 
 // ended is the error of an Ask whose context ended before its grant.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -22,6 +22,7 @@
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // Ask describes an attempt that needs a slot.
@@ -55,6 +56,10 @@
 	Target    *declaration.Target
 	Ask       Ask
 	At        time.Time
+	// Expected is the predicted time of the attempt at Target, zero if unknown.
+	Expected time.Duration
+	// Long says that the attempt is of the long class.
+	Long bool
 
 	from source
 }
@@ -106,13 +111,19 @@
 	Caller   *peer.Caller
 	Policy   Policy
 	Rand     *rand.Rand
+	Stats    *Stats
 
 	mu     sync.Mutex
 	counts counts
-	own    map[string]*board
-	holder holder
-	links  links
-	work   predictor // what this host saw itself
+	own    map[string]*ownedBoard
+	// outlooks are the queues' last words.
+	outlooks *lru.Cache[outlookKey, heardOutlook]
+	// running are this host's attempts, under SharedQueue.
+	running map[string]heldGrant
+	holder  holder
+	links   links
+	waits   waits
+	work    predictor // what this host saw itself
 }
 
 // Acquire waits for a slot until ctx ends. Its error is a *result.Error.
@@ -138,9 +149,14 @@
 		from.board.complete(g.AttemptID, o, d.Clock.Now())
 	case heldShard:
 		d.report(from, g, o)
+		if o.Kind == Succeeded {
+			// The own share is the fallback, so it learns too.
+			d.ownBoard(g.Ask.Pool).witness(g.Target.Name, workKeyOf(&g.Ask), o.Took)
+		}
 	default:
 		panic("queue: unexpected source of a grant")
 	}
+	d.reportToHolder(g, o)
 	if o.Kind == Succeeded {
 		d.work.add(workKeyOf(&g.Ask), o.Took.Seconds())
 	}
@@ -183,7 +199,7 @@
 	d.mu.Lock()
 	boards := make([]*board, 0, len(d.own))
 	for _, b := range d.own {
-		boards = append(boards, b)
+		boards = append(boards, b.board)
 	}
 	d.mu.Unlock()
 	for _, b := range boards {
