--- a/internal/order/world_test.go
+++ b/internal/order/world_test.go
@@ -140,11 +140,6 @@
 	}
 	h.w.net.Revive(h.addr)
 	network := h.w.net.Process(h.addr)
-	// The listener starts the next life of a killed process on the network.
-	listener, err := network.Listen(netip.AddrPortFrom(h.addr, 81))
-	if err != nil {
-		h.w.t.Fatal(err)
-	}
 	log := platform.NewClient(network, logAddr, logAddr)
 	reports := &http.Client{Transport: link.Transport(network)}
 	h.leases = &lease.Keeper{Clock: h.clock, Log: log, Members: h, Self: h.name}
@@ -161,7 +156,6 @@
 	h.done.Go(func() { leases.Run(ctx) })
 	h.done.Go(func() { orders.Run(ctx) })
 	context.AfterFunc(ctx, func() {
-		listener.Close()
 		log.HTTP.CloseIdleConnections()
 		reports.CloseIdleConnections()
 	})
