--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -134,7 +134,7 @@
 	client := platform.NewClient(network, logAddr, logAddr)
 	peers := &peer.Caller{Net: network}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.holder = &Holder{Clock: h.clock, Log: client, Members: h.members, Self: h.name, Partitions: testPartitions}
+	h.holder = &Holder{Clock: h.clock, Log: client, Members: h.members, Self: h.name, Partitions: testPartitions, Stats: NewStats()}
 	h.client = NewClient(h.clock, h.members, peers, h.holder)
 	server := rpc.NewServer()
 	server.RegisterName(ServiceName, &Service{h.holder})
