Make the process scripts hold on a crowded machine, and read no late heartbeat

Twelve copies of the process tests at once, with the race detector, on a machine with load 40 gave:

- scripts that took a bound on wall time for granted: a host alone without log and peers rightly stops taking work after seconds, try bounded its whole run to ten seconds and its requests to two, and the load was more than the machine had.

--- a/cmd/berylswitch/try.go
+++ b/cmd/berylswitch/try.go
@@ -26,8 +26,9 @@
 	ctx context.Context
 }
 
-// tryTimeout bounds the run without --stay.
-const tryTimeout = 10 * time.Second
+// tryTimeout bounds the run without --stay. A run takes a second or two; only a
+// machine that is busy with other work needs more.
+const tryTimeout = time.Minute
 
 // Names in the declaration of the run.
 const (
@@ -91,13 +92,13 @@
 
 func tryPipelines() []declaration.Pipeline {
 	return []declaration.Pipeline{
-		{Name: menuPipeline, Deadline: declaration.Duration(2 * time.Second), Objective: 0.99, Stages: []declaration.Stage{
+		{Name: menuPipeline, Deadline: declaration.Duration(20 * time.Second), Objective: 0.99, Stages: []declaration.Stage{
 			{Name: "Encode", Pool: "Encoders"},
 			{Name: "Retrieve", Pool: "Retrievers"},
 			{Name: "Rerank", Pool: "Rerankers"},
 			{Name: "Generate", Pool: "Engines", Model: tryModel},
 		}},
-		{Name: bookPipeline, Deadline: declaration.Duration(5 * time.Second), Objective: 0.999, Stages: []declaration.Stage{
+		{Name: bookPipeline, Deadline: declaration.Duration(20 * time.Second), Objective: 0.999, Stages: []declaration.Stage{
 			{Name: "Book", Pool: "Bookings"},
 		}},
 	}
@@ -150,7 +151,7 @@
 	}
 	fmt.Fprintf(t.out, "\nPipeline %s: one booking, sent twice with the key %s.\n", bookPipeline, key)
 	for i := range t.site.Callers {
-		a, err := t.book(ctx, i, key.String())
+		a, err := t.call(ctx, i, bookPipeline, key.String(), `{"Text": "table 4 at nine"}`)
 		if err != nil {
 			return err
 		}
@@ -167,28 +168,28 @@
 	return nil
 }
 
-// inProgressPause is the time before a key is asked for again whose first
-// attempt is still running, as far as the host knows.
-const inProgressPause = 100 * time.Millisecond
+// againPause is the time before a request is sent again that was not run, or
+// whose key is in progress.
+const againPause = 100 * time.Millisecond
 
-// book sends the booking to the host with number i until there is an outcome.
-func (t *trySite) book(ctx context.Context, i int, key string) (*caller.Answer, error) {
+// call posts a request to the host with number i, again while it is refused
+// without having run, or its first attempt still runs as far as the host knows.
+// A host refuses when it was itself held up for long, as on a busy machine.
+func (t *trySite) call(ctx context.Context, i int, pipeline, key, body string) (*caller.Answer, error) {
 	var c clock.Service
 	for {
-		a, err := t.call(ctx, i, bookPipeline, key, `{"Text": "table 4 at nine"}`)
-		if err != nil || a.Code != result.InProgress {
+		a, err := postRequest(ctx, http.DefaultClient, t.url(i, pipeline), key, body)
+		if err != nil || a.Code != result.InProgress && (a.Code < firstRefusal || a.Ran != result.RanNo) {
 			return a, err
 		}
-		if err := c.Sleep(ctx, inProgressPause); err != nil {
-			return nil, err
+		if err := c.Sleep(ctx, againPause); err != nil {
+			return nil, fmt.Errorf("%d %s: %s", int(a.Code), a.Name, a.Message)
 		}
 	}
 }
 
-// call posts a request to the host with number i.
-func (t *trySite) call(ctx context.Context, i int, pipeline, key, body string) (*caller.Answer, error) {
-	return postRequest(ctx, http.DefaultClient, t.url(i, pipeline), key, body)
-}
+// firstRefusal is the lowest code of a refusal that is not the caller's fault.
+const firstRefusal result.Code = 200
 
 func (t *trySite) url(i int, pipeline string) string {
 	addr := t.site.Callers[i%len(t.site.Callers)]
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -78,8 +78,10 @@
 
 func (x *Exchange) sendBeat(h Host, beat Beat) (Beat, error) {
 	var reply Beat
-	err := x.call(h, beatTimeout, beatMethod, beat, &reply)
-	return reply, err
+	if err := x.call(h, beatTimeout, beatMethod, beat, &reply); err != nil {
+		return Beat{}, err // a late answer may still be written to reply
+	}
+	return reply, nil
 }
 
 // send pushes news to h; what is lost is repaired by the next heartbeats.
