--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -22,6 +22,7 @@
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/pkg/declaration"
 	"berylswitch.example/berylswitch/pkg/result"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // Ask describes an attempt that needs a slot.
@@ -55,6 +56,10 @@
 	Target    *declaration.Target
 	Ask       Ask
 	At        time.Time
+	// Expected is the predicted time of the attempt at Target, zero if unknown.
+	Expected time.Duration
+	// Long says that the attempt is of the long class.
+	Long bool
 
 	from source
 }
@@ -111,10 +116,14 @@
 	mu     sync.Mutex
 	counts counts
 	own    map[string]*board
-	holder holder
-	links  links
-	waits  waits
-	work   predictor // what this host saw itself
+	// outlooks are the queues' last words.
+	outlooks *lru.Cache[outlookKey, heardOutlook]
+	// running are this host's attempts, under SharedQueue.
+	running map[string]heldGrant
+	holder  holder
+	links   links
+	waits   waits
+	work    predictor // what this host saw itself
 }
 
 // Acquire waits for a slot until ctx ends. Its error is a *result.Error.
@@ -143,6 +152,7 @@
 	default:
 		panic("queue: unexpected source of a grant")
 	}
+	d.reportToHolder(g, o)
 	if o.Kind == Succeeded {
 		d.work.add(workKeyOf(&g.Ask), o.Took.Seconds())
 	}
--- a/internal/queue/share.go
+++ b/internal/queue/share.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -16,7 +17,7 @@
 	// shareIdle is the time after which a silent workspace leaves its share to
 	// the others, shareBurst the time whose share of work it may use at once.
 	shareIdle  = 2 * time.Second
-	shareBurst = time.Second
+	shareBurst = 2 * time.Second
 )
 
 // shares is a bucket of work for each workspace that was seen lately.
@@ -40,7 +41,7 @@
 	}
 	k, ok := s.buckets.Get(a.Workspace)
 	if !ok {
-		k = &bucket{at: now.Add(-shareBurst)}
+		k = &bucket{at: now, left: math.Inf(1)}
 		s.buckets.Add(a.Workspace, k)
 		s.counted = time.Time{}
 	}
@@ -53,7 +54,7 @@
 	k.left = min(k.left+rate*now.Sub(k.at).Seconds(), rate*shareBurst.Seconds())
 	k.at = now
 	if k.left < work {
-		return false
+		return s.sum <= k.weight // alone it has no one to give way to
 	}
 	k.left -= work
 	return true
