--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -86,6 +86,7 @@
 // host knew about it.
 type withdrawn struct{ reason string }
 
+// Error names the reason.
 func (w withdrawn) Error() string { return "not sent: " + w.reason }
 
 // send sends m and gathers the answer in a.
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -149,11 +149,13 @@
 // already has.
 type diverged struct{}
 
+// Error says what differs.
 func (diverged) Error() string { return "the text differs from what the caller already has" }
 
 // callerGone is the error of an attempt whose text can't be handed on.
 type callerGone struct{ err error }
 
+// Error names the cause.
 func (c callerGone) Error() string { return "the caller is gone: " + c.err.Error() }
 
 // offer hands on the part of data that the caller lacks. Data stands at
