--- a/internal/order/world_test.go
+++ b/internal/order/world_test.go
@@ -64,6 +64,15 @@
 }
 
 func newWorld(t *testing.T, skews []time.Duration, engines int) *world {
+	w := newIdleWorld(t, skews, engines)
+	for _, h := range w.hosts {
+		h.start()
+	}
+	return w
+}
+
+// newIdleWorld returns a world whose hosts aren't started.
+func newIdleWorld(t *testing.T, skews []time.Duration, engines int) *world {
 	w := &world{t: t, net: &link.Memory{Delay: time.Millisecond}, log: &standin.Log{}}
 	w.serve(logAddr, w.log)
 	for i := range engines {
@@ -81,7 +90,6 @@
 	}
 	for _, h := range w.hosts {
 		h.setMembers(w.all(-1))
-		h.start()
 	}
 	return w
 }
