Give orders to targets from the hosts

Cause: the keepers of leases and orders were proved by themselves but no host ran them, so a declared model was never loaded.

Change: each host runs a lease and an order keeper over its own clients.

Conclusion: models follow the declaration across the loss of a holder.

--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -9,13 +9,16 @@
 	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/crash"
+	"berylswitch.example/berylswitch/internal/lease"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/order"
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/platform"
 	"berylswitch.example/berylswitch/internal/queue"
 	"berylswitch.example/berylswitch/internal/section"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/target"
+	"berylswitch.example/berylswitch/pkg/declaration"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -102,6 +105,28 @@
 	return &claim.Holder{Clock: c, Log: l, Members: x, Self: s.Name, Stats: claim.NewStats()}
 }
 
+func provideLeases(s *settings.Settings, c *clock.Service, l platform.Log, x *peer.Exchange) *lease.Keeper {
+	return &lease.Keeper{Clock: c, Log: l, Members: x, Self: s.Name}
+}
+
+func provideOrders(c *clock.Service, n link.Network, leases *lease.Keeper, f *section.Follower, targets *target.Client) *order.Keeper {
+	return &order.Keeper{
+		Clock:  c,
+		Leases: leases,
+		Sender: &order.Sender{Clock: c, Net: n},
+		HTTP:   targets.HTTP,
+		View:   func() *declaration.View { return viewInForce(f) },
+	}
+}
+
+// viewInForce returns the declaration in force, or nil before the first.
+func viewInForce(f *section.Follower) *declaration.View {
+	if s := f.State(); s != nil {
+		return s.View
+	}
+	return nil
+}
+
 func provideRegistry(s *settings.Settings, c *clock.Service, client *platform.Client, x *peer.Exchange, peers *peer.Caller) *target.Registry {
 	r := &target.Registry{Self: s.Name, Clock: c, Notes: x, Peers: peers}
 	if s.HostListAddr.IsValid() {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -12,7 +12,9 @@
 
 	"berylswitch.example/berylswitch/internal/claim"
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/lease"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/order"
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/internal/queue"
@@ -41,6 +43,8 @@
 	Admission  *workspace.Admission
 	Claims     *claim.Holder
 	Claimer    *claim.Client
+	Leases     *lease.Keeper
+	Orders     *order.Keeper
 	Caller     *peer.Caller
 	Peers      *peer.Server
 	Report     *report.Recorder
@@ -77,6 +81,8 @@
 	g.Go(func() error { return h.Dispatcher.Run(partsCtx) })
 	g.Go(func() error { return h.Claims.Run(partsCtx) })
 	g.Go(func() error { return h.Claimer.Run(partsCtx) })
+	g.Go(func() error { return h.Leases.Run(partsCtx) })
+	g.Go(func() error { return h.Orders.Run(partsCtx) })
 	g.Go(func() error { return h.Peers.Serve(h.peerSockets) })
 	g.Go(func() error { return ignoreClosed(h.server.Serve(h.callerSockets)) })
 	g.Go(func() error {
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -26,6 +26,8 @@
 		providePeers,
 		provideReport,
 		provideHolder,
+		provideLeases,
+		provideOrders,
 		claim.NewClient,
 		wire.Bind(new(claim.Claimer), new(*claim.Client)),
 		wire.Bind(new(claim.Members), new(*peer.Exchange)),
@@ -40,6 +42,6 @@
 		wire.Bind(new(workspace.Outlooks), new(*queue.Dispatcher)),
 		wire.Struct(new(workspace.Retries)),
 		wire.Struct(new(pipeline.Runner), "*"),
-		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "Claims", "Claimer", "Caller", "Peers", "Report", "Metrics"),
+		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Follower", "Exchange", "Targets", "Dispatcher", "Runner", "Admission", "Claims", "Claimer", "Leases", "Orders", "Caller", "Peers", "Report", "Metrics"),
 	))
 }
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -50,6 +50,8 @@
 		Clock:  c,
 		Queues: dispatcher,
 	}
+	keeper := provideLeases(s, c, client, exchange)
+	orderKeeper := provideOrders(c, n, keeper, follower, targetClient)
 	server, err := providePeers(exchange, follower, holder, registry, table, dispatcher)
 	if err != nil {
 		return nil, err
@@ -68,6 +70,8 @@
 		Admission:  admission,
 		Claims:     holder,
 		Claimer:    claimClient,
+		Leases:     keeper,
+		Orders:     orderKeeper,
 		Caller:     caller,
 		Peers:      server,
 		Report:     recorder,
