--- a/internal/claim/fuzz_test.go
+++ b/internal/claim/fuzz_test.go
@@ -1,13 +1,12 @@
 package claim
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/fuzzing"
 	"berylswitch.example/berylswitch/internal/standin"
 	"pgregory.net/rapid"
 )
@@ -22,18 +21,7 @@
 	ciSeed    = "4"
 )
 
-// TestMain fixes the seed and the number of checks unless flags name them.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": ciSeed, "rapid.checks": ciChecks, "rapid.nofailfile": "true"} {
-		if !given[name] {
-			flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, ciSeed, ciChecks) }
 
 // step is one drawn operation and the pause after it.
 type step struct {
--- /dev/null
+++ b/internal/host/main_test.go
@@ -0,0 +1,15 @@
+package host
+
+import (
+	"testing"
+
+	"berylswitch.example/berylswitch/internal/fuzzing"
+)
+
+// The seed and the number of checks of the drawn tests.
+const (
+	fixedSeed   = "20260101"
+	fixedChecks = "100"
+)
+
+func TestMain(m *testing.M) { fuzzing.Main(m, fixedSeed, fixedChecks) }
--- a/internal/load/process/process.go
+++ b/internal/load/process/process.go
@@ -8,18 +8,16 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/command"
 	"berylswitch.example/berylswitch/internal/host"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/load"
 	"berylswitch.example/berylswitch/internal/site"
 	"berylswitch.example/berylswitch/internal/standin"
 	"berylswitch.example/berylswitch/pkg/declaration"
-	"github.com/jessevdk/go-flags"
 )
 
 // options is the command line.
@@ -54,27 +52,11 @@
 	Prefixes   int           `long:"prefixes" description:"prompt prefixes in use" default:"16"`
 }
 
-// exitUsage is the exit code for a command line that can't be understood.
-const exitUsage = 2
-
 // Main runs the load that the command line asks for and exits: with 1 when a
 // request was lost, doubled, answered with another's work or falsely refused.
 func Main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			os.Exit(0)
-		}
-		os.Exit(exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx, &o); err != nil {
-		fmt.Fprintln(os.Stderr, "berylload:", err)
-		os.Exit(1)
-	}
-	os.Exit(0)
+	command.Main("berylload", &o, func(ctx context.Context) error { return run(ctx, &o) })
 }
 
 func run(ctx context.Context, o *options) error {
--- a/internal/order/fuzz_test.go
+++ b/internal/order/fuzz_test.go
@@ -1,13 +1,12 @@
 package order
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/fuzzing"
 	"berylswitch.example/berylswitch/internal/lease"
 	"berylswitch.example/berylswitch/internal/standin"
 	"pgregory.net/rapid"
@@ -25,18 +24,7 @@
 // settleTime covers a lease's term, the wait before orders, and some reviews.
 const settleTime = lease.Term + MaxOrderTime + 6*reviewPeriod
 
-// TestMain fixes the seed and the number of checks unless flags name them.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": ciSeed, "rapid.checks": ciChecks, "rapid.nofailfile": "true"} {
-		if !given[name] {
-			flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, ciSeed, ciChecks) }
 
 type step struct {
 	Do     string
--- a/internal/scenario/fuzz_test.go
+++ b/internal/scenario/fuzz_test.go
@@ -1,15 +1,14 @@
 package scenario
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/contract"
+	"berylswitch.example/berylswitch/internal/fuzzing"
 	"berylswitch.example/berylswitch/internal/standin"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -22,20 +21,7 @@
 	fixedChecks = "30"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	fix("rapid.seed", fixedSeed)
-	fix("rapid.checks", fixedChecks)
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
-
-// fix sets a flag that the command line left alone.
-func fix(name, value string) {
-	if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-		f.Value.Set(value)
-	}
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, fixedSeed, fixedChecks) }
 
 // operation is one drawn step. Its fields are used as its kind needs.
 type operation struct {
--- a/internal/section/world_test.go
+++ b/internal/section/world_test.go
@@ -3,18 +3,17 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/rpc"
-	"os"
 	"sync"
 	"testing"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/fuzzing"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/platform"
@@ -28,15 +27,7 @@
 // fixedSeed makes the drawn runs the same in each CI run.
 const fixedSeed = "20260101"
 
-func TestMain(m *testing.M) {
-	flag.Set("rapid.checks", fixedChecks)
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		flag.Set("rapid.seed", fixedSeed)
-		flag.Set("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, fixedSeed, fixedChecks) }
 
 var (
 	logAddr     = netip.MustParseAddrPort("10.0.9.1:80")
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -4,19 +4,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/command"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/standin"
-	"github.com/jessevdk/go-flags"
 )
 
 // options is the command line.
@@ -41,28 +38,14 @@
 	} `positional-args:"yes"`
 }
 
-// exitUsage is the exit code for a command line that can't be understood.
-const exitUsage = 2
-
 // Main runs the stand-in that the command line asks for, until SIGINT or
 // SIGTERM, and exits.
 func Main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			os.Exit(0)
-		}
-		os.Exit(exitUsage)
-	}
-	if err := run(&o); err != nil {
-		fmt.Fprintln(os.Stderr, "berylstand:", err)
-		os.Exit(1)
-	}
-	os.Exit(0)
+	command.Main("berylstand", &o, func(ctx context.Context) error { return run(ctx, &o) })
 }
 
-func run(o *options) error {
+func run(ctx context.Context, o *options) error {
 	addr, err := netip.ParseAddrPort(o.Addr)
 	if err != nil {
 		return err
@@ -74,8 +57,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	s := &standin.Server{Net: link.TCP{}, Addr: addr, Handler: h}
 	if err := s.Start(); err != nil {
 		return err
