Bound the writes to peers

Cause: net/rpc sends in the caller's goroutine, under a lock; on a connection that takes no more bytes a call outlived its context, and every later call to that peer waited behind it. Found by reading. Ruled out: a goroutine a send (they would pile up behind the lock).

Change: each write has a deadline of 2 s, after which the connection is dropped.

Conclusion: a peer that takes nothing costs at most 2 s a call.

--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -15,6 +15,9 @@
 const (
 	// dialTimeout bounds the time to connect to a peer.
 	dialTimeout = time.Second
+	// writeTimeout bounds one write. A peer that takes nothing for that long loses
+	// the connection: a send holds up every call that comes after it.
+	writeTimeout = 2 * time.Second
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = time.Minute
 )
@@ -30,14 +33,27 @@
 	swept   time.Time
 }
 
+// writeBounded is a connection whose writes end within writeTimeout.
+type writeBounded struct {
+	net.Conn
+}
+
+// Write writes b or fails within writeTimeout.
+func (c writeBounded) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
 // client is a connection and the time of its last call.
 type client struct {
 	*rpc.Client
 	used time.Time
 }
 
-// Call invokes method at addr and waits for the reply or the end of ctx. Reply
-// must not be used after an error: a late answer may still be written to it.
+// Call invokes method at addr and waits for the reply or the end of ctx, or,
+// where the connection takes no more bytes, at most writeTimeout. Reply must not be used after an error: a late answer may still be written to it.
 func (c *Caller) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
 	cl, err := c.client(ctx, addr)
 	if err != nil {
@@ -101,7 +117,7 @@
 	if c.clients == nil {
 		c.clients = map[netip.AddrPort]*client{}
 	}
-	cl := &client{Client: rpc.NewClient(conn), used: now}
+	cl := &client{Client: rpc.NewClient(writeBounded{conn}), used: now}
 	c.clients[addr] = cl
 	return cl
 }
