--- a/internal/link/counted.go
+++ b/internal/link/counted.go
@@ -40,6 +40,7 @@
 	n Counted
 }
 
+// Accept waits for a connection and counts its bytes.
 func (l countedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
@@ -53,12 +54,14 @@
 	n Counted
 }
 
+// Write counts what was written.
 func (c countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.n.Sent.Add(int64(n))
 	return n, err
 }
 
+// Read counts what was read.
 func (c countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.n.Received.Add(int64(n))
--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -292,6 +292,7 @@
 	once   sync.Once
 }
 
+// Accept waits for a connection or for Close.
 func (l *memListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.accept:
@@ -301,6 +302,7 @@
 	}
 }
 
+// Close refuses connections from now on; those that stand go on.
 func (l *memListener) Close() error {
 	l.once.Do(func() {
 		l.m.mu.Lock()
@@ -311,6 +313,7 @@
 	return nil
 }
 
+// Addr returns the address that was listened to.
 func (l *memListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
 
 // memConn is one end of a connection.
@@ -320,7 +323,10 @@
 	in, out       *pipe
 }
 
-func (c *memConn) Read(b []byte) (int, error)  { return c.in.read(b) }
+// Read waits for bytes that have arrived.
+func (c *memConn) Read(b []byte) (int, error) { return c.in.read(b) }
+
+// Write sends b; it waits only while the connection is full.
 func (c *memConn) Write(b []byte) (int, error) { return c.out.write(b) }
 
 // Close sends the end of the stream to the other side and stops reading.
@@ -342,20 +348,26 @@
 	c.in.abort(syscall.ECONNRESET)
 }
 
-func (c *memConn) LocalAddr() net.Addr  { return net.TCPAddrFromAddrPort(c.local) }
+// LocalAddr returns the address of this end.
+func (c *memConn) LocalAddr() net.Addr { return net.TCPAddrFromAddrPort(c.local) }
+
+// RemoteAddr returns the address of the other end.
 func (c *memConn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.remote) }
 
+// SetDeadline bounds reads and writes.
 func (c *memConn) SetDeadline(t time.Time) error {
 	c.in.setReadDeadline(t)
 	c.out.setWriteDeadline(t)
 	return nil
 }
 
+// SetReadDeadline bounds reads.
 func (c *memConn) SetReadDeadline(t time.Time) error {
 	c.in.setReadDeadline(t)
 	return nil
 }
 
+// SetWriteDeadline bounds writes.
 func (c *memConn) SetWriteDeadline(t time.Time) error {
 	c.out.setWriteDeadline(t)
 	return nil
--- a/internal/peer/measure_test.go
+++ b/internal/peer/measure_test.go
@@ -53,6 +53,14 @@
 	}
 	fmt.Println("| hosts | bytes/s a host | core a host | heap a host | kill seen | restart seen | domain lost seen | domain back | change through peers |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	forSizes(t, func(f *fleet, n int) {
+		m := f.measure()
+		fmt.Printf("| %d | %.0f | %.3f%% | %.0f KB | %v | %v | %v | %v | %v |\n", n, m.bytes, 100*m.core, m.heap/1024, m.killed, m.restarted, m.domain, m.back, m.change)
+	})
+}
+
+// forSizes calls measure with a fleet of each number of hosts in -sizes.
+func forSizes(t *testing.T, measure func(f *fleet, n int)) {
 	for _, size := range strings.Split(*sizes, ",") {
 		n, err := strconv.Atoi(size)
 		if err != nil {
@@ -63,8 +71,7 @@
 			defer cancel()
 			f := newFleet(t, ctx, n)
 			defer f.stop()
-			m := f.measure()
-			fmt.Printf("| %d | %.0f | %.3f%% | %.0f KB | %v | %v | %v | %v | %v |\n", n, m.bytes, 100*m.core, m.heap/1024, m.killed, m.restarted, m.domain, m.back, m.change)
+			measure(f, n)
 		})
 	}
 }
@@ -80,24 +87,14 @@
 	}
 	fmt.Println("| hosts | day in 2 min: bytes/s a host | core a host | agree after | region parted | healed: agree after | least members seen in a region of |")
 	fmt.Println("|---|---|---|---|---|---|---|")
-	for _, size := range strings.Split(*sizes, ",") {
-		n, err := strconv.Atoi(size)
-		if err != nil {
-			t.Fatal(err)
-		}
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			f := newFleet(t, ctx, n)
-			defer f.stop()
-			sent, cpu := f.bytes.Load(), processTime()
-			agreed := f.churn()
-			bytes := float64(f.bytes.Load()-sent) / float64(n) / churnPeriod.Seconds()
-			core := (processTime() - cpu).Seconds() / float64(n) / churnPeriod.Seconds()
-			healed, least := f.region(n / 3)
-			fmt.Printf("| %d | %.0f | %.3f%% | %v | %v | %v | %d of %d |\n", n, bytes, 100*core, agreed, *parted, healed, least, n/3)
-		})
-	}
+	forSizes(t, func(f *fleet, n int) {
+		sent, cpu := f.bytes.Load(), processTime()
+		agreed := f.churn()
+		bytes := float64(f.bytes.Load()-sent) / float64(n) / churnPeriod.Seconds()
+		core := (processTime() - cpu).Seconds() / float64(n) / churnPeriod.Seconds()
+		healed, least := f.region(n / 3)
+		fmt.Printf("| %d | %.0f | %.3f%% | %v | %v | %v | %d of %d |\n", n, bytes, 100*core, agreed, *parted, healed, least, n/3)
+	})
 }
 
 // A day's failures of the full size, and the time into which they are pressed.
