--- a/internal/experiment/bound.go
+++ b/internal/experiment/bound.go
@@ -84,6 +84,8 @@
 	long  bool
 }
 
+// boundEvents is a heap of events by time; its methods are those of
+// heap.Interface.
 type boundEvents []boundEvent
 
 func (e boundEvents) Len() int           { return len(e) }
