--- a/cmd/berylswitch/main.go
+++ b/cmd/berylswitch/main.go
@@ -28,6 +28,7 @@
 		{"config", "Check, publish and show the declared document", newConfigCommand(ctx)},
 		{"call", "Send a request and print its answer", &callCommand{ctx: ctx}},
 		{"serve", "Run a host", &serveCommand{ctx: ctx}},
+		{"gateway", "Run a host on the users' platform", &gatewayCommand{ctx: ctx}},
 		{"report", "Show service-level burn and cost by stage", &reportCommand{ctx: ctx}},
 		{"try", "Run stand-ins and two hosts in this process and send requests", &tryCommand{ctx: ctx}},
 	}
--- /dev/null
+++ b/internal/catalog/relay.go
@@ -0,0 +1,79 @@
+package catalog
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+)
+
+// serviceName is the name of the relay among the RPC services of a host.
+const serviceName = "Catalog"
+
+// Known says what a host has already.
+type Known struct {
+	Version int64
+}
+
+// Held is what a host has.
+type Held struct {
+	// Table is nil unless it is later than the asker's.
+	Table *Table
+	// Whole says that the host has read the targets; Next is the offset up to
+	// which Targets hold.
+	Whole   bool
+	Targets []TargetChange
+	Next    Offset
+}
+
+// Relay is the RPC service of a Follower. Hosts that the store turns away get
+// from it what others have read.
+type Relay struct{ f *Follower }
+
+// Fetch returns what the host has.
+func (r *Relay) Fetch(known Known, reply *Held) error {
+	f := r.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table != nil && f.table.Version > known.Version {
+		reply.Table = f.table
+	}
+	reply.Whole = f.whole
+	for id, row := range f.targets {
+		if row.lapsed.IsZero() {
+			reply.Targets = append(reply.Targets, TargetChange{ID: id, Target: row.target, Offset: row.offset})
+		}
+		reply.Next = max(reply.Next, row.offset)
+	}
+	return nil
+}
+
+// relay asks the peers for what they have once reads have failed more than once
+// in a row. Peers that are as badly off answer with what is known already.
+func (f *Follower) relay(ctx context.Context, failures int) {
+	if failures < relayAfter || f.Members == nil {
+		return
+	}
+	for _, h := range f.Members.Members().Hosts {
+		if h.Name == f.Self {
+			continue
+		}
+		known := Known{}
+		if t := f.Snapshot().Table; t != nil {
+			known.Version = t.Version
+		}
+		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+		held := &Held{}
+		err := f.Peers.Call(callCtx, h.Addr, serviceName+".Fetch", known, held)
+		cancel()
+		if err != nil {
+			f.Log.Debug("peer has no catalog to relay", zap.String("Peer", h.Name), zap.Error(err))
+			continue
+		}
+		if held.Table != nil {
+			f.TakeTable(held.Table, h.Name)
+		}
+		if held.Whole {
+			f.TakeTargets(TargetNews{Whole: true, Changes: held.Targets, Next: held.Next})
+		}
+	}
+}
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -42,7 +42,7 @@
 var Error = errs.Class("crash")
 
 // ErrGuilty is the error of Begin for a body that must not run again.
-var ErrGuilty = Error.New("the body broke %d targets", MaxTargets)
+var ErrGuilty = Error.New("the body broke too many targets")
 
 // Members is the part of peer.Exchange that a Table needs.
 type Members interface {
@@ -61,6 +61,9 @@
 	Clock   *clock.Service
 	Members Members
 	Peers   *peer.Caller
+	// Limit is the number of targets that a request may break; zero means
+	// MaxTargets.
+	Limit int
 
 	mu     sync.Mutex
 	bodies *simplelru.LRU[string, *body]
@@ -71,7 +74,7 @@
 
 // body is what is known of one digest.
 type body struct {
-	// broken has the IDs of the breaks, oldest first, at most MaxTargets.
+	// broken has the IDs of the breaks, oldest first, at most the table's limit.
 	broken []string
 	last   time.Time
 	// cleared is the time of the last run to the end; breaks before it don't
@@ -86,7 +89,23 @@
 }
 
 // Guilty reports whether a body with this digest must not run again.
-func (t *Table) Guilty(digest string) bool { return t.breaks(digest) >= MaxTargets }
+func (t *Table) Guilty(digest string) bool { return t.breaks(digest) >= t.limit() }
+
+func (t *Table) limit() int {
+	if t.Limit > 0 {
+		return t.Limit
+	}
+	return MaxTargets
+}
+
+// Broke records that a run of digest broke target, for callers that ask Guilty
+// before each run and need no permit.
+func (t *Table) Broke(ctx context.Context, digest, target string) {
+	w := Word{BreakID: uuid.NewString(), Digest: digest, Target: target, At: t.Clock.Now()}
+	t.apply(w)
+	t.tell(ctx, w)
+	t.spread(w)
+}
 
 // Suspect reports whether a body with this digest has broken a target.
 func (t *Table) Suspect(digest string) bool { return t.breaks(digest) > 0 }
@@ -138,7 +157,7 @@
 		}
 		return
 	}
-	t.open(w.Digest, now).add(w)
+	t.open(w.Digest, now).add(w, t.limit())
 }
 
 func (b *body) clear(at time.Time) {
@@ -146,8 +165,8 @@
 	b.cleared = at
 }
 
-func (b *body) add(w Word) {
-	if !w.At.After(b.cleared) || len(b.broken) >= MaxTargets {
+func (b *body) add(w Word, limit int) {
+	if !w.At.After(b.cleared) || len(b.broken) >= limit {
 		return
 	}
 	if !slices.Contains(b.broken, w.BreakID) {
@@ -229,7 +248,7 @@
 	switch {
 	case breaks == 0:
 		return p, nil
-	case breaks >= MaxTargets:
+	case breaks >= t.limit():
 		return nil, ErrGuilty
 	}
 	return p, t.arbitrate(ctx, run)
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,275 @@
+// Package fleet chooses the target of a request among those of a service. It
+// knows of each target what this host has sent there and what came of it: how
+// many requests are open, how long answers took and which failed. It asks no
+// target for its state.
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/clock"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+)
+
+// Weights and times of the choice.
+const (
+	// tookWeight is the weight of the newest answer in a target's mean time,
+	// faultWeight that in its share of failures.
+	tookWeight  = 0.2
+	faultWeight = 0.2
+	// pauseAfter is the number of failures in a row after which a target gets
+	// nothing for firstPause, doubled by each further one up to maxPause.
+	pauseAfter = 2
+	firstPause = 500 * time.Millisecond
+	maxPause   = 4 * time.Second
+	// rejectPause is how long a target that had no place is passed over.
+	rejectPause = 60 * time.Millisecond
+	// faultCost weighs the share of failures against time: a target that fails
+	// all requests counts as 1 + faultCost times as slow.
+	faultCost = 8
+	// domainCost is how much slower a target of another domain counts.
+	domainCost = 1.5
+	// leastTook stands in for the time of a target that has not answered yet.
+	leastTook = time.Millisecond
+	// homeLoad is how many times the mean load the home target of a prompt may
+	// have, homeSlack what it may have besides.
+	homeLoad  = 1.5
+	homeSlack = 4
+)
+
+// Result says what became of a request at a target.
+type Result int
+
+// The results.
+const (
+	// Answered means that the target did its work.
+	Answered Result = iota
+	// Failed means that it broke off, gave no answer or a wrong one.
+	Failed
+	// Unreachable means that it took no connection.
+	Unreachable
+	// Rejected means that it had no place.
+	Rejected
+	// Abandoned means that the caller or the deadline ended the request.
+	Abandoned
+)
+
+var resultNames = [...]string{"answered", "failed", "unreachable", "rejected", "abandoned"}
+
+// String returns the name of r for logs.
+func (r Result) String() string { return resultNames[r] }
+
+// Fleet chooses targets. Exported fields are set before the first call.
+type Fleet struct {
+	Clock *clock.Service
+	Log   *zap.Logger
+	// Domain is the failure domain of this host.
+	Domain string
+
+	mu     sync.Mutex
+	states map[string]*state
+}
+
+// state is what is known of one life of a target.
+type state struct {
+	born     int64
+	open     int
+	took     time.Duration
+	faults   float64
+	failures int
+	// pausedUntil keeps the target out; pauses counts those in a row.
+	pausedUntil time.Time
+	pauses      int
+}
+
+// Want describes the request that a target is chosen for.
+type Want struct {
+	// Home, unless empty, names what the target may have cached: requests of the
+	// same Home go to the same target.
+	Home string
+	// Except are the IDs of targets that were tried.
+	Except map[string]bool
+	// Domain is where the request's inputs lie; empty means with this host.
+	Domain string
+}
+
+// Choose returns the best of targets, or nil. A paused target is chosen only
+// when no other is left.
+func (f *Fleet) Choose(targets []*catalog.Target, want Want) *catalog.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	if t := f.choose(targets, want, func(s *state) bool { return !s.pausedUntil.After(now) }); t != nil {
+		return t
+	}
+	return f.choose(targets, want, func(*state) bool { return true })
+}
+
+func (f *Fleet) choose(targets []*catalog.Target, want Want, usable func(*state) bool) *catalog.Target {
+	var open []*catalog.Target
+	for _, t := range targets {
+		if !want.Except[t.ID] && usable(f.state(t)) {
+			open = append(open, t)
+		}
+	}
+	if want.Home != "" {
+		return f.home(open, want)
+	}
+	var best *catalog.Target
+	var bestCost float64
+	for _, t := range open {
+		if cost := f.cost(t, want); best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	return best
+}
+
+// cost is the expected time of a request at t, in nanoseconds.
+func (f *Fleet) cost(t *catalog.Target, want Want) float64 {
+	s := f.state(t)
+	cost := float64(max(leastTook, s.took)) * (1 + faultCost*s.faults)
+	cost *= float64(s.open+max(1, t.Slots)) / float64(max(1, t.Slots))
+	if t.Domain != f.near(want) {
+		cost *= domainCost
+	}
+	return cost
+}
+
+func (f *Fleet) near(want Want) string {
+	if want.Domain != "" {
+		return want.Domain
+	}
+	return f.Domain
+}
+
+// home returns the first target in the order of rendezvous weights that is not
+// loaded far beyond the mean; targets in the near domain go first.
+func (f *Fleet) home(open []*catalog.Target, want Want) *catalog.Target {
+	near := f.near(want)
+	var local []*catalog.Target
+	total := 0
+	for _, t := range open {
+		if t.Domain == near {
+			local = append(local, t)
+			total += f.state(t).open
+		}
+	}
+	if len(local) == 0 {
+		local, total = open, 0
+		for _, t := range open {
+			total += f.state(t).open
+		}
+	}
+	if len(local) == 0 {
+		return nil
+	}
+	limit := homeLoad*float64(total)/float64(len(local)) + homeSlack
+	var best, least *catalog.Target
+	var bestWeight uint64
+	for _, t := range local {
+		s := f.state(t)
+		if least == nil || s.open < f.state(least).open {
+			least = t
+		}
+		w := weight(t.ID, want.Home)
+		if float64(s.open) <= limit && (best == nil || w > bestWeight) {
+			best, bestWeight = t, w
+		}
+	}
+	if best == nil {
+		return least
+	}
+	return best
+}
+
+func weight(target, home string) uint64 {
+	d := xxhash.New()
+	d.WriteString(target)
+	d.Write([]byte{0})
+	d.WriteString(home)
+	return d.Sum64()
+}
+
+// state returns what is known of t; f.mu is held.
+func (f *Fleet) state(t *catalog.Target) *state {
+	if f.states == nil {
+		f.states = map[string]*state{}
+	}
+	s := f.states[t.ID]
+	if s == nil || s.born != t.Born {
+		s = &state{born: t.Born}
+		f.states[t.ID] = s
+	}
+	return s
+}
+
+// Begin notes a request at t.
+func (f *Fleet) Begin(t *catalog.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state(t).open++
+}
+
+// End notes what became of a request at t. Took is the time to the answer, or
+// to the first event.
+func (f *Fleet) End(t *catalog.Target, r Result, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state(t)
+	s.open = max(0, s.open-1)
+	now := f.Clock.Now()
+	switch r {
+	case Answered:
+		s.failures, s.pauses = 0, 0
+		s.faults -= faultWeight * s.faults
+		if s.took == 0 {
+			s.took = took
+		} else {
+			s.took += time.Duration(tookWeight * float64(took-s.took))
+		}
+	case Failed:
+		s.faults += faultWeight * (1 - s.faults)
+		s.failures++
+		if s.failures >= pauseAfter {
+			f.pause(t, s, now)
+		}
+	case Unreachable:
+		f.pause(t, s, now)
+	case Rejected:
+		if until := now.Add(rejectPause); until.After(s.pausedUntil) {
+			s.pausedUntil = until
+		}
+	}
+}
+
+// pause keeps t out for a while.
+func (f *Fleet) pause(t *catalog.Target, s *state, now time.Time) {
+	if s.pausedUntil.After(now.Add(rejectPause)) {
+		return
+	}
+	d := min(maxPause, firstPause<<min(s.pauses, 8))
+	s.pauses++
+	s.pausedUntil = now.Add(d)
+	f.Log.Info("target paused", zap.String("Target", t.ID), zap.Duration("For", d), zap.Int("Failures", s.failures), zap.Float64("FaultShare", s.faults))
+}
+
+// Keep forgets the targets that are not in s.
+func (f *Fleet) Keep(s *catalog.Snapshot) {
+	known := map[string]bool{}
+	for _, targets := range s.Targets {
+		for _, t := range targets {
+			known[t.ID] = true
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, st := range f.states {
+		if !known[id] && st.open == 0 {
+			delete(f.states, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/front.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"go.uber.org/zap"
+)
+
+// Limits on callers until a configuration names others.
+const (
+	headerBytes   = 16 << 10
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	// replacedTime bounds the wait for the requests of a server whose limits have
+	// been replaced.
+	replacedTime = 30 * time.Second
+)
+
+// front serves callers. The limits of a server are fixed while it runs, so that
+// new limits take a new server; the old one ends with its connections.
+type front struct {
+	host     *Host
+	listener net.Listener
+	done     chan struct{}
+
+	mu      sync.Mutex
+	limits  catalog.Limits
+	server  *http.Server
+	accepts chan net.Conn
+	stopped bool
+}
+
+// open starts to serve l.
+func (f *front) open(h *Host, l net.Listener) {
+	f.host, f.listener = h, l
+	f.done = make(chan struct{})
+	f.accepts = make(chan net.Conn)
+	f.mu.Lock()
+	f.serve()
+	f.mu.Unlock()
+	go f.accept()
+}
+
+// accept hands connections to the server in use.
+func (f *front) accept() {
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			f.host.Log.Info("no longer listening for callers", zap.Error(err))
+			return
+		}
+		select {
+		case f.accepts <- conn:
+		case <-f.done:
+			conn.Close()
+			return
+		}
+	}
+}
+
+// serve starts a server with the present limits; f.mu is held.
+func (f *front) serve() {
+	server := &http.Server{
+		Handler:           f.host,
+		MaxHeaderBytes:    headerBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          zap.NewStdLog(f.host.Log),
+	}
+	if f.limits.HeaderBytes > 0 {
+		server.MaxHeaderBytes = f.limits.HeaderBytes
+	}
+	if f.limits.HeaderTimeout > 0 {
+		server.ReadHeaderTimeout = f.limits.HeaderTimeout
+	}
+	if f.limits.IdleTimeout > 0 {
+		server.IdleTimeout = f.limits.IdleTimeout
+	}
+	f.server = server
+	l := &handedOver{front: f, closed: make(chan struct{})}
+	go func() {
+		if err := ignoreClosed(server.Serve(l)); err != nil {
+			f.host.Log.Error("serving callers", zap.Error(err))
+		}
+	}()
+}
+
+// limit puts new limits in force for new connections.
+func (f *front) limit(limits catalog.Limits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if limits == f.limits || f.stopped {
+		return
+	}
+	f.limits = limits
+	old := f.server
+	f.serve()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), replacedTime)
+		defer cancel()
+		if err := old.Shutdown(ctx); err != nil {
+			f.host.Log.Warn("connections under old limits are left", zap.Error(err))
+		}
+	}()
+}
+
+// stop takes no new connections and closes idle ones.
+func (f *front) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return
+	}
+	f.stopped = true
+	f.listener.Close()
+	close(f.done)
+	go f.server.Shutdown(context.Background())
+}
+
+// close ends every connection.
+func (f *front) close() {
+	f.stop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.server.Close()
+}
+
+// closed returns a channel that is closed once no connections are taken.
+func (f *front) closed() <-chan struct{} { return f.done }
+
+// handedOver is the listener of one server: it takes connections from the
+// front's own listener until it is closed, and leaves that open.
+type handedOver struct {
+	front  *front
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Accept returns the next connection.
+func (l *handedOver) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.front.accepts:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close makes Accept return.
+func (l *handedOver) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr returns the address of the front's listener.
+func (l *handedOver) Addr() net.Addr { return l.front.listener.Addr() }
--- /dev/null
+++ b/internal/gateway/operator.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/emicklei/go-restful/v3"
+	"github.com/rcrowley/go-metrics"
+)
+
+// sampleSize is the number of values that a histogram keeps.
+const sampleSize = 1024
+
+// readyHandler answers the balancer.
+func (h *Host) readyHandler() http.Handler {
+	return container(h.Format.ReadyPath(), func(_ *restful.Request, resp *restful.Response) {
+		if !h.ready() {
+			resp.WriteErrorString(http.StatusServiceUnavailable, "not ready\n")
+			return
+		}
+		io.WriteString(resp, "ready\n")
+	})
+}
+
+// metricsHandler serves all metrics as JSON. Times are in nanoseconds.
+func (h *Host) metricsHandler() http.Handler {
+	return container("/metrics", func(_ *restful.Request, resp *restful.Response) {
+		metrics.GetOrRegisterGauge("Requests.Open", h.Metrics).Update(h.open.Load())
+		resp.AddHeader("Content-Type", "application/json")
+		resp.WriteHeader(http.StatusOK)
+		metrics.WriteJSONOnce(h.Metrics, resp)
+	})
+}
+
+func container(path string, f restful.RouteFunction) http.Handler {
+	ws := new(restful.WebService)
+	ws.Path(path).Produces("*/*")
+	ws.Route(ws.GET("").To(f))
+	c := restful.NewContainer()
+	c.Add(ws)
+	return c
+}
+
+// count adds a request to the metrics.
+func (h *Host) count(q *request, code result.Code, took time.Duration) {
+	metrics.GetOrRegisterCounter("Requests."+code.String(), h.Metrics).Inc(1)
+	if q.route == nil {
+		return
+	}
+	h.histogram("Requests.Took." + q.route.Kind.String()).Update(int64(took))
+	if q.firstOut > 0 {
+		h.histogram("Requests.FirstEvent").Update(int64(q.firstOut))
+	}
+	if q.staged > 0 {
+		h.histogram("Requests.Stages").Update(int64(q.staged))
+	}
+	metrics.GetOrRegisterCounter("Sends."+q.route.Kind.String(), h.Metrics).Inc(int64(q.sends))
+}
+
+func (h *Host) histogram(name string) metrics.Histogram {
+	return h.Metrics.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(sampleSize))
+	}).(metrics.Histogram)
+}
--- /dev/null
+++ b/internal/gateway/plan.go
@@ -0,0 +1,283 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/fleet"
+	"berylswitch.example/berylswitch/internal/stage"
+	"berylswitch.example/berylswitch/pkg/result"
+	"golang.org/x/sync/errgroup"
+)
+
+// engineTime is the time that a request is expected to take at a model engine
+// until its first event.
+const engineTime = 250 * time.Millisecond
+
+// plan runs the stages of one request. Results that nobody will read any more
+// are freed at once, since room for them is scarce.
+type plan struct {
+	h *Host
+	q *request
+	// sinks are the stages that no other follows.
+	sinks []int
+	// domain is where the request itself will probably run.
+	domain string
+
+	mu     sync.Mutex
+	stages []*stageRun
+	// readers counts the stages that have yet to read a stage's results.
+	readers []int
+}
+
+// stageRun is a stage that runs or has run.
+type stageRun struct {
+	done    chan struct{}
+	results []stage.Result
+	err     error
+}
+
+// errInputGone is the error of a stage whose input was lost.
+var errInputGone = errors.New("an input is gone")
+
+func (h *Host) newPlan(q *request) *plan {
+	n := len(q.route.Stages)
+	p := &plan{h: h, q: q, stages: make([]*stageRun, n), readers: make([]int, n)}
+	for _, s := range q.route.Stages {
+		for _, before := range s.After {
+			p.readers[before]++
+		}
+	}
+	for i := range q.route.Stages {
+		if p.readers[i] == 0 {
+			p.sinks = append(p.sinks, i)
+		}
+	}
+	if n > 0 {
+		targets := h.Follower.Snapshot().TargetsOf(q.service)
+		if t := h.Fleet.Choose(targets, fleet.Want{Home: q.home()}); t != nil {
+			p.domain = t.Domain
+		}
+	}
+	return p
+}
+
+// run runs all stages and returns the handles that the request needs, and the
+// failure domain that holds large ones.
+func (p *plan) run(ctx context.Context) (handles []string, domain string, err error) {
+	outcomes := make([][]stage.Result, len(p.sinks))
+	g, stageCtx := errgroup.WithContext(ctx)
+	for i, sink := range p.sinks {
+		g.Go(func() error {
+			var err error
+			outcomes[i], err = p.get(stageCtx, sink)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, "", p.failure(ctx, err)
+	}
+	for i, results := range outcomes {
+		large := p.q.route.Stages[p.sinks[i]].ResultBytes >= largeInput
+		for _, r := range results {
+			handles = append(handles, r.Handle)
+			if large {
+				domain = r.Domain
+			}
+		}
+	}
+	return handles, domain, nil
+}
+
+// largeInput is the size in bytes from which an input draws the request to its
+// own failure domain.
+const largeInput = 256 << 10
+
+// failure returns the result for a request whose stages failed.
+func (p *plan) failure(ctx context.Context, err error) error {
+	var e *result.Error
+	switch {
+	case errors.As(err, &e):
+		return e
+	case ctx.Err() != nil && p.q.stages:
+		return result.Failed(result.DeadlineExceeded, "the stages took too long")
+	case ctx.Err() != nil:
+		return later(result.Overloaded, fullRetry, "no stage began in time")
+	case p.q.stages:
+		return result.Failed(result.StageFailed, "%v", err)
+	default:
+		return later(result.Overloaded, fullRetry, "%v", err)
+	}
+}
+
+// get returns the results of stage i, which it runs unless they are there.
+func (p *plan) get(ctx context.Context, i int) ([]stage.Result, error) {
+	p.mu.Lock()
+	run := p.stages[i]
+	if run == nil {
+		run = &stageRun{done: make(chan struct{})}
+		p.stages[i] = run
+		go func() {
+			run.results, run.err = p.make(ctx, i)
+			close(run.done)
+		}()
+	}
+	p.mu.Unlock()
+	<-run.done
+	return run.results, run.err
+}
+
+// make runs stage i after the stages that it reads. Lost inputs are made again.
+func (p *plan) make(ctx context.Context, i int) ([]stage.Result, error) {
+	s := &p.q.route.Stages[i]
+	if p.pieces(i) == 0 {
+		return nil, nil
+	}
+	for redo := 0; ; redo++ {
+		inputs, err := p.inputs(ctx, s)
+		if err != nil {
+			return nil, err
+		}
+		o, err := p.h.Stages.Run(ctx, p.job(i, inputs))
+		p.note(o)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case o.Fault == stage.None:
+			p.read(s)
+			return o.Results, nil
+		case o.Fault == stage.Gone && redo < maxRedo:
+			p.drop(s.After)
+		case o.Fault == stage.Gone:
+			return nil, errInputGone
+		case o.Fault == stage.Late:
+			return nil, context.DeadlineExceeded
+		default:
+			return nil, errors.New("stage " + o.Fault.String())
+		}
+	}
+}
+
+// note keeps what an outcome says of the request.
+func (p *plan) note(o stage.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.q.stages = p.q.stages || o.Sent
+}
+
+// pieces is the number of pieces of stage i.
+func (p *plan) pieces(i int) int {
+	if i < len(p.q.Pieces) {
+		return p.q.Pieces[i]
+	}
+	return 0
+}
+
+// inputs returns the handles that s reads.
+func (p *plan) inputs(ctx context.Context, s *catalog.Stage) ([]string, error) {
+	var handles []string
+	for _, before := range s.After {
+		results, err := p.get(ctx, before)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range results {
+			handles = append(handles, r.Handle)
+		}
+	}
+	return handles, nil
+}
+
+// job describes stage i.
+func (p *plan) job(i int, inputs []string) stage.Job {
+	s := &p.q.route.Stages[i]
+	now := p.h.Clock.Now()
+	j := stage.Job{
+		RequestID:  p.q.ID,
+		Service:    s.Service,
+		Stage:      i,
+		Pieces:     p.pieces(i),
+		Inputs:     inputs,
+		Due:        p.q.due().Sub(now) - p.after(i),
+		Left:       p.q.until.Sub(now),
+		Rank:       p.q.rank,
+		PieceBytes: s.ResultBytes,
+		Domain:     p.domain,
+	}
+	if len(s.After) == 0 {
+		j.Key = p.q.PieceKey
+	}
+	return j
+}
+
+// after is the expected time from the end of stage i to the first event.
+func (p *plan) after(i int) time.Duration {
+	table := p.h.Follower.Snapshot().Table
+	longest := time.Duration(0)
+	for k, s := range p.q.route.Stages {
+		for _, before := range s.After {
+			if before == i {
+				longest = max(longest, stageTime(table, s.Service, p.pieces(k))+p.after(k))
+			}
+		}
+	}
+	if longest == 0 {
+		return engineTime
+	}
+	return longest
+}
+
+// stageTime is the expected time of a call of so many pieces.
+func stageTime(table *catalog.Table, service string, pieces int) time.Duration {
+	svc := table.Services[service]
+	if svc == nil || svc.Pool == nil {
+		return 0
+	}
+	return svc.Pool.CallTime + time.Duration(pieces)*svc.Pool.PieceTime
+}
+
+// read notes that s has read its inputs, and frees those that nobody else reads.
+func (p *plan) read(s *catalog.Stage) {
+	p.mu.Lock()
+	var done []int
+	for _, before := range s.After {
+		if p.readers[before]--; p.readers[before] == 0 {
+			done = append(done, before)
+		}
+	}
+	p.mu.Unlock()
+	p.drop(done)
+}
+
+// drop frees the results of stages and forgets that they ran.
+func (p *plan) drop(stages []int) {
+	for _, i := range stages {
+		p.mu.Lock()
+		run := p.stages[i]
+		p.stages[i] = nil
+		p.mu.Unlock()
+		if run == nil {
+			continue
+		}
+		go func() {
+			<-run.done
+			p.h.Stages.Free(p.q.route.Stages[i].Service, run.results)
+		}()
+	}
+}
+
+// lost forgets the results that the request itself reads, since one is gone.
+func (p *plan) lost() { p.drop(p.sinks) }
+
+// release frees all results.
+func (p *plan) release() {
+	all := make([]int, len(p.stages))
+	for i := range all {
+		all[i] = i
+	}
+	p.drop(all)
+}
--- /dev/null
+++ b/internal/gateway/wire.go
@@ -0,0 +1,31 @@
+//go:build wireinject
+
+package gateway
+
+import (
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/settings"
+	"berylswitch.example/berylswitch/internal/stage"
+	"berylswitch.example/berylswitch/internal/upstream"
+	"github.com/google/wire"
+	"go.uber.org/zap"
+)
+
+// New assembles a host from its settings and the adapter's parts.
+func New(s *settings.Gateway, n link.Network, c *clock.Service, log *zap.Logger, u *upstream.Client, f Format, feed catalog.Feed, pool stage.Pool, d Directory) (*Host, error) {
+	panic(wire.Build(
+		provideExchange,
+		provideFollower,
+		provideFormer,
+		provideStages,
+		provideFleet,
+		provideRepeats,
+		provideCrashes,
+		provideCaller,
+		provideMetrics,
+		providePeers,
+		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Format", "Follower", "Exchange", "Caller", "Peers", "Former", "Stages", "Fleet", "Upstream", "Repeats", "Crashes", "Metrics"),
+	))
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,10 +5,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Network is the way from one process to the others.
@@ -22,15 +26,38 @@
 
 var _ Network = TCP{}
 
+// keepAlive finds connections that have gone silent without a reset.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     time.Second,
+	Interval: time.Second,
+	Count:    2,
+}
+
+// unackedTimeout is how long sent bytes may stay unacknowledged before the
+// connection is given up.
+const unackedTimeout = 2 * time.Second
+
 // Dial opens a TCP connection.
 func (TCP) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	var d net.Dialer
+	d := net.Dialer{KeepAliveConfig: keepAlive, Control: limitUnacked}
 	return d.DialContext(ctx, "tcp", addr.String())
 }
 
 // Listen opens a TCP listener.
 func (TCP) Listen(addr netip.AddrPort) (net.Listener, error) {
-	return net.Listen("tcp", addr.String())
+	l := net.ListenConfig{KeepAliveConfig: keepAlive}
+	return l.Listen(context.Background(), "tcp", addr.String())
+}
+
+// limitUnacked sets the time after which a connection whose bytes are not
+// acknowledged ends.
+func limitUnacked(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout/time.Millisecond))
+	})
+	return errors.Join(err, failed)
 }
 
 // Bounds of the HTTP connections that a process keeps.
--- /dev/null
+++ b/internal/stage/client.go
@@ -0,0 +1,246 @@
+package stage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/peer"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+)
+
+// serviceName is the name of the former among the RPC services of a host.
+const serviceName = "Stage"
+
+// Times of the client.
+const (
+	// pingInterval is the time between two looks at a holder that has jobs of
+	// this host, pingTimeout bounds each.
+	pingInterval = 250 * time.Millisecond
+	pingTimeout  = 350 * time.Millisecond
+	// downTime is how long a holder that was silent is passed over.
+	downTime = 3 * time.Second
+	// tellTimeout bounds a message that needs no answer.
+	tellTimeout = time.Second
+)
+
+// Service is the RPC service of a Former.
+type Service struct{ former *Former }
+
+// Empty is an empty argument or reply.
+type Empty struct{}
+
+// Run runs a job of another host.
+func (s *Service) Run(j *Job, reply *Outcome) error {
+	*reply = s.former.Submit(context.Background(), *j)
+	return nil
+}
+
+// Cancel drops a job of another host.
+func (s *Service) Cancel(id *string, _ *Empty) error {
+	s.former.Cancel(*id)
+	return nil
+}
+
+// Free drops results.
+func (s *Service) Free(results *[]Result, _ *Empty) error {
+	s.former.Free(*results)
+	return nil
+}
+
+// Ping answers.
+func (s *Service) Ping(*Empty, *Empty) error { return s.former.do(func() {}) }
+
+// Members says who holds a service.
+type Members interface {
+	Members() *peer.Members
+}
+
+// Client runs jobs at the holders of their services. Exported fields are set
+// before Run.
+type Client struct {
+	Clock   *clock.Service
+	Log     *zap.Logger
+	Self    string
+	Members Members
+	Peers   *peer.Caller
+	Former  *Former
+
+	mu      sync.Mutex
+	holders map[string]*holder
+}
+
+// holder is a host that has jobs of this one.
+type holder struct {
+	host peer.Host
+	jobs int
+	// lost is closed when the holder is found silent.
+	lost      chan struct{}
+	downUntil time.Time
+}
+
+// Run runs j and waits for the outcome. A holder that falls silent is passed
+// over, and j runs at the next one; the last resort is this host.
+func (c *Client) Run(ctx context.Context, j Job) (Outcome, error) {
+	start := c.Clock.Now()
+	due, left := j.Due, j.Left
+	sent := false
+	for {
+		host := c.holderOf(j.Service)
+		passed := c.Clock.Since(start)
+		j.ID, j.Due, j.Left = uuid.NewString(), due-passed, left-passed
+		if host.Name == c.Self {
+			o := c.Former.Submit(ctx, j)
+			o.Sent = o.Sent || sent
+			return o, nil
+		}
+		o, err := c.runAt(ctx, host, j)
+		if err == nil {
+			o.Sent = o.Sent || sent
+			return o, nil
+		}
+		sent = true
+		if ctx.Err() != nil {
+			return Outcome{Fault: Cancelled, Sent: true}, context.Cause(ctx)
+		}
+		c.Log.Warn("holder of a service lost", zap.String("Service", j.Service), zap.String("Host", host.Name),
+			zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), zap.Error(err))
+		c.lose(host)
+	}
+}
+
+// holderOf returns the host that forms the calls of service.
+func (c *Client) holderOf(service string) peer.Host {
+	members := c.Members.Members()
+	now := c.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, h := range c.holders {
+		if h.downUntil.After(now) {
+			members = members.Without(name)
+		}
+	}
+	return members.Holder(service)
+}
+
+// runAt runs j at host until it answers, falls silent or ctx ends.
+func (c *Client) runAt(ctx context.Context, host peer.Host, j Job) (Outcome, error) {
+	lost := c.enter(host)
+	defer c.leave(host)
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-lost:
+			cancel()
+		case <-callCtx.Done():
+		}
+	}()
+	o := &Outcome{}
+	err := c.Peers.Call(callCtx, host.Addr, serviceName+".Run", &j, o)
+	if err == nil {
+		return *o, nil
+	}
+	if ctx.Err() != nil {
+		go c.tell(host, "Cancel", &j.ID)
+	}
+	return Outcome{}, err
+}
+
+// enter notes a job at host and returns the channel that tells of its loss.
+func (c *Client) enter(host peer.Host) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holders == nil {
+		c.holders = map[string]*holder{}
+	}
+	h := c.holders[host.Name]
+	if h == nil {
+		h = &holder{host: host, lost: make(chan struct{})}
+		c.holders[host.Name] = h
+	}
+	h.host = host
+	h.jobs++
+	return h.lost
+}
+
+func (c *Client) leave(host peer.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holders[host.Name].jobs--
+}
+
+// lose passes host over for a while and wakes its jobs.
+func (c *Client) lose(host peer.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.holders[host.Name]
+	if h.downUntil.After(c.Clock.Now()) {
+		return
+	}
+	h.downUntil = c.Clock.Now().Add(downTime)
+	close(h.lost)
+	h.lost = make(chan struct{})
+	c.Peers.Forget(host.Addr)
+}
+
+// Watch looks at the holders that have jobs of this host until ctx ends.
+func (c *Client) Watch(ctx context.Context) error {
+	ticks := c.Clock.Subscribe(ctx, pingInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks:
+			for _, host := range c.busy() {
+				go c.look(ctx, host)
+			}
+		}
+	}
+}
+
+func (c *Client) busy() []peer.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []peer.Host
+	for _, h := range c.holders {
+		if h.jobs > 0 && !h.downUntil.After(c.Clock.Now()) {
+			out = append(out, h.host)
+		}
+	}
+	return out
+}
+
+// look asks host for a sign of life.
+func (c *Client) look(ctx context.Context, host peer.Host) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	if err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &Empty{}, &Empty{}); err != nil {
+		c.Log.Warn("holder is silent", zap.String("Host", host.Name), zap.Error(err))
+		c.lose(host)
+	}
+}
+
+// Free drops results by way of the holder of their service, which counts the
+// room at the targets.
+func (c *Client) Free(service string, results []Result) {
+	if len(results) == 0 {
+		return
+	}
+	host := c.holderOf(service)
+	if host.Name == c.Self {
+		c.Former.Free(results)
+		return
+	}
+	go c.tell(host, "Free", &results)
+}
+
+func (c *Client) tell(host peer.Host, method string, args any) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	if err := c.Peers.Call(ctx, host.Addr, serviceName+"."+method, args, &Empty{}); err != nil {
+		c.Log.Info("message to a holder lost", zap.String("Host", host.Name), zap.String("Method", method), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/stage/former_test.go
@@ -0,0 +1,238 @@
+package stage
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/clock"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+)
+
+// fakePool runs calls in virtual time and remembers them.
+type fakePool struct {
+	// fail, unless nil, decides about a call before it runs.
+	fail func(t *catalog.Target, pieces []Piece) error
+	// fault, unless nil, decides about a piece.
+	fault func(t *catalog.Target, p Piece) PieceFault
+
+	mu    sync.Mutex
+	calls []string
+	freed int
+	made  int
+}
+
+const (
+	testCallTime  = 100 * time.Millisecond
+	testPieceTime = 10 * time.Millisecond
+)
+
+func (p *fakePool) Call(ctx context.Context, t *catalog.Target, pieces []Piece) ([]PieceResult, error) {
+	p.mu.Lock()
+	p.calls = append(p.calls, fmt.Sprintf("%s %d", t.ID, len(pieces)))
+	p.mu.Unlock()
+	if p.fail != nil {
+		if err := p.fail(t, pieces); err != nil {
+			return nil, err
+		}
+	}
+	select {
+	case <-time.After(testCallTime + time.Duration(len(pieces))*testPieceTime):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	out := make([]PieceResult, len(pieces))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, piece := range pieces {
+		if p.fault != nil {
+			out[i].Fault = p.fault(t, piece)
+		}
+		if out[i].Fault == PieceDone {
+			p.made++
+			out[i].Handle = fmt.Sprintf("%s/%s/%d/%d", t.ID, piece.RequestID, piece.Stage, piece.Number)
+		}
+	}
+	return out, nil
+}
+
+func (p *fakePool) Free(_ context.Context, _ netip.AddrPort, handles []string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.freed += len(handles)
+	return nil
+}
+
+// newFormer starts a former before so many targets of one service.
+func newFormer(t *testing.T, pool *fakePool, targets int, p catalog.Pool) *Former {
+	t.Helper()
+	s := &catalog.Snapshot{
+		Table:   &catalog.Table{Services: map[string]*catalog.Service{"s": {Name: "s", Pool: &p}}},
+		Targets: map[string][]*catalog.Target{},
+	}
+	for i := range targets {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+		s.Targets["s"] = append(s.Targets["s"], &catalog.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Addr: addr, Domain: fmt.Sprintf("d%d", i), Slots: 1})
+	}
+	f := &Former{Clock: &clock.Service{}, Log: zap.NewNop(), Pool: pool, Catalog: func() *catalog.Snapshot { return s }}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	synctest.Wait()
+	return f
+}
+
+func testPool() catalog.Pool {
+	return catalog.Pool{Slots: 1, Queue: 2, Batch: 8, CallTime: testCallTime, PieceTime: testPieceTime, RoomBytes: 1000, ResultLife: 4 * time.Second}
+}
+
+func testJob(id string, pieces int) Job {
+	return Job{ID: id, RequestID: id, Service: "s", Pieces: pieces, Key: "k", Due: time.Second, Left: 5 * time.Second, PieceBytes: 10}
+}
+
+// TestWholeJob expects the results of every piece: an outcome once held only
+// the first of a call's.
+func TestWholeJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFormer(t, &fakePool{}, 1, testPool())
+		o := f.Submit(t.Context(), testJob("r", 3))
+		var got []string
+		for _, r := range o.Results {
+			got = append(got, r.Handle)
+		}
+		if diff := cmp.Diff([]string{"t0/r/0/0", "t0/r/0/1", "t0/r/0/2"}, got); diff != "" {
+			t.Errorf("handles (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// submitAll submits jobs at once and returns their outcomes.
+func submitAll(t *testing.T, f *Former, jobs ...Job) []Outcome {
+	out := make([]Outcome, len(jobs))
+	var wg sync.WaitGroup
+	for i, j := range jobs {
+		wg.Go(func() { out[i] = f.Submit(t.Context(), j) })
+		synctest.Wait()
+	}
+	wg.Wait()
+	return out
+}
+
+// TestSharedCalls expects jobs that wait for a target to share its next call.
+func TestSharedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := &fakePool{}
+		f := newFormer(t, pool, 1, testPool())
+		submitAll(t, f, testJob("a", 2), testJob("b", 3), testJob("c", 3), testJob("d", 4))
+		if diff := cmp.Diff([]string{"t0 2", "t0 6", "t0 4"}, pool.calls); diff != "" {
+			t.Errorf("calls (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestLargeJob expects a job larger than a call to be split.
+func TestLargeJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := &fakePool{}
+		f := newFormer(t, pool, 2, testPool())
+		o := f.Submit(t.Context(), testJob("a", 20))
+		if o.Fault != None || len(made(o.Results)) != 20 {
+			t.Errorf("outcome %v with %d results", o.Fault, len(made(o.Results)))
+		}
+		for _, c := range pool.calls {
+			if c != "t0 8" && c != "t1 8" && c != "t0 4" && c != "t1 4" {
+				t.Errorf("call %q", c)
+			}
+		}
+	})
+}
+
+// TestRoom expects no call for which the target has no room, and one again once
+// results are freed.
+func TestRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := &fakePool{}
+		p := testPool()
+		p.RoomBytes = 50
+		f := newFormer(t, pool, 1, p)
+		first := f.Submit(t.Context(), testJob("a", 4))
+		start := time.Now()
+		time.AfterFunc(time.Second, func() { f.Free(first.Results) })
+		f.Submit(t.Context(), testJob("b", 4))
+		if waited := time.Since(start); waited < time.Second {
+			t.Errorf("the second job ran after %v, without room", waited)
+		}
+		if diff := cmp.Diff([]string{"t0 4", "t0 4"}, pool.calls); diff != "" {
+			t.Errorf("calls (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestFailedCall expects the pieces of a failed call at another target.
+func TestFailedCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := &fakePool{fail: func(target *catalog.Target, _ []Piece) error {
+			if target.ID == "t0" {
+				return Error.New("reset")
+			}
+			return nil
+		}}
+		f := newFormer(t, pool, 2, testPool())
+		o := f.Submit(t.Context(), testJob("a", 2))
+		if o.Fault != None || o.Results[0].Target != "t1" {
+			t.Errorf("outcome %+v after calls %v", o, pool.calls)
+		}
+	})
+}
+
+// TestCancelFrees expects the results of a cancelled job to be freed.
+func TestCancelFrees(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := &fakePool{}
+		f := newFormer(t, pool, 1, testPool())
+		ctx, cancel := context.WithTimeout(t.Context(), testCallTime/2)
+		defer cancel()
+		o := f.Submit(ctx, testJob("a", 4))
+		if o.Fault != Cancelled || !o.Sent {
+			t.Errorf("outcome %+v", o)
+		}
+		time.Sleep(time.Second)
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		if pool.freed != pool.made {
+			t.Errorf("%d of %d results freed", pool.freed, pool.made)
+		}
+	})
+}
+
+// TestLate expects a job to end when its time has passed.
+func TestLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFormer(t, &fakePool{}, 0, testPool())
+		start := time.Now()
+		j := testJob("a", 1)
+		j.Left = 300 * time.Millisecond
+		o := f.Submit(t.Context(), j)
+		if took := time.Since(start); o.Fault != Late || o.Sent || took > 350*time.Millisecond {
+			t.Errorf("outcome %+v after %v", o, took)
+		}
+	})
+}
+
+// TestGone expects a job whose input is lost to end at once.
+func TestGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := &fakePool{fault: func(*catalog.Target, Piece) PieceFault { return PieceGone }}
+		f := newFormer(t, pool, 1, testPool())
+		if o := f.Submit(t.Context(), testJob("a", 2)); o.Fault != Gone {
+			t.Errorf("outcome %+v", o)
+		}
+	})
+}
