Tell an outage of the store from being turned away by it

Change: the entries themselves tell. In an outage no target can write; a host that was turned away alone finds the others' entries when it reads on, or hears of them from peers, and lets the removal count at once. The grace after a real outage ends 2 s after its end, wherever the removal was read.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -61,12 +61,14 @@
 	targetPause = 700 * time.Millisecond
 	// retryPause is the time between two reads after a failure.
 	retryPause = 250 * time.Millisecond
-	// lapseGrace is how long a target is kept whose entry lapsed while the
-	// platform's store was away; a live target registers again by then.
-	lapseGrace = 1800 * time.Millisecond
-	// outageMemory is the time after an outage in which a removal counts as a
-	// lapse of the outage.
-	outageMemory = 3 * time.Second
+	// lapseGrace is how long after an outage of the store a target is kept whose
+	// entry lapsed meanwhile; a live target registers again by then.
+	lapseGrace = 2 * time.Second
+	// outageGap is the least time without any entry that counts as an outage of
+	// the store, and outageShare the share of the expected entries below which
+	// the targets must have been unable to write.
+	outageGap   = 2 * time.Second
+	outageShare = 0.4
 	// relayAfter is the number of failed reads in a row after which peers are
 	// asked for what they have.
 	relayAfter = 2
@@ -87,6 +89,8 @@
 	Self    string
 	Members Members
 	Peers   *peer.Caller
+	// Heartbeat is the time between two entries of a target.
+	Heartbeat time.Duration
 	// OnChange, unless nil, is called after each new snapshot.
 	OnChange func(*Snapshot)
 
@@ -97,16 +101,20 @@
 	targets map[string]*row
 	// whole says that the targets were read at least once.
 	whole bool
-	// lastOutage is the time of the last failed read of the targets.
-	lastOutage time.Time
+	// newest is the latest offset of an entry, newestAt when it was seen.
+	newest   Offset
+	newestAt time.Time
+	// graceUntil is the time until which entries that lapsed in the last outage
+	// of the store are kept.
+	graceUntil time.Time
 }
 
 // row is a target as the follower keeps it.
 type row struct {
 	target *Target
 	offset Offset
-	// lapsed is the time at which the entry lapsed in an outage; zero if it holds.
-	lapsed time.Time
+	// lapsed says that the entry lapsed in an outage of the store.
+	lapsed bool
 }
 
 // Snapshot returns what is in force; it is never nil.
@@ -186,7 +194,6 @@
 		}
 		link.result(err)
 		if err != nil {
-			f.failed()
 			f.relay(ctx, link.failures)
 			f.Clock.Sleep(ctx, retryPause)
 			continue
@@ -197,12 +204,6 @@
 	}
 }
 
-func (f *Follower) failed() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lastOutage = f.Clock.Now()
-}
-
 // TakeTargets applies what was read of the targets.
 func (f *Follower) TakeTargets(news TargetNews) {
 	f.mu.Lock()
@@ -210,6 +211,7 @@
 	if f.targets == nil {
 		f.targets = map[string]*row{}
 	}
+	f.noteProgress(news, now)
 	changed := !f.whole
 	seen := map[string]bool{}
 	for _, c := range news.Changes {
@@ -234,6 +236,34 @@
 	}
 }
 
+// noteProgress looks for an outage of the store in the entries themselves: in an
+// outage no target could write. A host that the store turned away alone finds
+// the entries of that time when it reads on, or hears of them from its peers;
+// f.mu is held.
+func (f *Follower) noteProgress(news TargetNews, now time.Time) {
+	entries := 0
+	newest := f.newest
+	for _, c := range news.Changes {
+		if c.Target != nil && c.Offset > f.newest {
+			entries++
+			newest = max(newest, c.Offset)
+		}
+	}
+	if entries == 0 {
+		return
+	}
+	gap := now.Sub(f.newestAt)
+	expected := float64(len(f.targets)) * float64(gap) / float64(f.Heartbeat)
+	if news.Whole {
+		expected = float64(len(f.targets))
+	}
+	if !f.newestAt.IsZero() && gap > outageGap && float64(entries) < outageShare*expected {
+		f.graceUntil = now.Add(lapseGrace)
+		f.Log.Info("outage of the store ended", zap.Duration("Gap", gap), zap.Int("Entries", entries), zap.Int("Targets", len(f.targets)))
+	}
+	f.newest, f.newestAt = newest, now
+}
+
 // change applies one entry and reports whether the snapshot differs; f.mu is held.
 func (f *Follower) change(c TargetChange, now time.Time) bool {
 	r := f.targets[c.ID]
@@ -256,8 +286,8 @@
 		return false
 	}
 	old := *r
-	r.target, r.offset, r.lapsed = c.Target, c.Offset, time.Time{}
-	if same(old.target, c.Target) && old.lapsed.IsZero() {
+	r.target, r.offset, r.lapsed = c.Target, c.Offset, false
+	if same(old.target, c.Target) && !old.lapsed {
 		return false
 	}
 	f.logTarget("target changed", c.Target)
@@ -274,9 +304,9 @@
 // remove takes the entry out, or lets it lapse if the store was away lately;
 // f.mu is held.
 func (f *Follower) remove(id string, r *row, now time.Time) bool {
-	if !r.target.Leaving && !f.lastOutage.IsZero() && now.Sub(f.lastOutage) < outageMemory {
-		if r.lapsed.IsZero() {
-			r.lapsed = now
+	if !r.target.Leaving && now.Before(f.graceUntil) {
+		if !r.lapsed {
+			r.lapsed = true
 			f.logTarget("target's entry lapsed in an outage", r.target)
 		}
 		return false
@@ -286,11 +316,14 @@
 	return true
 }
 
-// expire takes out the entries that lapsed too long ago; f.mu is held.
+// expire takes out the entries that lapsed and did not come back; f.mu is held.
 func (f *Follower) expire(now time.Time) bool {
+	if now.Before(f.graceUntil) {
+		return false
+	}
 	changed := false
 	for id, r := range f.targets {
-		if !r.lapsed.IsZero() && now.Sub(r.lapsed) >= lapseGrace {
+		if r.lapsed {
 			f.logTarget("target gone after an outage", r.target)
 			delete(f.targets, id)
 			changed = true
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -39,7 +39,7 @@
 	}
 	reply.Whole = f.whole
 	for id, row := range f.targets {
-		if row.lapsed.IsZero() {
+		if !row.lapsed {
 			reply.Targets = append(reply.Targets, TargetChange{ID: id, Target: row.target, Offset: row.offset})
 		}
 		reply.Next = max(reply.Next, row.offset)
