Hand jobs on when a former shuts down, and answer before a host ends

Change: a former that shuts down gives back other hosts' jobs that have not begun; a former learns from a lack of room what others hold, and lets that lapse; hosts join the exchange only once they know the targets; what is still open 0.9 s before the end gets its answer.

Tests: TestRetiredHolder, TestSilentHolder.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -48,6 +48,9 @@
 	leaving atomic.Bool
 	// open is the number of requests that are being served.
 	open atomic.Int64
+	// ending ends the requests that are left when the process has to end.
+	ending context.Context
+	end    context.CancelCauseFunc
 }
 
 // Times of a shutdown.
@@ -55,8 +58,10 @@
 	// leaveTime is how long a host that is told to stop still takes new
 	// connections: the balancer sends them until it has asked twice in vain.
 	leaveTime = 3 * time.Second
-	// endMargin is left of the grace period for the process to end.
-	endMargin = 700 * time.Millisecond
+	// endMargin is left of the grace period for the last answers and for the
+	// process to end, answerTime is the part of it for the answers.
+	endMargin  = 900 * time.Millisecond
+	answerTime = 400 * time.Millisecond
 	// drainPoll is the time between two looks at the requests in flight.
 	drainPoll = 20 * time.Millisecond
 )
@@ -66,6 +71,8 @@
 // or the grace period is nearly over.
 func (h *Host) Run(ctx context.Context) error {
 	h.Follower.OnChange = h.changed
+	h.ending, h.end = context.WithCancelCause(context.WithoutCancel(ctx))
+	defer h.end(nil)
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, partsCtx := errgroup.WithContext(parts)
@@ -75,7 +82,7 @@
 	}
 	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr),
 		zap.String("Domain", h.Settings.Domain), zap.Int("Peers", len(h.Settings.Peers)))
-	for _, run := range []func(context.Context) error{h.Follower.Run, h.Exchange.Run, h.Former.Run, h.Stages.Watch} {
+	for _, run := range []func(context.Context) error{h.Follower.Run, h.join, h.Former.Run, h.Stages.Watch} {
 		g.Go(func() error { return run(partsCtx) })
 	}
 	g.Go(func() error {
@@ -97,6 +104,26 @@
 	return nil
 }
 
+// join runs the exchange once this host can be of use to others: a member may
+// hold services, and needs to know their targets. A host that can't learn them
+// from the store joins to learn them from its peers.
+func (h *Host) join(ctx context.Context) error {
+	start := h.Clock.Now()
+	for !h.Follower.Ready() && h.Clock.Since(start) < joinPatience {
+		if err := h.Clock.Sleep(ctx, joinPoll); err != nil {
+			return err
+		}
+	}
+	h.Log.Info("joining the exchange", zap.Bool("Ready", h.Follower.Ready()), zap.Duration("After", h.Clock.Since(start)))
+	return h.Exchange.Run(ctx)
+}
+
+// Times of joining.
+const (
+	joinPatience = time.Second
+	joinPoll     = 10 * time.Millisecond
+)
+
 // listen opens the host's listeners and serves them in g.
 func (h *Host) listen(g *errgroup.Group) ([]*http.Server, error) {
 	callers, err := h.Net.Listen(h.Settings.CallerAddr)
@@ -146,12 +173,17 @@
 	grace := time.Duration(h.Settings.GracePeriod) - endMargin
 	h.Log.Info("draining", zap.Int64("Open", h.open.Load()), zap.Duration("Grace", grace))
 	h.Exchange.Leave()
+	h.Former.Retire()
 	start := h.Clock.Now()
 	h.Clock.Sleep(ctx, min(leaveTime, grace))
 	h.front.stop()
 	for h.open.Load() > 0 && h.Clock.Since(start) < grace {
 		h.Clock.Sleep(ctx, drainPoll)
 	}
+	h.end(errEnding)
+	for h.open.Load() > 0 && h.Clock.Since(start) < grace+answerTime {
+		h.Clock.Sleep(ctx, drainPoll)
+	}
 	for h.Peers.Running() > 0 && h.Clock.Since(start) < grace {
 		h.Clock.Sleep(ctx, drainPoll)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,7 +62,7 @@
 	out := &reply{w: w, host: h}
 	err := h.accept(w, r, q)
 	if err == nil {
-		ctx, cancel := context.WithDeadlineCause(r.Context(), q.until, errTimeout)
+		ctx, cancel := h.requestContext(r.Context(), q.until)
 		if q.route.Kind == catalog.Stream {
 			err = h.stream(ctx, q, out)
 		} else {
@@ -73,6 +73,18 @@
 	h.finish(r.Context(), q, out, err)
 }
 
+// errEnding is the cause of a context that the end of the process ended.
+var errEnding = errors.New("the host is shutting down")
+
+// requestContext returns a context that ends with the caller, at until, or when
+// the process has to end.
+func (h *Host) requestContext(caller context.Context, until time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadlineCause(caller, until, errTimeout)
+	ctx, end := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(h.ending, func() { end(context.Cause(h.ending)) })
+	return ctx, func() { stop(); end(nil); cancel() }
+}
+
 // accept reads the whole request and finds what it is for.
 func (h *Host) accept(w http.ResponseWriter, r *http.Request, q *request) error {
 	table := h.Follower.Snapshot().Table
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -22,6 +22,9 @@
 	pingTimeout  = 350 * time.Millisecond
 	// downTime is how long a holder that was silent is passed over.
 	downTime = 3 * time.Second
+	// maxMoves is the number of holders that a job is taken to before this host
+	// forms its calls itself.
+	maxMoves = 3
 	// tellTimeout bounds a message that needs no answer.
 	tellTimeout = time.Second
 )
@@ -34,7 +37,7 @@
 
 // Run runs a job of another host.
 func (s *Service) Run(j *Job, reply *Outcome) error {
-	*reply = s.former.Submit(context.Background(), *j)
+	*reply = s.former.submitRemote(*j)
 	return nil
 }
 
@@ -87,16 +90,24 @@
 	start := c.Clock.Now()
 	due, left := j.Due, j.Left
 	sent := false
-	for {
+	for moves := 0; ; moves++ {
 		host := c.holderOf(j.Service)
+		if moves >= maxMoves {
+			host = peer.Host{Name: c.Self}
+		}
 		passed := c.Clock.Since(start)
 		j.ID, j.Due, j.Left = uuid.NewString(), due-passed, left-passed
+		var o Outcome
+		var err error
 		if host.Name == c.Self {
-			o := c.Former.Submit(ctx, j)
-			o.Sent = o.Sent || sent
-			return o, nil
+			o = c.Former.Submit(ctx, j)
+		} else {
+			o, err = c.runAt(ctx, host, j)
+		}
+		if err == nil && o.Fault == Moved {
+			c.passOver(host)
+			continue
 		}
-		o, err := c.runAt(ctx, host, j)
 		if err == nil {
 			o.Sent = o.Sent || sent
 			return o, nil
@@ -153,17 +164,23 @@
 func (c *Client) enter(host peer.Host) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	h := c.holder(host)
+	h.jobs++
+	return h.lost
+}
+
+// holder returns what is kept of host; c.mu is held.
+func (c *Client) holder(host peer.Host) *holder {
 	if c.holders == nil {
 		c.holders = map[string]*holder{}
 	}
 	h := c.holders[host.Name]
 	if h == nil {
-		h = &holder{host: host, lost: make(chan struct{})}
+		h = &holder{lost: make(chan struct{})}
 		c.holders[host.Name] = h
 	}
 	h.host = host
-	h.jobs++
-	return h.lost
+	return h
 }
 
 func (c *Client) leave(host peer.Host) {
@@ -172,11 +189,18 @@
 	c.holders[host.Name].jobs--
 }
 
+// passOver keeps new jobs from host for a while.
+func (c *Client) passOver(host peer.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holder(host).downUntil = c.Clock.Now().Add(downTime)
+}
+
 // lose passes host over for a while and wakes its jobs.
 func (c *Client) lose(host peer.Host) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := c.holders[host.Name]
+	h := c.holder(host)
 	if h.downUntil.After(c.Clock.Now()) {
 		return
 	}
--- /dev/null
+++ b/internal/stage/client_test.go
@@ -0,0 +1,146 @@
+package stage
+
+import (
+	"context"
+	"net/netip"
+	"net/rpc"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+)
+
+// fixedMembers is a membership that tests set.
+type fixedMembers struct{ members *peer.Members }
+
+func (f *fixedMembers) Members() *peer.Members { return f.members }
+
+// fleetOf is a few hosts with a former and a client each.
+type fleetOf struct {
+	network *link.Memory
+	members *fixedMembers
+	hosts   []peer.Host
+	pools   []*fakePool
+	formers []*Former
+	clients []*Client
+}
+
+func newFleet(t *testing.T, n int) *fleetOf {
+	t.Helper()
+	f := &fleetOf{network: &link.Memory{Delay: 500 * time.Microsecond}, members: &fixedMembers{}}
+	for i := range n {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 81)
+		f.hosts = append(f.hosts, peer.Host{Name: addr.String(), Addr: addr})
+	}
+	f.members.members = peer.NewMembers(f.hosts)
+	for _, h := range f.hosts {
+		f.start(t, h)
+	}
+	return f
+}
+
+func (f *fleetOf) start(t *testing.T, h peer.Host) {
+	pool := &fakePool{}
+	former := newFormer(t, pool, 2, testPool())
+	s := &peer.Server{RPC: rpc.NewServer()}
+	if err := former.Register(s.RPC); err != nil {
+		t.Fatal(err)
+	}
+	l, err := f.network.Process(h.Addr.Addr()).Listen(h.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	c := &Client{
+		Clock: &clock.Service{}, Log: zap.NewNop(), Self: h.Name, Members: f.members, Former: former,
+		Peers: &peer.Caller{Net: f.network.Process(h.Addr.Addr())},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- c.Watch(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; l.Close(); s.Close(); c.Peers.Close() })
+	f.pools = append(f.pools, pool)
+	f.formers = append(f.formers, former)
+	f.clients = append(f.clients, c)
+}
+
+// holder is the index of the host that holds the service of the tests.
+func (f *fleetOf) holder() int {
+	name := f.members.members.Holder("s").Name
+	for i, h := range f.hosts {
+		if h.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// other is the index of a host that does not hold the service.
+func (f *fleetOf) other() int { return (f.holder() + 1) % len(f.hosts) }
+
+// TestHolderFormsCalls expects the calls of all hosts at the holder.
+func TestHolderFormsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		for _, c := range f.clients {
+			o, err := c.Run(t.Context(), testJob("r", 2))
+			if err != nil || o.Fault != None || len(o.Results) != 2 {
+				t.Errorf("outcome %+v, %v", o, err)
+			}
+		}
+		got := []int{len(f.pools[0].calls), len(f.pools[1].calls), len(f.pools[2].calls)}
+		want := make([]int, 3)
+		want[f.holder()] = 3
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("calls by host (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestSilentHolder cuts the holder off while it has a job: the job runs
+// elsewhere within the bound of docs/design/platform.md.
+func TestSilentHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		other := f.other()
+		f.pools[f.holder()].fail = nil
+		cut := testCallTime / 2
+		time.AfterFunc(cut, func() {
+			f.network.Cut(f.hosts[f.holder()].Addr.Addr(), f.hosts[other].Addr.Addr())
+		})
+		start := time.Now()
+		o, err := f.clients[other].Run(t.Context(), testJob("r", 2))
+		took := time.Since(start)
+		if err != nil || o.Fault != None || !o.Sent {
+			t.Errorf("outcome %+v, %v", o, err)
+		}
+		if bound := cut + pingInterval + pingTimeout + 2*testCallTime; took > bound {
+			t.Errorf("took %v, bound %v", took, bound)
+		}
+	})
+}
+
+// TestRetiredHolder expects jobs that wait at a former that shuts down to run
+// at the next one, and a host without any other to form its own calls.
+func TestRetiredHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.formers[f.holder()].Retire()
+		o, err := f.clients[f.other()].Run(t.Context(), testJob("r", 2))
+		if err != nil || o.Fault != None {
+			t.Errorf("outcome %+v, %v", o, err)
+		}
+		for _, former := range f.formers {
+			former.Retire()
+		}
+		o, err = f.clients[f.other()].Run(t.Context(), testJob("q", 2))
+		if err != nil || o.Fault != None {
+			t.Errorf("with all formers retired: outcome %+v, %v", o, err)
+		}
+	})
+}
--- a/internal/stage/former.go
+++ b/internal/stage/former.go
@@ -48,6 +48,8 @@
 	ctx   context.Context
 	lines map[string]*line
 	jobs  map[string]*job
+	// retired formers take no jobs of other hosts.
+	retired bool
 }
 
 func (f *Former) init() {
@@ -105,12 +107,20 @@
 	ran      time.Duration
 	done     chan Outcome
 	ended    bool
+	// remote jobs are another host's.
+	remote bool
 }
 
-// Submit runs j and waits for its outcome. When ctx ends the job is cancelled.
-func (f *Former) Submit(ctx context.Context, j Job) Outcome {
+// Submit runs a job of this host and waits for its outcome. When ctx ends the
+// job is cancelled.
+func (f *Former) Submit(ctx context.Context, j Job) Outcome { return f.submit(ctx, j, false) }
+
+// submitRemote runs a job of another host, which cancels it by its ID.
+func (f *Former) submitRemote(j Job) Outcome { return f.submit(context.Background(), j, true) }
+
+func (f *Former) submit(ctx context.Context, j Job, remote bool) Outcome {
 	var running *job
-	if f.do(func() { running = f.accept(j) }) != nil {
+	if f.do(func() { running = f.accept(j, remote) }) != nil {
 		return Outcome{Fault: Failed}
 	}
 	select {
@@ -125,13 +135,17 @@
 }
 
 // accept queues j.
-func (f *Former) accept(j Job) *job {
+func (f *Former) accept(j Job, remote bool) *job {
 	now := f.Clock.Now()
-	running := &job{Job: j, due: now.Add(j.Due), until: now.Add(j.Left), arrived: now, missing: j.Pieces, done: make(chan Outcome, 1)}
+	running := &job{Job: j, remote: remote, due: now.Add(j.Due), until: now.Add(j.Left), arrived: now, missing: j.Pieces, done: make(chan Outcome, 1)}
 	running.results = make([]Result, j.Pieces)
 	for i := range j.Pieces {
 		running.waiting = append(running.waiting, i)
 	}
+	if f.retired && remote {
+		f.end(running, Moved)
+		return running
+	}
 	if len(f.jobs) >= maxJobs || f.jobs[j.ID] != nil {
 		f.end(running, Failed)
 		return running
@@ -152,6 +166,19 @@
 	})
 }
 
+// Retire gives back the jobs of other hosts that have not begun and takes no
+// more; their senders take them to the next holder.
+func (f *Former) Retire() {
+	f.do(func() {
+		f.retired = true
+		for _, j := range f.jobs {
+			if j.remote && !j.sent {
+				f.end(j, Moved)
+			}
+		}
+	})
+}
+
 // end answers for j and forgets it.
 func (f *Former) end(j *job, fault Fault) {
 	if j.ended {
@@ -167,7 +194,7 @@
 	}
 	if fault == None {
 		o.Results = j.results
-	} else {
+	} else if fault != Moved {
 		f.release(made(j.results))
 		f.Log.Info("stage without result", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage),
 			zap.Stringer("Fault", fault), zap.Int("Failures", j.failures), zap.Duration("Waited", f.Clock.Since(j.arrived)))
@@ -218,7 +245,7 @@
 			w.freeAt = now.Add(freeDelay)
 		}
 		w.free = append(w.free, r.Handle)
-		w.forget(r.Handle)
+		w.freed(r, now)
 	}
 }
 
@@ -330,7 +357,7 @@
 	j := p.job
 	switch r.Fault {
 	case PieceDone:
-		result := Result{Handle: r.Handle, Target: t.ID, Addr: t.Addr, Domain: t.Domain}
+		result := Result{Handle: r.Handle, Target: t.ID, Addr: t.Addr, Domain: t.Domain, Bytes: j.PieceBytes}
 		if j.ended {
 			f.release([]Result{result})
 			return
@@ -345,7 +372,7 @@
 	case PieceGone:
 		f.end(j, Gone)
 	case PieceNoRoom:
-		w.full(now)
+		w.full(now, l.pool, j.PieceBytes)
 		f.again(p, false)
 	case PieceError:
 		f.again(p, true)
--- a/internal/stage/line.go
+++ b/internal/stage/line.go
@@ -190,7 +190,7 @@
 		if w.pace > slowFactor*fastest && now.Sub(w.lastUsed) < slowProbe {
 			continue
 		}
-		if l.pieces(j, w) == 0 {
+		if l.pieces(j, w, now) == 0 {
 			continue
 		}
 		if best == nil || better(w, t, best, at, j.Domain) {
@@ -241,23 +241,23 @@
 }
 
 // pieces returns how many waiting pieces of j an empty call at w may take.
-func (l *line) pieces(j *job, w *worker) int {
-	return l.fitting(j, w, 0, 0)
+func (l *line) pieces(j *job, w *worker, now time.Time) int {
+	return l.fitting(j, w, 0, 0, now)
 }
 
 // fitting returns how many waiting pieces of j fit in a call that has taken so
 // many pieces and bytes. A job is not split unless it is larger than a call, or
 // than the room of an empty target.
-func (l *line) fitting(j *job, w *worker, taken int, bytes int64) int {
+func (l *line) fitting(j *job, w *worker, taken int, bytes int64, now time.Time) int {
 	n := min(len(j.waiting), l.pool.Batch-taken)
 	if j.PieceBytes > 0 && l.pool.RoomBytes > 0 {
-		room := l.pool.RoomBytes - w.used() - bytes
+		room := l.pool.RoomBytes - w.used(now) - bytes
 		n = min(n, int(max(0, room)/j.PieceBytes))
 	}
 	if n == len(j.waiting) {
 		return n
 	}
-	if taken == 0 && (len(j.waiting) > l.pool.Batch || w.used() == 0) {
+	if taken == 0 && (len(j.waiting) > l.pool.Batch || w.used(now) == 0) {
 		return n
 	}
 	return 0
@@ -266,7 +266,7 @@
 // form makes a call at w that begins with j and takes what else fits.
 func (l *line) form(j *job, w *worker, t *catalog.Target, now time.Time) *call {
 	c := &call{}
-	bytes := c.add(j, l.pieces(j, w))
+	bytes := c.add(j, l.pieces(j, w, now))
 	for _, other := range l.jobs {
 		if len(c.parts) >= l.pool.Batch {
 			break
@@ -274,7 +274,7 @@
 		if other == j || len(other.waiting) == 0 || l.wantsDomain(other, now) && other.Domain != t.Domain {
 			continue
 		}
-		bytes += c.add(other, l.fitting(other, w, len(c.parts), bytes))
+		bytes += c.add(other, l.fitting(other, w, len(c.parts), bytes, now))
 	}
 	if len(c.parts) == 0 {
 		return nil
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -46,6 +46,8 @@
 	Target string
 	Addr   netip.AddrPort
 	Domain string
+	// Bytes is the approximate size.
+	Bytes int64
 }
 
 // Fault says why a job has no results.
@@ -63,9 +65,11 @@
 	Failed
 	// Cancelled means that the request was given up.
 	Cancelled
+	// Moved means that the former is shutting down and has not begun the job.
+	Moved
 )
 
-var faultNames = [...]string{"none", "late", "gone", "failed", "cancelled"}
+var faultNames = [...]string{"none", "late", "gone", "failed", "cancelled", "moved"}
 
 // String returns the name of f for logs.
 func (f Fault) String() string { return faultNames[f] }
--- a/internal/stage/worker.go
+++ b/internal/stage/worker.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
 )
 
 // worker is what the former knows of one target of a pool.
@@ -19,6 +21,11 @@
 	// that of the results that lie at the target, both in bytes.
 	reserved, held int64
 	results        map[string]heldResult
+	// foreign is the size of results that another former had made, as a lack of
+	// room has shown it at foreignAt; it shrinks to nothing over foreignLife.
+	foreign     int64
+	foreignAt   time.Time
+	foreignLife time.Duration
 
 	// free are the handles to free from freeAt on.
 	free   []string
@@ -31,7 +38,16 @@
 }
 
 // used is the room taken at the target in bytes.
-func (w *worker) used() int64 { return w.reserved + w.held }
+func (w *worker) used(now time.Time) int64 { return w.reserved + w.held + w.others(now) }
+
+// others is the room that results of other formers take.
+func (w *worker) others(now time.Time) int64 {
+	left := w.foreignLife - now.Sub(w.foreignAt)
+	if w.foreign <= 0 || left <= 0 {
+		return 0
+	}
+	return int64(float64(w.foreign) * float64(left) / float64(w.foreignLife))
+}
 
 func (w *worker) hold(handle string, bytes int64, until time.Time) {
 	if w.results == nil {
@@ -56,8 +72,26 @@
 // rejected pauses a target that had no place for a call.
 func (w *worker) rejected(now time.Time) { w.pause(now, rejectPause) }
 
-// full pauses a target that had no room for results.
-func (w *worker) full(now time.Time) { w.pause(now, roomPause) }
+// full pauses a target that had no room for a result of so many bytes: others
+// must have used what this former doesn't.
+func (w *worker) full(now time.Time, pool *catalog.Pool, bytes int64) {
+	w.pause(now, roomPause)
+	others := pool.RoomBytes - w.reserved - w.held - bytes/2
+	if others > w.others(now) {
+		w.foreign, w.foreignAt, w.foreignLife = others, now, pool.ResultLife
+	}
+}
+
+// freed takes a result's room back.
+func (w *worker) freed(r Result, now time.Time) {
+	if _, ok := w.results[r.Handle]; ok {
+		w.forget(r.Handle)
+		return
+	}
+	if others := w.others(now); others > 0 {
+		w.foreign, w.foreignAt, w.foreignLife = max(0, others-r.Bytes), now, w.foreignLife-now.Sub(w.foreignAt)
+	}
+}
 
 // failed pauses a target, longer after each failure in a row.
 func (w *worker) failed(now time.Time) {
