Ask peers whether the store is there before a removal counts as a lapse

Ruled out: late reading, the removal was read within 0.4 s.

Change: a failed read counts as an outage only if no peer reads the store. As heartbeats are no records, both streams are read with a wait of 3 s, which also brings changes at once.

Tests: TestRemovalInPeace, TestLapseInOutage, TestRemovalAfterTurnAway.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -48,27 +48,28 @@
 // longer kept, returns the newest record of every key.
 type Feed interface {
 	ReadTable(ctx context.Context, from Offset, wait time.Duration) (TableNews, error)
-	ReadTargets(ctx context.Context, from Offset) (TargetNews, error)
+	ReadTargets(ctx context.Context, from Offset, wait time.Duration) (TargetNews, error)
 }
 
 // Times of the follower.
 const (
-	// tableWait is how long one read of the configurations waits for a change.
-	tableWait = 1500 * time.Millisecond
+	// readWait is how long one read waits for a change. A store that was away may
+	// leave a read without an answer, and the next one has to find a change of the
+	// first seconds after its return in time.
+	readWait = 3 * time.Second
 	// readTimeout bounds a read beyond the time that it asks to wait.
 	readTimeout = 700 * time.Millisecond
-	// targetPause is the time between two reads of the targets.
-	targetPause = 700 * time.Millisecond
+	// targetPause is the time between two reads of the targets, which collects
+	// changes.
+	targetPause = 100 * time.Millisecond
 	// retryPause is the time between two reads after a failure.
 	retryPause = 250 * time.Millisecond
 	// lapseGrace is how long after an outage of the store a target is kept whose
 	// entry lapsed meanwhile; a live target registers again by then.
 	lapseGrace = 2 * time.Second
-	// outageGap is the least time without any entry that counts as an outage of
-	// the store, and outageShare the share of the expected entries below which
-	// the targets must have been unable to write.
-	outageGap   = 2 * time.Second
-	outageShare = 0.4
+	// healthyAge is the age of a peer's last read up to which the store counts
+	// as there for others.
+	healthyAge = readWait + readTimeout
 	// relayAfter is the number of failed reads in a row after which peers are
 	// asked for what they have.
 	relayAfter = 2
@@ -89,8 +90,6 @@
 	Self    string
 	Members Members
 	Peers   *peer.Caller
-	// Heartbeat is the time between two entries of a target.
-	Heartbeat time.Duration
 	// OnChange, unless nil, is called after each new snapshot.
 	OnChange func(*Snapshot)
 
@@ -101,11 +100,9 @@
 	targets map[string]*row
 	// whole says that the targets were read at least once.
 	whole bool
-	// newest is the latest offset of an entry, newestAt when it was seen.
-	newest   Offset
-	newestAt time.Time
-	// graceUntil is the time until which entries that lapsed in the last outage
-	// of the store are kept.
+	// lastRead is the time of the last read of the targets, graceUntil the time
+	// until which entries that lapsed in the last outage of the store are kept.
+	lastRead   time.Time
 	graceUntil time.Time
 }
 
@@ -154,10 +151,11 @@
 		link.result(err)
 		if err != nil {
 			f.relay(ctx, link.failures)
+			wait = 0
 			f.Clock.Sleep(ctx, retryPause)
 			continue
 		}
-		next, wait = news.Next, tableWait
+		next, wait = news.Next, readWait
 		if news.Table != nil {
 			f.TakeTable(news.Table, "store")
 		}
@@ -180,30 +178,62 @@
 	f.changed()
 }
 
-// followTargets reads the targets at a pace of its own, since each heartbeat of
-// each target is a record.
+// followTargets reads the targets.
 func (f *Follower) followTargets(ctx context.Context) {
-	next := Start
+	next, wait := Start, time.Duration(0)
 	link := &dependency{log: f.Log, name: "target stream"}
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		news, err := f.Feed.ReadTargets(callCtx, next)
+		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+		news, err := f.Feed.ReadTargets(callCtx, next, wait)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
 		link.result(err)
 		if err != nil {
-			f.relay(ctx, link.failures)
+			f.noteFailure(f.relay(ctx, link.failures))
+			wait = 0
 			f.Clock.Sleep(ctx, retryPause)
 			continue
 		}
 		next = news.Next
+		f.noteRead()
 		f.TakeTargets(news)
+		wait = f.nextWait()
 		f.Clock.Sleep(ctx, targetPause)
 	}
 }
 
+// nextWait is how long the next read waits: a lapsed entry needs a look when its
+// grace ends.
+func (f *Follower) nextWait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.targets {
+		if r.lapsed {
+			return min(readWait, max(retryPause, f.graceUntil.Sub(f.Clock.Now())))
+		}
+	}
+	return readWait
+}
+
+func (f *Follower) noteRead() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastRead = f.Clock.Now()
+}
+
+// noteFailure takes a failed read for an outage of the store, in which entries
+// lapse, unless a peer can read it.
+func (f *Follower) noteFailure(peerReads bool) {
+	if peerReads {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.graceUntil = f.Clock.Now().Add(lapseGrace)
+}
+
 // TakeTargets applies what was read of the targets.
 func (f *Follower) TakeTargets(news TargetNews) {
 	f.mu.Lock()
@@ -211,7 +241,6 @@
 	if f.targets == nil {
 		f.targets = map[string]*row{}
 	}
-	f.noteProgress(news, now)
 	changed := !f.whole
 	seen := map[string]bool{}
 	for _, c := range news.Changes {
@@ -236,34 +265,6 @@
 	}
 }
 
-// noteProgress looks for an outage of the store in the entries themselves: in an
-// outage no target could write. A host that the store turned away alone finds
-// the entries of that time when it reads on, or hears of them from its peers;
-// f.mu is held.
-func (f *Follower) noteProgress(news TargetNews, now time.Time) {
-	entries := 0
-	newest := f.newest
-	for _, c := range news.Changes {
-		if c.Target != nil && c.Offset > f.newest {
-			entries++
-			newest = max(newest, c.Offset)
-		}
-	}
-	if entries == 0 {
-		return
-	}
-	gap := now.Sub(f.newestAt)
-	expected := float64(len(f.targets)) * float64(gap) / float64(f.Heartbeat)
-	if news.Whole {
-		expected = float64(len(f.targets))
-	}
-	if !f.newestAt.IsZero() && gap > outageGap && float64(entries) < outageShare*expected {
-		f.graceUntil = now.Add(lapseGrace)
-		f.Log.Info("outage of the store ended", zap.Duration("Gap", gap), zap.Int("Entries", entries), zap.Int("Targets", len(f.targets)))
-	}
-	f.newest, f.newestAt = newest, now
-}
-
 // change applies one entry and reports whether the snapshot differs; f.mu is held.
 func (f *Follower) change(c TargetChange, now time.Time) bool {
 	r := f.targets[c.ID]
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -11,10 +11,8 @@
 	"go.uber.org/zap"
 )
 
-const testHeartbeat = 1200 * time.Millisecond
-
 func newFollower() *Follower {
-	return &Follower{Clock: &clock.Service{}, Log: zap.NewNop(), Heartbeat: testHeartbeat}
+	return &Follower{Clock: &clock.Service{}, Log: zap.NewNop()}
 }
 
 // entries returns one entry of each of n targets, from an offset on.
@@ -30,18 +28,26 @@
 func registered(f *Follower) int { return len(f.Snapshot().Targets["s"]) }
 
 // TestRemovalAfterTurnAway removes a target while the store turns only this
-// host away. The entries of the others show that the store was there, so that
-// the target must go at once.
+// host away. A peer reads the store, so that the target must go at once.
 func TestRemovalAfterTurnAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFollower()
 		f.TakeTargets(TargetNews{Whole: true, Changes: entries(10, 0, 1), Next: 10})
-		time.Sleep(9 * time.Second)
-		news := TargetNews{Next: 100}
-		for i := range 7 {
-			news.Changes = append(news.Changes, entries(9, Offset(10+10*i), int64(2+i))...)
+		f.noteFailure(true)
+		f.TakeTargets(TargetNews{Changes: []TargetChange{{ID: "t9", Offset: 10}}, Next: 11})
+		if diff := cmp.Diff(9, registered(f)); diff != "" {
+			t.Errorf("targets (-want +got):\n%s", diff)
 		}
-		news.Changes = append(news.Changes, TargetChange{ID: "t9", Offset: 99})
+	})
+}
+
+// TestRemovalInPeace removes a target after no entry was written for long.
+func TestRemovalInPeace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollower()
+		f.TakeTargets(TargetNews{Whole: true, Changes: entries(10, 0, 1), Next: 10})
+		time.Sleep(10 * time.Second)
+		news := TargetNews{Next: 12, Changes: append(entries(1, 10, 2), TargetChange{ID: "t9", Offset: 11})}
 		f.TakeTargets(news)
 		if diff := cmp.Diff(9, registered(f)); diff != "" {
 			t.Errorf("targets (-want +got):\n%s", diff)
@@ -49,18 +55,17 @@
 	})
 }
 
-// TestLapseInOutage lets entries lapse while nobody can write: they are kept
-// for a while, and those that come back stay.
+// TestLapseInOutage lets entries lapse while nobody reads the store: they are
+// kept for a while, and those that come back stay.
 func TestLapseInOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFollower()
 		f.TakeTargets(TargetNews{Whole: true, Changes: entries(10, 0, 1), Next: 10})
-		time.Sleep(6 * time.Second)
-		news := TargetNews{Next: 21}
+		f.noteFailure(false)
+		news := TargetNews{Next: 20}
 		for i := range 10 {
 			news.Changes = append(news.Changes, TargetChange{ID: fmt.Sprintf("t%d", i), Offset: Offset(10 + i)})
 		}
-		news.Changes = append(news.Changes, entries(1, 20, 2)...)
 		f.TakeTargets(news)
 		if diff := cmp.Diff(10, registered(f)); diff != "" {
 			t.Errorf("targets just after the outage (-want +got):\n%s", diff)
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -23,6 +24,8 @@
 	Whole   bool
 	Targets []TargetChange
 	Next    Offset
+	// ReadAge is the time since the host last read the targets from the store.
+	ReadAge time.Duration
 }
 
 // Relay is the RPC service of a Follower. Hosts that the store turns away get
@@ -38,6 +41,7 @@
 		reply.Table = f.table
 	}
 	reply.Whole = f.whole
+	reply.ReadAge = f.Clock.Since(f.lastRead)
 	for id, row := range f.targets {
 		if !row.lapsed {
 			reply.Targets = append(reply.Targets, TargetChange{ID: id, Target: row.target, Offset: row.offset})
@@ -48,10 +52,11 @@
 }
 
 // relay asks the peers for what they have once reads have failed more than once
-// in a row. Peers that are as badly off answer with what is known already.
-func (f *Follower) relay(ctx context.Context, failures int) {
+// in a row, and reports whether one of them reads the store. Peers that are as
+// badly off answer with what is known already.
+func (f *Follower) relay(ctx context.Context, failures int) (peerReads bool) {
 	if failures < relayAfter || f.Members == nil {
-		return
+		return false
 	}
 	for _, h := range f.Members.Members().Hosts {
 		if h.Name == f.Self {
@@ -74,6 +79,8 @@
 		}
 		if held.Whole {
 			f.TakeTargets(TargetNews{Whole: true, Changes: held.Targets, Next: held.Next})
+			peerReads = peerReads || held.ReadAge < healthyAge
 		}
 	}
+	return peerReads
 }
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -54,8 +54,8 @@
 	return x
 }
 
-func provideFollower(s *settings.Gateway, c *clock.Service, log *zap.Logger, feed catalog.Feed, x *peer.Exchange, caller *peer.Caller) *catalog.Follower {
-	return &catalog.Follower{Feed: feed, Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller, Heartbeat: time.Duration(s.Heartbeat)}
+func provideFollower(c *clock.Service, log *zap.Logger, feed catalog.Feed, x *peer.Exchange, caller *peer.Caller) *catalog.Follower {
+	return &catalog.Follower{Feed: feed, Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller}
 }
 
 func provideFormer(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower) *stage.Former {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -23,8 +23,6 @@
 	Peers []netip.AddrPort `json:",omitempty"`
 	// StoreAddr is the platform's store.
 	StoreAddr netip.AddrPort
-	// Heartbeat is the time between two entries of a target in the store.
-	Heartbeat declaration.Duration
 	// MemoryMB is what the process may use.
 	MemoryMB float64
 	// GracePeriod is the time between the order to stop and the forced end.
@@ -64,7 +62,6 @@
 const (
 	minMemoryMB  = 32
 	maxPort      = 1<<16 - 1
-	minHeartbeat = 10 * time.Millisecond
 	minGrace     = time.Second
 	minRepeatWin = time.Second
 )
@@ -89,9 +86,6 @@
 	if time.Duration(g.GracePeriod) < minGrace {
 		r.Report("GracePeriod", "must be at least %v, is %v", minGrace, time.Duration(g.GracePeriod))
 	}
-	if time.Duration(g.Heartbeat) < minHeartbeat {
-		r.Report("Heartbeat", "must be at least %v, is %v", minHeartbeat, time.Duration(g.Heartbeat))
-	}
 	if time.Duration(g.RepeatWindow) < minRepeatWin {
 		r.Report("RepeatWindow", "must be at least %v, is %v", minRepeatWin, time.Duration(g.RepeatWindow))
 	}
