Run stages where their inputs lie, and prompts at one home of all domains

Traced: large results were made where they are read (240 of 281), but each of the 16 pieces of a last stage reads all 360 KB of its inputs, wherever they lay; and each domain had its own home for a prompt.

Change: a job goes to the domain that saves the most bytes, counting its inputs once a piece; a prompt has one home among all targets. The bytes of a request that crosses domains cost far less than reading its prompt again.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -147,30 +147,17 @@
 }
 
 // home returns the first target in the order of rendezvous weights that is not
-// loaded far beyond the mean; targets in the near domain go first.
+// loaded far beyond the mean. Reading a prompt again costs more than carrying a
+// request to another domain, so that domains don't matter here.
 func (f *Fleet) home(open []*catalog.Target, want Want) *catalog.Target {
-	near := f.near(want)
-	var local []*catalog.Target
 	total := 0
 	for _, t := range open {
-		if t.Domain == near {
-			local = append(local, t)
-			total += f.state(t).open
-		}
-	}
-	if len(local) == 0 {
-		local, total = open, 0
-		for _, t := range open {
-			total += f.state(t).open
-		}
+		total += f.state(t).open
 	}
-	if len(local) == 0 {
-		return nil
-	}
-	limit := homeLoad*float64(total)/float64(len(local)) + homeSlack
+	limit := homeLoad*float64(total)/float64(max(1, len(open))) + homeSlack
 	var best, least *catalog.Target
 	var bestWeight uint64
-	for _, t := range local {
+	for _, t := range open {
 		s := f.state(t)
 		if least == nil || s.open < f.state(least).open {
 			least = t
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -29,7 +29,9 @@
 
 	mu     sync.Mutex
 	stages []*stageRun
-	// readers counts the stages that have yet to read a stage's results.
+	// unread counts the stages that have yet to read a stage's results.
+	unread []int
+	// readers is the number of stages that read a stage's results.
 	readers []int
 }
 
@@ -45,10 +47,11 @@
 
 func (h *Host) newPlan(q *request) *plan {
 	n := len(q.route.Stages)
-	p := &plan{h: h, q: q, stages: make([]*stageRun, n), readers: make([]int, n)}
+	p := &plan{h: h, q: q, stages: make([]*stageRun, n), readers: make([]int, n), unread: make([]int, n)}
 	for _, s := range q.route.Stages {
 		for _, before := range s.After {
 			p.readers[before]++
+			p.unread[before]++
 		}
 	}
 	for i := range q.route.Stages {
@@ -177,23 +180,42 @@
 	return 0
 }
 
-// inputs returns the handles that s reads.
-func (p *plan) inputs(ctx context.Context, s *catalog.Stage) ([]string, error) {
-	var handles []string
+// inputs returns the results that s reads.
+func (p *plan) inputs(ctx context.Context, s *catalog.Stage) ([]stage.Result, error) {
+	var inputs []stage.Result
 	for _, before := range s.After {
 		results, err := p.get(ctx, before)
 		if err != nil {
 			return nil, err
 		}
-		for _, r := range results {
-			handles = append(handles, r.Handle)
+		inputs = append(inputs, results...)
+	}
+	return inputs, nil
+}
+
+// place returns the failure domain in which stage i moves the fewest bytes, and
+// how many it would move elsewhere. Each piece reads all inputs; the results of
+// a last stage are read once, where the request will run.
+func (p *plan) place(i int, inputs []stage.Result) (string, int64) {
+	pieces := int64(p.pieces(i))
+	bytes := map[string]int64{}
+	for _, r := range inputs {
+		bytes[r.Domain] += pieces * r.Bytes
+	}
+	if p.readers[i] == 0 && p.domain != "" {
+		bytes[p.domain] += pieces * p.q.route.Stages[i].ResultBytes
+	}
+	domain, most := "", int64(0)
+	for d, n := range bytes {
+		if n > most || n == most && d < domain {
+			domain, most = d, n
 		}
 	}
-	return handles, nil
+	return domain, most
 }
 
 // job describes stage i.
-func (p *plan) job(i int, inputs []string) stage.Job {
+func (p *plan) job(i int, inputs []stage.Result) stage.Job {
 	s := &p.q.route.Stages[i]
 	now := p.h.Clock.Now()
 	j := stage.Job{
@@ -201,13 +223,15 @@
 		Service:    s.Service,
 		Stage:      i,
 		Pieces:     p.pieces(i),
-		Inputs:     inputs,
 		Due:        p.q.due().Sub(now) - p.after(i),
 		Left:       p.q.until.Sub(now),
 		Rank:       p.q.rank,
 		PieceBytes: s.ResultBytes,
-		Domain:     p.domain,
 	}
+	for _, r := range inputs {
+		j.Inputs = append(j.Inputs, r.Handle)
+	}
+	j.Domain, j.MoveBytes = p.place(i, inputs)
 	if len(s.After) == 0 {
 		j.Key = p.q.PieceKey
 	}
@@ -245,7 +269,7 @@
 	p.mu.Lock()
 	var done []int
 	for _, before := range s.After {
-		if p.readers[before]--; p.readers[before] == 0 {
+		if p.unread[before]--; p.unread[before] == 0 {
 			done = append(done, before)
 		}
 	}
--- /dev/null
+++ b/internal/gateway/plan_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"testing"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/stage"
+)
+
+// TestPlace expects a stage in the domain that saves the most bytes: each piece
+// reads all inputs, and only a last stage's results go to the request's own.
+func TestPlace(t *testing.T) {
+	route := &catalog.Route{Stages: []catalog.Stage{
+		{ResultBytes: 3_000_000},
+		{ResultBytes: 60_000},
+		{After: []int{1}, ResultBytes: 6_000},
+	}}
+	in := func(domain string, bytes int64) stage.Result { return stage.Result{Domain: domain, Bytes: bytes} }
+	for _, c := range []struct {
+		name   string
+		stage  int
+		inputs []stage.Result
+		domain string
+		bytes  int64
+	}{
+		{"large results go to the request", 0, nil, "home", 6_000_000},
+		{"results for another stage go nowhere yet", 1, nil, "", 0},
+		{"inputs are read by each piece", 2, []stage.Result{in("x", 60_000), in("x", 60_000), in("y", 60_000)}, "x", 1_920_000},
+	} {
+		p := &plan{q: &request{route: route, Ask: Ask{Pieces: []int{2, 6, 16}}}, readers: []int{0, 1, 0}, domain: "home"}
+		domain, bytes := p.place(c.stage, c.inputs)
+		if domain != c.domain || bytes != c.bytes {
+			t.Errorf("%s: %q, %d bytes, want %q, %d", c.name, domain, bytes, c.domain, c.bytes)
+		}
+	}
+}
--- a/internal/stage/line.go
+++ b/internal/stage/line.go
@@ -11,12 +11,12 @@
 const (
 	// maxFailures is the number of failures of each piece after which a job ends.
 	maxFailures = 2
-	// largeResult is the size in bytes from which a result should be made in the
-	// failure domain that reads it.
-	largeResult = 256 << 10
-	// domainPatience is how long a job of large results waits for a target in
-	// its own domain.
-	domainPatience = 300 * time.Millisecond
+	// largeMove is the size in bytes from which a job waits for a target in its
+	// own domain, at most for domainPatience and while domainSlack calls fit into
+	// the time that is left.
+	largeMove      = 256 << 10
+	domainPatience = 400 * time.Millisecond
+	domainSlack    = 2
 	// rejectPause, roomPause and failPause keep a target from new calls.
 	rejectPause = 40 * time.Millisecond
 	roomPause   = 60 * time.Millisecond
@@ -210,7 +210,10 @@
 
 // wantsDomain reports whether j should wait for a target of its own domain.
 func (l *line) wantsDomain(j *job, now time.Time) bool {
-	if j.Domain == "" || j.PieceBytes < largeResult || now.Sub(j.arrived) > domainPatience {
+	if j.Domain == "" || j.MoveBytes < largeMove || now.Sub(j.arrived) > domainPatience {
+		return false
+	}
+	if j.due.Sub(now) < domainSlack*l.expected(min(j.Pieces, l.pool.Batch)) {
 		return false
 	}
 	for _, t := range l.targets {
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -36,8 +36,10 @@
 	Rank int
 	// PieceBytes is the approximate size of one result.
 	PieceBytes int64
-	// Domain is the failure domain in which the results will be read, if known.
-	Domain string
+	// Domain is the failure domain in which the job should run, since MoveBytes
+	// would have to cross domains otherwise; empty if it doesn't matter.
+	Domain    string
+	MoveBytes int64
 }
 
 // Result is one piece's result, which lies at its maker.
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,186 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+	"github.com/cockroachdb/datadriven"
+)
+
+// scriptTarget answers each request on its connections with the next of a list
+// of raw answers, and closes the connection after the last.
+type scriptTarget struct {
+	listener net.Listener
+	conns    chan net.Conn
+}
+
+func newScriptTarget(t *testing.T, answers []string, early bool) *scriptTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scriptTarget{listener: l, conns: make(chan net.Conn, 16)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- conn
+			go serveScript(conn, answers, early)
+		}
+	}()
+	return s
+}
+
+func (s *scriptTarget) addr() netip.AddrPort { return netip.MustParseAddrPort(s.listener.Addr().String()) }
+
+func serveScript(conn net.Conn, answers []string, early bool) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for _, a := range answers {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if !early {
+			io.Copy(io.Discard, req.Body)
+		}
+		io.WriteString(conn, a)
+	}
+}
+
+func newClient(t *testing.T) *Client {
+	c := &Client{Net: link.TCP{}, Clock: &clock.Service{}}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func get(id string) *Request {
+	return &Request{
+		Method: http.MethodGet, URI: "/a%2Fb?c=d", Host: "h", Header: http.Header{},
+		Echoed: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+// describe sends a request and tells what came of it.
+func describe(c *Client, addr netip.AddrPort, r *Request) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	a, err := c.Do(ctx, addr, r)
+	if err != nil {
+		return "error " + kind(err)
+	}
+	body, err := io.ReadAll(a.Body)
+	a.Body.Close()
+	if err != nil {
+		return "body error " + kind(err)
+	}
+	return "answer " + string(body)
+}
+
+func kind(err error) string {
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return "not sent"
+	case errors.Is(err, ErrBroken):
+		return "broken"
+	default:
+		return "without a kind"
+	}
+}
+
+// TestAnswers runs testdata/answers: raw answers of a target and what two
+// requests, "one" and "two", get from it.
+func TestAnswers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/answers", func(t *testing.T, d *datadriven.TestData) string {
+		input := strings.ReplaceAll(d.Input, "\n", "\r\n")
+		answers := strings.Split(input, "---\r\n")
+		target := newScriptTarget(t, answers, d.HasArg("early"))
+		c := newClient(t)
+		out := describe(c, target.addr(), get("one")) + "\n"
+		time.Sleep(20 * time.Millisecond)
+		return out + describe(c, target.addr(), get("two")) + "\n"
+	})
+}
+
+// TestEarlyAnswer expects the connection not to be used again after an answer
+// that came before the request was read: the rest of the body is still due.
+func TestEarlyAnswer(t *testing.T) {
+	target := newScriptTarget(t, []string{"HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 0\r\n\r\n"}, true)
+	c := newClient(t)
+	r := get("one")
+	r.Method, r.Body = http.MethodPost, make([]byte, 64<<20)
+	if got := describe(c, target.addr(), r); got != "answer " {
+		t.Error(got)
+	}
+	if conn := c.idle.pop(target.addr()); conn != nil {
+		t.Error("the connection was kept")
+	}
+}
+
+// TestNotSent expects a refused connection to be told from a broken answer.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	l.Close()
+	if got := describe(newClient(t), addr, get("one")); got != "error not sent" {
+		t.Error(got)
+	}
+}
+
+// TestCancelCloses expects the end of the context to close the connection, so
+// that the target can drop the request.
+func TestCancelCloses(t *testing.T) {
+	target := newScriptTarget(t, []string{"", ""}, false)
+	c := newClient(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Do(ctx, target.addr(), get("one"))
+	if !errors.Is(err, ErrBroken) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v", err)
+	}
+	conn := <-target.conns
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the connection is still open")
+	}
+}
+
+// TestBytesOnTheWire compares what a target gets with what was asked for.
+func TestBytesOnTheWire(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	req, err := newRequest(&Request{Method: http.MethodPost, URI: "/a%2Fb//c?x=%20&y", Host: "h.example", Header: http.Header{"X": {"1"}, "User-Agent": {""}}, Body: []byte("body")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		writeRequest(&connection{Conn: far}, req)
+		far.Close()
+	}()
+	got, err := io.ReadAll(near)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = "POST /a%2Fb//c?x=%20&y HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nX: 1\r\n\r\nbody"
+	if string(got) != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
