Count the usual waits of later stages when a stage's jobs are ordered

Change: hosts learn the usual time of a service's jobs from those on time, and a job's due time leaves room for it. A line in the log for each stage.

Test: TestUsual.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -245,7 +245,8 @@
 	for k, s := range p.q.route.Stages {
 		for _, before := range s.After {
 			if before == i {
-				longest = max(longest, stageTime(table, s.Service, p.pieces(k))+p.after(k))
+				took := max(stageTime(table, s.Service, p.pieces(k)), p.h.Stages.Usual(s.Service))
+				longest = max(longest, took+p.after(k))
 			}
 		}
 	}
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -25,6 +25,8 @@
 	// maxMoves is the number of holders that a job is taken to before this host
 	// forms its calls itself.
 	maxMoves = 3
+	// tookWeight is the weight of the newest job in the usual time.
+	tookWeight = 0.1
 	// tellTimeout bounds a message that needs no answer.
 	tellTimeout = time.Second
 )
@@ -73,6 +75,8 @@
 
 	mu      sync.Mutex
 	holders map[string]*holder
+	// took is the usual time of a job of each service that was on time.
+	took map[string]time.Duration
 }
 
 // holder is a host that has jobs of this one.
@@ -110,6 +114,7 @@
 		}
 		if err == nil {
 			o.Sent = o.Sent || sent
+			c.learn(j, o)
 			return o, nil
 		}
 		sent = true
@@ -122,6 +127,33 @@
 	}
 }
 
+// learn takes the time of a job into account. Jobs that were late waited behind
+// those that were not, and say nothing of them.
+func (c *Client) learn(j Job, o Outcome) {
+	took := o.Queued + o.Ran
+	if o.Fault != None || took > j.Due {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.took == nil {
+		c.took = map[string]time.Duration{}
+	}
+	old, ok := c.took[j.Service]
+	if !ok {
+		old = took
+	}
+	c.took[j.Service] = old + time.Duration(tookWeight*float64(took-old))
+}
+
+// Usual returns the usual time of a job of service from its sending to its
+// results, or zero if none is known.
+func (c *Client) Usual(service string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.took[service]
+}
+
 // holderOf returns the host that forms the calls of service.
 func (c *Client) holderOf(service string) peer.Host {
 	members := c.Members.Members()
--- a/internal/stage/client_test.go
+++ b/internal/stage/client_test.go
@@ -144,3 +144,15 @@
 		}
 	})
 }
+
+// TestUsual expects the usual time to follow jobs that were on time alone.
+func TestUsual(t *testing.T) {
+	c := &Client{}
+	j := Job{Service: "s", Due: time.Second}
+	c.learn(j, Outcome{Queued: 100 * time.Millisecond, Ran: 200 * time.Millisecond})
+	c.learn(j, Outcome{Queued: 900 * time.Millisecond, Ran: 200 * time.Millisecond})
+	c.learn(j, Outcome{Fault: Late, Queued: 10 * time.Millisecond})
+	if diff := cmp.Diff(300*time.Millisecond, c.Usual("s")); diff != "" {
+		t.Errorf("usual time (-want +got):\n%s", diff)
+	}
+}
--- a/internal/stage/former.go
+++ b/internal/stage/former.go
@@ -194,6 +194,9 @@
 	}
 	if fault == None {
 		o.Results = j.results
+		f.Log.Info("stage done", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), zap.String("Service", j.Service),
+			zap.Int("Pieces", j.Pieces), zap.Duration("Queued", j.queued), zap.Duration("Ran", j.ran), zap.Duration("Slack", j.due.Sub(f.Clock.Now())),
+			zap.Duration("Backlog", o.Backlog))
 	} else if fault != Moved {
 		f.release(made(j.results))
 		f.Log.Info("stage without result", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage),
