Refuse before the stages what would be more than a second late

Change: formers tell the waits of their services with each outcome and each sign of life; a request whose stages and queues would make it more than 1 s late is refused before anything of it runs, with the time to come back.

The waits are still underestimated: what is on its way through earlier stages is not counted.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -240,22 +241,68 @@
 
 // after is the expected time from the end of stage i to the first event.
 func (p *plan) after(i int) time.Duration {
+	return p.longest(i, func(service string, least time.Duration) time.Duration {
+		return max(least, p.h.Stages.Usual(service))
+	})
+}
+
+// longest returns the longest time from the end of stage i to the first event,
+// where took gives the time of a stage from its least time.
+func (p *plan) longest(i int, took func(service string, least time.Duration) time.Duration) time.Duration {
 	table := p.h.Follower.Snapshot().Table
-	longest := time.Duration(0)
+	longest := engineTime
 	for k, s := range p.q.route.Stages {
-		for _, before := range s.After {
-			if before == i {
-				took := max(stageTime(table, s.Service, p.pieces(k)), p.h.Stages.Usual(s.Service))
-				longest = max(longest, took+p.after(k))
-			}
+		if slices.Contains(s.After, i) {
+			longest = max(longest, took(s.Service, stageTime(table, s.Service, p.pieces(k)))+p.longest(k, took))
 		}
 	}
-	if longest == 0 {
-		return engineTime
+	return longest
+}
+
+// whole returns the longest time from now to the first event.
+func (p *plan) whole(took func(service string, least time.Duration) time.Duration) time.Duration {
+	table := p.h.Follower.Snapshot().Table
+	longest := engineTime
+	for k, s := range p.q.route.Stages {
+		if len(s.After) == 0 && p.pieces(k) > 0 {
+			longest = max(longest, took(s.Service, stageTime(table, s.Service, p.pieces(k)))+p.longest(k, took))
+		}
 	}
 	return longest
 }
 
+// admit refuses a request whose stages would keep it waiting too long, before
+// anything of it runs. One that can be on time is taken; one that can't is taken
+// only while the queues are short enough for it to end soon.
+func (p *plan) admit() error {
+	onTime := p.whole(func(service string, least time.Duration) time.Duration {
+		return max(p.h.Stages.Usual(service), least+p.h.Stages.Outlook(service).Ahead)
+	})
+	now := p.h.Clock.Now()
+	if !now.Add(onTime).After(p.q.due()) {
+		return nil
+	}
+	late := p.whole(func(service string, least time.Duration) time.Duration {
+		return least + p.h.Stages.Outlook(service).All
+	})
+	if now.Add(late).Before(p.q.due().Add(lateAllowance)) {
+		return nil
+	}
+	return later(result.Overloaded, min(max(late-lateAllowance, minRetry), p.q.until.Sub(now)/retryShare),
+		"the stages would take %v, and %v with the queues, of %v", onTime, late, p.q.due().Sub(now))
+}
+
+// Bounds of admission.
+const (
+	// lateAllowance is how late a request may be expected to be that is taken
+	// nevertheless.
+	lateAllowance = time.Second
+	// minRetry is the least time to come back; retryShare limits it to that share
+	// of the time left, beyond which callers don't wait.
+	minRetry   = 300 * time.Millisecond
+	retryShare = 4
+)
+
 // stageTime is the expected time of a call of so many pieces.
 func stageTime(table *catalog.Table, service string, pieces int) time.Duration {
 	svc := table.Services[service]
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,6 +41,9 @@
 	s := h.newSender(q)
 	p := h.newPlan(q)
 	defer p.release()
+	if err := p.admit(); err != nil {
+		return err
+	}
 	rel := &relayed{out: out, last: q.ResumeAfter, hasLast: q.Resumes}
 	for round := 0; ctx.Err() == nil; round++ {
 		if err := s.prepare(ctx, p); err != nil {
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -25,6 +25,8 @@
 	// maxMoves is the number of holders that a job is taken to before this host
 	// forms its calls itself.
 	maxMoves = 3
+	// outlookLife is how long an outlook holds.
+	outlookLife = 600 * time.Millisecond
 	// tookWeight is the weight of the newest job in the usual time.
 	tookWeight = 0.1
 	// tellTimeout bounds a message that needs no answer.
@@ -55,8 +57,11 @@
 	return nil
 }
 
-// Ping answers.
-func (s *Service) Ping(*Empty, *Empty) error { return s.former.do(func() {}) }
+// Ping answers with the outlooks of the services.
+func (s *Service) Ping(_ *Empty, reply *map[string]Outlook) error {
+	*reply = s.former.outlooks()
+	return nil
+}
 
 // Members says who holds a service.
 type Members interface {
@@ -73,12 +78,19 @@
 	Peers   *peer.Caller
 	Former  *Former
 
-	mu      sync.Mutex
-	holders map[string]*holder
+	mu       sync.Mutex
+	holders  map[string]*holder
+	outlooks map[string]seenOutlook
 	// took is the usual time of a job of each service that was on time.
 	took map[string]time.Duration
 }
 
+// seenOutlook is an outlook and the time at which it was learned.
+type seenOutlook struct {
+	Outlook
+	at time.Time
+}
+
 // holder is a host that has jobs of this one.
 type holder struct {
 	host peer.Host
@@ -121,7 +133,7 @@
 		if ctx.Err() != nil {
 			return Outcome{Fault: Cancelled, Sent: true}, context.Cause(ctx)
 		}
-		c.Log.Warn("holder of a service lost", zap.String("Service", j.Service), zap.String("Host", host.Name),
+		c.Log.Warn("holder of a service lost", zap.String("Service", j.Service), zap.String("Holder", host.Name),
 			zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), zap.Error(err))
 		c.lose(host)
 	}
@@ -130,6 +142,7 @@
 // learn takes the time of a job into account. Jobs that were late waited behind
 // those that were not, and say nothing of them.
 func (c *Client) learn(j Job, o Outcome) {
+	c.see(map[string]Outlook{j.Service: o.Outlook})
 	took := o.Queued + o.Ran
 	if o.Fault != None || took > j.Due {
 		return
@@ -154,6 +167,31 @@
 	return c.took[service]
 }
 
+// see keeps outlooks.
+func (c *Client) see(outlooks map[string]Outlook) {
+	now := c.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.outlooks == nil {
+		c.outlooks = map[string]seenOutlook{}
+	}
+	for service, o := range outlooks {
+		c.outlooks[service] = seenOutlook{o, now}
+	}
+}
+
+// Outlook returns the last outlook of service. One that is too old says nothing,
+// since a host without jobs at the former hears of none.
+func (c *Client) Outlook(service string) Outlook {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.outlooks[service]
+	if c.Clock.Since(o.at) > outlookLife {
+		return Outlook{}
+	}
+	return o.Outlook
+}
+
 // holderOf returns the host that forms the calls of service.
 func (c *Client) holderOf(service string) peer.Host {
 	members := c.Members.Members()
@@ -273,10 +311,13 @@
 func (c *Client) look(ctx context.Context, host peer.Host) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	if err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &Empty{}, &Empty{}); err != nil {
-		c.Log.Warn("holder is silent", zap.String("Host", host.Name), zap.Error(err))
+	outlooks := map[string]Outlook{}
+	if err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &Empty{}, &outlooks); err != nil {
+		c.Log.Warn("holder is silent", zap.String("Holder", host.Name), zap.Error(err))
 		c.lose(host)
+		return
 	}
+	c.see(outlooks)
 }
 
 // Free drops results by way of the holder of their service, which counts the
@@ -297,6 +338,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
 	if err := c.Peers.Call(ctx, host.Addr, serviceName+"."+method, args, &Empty{}); err != nil {
-		c.Log.Info("message to a holder lost", zap.String("Host", host.Name), zap.String("Method", method), zap.Error(err))
+		c.Log.Info("message to a holder lost", zap.String("Holder", host.Name), zap.String("Method", method), zap.Error(err))
 	}
 }
--- a/internal/stage/client_test.go
+++ b/internal/stage/client_test.go
@@ -147,7 +147,7 @@
 
 // TestUsual expects the usual time to follow jobs that were on time alone.
 func TestUsual(t *testing.T) {
-	c := &Client{}
+	c := &Client{Clock: &clock.Service{}}
 	j := Job{Service: "s", Due: time.Second}
 	c.learn(j, Outcome{Queued: 100 * time.Millisecond, Ran: 200 * time.Millisecond})
 	c.learn(j, Outcome{Queued: 900 * time.Millisecond, Ran: 200 * time.Millisecond})
--- a/internal/stage/former.go
+++ b/internal/stage/former.go
@@ -190,13 +190,13 @@
 	o := Outcome{Fault: fault, Sent: j.sent, Queued: j.queued, Ran: j.ran}
 	if l := f.lines[j.Service]; l != nil {
 		l.drop(j)
-		o.Backlog = l.backlog(f.Clock.Now())
+		o.Outlook = l.outlook(f.Clock.Now())
 	}
 	if fault == None {
 		o.Results = j.results
 		f.Log.Info("stage done", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), zap.String("Service", j.Service),
 			zap.Int("Pieces", j.Pieces), zap.Duration("Queued", j.queued), zap.Duration("Ran", j.ran), zap.Duration("Slack", j.due.Sub(f.Clock.Now())),
-			zap.Duration("Backlog", o.Backlog))
+			zap.Duration("Ahead", o.Outlook.Ahead), zap.Duration("All", o.Outlook.All))
 	} else if fault != Moved {
 		f.release(made(j.results))
 		f.Log.Info("stage without result", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage),
@@ -382,6 +382,18 @@
 	}
 }
 
+// outlooks returns the outlook of each service that has jobs here.
+func (f *Former) outlooks() map[string]Outlook {
+	out := map[string]Outlook{}
+	f.do(func() {
+		now := f.Clock.Now()
+		for service, l := range f.lines {
+			out[service] = l.outlook(now)
+		}
+	})
+	return out
+}
+
 // Register adds the former's RPC service.
 func (f *Former) Register(s *rpc.Server) error {
 	return s.RegisterName(serviceName, &Service{former: f})
--- a/internal/stage/line.go
+++ b/internal/stage/line.go
@@ -119,19 +119,30 @@
 // workerMemory is how long the figures of an unused target are kept.
 const workerMemory = time.Minute
 
-// backlog estimates how long a job that comes now waits for its call.
-func (l *line) backlog(now time.Time) time.Duration {
+// outlook estimates the waits of a job that comes now.
+func (l *line) outlook(now time.Time) Outlook {
 	if l.pool == nil || len(l.targets) == 0 {
-		return 0
+		return Outlook{}
 	}
-	pieces := 0
+	ahead, all := 0, 0
 	for _, j := range l.jobs {
-		pieces += len(j.waiting)
+		all += len(j.waiting)
+		if !l.tooLate(j, now) {
+			ahead += len(j.waiting)
+		}
 	}
+	return Outlook{Ahead: l.wait(ahead), All: l.wait(all)}
+}
+
+// wait is the time that all targets take for so many pieces.
+func (l *line) wait(pieces int) time.Duration {
 	calls := float64(pieces) / float64(max(1, l.pool.Batch))
 	return time.Duration(calls / float64(len(l.targets)) * float64(l.expected(l.pool.Batch)))
 }
 
+// tooLate reports whether j can't be on time any more.
+func (l *line) tooLate(j *job, now time.Time) bool { return j.due.Before(now.Add(l.expected(1))) }
+
 // dispatch forms calls for the targets that have a free slot.
 func (f *Former) dispatch(l *line) {
 	if len(l.jobs) == 0 {
@@ -165,10 +176,9 @@
 
 // sort puts the jobs that can still be in time first, by due time.
 func (l *line) sort(now time.Time) {
-	least := l.expected(1)
 	sort.SliceStable(l.jobs, func(i, k int) bool {
 		a, b := l.jobs[i], l.jobs[k]
-		lateA, lateB := a.due.Before(now.Add(least)), b.due.Before(now.Add(least))
+		lateA, lateB := l.tooLate(a, now), l.tooLate(b, now)
 		if lateA != lateB {
 			return lateB
 		}
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -86,8 +86,15 @@
 	// Queued is the time that the last piece waited for its call, Ran the time of
 	// that call.
 	Queued, Ran time.Duration
-	// Backlog is the former's estimate of the wait of a job that comes now.
-	Backlog time.Duration
+	// Outlook is what a job that comes now would meet.
+	Outlook Outlook
+}
+
+// Outlook is a former's estimate of the waits for one service.
+type Outlook struct {
+	// Ahead is the wait behind the jobs that can still be on time, All that behind
+	// every job.
+	Ahead, All time.Duration
 }
 
 // Piece is one piece as a target is asked for it.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -46,7 +46,9 @@
 	return s
 }
 
-func (s *scriptTarget) addr() netip.AddrPort { return netip.MustParseAddrPort(s.listener.Addr().String()) }
+func (s *scriptTarget) addr() netip.AddrPort {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
 
 func serveScript(conn net.Conn, answers []string, early bool) {
 	defer conn.Close()
