Hold back the branch of stages that is done early, and free results faster

Results of the large first stage lay there for the 1 to 2 s that the other branch of their request took, and a freed result's room was used before the target had freed it.

Change: a stage whose results nobody reads until a longer branch is done begins with the last stages of that branch.

Test: TestPacer.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -34,10 +34,14 @@
 	unread []int
 	// readers is the number of stages that read a stage's results.
 	readers []int
+	// paced says that a stage was held back once.
+	paced bool
 }
 
 // stageRun is a stage that runs or has run.
 type stageRun struct {
+	// begun is closed when the stage has its inputs.
+	begun   chan struct{}
 	done    chan struct{}
 	results []stage.Result
 	err     error
@@ -119,32 +123,42 @@
 
 // get returns the results of stage i, which it runs unless they are there.
 func (p *plan) get(ctx context.Context, i int) ([]stage.Result, error) {
+	run := p.start(ctx, i)
+	<-run.done
+	return run.results, run.err
+}
+
+// start runs stage i unless it runs or has run.
+func (p *plan) start(ctx context.Context, i int) *stageRun {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	run := p.stages[i]
 	if run == nil {
-		run = &stageRun{done: make(chan struct{})}
+		run = &stageRun{begun: make(chan struct{}), done: make(chan struct{})}
 		p.stages[i] = run
 		go func() {
-			run.results, run.err = p.make(ctx, i)
+			run.results, run.err = p.make(ctx, i, run)
 			close(run.done)
 		}()
 	}
-	p.mu.Unlock()
-	<-run.done
-	return run.results, run.err
+	return run
 }
 
 // make runs stage i after the stages that it reads. Lost inputs are made again.
-func (p *plan) make(ctx context.Context, i int) ([]stage.Result, error) {
+func (p *plan) make(ctx context.Context, i int, run *stageRun) ([]stage.Result, error) {
+	begin := sync.OnceFunc(func() { close(run.begun) })
+	defer begin()
 	s := &p.q.route.Stages[i]
 	if p.pieces(i) == 0 {
 		return nil, nil
 	}
+	p.await(ctx, i)
 	for redo := 0; ; redo++ {
 		inputs, err := p.inputs(ctx, s)
 		if err != nil {
 			return nil, err
 		}
+		begin()
 		o, err := p.h.Stages.Run(ctx, p.job(i, inputs))
 		p.note(o)
 		if err != nil {
@@ -166,6 +180,51 @@
 	}
 }
 
+// await holds stage i back while another branch of the request takes longer:
+// its results would only take up room until that branch is done. It waits for
+// the beginning of the last stage there from which on the branch takes no less
+// time than stage i.
+func (p *plan) await(ctx context.Context, i int) {
+	if len(p.q.route.Stages[i].After) > 0 || p.readers[i] > 0 {
+		return
+	}
+	p.mu.Lock()
+	first := !p.paced
+	p.paced = true
+	p.mu.Unlock()
+	if k := p.pacer(i); first && k >= 0 {
+		select {
+		case <-p.start(ctx, k).begun:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// pacer returns the stage whose beginning stage i waits for, or -1.
+func (p *plan) pacer(i int) int {
+	own := p.took(i)
+	for _, k := range p.sinks {
+		rest := time.Duration(0)
+		for k != i && p.pieces(k) > 0 {
+			if rest += p.took(k); rest >= own {
+				return k
+			}
+			after := p.q.route.Stages[k].After
+			if len(after) == 0 {
+				break
+			}
+			k = after[0]
+		}
+	}
+	return -1
+}
+
+// took is the usual time of stage i.
+func (p *plan) took(i int) time.Duration {
+	service := p.q.route.Stages[i].Service
+	return max(stageTime(p.h.Follower.Snapshot().Table, service, p.pieces(i)), p.h.Stages.Usual(service))
+}
+
 // note keeps what an outcome says of the request.
 func (p *plan) note(o stage.Outcome) {
 	p.mu.Lock()
--- a/internal/gateway/plan_test.go
+++ b/internal/gateway/plan_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/stage"
+	"go.uber.org/zap"
 )
 
 // TestPlace expects a stage in the domain that saves the most bytes: each piece
@@ -34,3 +37,31 @@
 		}
 	}
 }
+
+// TestPacer expects a stage that is done early to wait for the last stage of the
+// longer branch that takes no less time than itself.
+func TestPacer(t *testing.T) {
+	table := &catalog.Table{Version: 1, Services: map[string]*catalog.Service{}}
+	for name, ms := range map[string]time.Duration{"short": 100, "long": 300} {
+		table.Services[name] = &catalog.Service{Name: name, Pool: &catalog.Pool{CallTime: ms * time.Millisecond}}
+	}
+	route := &catalog.Route{Stages: []catalog.Stage{
+		{Service: "long"}, {Service: "short"}, {Service: "long", After: []int{1}}, {Service: "short", After: []int{2}},
+	}}
+	f := &catalog.Follower{Clock: &clock.Service{}, Log: zap.NewNop()}
+	f.TakeTable(table, "test")
+	h := &Host{Follower: f, Stages: &stage.Client{Clock: &clock.Service{}}}
+	for _, c := range []struct {
+		name   string
+		pieces []int
+		want   int
+	}{
+		{"as long as the two last stages", []int{1, 1, 1, 1}, 2},
+		{"no other branch", []int{1, 0, 0, 0}, -1},
+	} {
+		p := &plan{h: h, q: &request{route: route, Ask: Ask{Pieces: c.pieces}}, sinks: []int{0, 3}, readers: []int{0, 1, 1, 0}}
+		if got := p.pacer(0); got != c.want {
+			t.Errorf("%s: pacer %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/stage/former.go
+++ b/internal/stage/former.go
@@ -26,7 +26,7 @@
 	// sweepInterval is the time between two looks at what has expired.
 	sweepInterval = 20 * time.Millisecond
 	// freeDelay collects the results to free at a target for one call.
-	freeDelay = 20 * time.Millisecond
+	freeDelay = 4 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
 	// maxJobs bounds the jobs that wait or run at one former.
@@ -216,8 +216,8 @@
 	return out
 }
 
-// sweep ends the jobs whose time has passed, frees results and forms calls that
-// had to wait for time alone.
+// sweep ends the jobs whose time has passed and forms calls that had to wait for
+// time alone.
 func (f *Former) sweep() {
 	now := f.Clock.Now()
 	for _, j := range f.jobs {
@@ -228,7 +228,6 @@
 	for _, l := range f.lines {
 		l.expire(now)
 		f.dispatch(l)
-		f.flush(l, now)
 	}
 }
 
@@ -239,16 +238,13 @@
 
 // release notes results to be freed with the next call to their makers.
 func (f *Former) release(results []Result) {
-	now := f.Clock.Now()
 	for _, r := range results {
 		l := f.lineOf(r.Target)
 		w := l.worker(r.Target)
-		w.addr = r.Addr
 		if len(w.free) == 0 {
-			w.freeAt = now.Add(freeDelay)
+			f.Clock.AfterFunc(freeDelay, func() { f.do(func() { f.flush(l, w) }) })
 		}
-		w.free = append(w.free, r.Handle)
-		w.freed(r, now)
+		w.free = append(w.free, r)
 	}
 }
 
@@ -262,23 +258,35 @@
 	return f.line("")
 }
 
-// flush frees what was released.
-func (f *Former) flush(l *line, now time.Time) {
-	for _, w := range l.workers {
-		if len(w.free) == 0 || w.freeAt.After(now) {
-			continue
+// flush frees what was released at a target. Its room counts as taken until the
+// target has answered.
+func (f *Former) flush(l *line, w *worker) {
+	results := w.free
+	w.free = nil
+	if len(results) == 0 || f.ctx.Err() != nil {
+		return
+	}
+	handles := make([]string, len(results))
+	for i, r := range results {
+		handles[i] = r.Handle
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(f.ctx, freeTimeout)
+		defer cancel()
+		err := f.Pool.Free(ctx, results[0].Addr, handles)
+		if err != nil {
+			// Results that are not freed lapse by themselves.
+			f.Log.Info("results not freed", zap.String("Target", results[0].Target), zap.Int("Results", len(handles)), zap.Error(err))
+			return
 		}
-		addr, handles := w.addr, w.free
-		w.free = nil
-		go func() {
-			ctx, cancel := context.WithTimeout(f.ctx, freeTimeout)
-			defer cancel()
-			if err := f.Pool.Free(ctx, addr, handles); err != nil {
-				// Results that are not freed lapse by themselves.
-				f.Log.Debug("results not freed", zap.Stringer("Addr", addr), zap.Int("Results", len(handles)), zap.Error(err))
+		f.do(func() {
+			now := f.Clock.Now()
+			for _, r := range results {
+				w.freed(r, now)
 			}
-		}()
-	}
+			f.dispatch(l)
+		})
+	}()
 }
 
 // start sends one call and takes its results.
--- a/internal/stage/worker.go
+++ b/internal/stage/worker.go
@@ -1,7 +1,6 @@
 package stage
 
 import (
-	"net/netip"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
@@ -9,7 +8,6 @@
 
 // worker is what the former knows of one target of a pool.
 type worker struct {
-	addr  netip.AddrPort
 	calls int
 	// pace is the time of recent calls over the expected time.
 	pace        float64
@@ -27,9 +25,8 @@
 	foreignAt   time.Time
 	foreignLife time.Duration
 
-	// free are the handles to free from freeAt on.
-	free   []string
-	freeAt time.Time
+	// free are the results to free with the next call.
+	free []Result
 }
 
 type heldResult struct {
