--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -33,12 +33,18 @@
 	server  *http.Server
 	accepts chan net.Conn
 	stopped bool
+
+	// forced ends the wait for connections to become idle.
+	forced context.Context
+	force  context.CancelFunc
+	ending sync.WaitGroup
 }
 
 // open starts to serve l.
 func (f *front) open(h *Host, l net.Listener) {
 	f.host, f.listener = h, l
 	f.done = make(chan struct{})
+	f.forced, f.force = context.WithCancel(context.Background())
 	f.accepts = make(chan net.Conn)
 	f.mu.Lock()
 	f.serve()
@@ -100,13 +106,13 @@
 	f.limits = limits
 	old := f.server
 	f.serve()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), replacedTime)
+	f.ending.Go(func() {
+		ctx, cancel := context.WithTimeout(f.forced, replacedTime)
 		defer cancel()
 		if err := old.Shutdown(ctx); err != nil {
 			f.host.Log.Warn("connections under old limits are left", zap.Error(err))
 		}
-	}()
+	})
 }
 
 // stop takes no new connections and closes idle ones.
@@ -119,15 +125,21 @@
 	f.stopped = true
 	f.listener.Close()
 	close(f.done)
-	go f.server.Shutdown(context.Background())
+	f.ending.Go(func() {
+		if err := f.server.Shutdown(f.forced); err != nil {
+			f.host.Log.Info("connections are left at the end", zap.Error(err))
+		}
+	})
 }
 
 // close ends every connection.
 func (f *front) close() {
 	f.stop()
+	f.force()
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.server.Close()
+	f.mu.Unlock()
+	f.ending.Wait()
 }
 
 // closed returns a channel that is closed once no connections are taken.
