--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -34,6 +34,8 @@
 	unread []int
 	// readers is the number of stages that read a stage's results.
 	readers []int
+	// coming are the stages that others have to run before.
+	coming []bool
 	// paced says that a stage was held back once.
 	paced bool
 }
@@ -159,6 +161,7 @@
 			return nil, err
 		}
 		begin()
+		p.arrive(i)
 		o, err := p.h.Stages.Run(ctx, p.job(i, inputs))
 		p.note(o)
 		if err != nil {
@@ -286,6 +289,7 @@
 		Due:        p.q.due().Sub(now) - p.after(i),
 		Left:       p.q.until.Sub(now),
 		Rank:       p.q.rank,
+		Worth:      p.q.worth(),
 		PieceBytes: s.ResultBytes,
 	}
 	for _, r := range inputs {
@@ -351,11 +355,35 @@
 		"the stages would take %v, and %v with the queues, of %v", onTime, late, p.q.due().Sub(now))
 }
 
+// expect tells the formers of the stages that will come.
+func (p *plan) expect() {
+	p.coming = make([]bool, len(p.q.route.Stages))
+	for i, s := range p.q.route.Stages {
+		if len(s.After) > 0 && p.pieces(i) > 0 {
+			p.coming[i] = true
+			p.h.Stages.Expect(s.Service, p.pieces(i))
+		}
+	}
+}
+
+// arrive notes that stage i has come, or won't.
+func (p *plan) arrive(i int) {
+	p.mu.Lock()
+	coming := p.coming != nil && p.coming[i]
+	if coming {
+		p.coming[i] = false
+	}
+	p.mu.Unlock()
+	if coming {
+		p.h.Stages.Expect(p.q.route.Stages[i].Service, -p.pieces(i))
+	}
+}
+
 // Bounds of admission.
 const (
 	// lateAllowance is how late a request may be expected to be that is taken
 	// nevertheless.
-	lateAllowance = time.Second
+	lateAllowance = 2500 * time.Millisecond
 	// minRetry is the least time to come back; retryShare limits it to that share
 	// of the time left, beyond which callers don't wait.
 	minRetry   = 300 * time.Millisecond
@@ -409,6 +437,7 @@
 	all := make([]int, len(p.stages))
 	for i := range all {
 		all[i] = i
+		p.arrive(i)
 	}
 	p.drop(all)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,6 +6,7 @@
 	"errors"
 	"hash"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -161,6 +162,19 @@
 	return ""
 }
 
+// worth estimates what q is worth against others: longer prompts take more work
+// to answer and to ask for, though not in proportion.
+func (q *request) worth() float64 {
+	tokens := 0
+	for _, part := range q.Prompt {
+		tokens += part.Tokens
+	}
+	return math.Pow(float64(max(1, tokens)), worthExponent)
+}
+
+// worthExponent is the power of a prompt's tokens that a request is worth.
+const worthExponent = 0.75
+
 // readBody reads the whole body, at most limit bytes unless limit is zero.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if limit > 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,6 +44,7 @@
 	if err := p.admit(); err != nil {
 		return err
 	}
+	p.expect()
 	rel := &relayed{out: out, last: q.ResumeAfter, hasLast: q.Resumes}
 	for round := 0; ctx.Err() == nil; round++ {
 		if err := s.prepare(ctx, p); err != nil {
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -81,6 +81,8 @@
 	mu       sync.Mutex
 	holders  map[string]*holder
 	outlooks map[string]seenOutlook
+	// coming are the pieces of this host's requests that earlier stages will send.
+	coming map[string]int
 	// took is the usual time of a job of each service that was on time.
 	took map[string]time.Duration
 }
@@ -180,16 +182,31 @@
 	}
 }
 
-// Outlook returns the last outlook of service. One that is too old says nothing,
-// since a host without jobs at the former hears of none.
+// Outlook returns the last outlook of service, with what is on its way there
+// through earlier stages: the hosts' requests are alike, so that this host's
+// stand for those of all. An outlook that is too old says nothing, since a host
+// without jobs at the former hears of none.
 func (c *Client) Outlook(service string) Outlook {
+	hosts := len(c.Members.Members().Hosts)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o := c.outlooks[service]
 	if c.Clock.Since(o.at) > outlookLife {
 		return Outlook{}
 	}
-	return o.Outlook
+	coming := time.Duration(c.coming[service]*hosts) * o.PerPiece
+	return Outlook{Ahead: o.Ahead + coming, All: o.All + coming, PerPiece: o.PerPiece}
+}
+
+// Expect notes that pieces for service will come from earlier stages, or, with a
+// negative number, that they have come or won't.
+func (c *Client) Expect(service string, pieces int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.coming == nil {
+		c.coming = map[string]int{}
+	}
+	c.coming[service] += pieces
 }
 
 // holderOf returns the host that forms the calls of service.
--- a/internal/stage/former.go
+++ b/internal/stage/former.go
@@ -109,6 +109,10 @@
 	ended    bool
 	// remote jobs are another host's.
 	remote bool
+	// worth is Worth against jobs of all ranks; behind says that the job is left
+	// behind others, since not all can be on time.
+	worth  float64
+	behind bool
 }
 
 // Submit runs a job of this host and waits for its outcome. When ctx ends the
@@ -152,6 +156,7 @@
 	}
 	f.jobs[j.ID] = running
 	l := f.line(j.Service)
+	l.valued(running)
 	l.jobs = append(l.jobs, running)
 	f.dispatch(l)
 	return running
@@ -195,7 +200,7 @@
 	if fault == None {
 		o.Results = j.results
 		f.Log.Info("stage done", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), zap.String("Service", j.Service),
-			zap.Int("Pieces", j.Pieces), zap.Duration("Queued", j.queued), zap.Duration("Ran", j.ran), zap.Duration("Slack", j.due.Sub(f.Clock.Now())),
+			zap.Int("Pieces", j.Pieces), zap.Bool("Behind", j.behind), zap.Float64("Worth", j.worth), zap.Duration("Queued", j.queued), zap.Duration("Ran", j.ran), zap.Duration("Slack", j.due.Sub(f.Clock.Now())),
 			zap.Duration("Ahead", o.Outlook.Ahead), zap.Duration("All", o.Outlook.All))
 	} else if fault != Moved {
 		f.release(made(j.results))
@@ -228,6 +233,7 @@
 	for _, l := range f.lines {
 		l.expire(now)
 		f.dispatch(l)
+		l.measure(now, l.waiting())
 	}
 }
 
@@ -293,6 +299,7 @@
 func (f *Former) start(l *line, w *worker, t *catalog.Target, c *call) {
 	now := f.Clock.Now()
 	c.begun, c.expected = now, l.expected(len(c.parts))
+	c.room = l.pool.RoomBytes - w.reserved - w.held
 	w.calls++
 	w.lastUsed = now
 	for _, p := range c.parts {
@@ -326,7 +333,7 @@
 	} else {
 		w.succeeded(took, c.expected)
 		for i, p := range c.parts {
-			f.take(l, w, t, p, results[i], now)
+			f.take(l, w, t, c, p, results[i], now)
 		}
 	}
 	f.dispatch(l)
@@ -364,15 +371,17 @@
 }
 
 // take takes the result of one piece.
-func (f *Former) take(l *line, w *worker, t *catalog.Target, p part, r PieceResult, now time.Time) {
+func (f *Former) take(l *line, w *worker, t *catalog.Target, c *call, p part, r PieceResult, now time.Time) {
 	j := p.job
 	switch r.Fault {
 	case PieceDone:
+		c.room -= j.PieceBytes
 		result := Result{Handle: r.Handle, Target: t.ID, Addr: t.Addr, Domain: t.Domain, Bytes: j.PieceBytes}
 		if j.ended {
 			f.release([]Result{result})
 			return
 		}
+		l.busyMade++
 		w.hold(r.Handle, j.PieceBytes, now.Add(l.life()))
 		j.results[p.number] = result
 		if j.missing--; j.missing == 0 {
@@ -383,7 +392,7 @@
 	case PieceGone:
 		f.end(j, Gone)
 	case PieceNoRoom:
-		w.full(now, l.pool, j.PieceBytes)
+		w.full(now, c, j.PieceBytes, l.pool.ResultLife)
 		f.again(p, false)
 	case PieceError:
 		f.again(p, true)
--- a/internal/stage/line.go
+++ b/internal/stage/line.go
@@ -1,7 +1,6 @@
 package stage
 
 import (
-	"sort"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
@@ -33,6 +32,12 @@
 	// timeoutFactor times the expected time, plus timeoutMargin, bounds a call.
 	timeoutFactor = 3
 	timeoutMargin = 300 * time.Millisecond
+	// measureTime is the time over which the pace of all targets is measured,
+	// measureWeight the weight of the newest measurement, and maxPieceFactor
+	// bounds the pace against that of full calls.
+	measureTime    = 500 * time.Millisecond
+	measureWeight  = 0.3
+	maxPieceFactor = 4
 )
 
 // line is the queue of one service.
@@ -42,6 +47,25 @@
 	targets []*catalog.Target
 	jobs    []*job
 	workers map[string]*worker
+
+	// measured is the time in which the targets make one piece while jobs wait.
+	// busySince is when jobs began to wait, busyMade the pieces made since.
+	measured  time.Duration
+	busySince time.Time
+	busyMade  int
+
+	// means are the mean worths of jobs by rank.
+	means map[int]float64
+}
+
+// waiting reports whether any piece waits for a call.
+func (l *line) waiting() bool {
+	for _, j := range l.jobs {
+		if len(j.waiting) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *Former) line(service string) *line {
@@ -131,13 +155,34 @@
 			ahead += len(j.waiting)
 		}
 	}
-	return Outlook{Ahead: l.wait(ahead), All: l.wait(all)}
+	piece := l.perPiece()
+	return Outlook{Ahead: time.Duration(ahead) * piece, All: time.Duration(all) * piece, PerPiece: piece}
 }
 
-// wait is the time that all targets take for so many pieces.
-func (l *line) wait(pieces int) time.Duration {
-	calls := float64(pieces) / float64(max(1, l.pool.Batch))
-	return time.Duration(calls / float64(len(l.targets)) * float64(l.expected(l.pool.Batch)))
+// perPiece is the time in which all targets make one piece: as measured while
+// jobs waited, and not less than full calls would take.
+func (l *line) perPiece() time.Duration {
+	full := l.expected(l.pool.Batch) / time.Duration(l.pool.Batch*len(l.targets))
+	return max(full, min(l.measured, maxPieceFactor*full))
+}
+
+// measure notes pieces that were made, and learns their pace from the times in
+// which jobs waited.
+func (l *line) measure(now time.Time, waiting bool) {
+	if !waiting || now.Sub(l.busySince) > 2*measureTime {
+		l.busySince, l.busyMade = now, 0
+		return
+	}
+	busy := now.Sub(l.busySince)
+	if busy < measureTime || l.busyMade == 0 {
+		return
+	}
+	sample := busy / time.Duration(l.busyMade)
+	if l.measured == 0 {
+		l.measured = sample
+	}
+	l.measured += time.Duration(measureWeight * float64(sample-l.measured))
+	l.busySince, l.busyMade = now, 0
 }
 
 // tooLate reports whether j can't be on time any more.
@@ -149,11 +194,11 @@
 		return
 	}
 	l.refresh(f.Catalog())
-	if l.pool == nil {
+	if l.pool == nil || len(l.targets) == 0 {
 		return
 	}
 	now := f.Clock.Now()
-	l.sort(now)
+	l.order(now)
 	for i := 0; i < len(l.jobs); {
 		j := l.jobs[i]
 		if len(j.waiting) == 0 {
@@ -174,18 +219,6 @@
 	}
 }
 
-// sort puts the jobs that can still be in time first, by due time.
-func (l *line) sort(now time.Time) {
-	sort.SliceStable(l.jobs, func(i, k int) bool {
-		a, b := l.jobs[i], l.jobs[k]
-		lateA, lateB := l.tooLate(a, now), l.tooLate(b, now)
-		if lateA != lateB {
-			return lateB
-		}
-		return a.due.Before(b.due)
-	})
-}
-
 // choose returns the best free target for j, or nil.
 func (l *line) choose(j *job, now time.Time) (*worker, *catalog.Target) {
 	var best *worker
@@ -300,6 +333,9 @@
 	parts    []part
 	begun    time.Time
 	expected time.Duration
+	// room is what this former's results left free at the target when the call
+	// began, less the results that it made.
+	room int64
 }
 
 // part is one piece in a call.
--- /dev/null
+++ b/internal/stage/order.go
@@ -0,0 +1,84 @@
+package stage
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+// worthWeight is the weight of the newest job in the mean worth of its rank.
+const worthWeight = 0.05
+
+// order sorts the jobs: first those that are to be on time, by due time, then
+// the others. When not all can be on time, those worth least for the time that
+// they take are left behind (the rule of Moore and Hodgson, with weights): in
+// the order of due times, whenever a job would be late, the least worthy one
+// among those so far goes.
+func (l *line) order(now time.Time) {
+	sort.SliceStable(l.jobs, func(i, k int) bool { return l.jobs[i].due.Before(l.jobs[k].due) })
+	piece := l.perPiece()
+	end := now
+	var kept jobHeap
+	for _, j := range l.jobs {
+		if len(j.waiting) == 0 {
+			continue
+		}
+		j.behind = l.tooLate(j, now)
+		if j.behind {
+			continue
+		}
+		heap.Push(&kept, j)
+		end = end.Add(time.Duration(len(j.waiting)) * piece)
+		for end.Add(l.expected(1)).After(j.due) && len(kept) > 0 {
+			least := heap.Pop(&kept).(*job)
+			least.behind = true
+			end = end.Add(-time.Duration(len(least.waiting)) * piece)
+		}
+	}
+	sort.SliceStable(l.jobs, func(i, k int) bool { return !l.jobs[i].behind && l.jobs[k].behind })
+}
+
+// jobHeap has the job that is worth least for its pieces on top.
+type jobHeap []*job
+
+func (h jobHeap) Len() int           { return len(h) }
+func (h jobHeap) Less(i, k int) bool { return h[i].density() < h[k].density() }
+func (h jobHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
+
+// Push adds a job.
+func (h *jobHeap) Push(x any) { *h = append(*h, x.(*job)) }
+
+// Pop removes the last job.
+func (h *jobHeap) Pop() any {
+	old := *h
+	j := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return j
+}
+
+// density is what j is worth for each piece.
+func (j *job) density() float64 { return j.worth / float64(max(1, j.Pieces)) }
+
+// valued sets the worth of a new job against those of other ranks: a more
+// urgent rank is worth no less than any that is less urgent.
+func (l *line) valued(j *job) {
+	if l.means == nil {
+		l.means = map[int]float64{}
+	}
+	mean, ok := l.means[j.Rank]
+	if !ok {
+		mean = j.Worth
+	}
+	mean += worthWeight * (j.Worth - mean)
+	l.means[j.Rank] = mean
+	most := mean
+	for rank, other := range l.means {
+		if rank > j.Rank {
+			most = max(most, other)
+		}
+	}
+	j.worth = 1
+	if mean > 0 {
+		j.worth = j.Worth * most / mean
+	}
+}
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -34,6 +34,9 @@
 	Due, Left time.Duration
 	// Rank is the priority of the request; zero is the most urgent.
 	Rank int
+	// Worth is what the request is worth against others of its rank, in any unit
+	// that the hosts share.
+	Worth float64
 	// PieceBytes is the approximate size of one result.
 	PieceBytes int64
 	// Domain is the failure domain in which the job should run, since MoveBytes
@@ -95,6 +98,8 @@
 	// Ahead is the wait behind the jobs that can still be on time, All that behind
 	// every job.
 	Ahead, All time.Duration
+	// PerPiece is the time in which the targets together make one piece.
+	PerPiece time.Duration
 }
 
 // Piece is one piece as a target is asked for it.
--- a/internal/stage/worker.go
+++ b/internal/stage/worker.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"berylswitch.example/berylswitch/internal/catalog"
 )
 
 // worker is what the former knows of one target of a pool.
@@ -69,13 +67,12 @@
 // rejected pauses a target that had no place for a call.
 func (w *worker) rejected(now time.Time) { w.pause(now, rejectPause) }
 
-// full pauses a target that had no room for a result of so many bytes: others
-// must have used what this former doesn't.
-func (w *worker) full(now time.Time, pool *catalog.Pool, bytes int64) {
+// full pauses a target that had no room for a result of so many bytes: when the
+// call began, others must have used what this former didn't.
+func (w *worker) full(now time.Time, c *call, bytes int64, life time.Duration) {
 	w.pause(now, roomPause)
-	others := pool.RoomBytes - w.reserved - w.held - bytes/2
-	if others > w.others(now) {
-		w.foreign, w.foreignAt, w.foreignLife = others, now, pool.ResultLife
+	if others := c.room - bytes/2; others > w.others(now) {
+		w.foreign, w.foreignAt, w.foreignLife = others, c.begun, life
 	}
 }
 
