Free results at the former that counts their room

Change: a result names its service and the host whose former counts it, and is freed there while that host is a member.

Tests: TestFreeAfterMove, TestRoomOfSharedTarget.

--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -58,8 +58,8 @@
 	return &catalog.Follower{Feed: feed, Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller}
 }
 
-func provideFormer(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower) *stage.Former {
-	return &stage.Former{Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot}
+func provideFormer(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower, x *peer.Exchange) *stage.Former {
+	return &stage.Former{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot}
 }
 
 func provideStages(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, f *stage.Former) *stage.Client {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -424,7 +424,7 @@
 		}
 		go func() {
 			<-run.done
-			p.h.Stages.Free(p.q.route.Stages[i].Service, run.results)
+			p.h.Stages.Free(run.results)
 		}()
 	}
 }
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -24,7 +24,7 @@
 	exchange := provideExchange(s, n, c, caller, d)
 	follower := provideFollower(c, log, feed, exchange, caller)
 	table := provideCrashes(c, exchange, caller)
-	former := provideFormer(c, log, pool, follower)
+	former := provideFormer(c, log, pool, follower, exchange)
 	server, err := providePeers(exchange, follower, table, former)
 	if err != nil {
 		return nil, err
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,6 +47,16 @@
 	return m.Hosts[best]
 }
 
+// Find returns the member of that name.
+func (m *Members) Find(name string) (Host, bool) {
+	for _, h := range m.Hosts {
+		if h.Name == name {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
+
 // Without returns the members but for the host of that name. Without other
 // hosts it returns m.
 func (m *Members) Without(name string) *Members {
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -337,18 +337,25 @@
 	c.see(outlooks)
 }
 
-// Free drops results by way of the holder of their service, which counts the
-// room at the targets.
-func (c *Client) Free(service string, results []Result) {
-	if len(results) == 0 {
-		return
+// Free drops results by way of the former that counts their room, or, where
+// that is gone, of the one that forms the calls of their service now.
+func (c *Client) Free(results []Result) {
+	members := c.Members.Members()
+	byHost := map[peer.Host][]Result{}
+	for _, r := range results {
+		host, ok := members.Find(r.Former)
+		if !ok {
+			host = c.holderOf(r.Service)
+		}
+		byHost[host] = append(byHost[host], r)
 	}
-	host := c.holderOf(service)
-	if host.Name == c.Self {
-		c.Former.Free(results)
-		return
+	for host, results := range byHost {
+		if host.Name == c.Self {
+			c.Former.Free(results)
+			continue
+		}
+		go c.tell(host, "Free", &results)
 	}
-	go c.tell(host, "Free", &results)
 }
 
 func (c *Client) tell(host peer.Host, method string, args any) {
--- a/internal/stage/client_test.go
+++ b/internal/stage/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"net/rpc"
 	"testing"
@@ -47,6 +48,7 @@
 func (f *fleetOf) start(t *testing.T, h peer.Host) {
 	pool := &fakePool{}
 	former := newFormer(t, pool, 2, testPool())
+	former.Self = h.Name
 	s := &peer.Server{RPC: rpc.NewServer()}
 	if err := former.Register(s.RPC); err != nil {
 		t.Fatal(err)
@@ -145,6 +147,52 @@
 	})
 }
 
+// TestFreeAfterMove frees results of a holder after another one holds the
+// service: the room counts as free again where it was counted.
+func TestFreeAfterMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		holder, other := f.holder(), f.other()
+		o, err := f.clients[other].Run(t.Context(), testJob("r", 2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The client passes the holder over from now on.
+		f.clients[other].passOver(f.hosts[holder])
+		f.clients[other].Free(o.Results)
+		time.Sleep(time.Second)
+		held := int64(0)
+		f.formers[holder].do(func() {
+			for _, w := range f.formers[holder].line("s").workers {
+				held += w.held
+			}
+		})
+		if held != 0 || f.pools[holder].freed != 2 {
+			t.Errorf("%d bytes are held, %d results were freed", held, f.pools[holder].freed)
+		}
+	})
+}
+
+// TestRoomOfSharedTarget frees results of a target that another service's queue
+// knows too: a former once took the room off the wrong one.
+func TestRoomOfSharedTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := &fakePool{}
+		f := newFormer(t, pool, 1, testPool())
+		for range 20 {
+			f.do(func() { f.line(fmt.Sprint(len(f.lines))).worker("t0") })
+		}
+		o := f.Submit(t.Context(), testJob("a", 4))
+		f.Free(o.Results)
+		time.Sleep(time.Second)
+		f.do(func() {
+			if held := f.line("s").worker("t0").held; held != 0 {
+				t.Errorf("%d bytes are held", held)
+			}
+		})
+	})
+}
+
 // TestUsual expects the usual time to follow jobs that were on time alone.
 func TestUsual(t *testing.T) {
 	c := &Client{Clock: &clock.Service{}}
--- a/internal/stage/former.go
+++ b/internal/stage/former.go
@@ -35,6 +35,8 @@
 
 // Former forms the calls to stage pools. Exported fields are set before Run.
 type Former struct {
+	// Self is the name of this host.
+	Self    string
 	Clock   *clock.Service
 	Log     *zap.Logger
 	Pool    Pool
@@ -245,7 +247,7 @@
 // release notes results to be freed with the next call to their makers.
 func (f *Former) release(results []Result) {
 	for _, r := range results {
-		l := f.lineOf(r.Target)
+		l := f.line(r.Service)
 		w := l.worker(r.Target)
 		if len(w.free) == 0 {
 			f.Clock.AfterFunc(freeDelay, func() { f.do(func() { f.flush(l, w) }) })
@@ -254,16 +256,6 @@
 	}
 }
 
-// lineOf returns the line that the target belongs to.
-func (f *Former) lineOf(target string) *line {
-	for _, l := range f.lines {
-		if l.workers[target] != nil {
-			return l
-		}
-	}
-	return f.line("")
-}
-
 // flush frees what was released at a target. Its room counts as taken until the
 // target has answered.
 func (f *Former) flush(l *line, w *worker) {
@@ -376,7 +368,7 @@
 	switch r.Fault {
 	case PieceDone:
 		c.room -= j.PieceBytes
-		result := Result{Handle: r.Handle, Target: t.ID, Addr: t.Addr, Domain: t.Domain, Bytes: j.PieceBytes}
+		result := Result{Handle: r.Handle, Target: t.ID, Addr: t.Addr, Domain: t.Domain, Bytes: j.PieceBytes, Service: j.Service, Former: f.Self}
 		if j.ended {
 			f.release([]Result{result})
 			return
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -52,7 +52,10 @@
 	Addr   netip.AddrPort
 	Domain string
 	// Bytes is the approximate size.
-	Bytes int64
+	Bytes   int64
+	Service string
+	// Former is the name of the host whose former counts the result's room.
+	Former string
 }
 
 // Fault says why a job has no results.
