Tell the formers what is on its way to them

Each host took its own requests on their way for the share of any host, but a zone with one host carries three times the requests of one in a zone with three: such a host expected 4.8 s of stages where there was no queue.

--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,9 +59,16 @@
 	return nil
 }
 
+// SignOfLife is what a host tells the formers that work for it.
+type SignOfLife struct {
+	Host string
+	// Coming is the number of pieces that earlier stages will send, by service.
+	Coming map[string]int
+}
+
 // Ping answers with the outlooks of the services.
-func (s *Service) Ping(_ *Empty, reply *map[string]Outlook) error {
-	*reply = s.former.outlooks()
+func (s *Service) Ping(r *SignOfLife, reply *map[string]Outlook) error {
+	*reply = s.former.outlooks(*r)
 	return nil
 }
 
@@ -83,6 +92,8 @@
 	outlooks map[string]seenOutlook
 	// coming are the pieces of this host's requests that earlier stages will send.
 	coming map[string]int
+	// told is what of coming the formers were told last.
+	told map[string]int
 	// took is the usual time of a job of each service that was on time.
 	took map[string]time.Duration
 }
@@ -182,20 +193,22 @@
 	}
 }
 
-// Outlook returns the last outlook of service, with what is on its way there
-// through earlier stages: the hosts' requests are alike, so that this host's
-// stand for those of all. An outlook that is too old says nothing, since a host
-// without jobs at the former hears of none.
+// Outlook returns the last outlook of service with what is on its way there: all
+// hosts' pieces as they last told, and this host's as they are. An outlook that
+// is too old says nothing, since a host without jobs at the former hears of none.
 func (c *Client) Outlook(service string) Outlook {
-	hosts := len(c.Members.Members().Hosts)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.outlooks[service]
-	if c.Clock.Since(o.at) > outlookLife {
+	seen := c.outlooks[service]
+	if c.Clock.Since(seen.at) > outlookLife {
 		return Outlook{}
 	}
-	coming := time.Duration(c.coming[service]*hosts) * o.PerPiece
-	return Outlook{Ahead: o.Ahead + coming, All: o.All + coming, PerPiece: o.PerPiece}
+	o := seen.Outlook
+	o.Coming = max(0, o.Coming-c.told[service]+c.coming[service])
+	coming := time.Duration(o.Coming) * o.PerPiece
+	o.Ahead += coming
+	o.All += coming
+	return o
 }
 
 // Expect notes that pieces for service will come from earlier stages, or, with a
@@ -211,10 +224,15 @@
 
 // holderOf returns the host that forms the calls of service.
 func (c *Client) holderOf(service string) peer.Host {
-	members := c.Members.Members()
 	now := c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.pickHolder(service, now)
+}
+
+// pickHolder is holderOf with c.mu held.
+func (c *Client) pickHolder(service string, now time.Time) peer.Host {
+	members := c.Members.Members()
 	for name, h := range c.holders {
 		if h.downUntil.After(now) {
 			members = members.Without(name)
@@ -312,24 +330,38 @@
 	}
 }
 
+// busy returns the holders that have jobs of this host or will have them.
 func (c *Client) busy() []peer.Host {
+	now := c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []peer.Host
+	hosts := map[string]peer.Host{}
 	for _, h := range c.holders {
-		if h.jobs > 0 && !h.downUntil.After(c.Clock.Now()) {
-			out = append(out, h.host)
+		if h.jobs > 0 && !h.downUntil.After(now) {
+			hosts[h.host.Name] = h.host
 		}
 	}
-	return out
+	c.told = maps.Clone(c.coming)
+	for service := range c.coming {
+		h := c.pickHolder(service, now)
+		hosts[h.Name] = h
+	}
+	return slices.Collect(maps.Values(hosts))
 }
 
 // look asks host for a sign of life.
 func (c *Client) look(ctx context.Context, host peer.Host) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
+	c.mu.Lock()
+	sign := SignOfLife{Host: c.Self, Coming: maps.Clone(c.told)}
+	c.mu.Unlock()
+	if host.Name == c.Self {
+		c.see(c.Former.outlooks(sign))
+		return
+	}
 	outlooks := map[string]Outlook{}
-	if err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &Empty{}, &outlooks); err != nil {
+	if err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &sign, &outlooks); err != nil {
 		c.Log.Warn("holder is silent", zap.String("Holder", host.Name), zap.Error(err))
 		c.lose(host)
 		return
--- a/internal/stage/former.go
+++ b/internal/stage/former.go
@@ -50,6 +50,9 @@
 	ctx   context.Context
 	lines map[string]*line
 	jobs  map[string]*job
+	// coming is what hosts have told of their pieces on the way, by service and
+	// host.
+	coming map[string]map[string]comingPieces
 	// retired formers take no jobs of other hosts.
 	retired bool
 }
@@ -66,6 +69,7 @@
 	f.init()
 	defer close(f.stopped)
 	f.ctx, f.lines, f.jobs = ctx, map[string]*line{}, map[string]*job{}
+	f.coming = map[string]map[string]comingPieces{}
 	ticks := f.Clock.Subscribe(ctx, sweepInterval)
 	for {
 		select {
@@ -197,7 +201,7 @@
 	o := Outcome{Fault: fault, Sent: j.sent, Queued: j.queued, Ran: j.ran}
 	if l := f.lines[j.Service]; l != nil {
 		l.drop(j)
-		o.Outlook = l.outlook(f.Clock.Now())
+		o.Outlook = f.outlook(l, f.Clock.Now())
 	}
 	if fault == None {
 		o.Results = j.results
@@ -391,18 +395,45 @@
 	}
 }
 
-// outlooks returns the outlook of each service that has jobs here.
-func (f *Former) outlooks() map[string]Outlook {
+// comingPieces is a host's number of pieces on their way and when it told.
+type comingPieces struct {
+	pieces int
+	at     time.Time
+}
+
+// outlooks takes what a host tells of its pieces on the way and returns the
+// outlook of each service that has any here.
+func (f *Former) outlooks(r SignOfLife) map[string]Outlook {
 	out := map[string]Outlook{}
 	f.do(func() {
 		now := f.Clock.Now()
+		for service, pieces := range r.Coming {
+			if f.coming[service] == nil {
+				f.coming[service] = map[string]comingPieces{}
+			}
+			f.coming[service][r.Host] = comingPieces{pieces, now}
+			f.line(service).refresh(f.Catalog())
+		}
 		for service, l := range f.lines {
-			out[service] = l.outlook(now)
+			out[service] = f.outlook(l, now)
 		}
 	})
 	return out
 }
 
+// outlook is that of l with the pieces on their way.
+func (f *Former) outlook(l *line, now time.Time) Outlook {
+	o := l.outlook(now)
+	for host, c := range f.coming[l.service] {
+		if now.Sub(c.at) > outlookLife {
+			delete(f.coming[l.service], host)
+			continue
+		}
+		o.Coming += c.pieces
+	}
+	return o
+}
+
 // Register adds the former's RPC service.
 func (f *Former) Register(s *rpc.Server) error {
 	return s.RegisterName(serviceName, &Service{former: f})
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -103,6 +103,9 @@
 	Ahead, All time.Duration
 	// PerPiece is the time in which the targets together make one piece.
 	PerPiece time.Duration
+	// Coming is the number of pieces that earlier stages will send, as all hosts
+	// last told.
+	Coming int
 }
 
 // Piece is one piece as a target is asked for it.
