Tell one request's story from the logs of hosts

Cause: from a request's id to its cause took searches in the logs of all hosts; errors carried stacks that were most of the log's bytes.

Change: berylswitch explain ID FILE... prints the lines of a request from all hosts' logs in order, and what was said meanwhile of its targets and hosts, as text or JSON; errors are logged as one line.

--- /dev/null
+++ b/cmd/berylswitch/explain.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"berylswitch.example/berylswitch/internal/journal"
+)
+
+// explainCommand tells one request's story from the logs of hosts.
+type explainCommand struct {
+	JSON bool `long:"json" description:"write JSON instead of text"`
+	Args struct {
+		RequestID string   `positional-arg-name:"REQUEST" required:"yes" description:"the id of the request"`
+		Files     []string `positional-arg-name:"FILE" description:"logs; standard input without any"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs the command. It fails if no line is of the request.
+func (c *explainCommand) Execute([]string) error {
+	lines, err := c.read()
+	if err != nil {
+		return err
+	}
+	s := journal.Tell(c.Args.RequestID, lines)
+	if len(s.Lines) == 0 {
+		return fmt.Errorf("no line of request %s in %d lines", c.Args.RequestID, len(lines))
+	}
+	if c.JSON {
+		return s.WriteJSON(os.Stdout)
+	}
+	return s.WriteText(os.Stdout)
+}
+
+// read reads all files, or standard input.
+func (c *explainCommand) read() ([]journal.Line, error) {
+	if len(c.Args.Files) == 0 {
+		return readLog("standard input", os.Stdin)
+	}
+	var all []journal.Line
+	for _, name := range c.Args.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := readLog(name, f)
+		f.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func readLog(name string, r io.Reader) ([]journal.Line, error) {
+	lines, skipped, err := journal.ReadLines(r)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if skipped > 0 {
+		fmt.Fprintf(os.Stderr, "%s: %d lines are no log lines\n", name, skipped)
+	}
+	return lines, nil
+}
--- a/cmd/berylswitch/gateway.go
+++ b/cmd/berylswitch/gateway.go
@@ -66,7 +66,7 @@
 			return
 		case <-hups:
 			if _, err := settings.LoadGateway(file); err != nil {
-				log.Error("settings not reloaded", zap.Error(err))
+				log.Error("settings not reloaded", journal.Error(err))
 				continue
 			}
 			log.Info("settings checked; changes take effect at the next start")
--- a/cmd/berylswitch/main.go
+++ b/cmd/berylswitch/main.go
@@ -29,6 +29,7 @@
 		{"call", "Send a request and print its answer", &callCommand{ctx: ctx}},
 		{"serve", "Run a host", &serveCommand{ctx: ctx}},
 		{"gateway", "Run a host on the users' platform", &gatewayCommand{ctx: ctx}},
+		{"explain", "Tell one request's story from the logs of hosts", &explainCommand{}},
 		{"report", "Show service-level burn and cost by stage", &reportCommand{ctx: ctx}},
 		{"try", "Run stand-ins and two hosts in this process and send requests", &tryCommand{ctx: ctx}},
 	}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/peer"
 	"go.uber.org/zap"
 )
@@ -369,7 +370,7 @@
 func (d *dependency) result(err error) {
 	switch {
 	case err != nil && d.failures == 0:
-		d.log.Warn("dependency lost", zap.String("Dependency", d.name), zap.Error(err))
+		d.log.Warn("dependency lost", zap.String("Dependency", d.name), journal.Error(err))
 	case err == nil && d.failures > 0:
 		d.log.Info("dependency regained", zap.String("Dependency", d.name), zap.Int("Failures", d.failures))
 	}
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/journal"
 	"go.uber.org/zap"
 )
 
@@ -71,7 +72,7 @@
 		err := f.Peers.Call(callCtx, h.Addr, serviceName+".Fetch", known, held)
 		cancel()
 		if err != nil {
-			f.Log.Debug("peer has no catalog to relay", zap.String("Peer", h.Name), zap.Error(err))
+			f.Log.Debug("peer has no catalog to relay", zap.String("Peer", h.Name), journal.Error(err))
 			continue
 		}
 		if held.Table != nil {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/journal"
 	"go.uber.org/zap"
 )
 
@@ -57,7 +58,7 @@
 	for {
 		conn, err := f.listener.Accept()
 		if err != nil {
-			f.host.Log.Info("no longer listening for callers", zap.Error(err))
+			f.host.Log.Info("no longer listening for callers", journal.Error(err))
 			return
 		}
 		select {
@@ -91,7 +92,7 @@
 	l := &handedOver{front: f, closed: make(chan struct{})}
 	go func() {
 		if err := ignoreClosed(server.Serve(l)); err != nil {
-			f.host.Log.Error("serving callers", zap.Error(err))
+			f.host.Log.Error("serving callers", journal.Error(err))
 		}
 	}()
 }
@@ -110,7 +111,7 @@
 		ctx, cancel := context.WithTimeout(f.forced, replacedTime)
 		defer cancel()
 		if err := old.Shutdown(ctx); err != nil {
-			f.host.Log.Warn("connections under old limits are left", zap.Error(err))
+			f.host.Log.Warn("connections under old limits are left", journal.Error(err))
 		}
 	})
 }
@@ -127,7 +128,7 @@
 	close(f.done)
 	f.ending.Go(func() {
 		if err := f.server.Shutdown(f.forced); err != nil {
-			f.host.Log.Info("connections are left at the end", zap.Error(err))
+			f.host.Log.Info("connections are left at the end", journal.Error(err))
 		}
 	})
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -9,6 +9,7 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/fleet"
+	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/pkg/result"
 	"go.uber.org/zap"
@@ -123,7 +124,7 @@
 	}
 	s.h.Fleet.End(t, r, took)
 	s.h.Log.Info("send failed", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Stringer("Result", r),
-		zap.Duration("Took", took), zap.Error(err))
+		zap.Duration("Took", took), journal.Error(err))
 	return r
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/fleet"
+	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/upstream"
 	"go.uber.org/zap"
 )
@@ -198,7 +199,7 @@
 		}
 		if err := s.pass(a, rel, ev, control); err != nil {
 			s.h.Fleet.End(t, fleet.Abandoned, first)
-			s.h.Log.Info("caller does not read", zap.String("RequestID", s.q.ID), zap.Error(err))
+			s.h.Log.Info("caller does not read", zap.String("RequestID", s.q.ID), journal.Error(err))
 			return streamBroken
 		}
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,3 +87,9 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), w, zapcore.InfoLevel)
 	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, perSecond, everyOther))
 }
+
+// Error is the field for an error: its message on one line. Zap's own adds the
+// stack of the error's origin, which would be most of the log.
+func Error(err error) zap.Field {
+	return zap.String("error", strings.ReplaceAll(err.Error(), "\n", ": "))
+}
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/peer"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -147,7 +148,7 @@
 			return Outcome{Fault: Cancelled, Sent: true}, context.Cause(ctx)
 		}
 		c.Log.Warn("holder of a service lost", zap.String("Service", j.Service), zap.String("Holder", host.Name),
-			zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), zap.Error(err))
+			zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), journal.Error(err))
 		c.lose(host)
 	}
 }
@@ -362,7 +363,7 @@
 	}
 	outlooks := map[string]Outlook{}
 	if err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &sign, &outlooks); err != nil {
-		c.Log.Warn("holder is silent", zap.String("Holder", host.Name), zap.Error(err))
+		c.Log.Warn("holder is silent", zap.String("Holder", host.Name), journal.Error(err))
 		c.lose(host)
 		return
 	}
@@ -394,6 +395,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
 	if err := c.Peers.Call(ctx, host.Addr, serviceName+"."+method, args, &Empty{}); err != nil {
-		c.Log.Info("message to a holder lost", zap.String("Holder", host.Name), zap.String("Method", method), zap.Error(err))
+		c.Log.Info("message to a holder lost", zap.String("Holder", host.Name), zap.String("Method", method), journal.Error(err))
 	}
 }
--- a/internal/stage/former.go
+++ b/internal/stage/former.go
@@ -9,6 +9,7 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/journal"
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 )
@@ -206,7 +207,7 @@
 	if fault == None {
 		o.Results = j.results
 		f.Log.Info("stage done", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), zap.String("Service", j.Service),
-			zap.Int("Pieces", j.Pieces), zap.Bool("Behind", j.behind), zap.Float64("Worth", j.worth), zap.Duration("Queued", j.queued), zap.Duration("Ran", j.ran), zap.Duration("Slack", j.due.Sub(f.Clock.Now())),
+			zap.String("Target", j.results[0].Target), zap.Int("Pieces", j.Pieces), zap.Bool("Behind", j.behind), zap.Float64("Worth", j.worth), zap.Duration("Queued", j.queued), zap.Duration("Ran", j.ran), zap.Duration("Slack", j.due.Sub(f.Clock.Now())),
 			zap.Duration("Ahead", o.Outlook.Ahead), zap.Duration("All", o.Outlook.All))
 	} else if fault != Moved {
 		f.release(made(j.results))
@@ -278,7 +279,7 @@
 		err := f.Pool.Free(ctx, results[0].Addr, handles)
 		if err != nil {
 			// Results that are not freed lapse by themselves.
-			f.Log.Info("results not freed", zap.String("Target", results[0].Target), zap.Int("Results", len(handles)), zap.Error(err))
+			f.Log.Info("results not freed", zap.String("Target", results[0].Target), zap.Int("Results", len(handles)), journal.Error(err))
 			return
 		}
 		f.do(func() {
@@ -344,7 +345,7 @@
 		w.failed(now)
 	}
 	f.Log.Info("stage call failed", zap.String("Target", t.ID), zap.Int("Pieces", len(c.parts)), zap.Bool("Rejected", rejected),
-		zap.Duration("Took", now.Sub(c.begun)), zap.String("FirstRequestID", c.parts[0].job.RequestID), zap.Error(err))
+		zap.Duration("Took", now.Sub(c.begun)), zap.String("FirstRequestID", c.parts[0].job.RequestID), journal.Error(err))
 	for _, p := range c.parts {
 		f.again(p, !rejected)
 	}
