--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -242,16 +242,14 @@
 	}
 	took := h.Clock.Since(q.arrived)
 	h.count(q, code, took)
+	abort := e != nil && (out.begun || code == result.Cancelled)
+	if e != nil && !abort {
+		out.refuse(q.ID, e)
+	}
 	h.logRequest(q, out, e, took)
-	switch {
-	case e == nil:
-	case out.begun:
+	if abort {
 		// The caller must see that the answer is not whole.
 		panic(http.ErrAbortHandler)
-	case code == result.Cancelled:
-		panic(http.ErrAbortHandler)
-	default:
-		out.refuse(q.ID, e)
 	}
 }
 
