Let strong hosts form the calls, and look twice before a holder is lost

Change: hosts tell their strength, from processor and link, and the holder of a service is one of those at least half as strong as the strongest. A holder is lost after two looks in a row without an answer, or a broken connection. A target that rejects calls is left alone for longer each time.

--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -31,9 +31,18 @@
 // what the settings tell of other hosts.
 func hostAt(addr netip.AddrPort) peer.Host { return peer.Host{Name: addr.String(), Addr: addr} }
 
+// linkPerCore is the bandwidth in Mbit/s that a host with a whole core for
+// others uses.
+const linkPerCore = 250
+
+// strength is what a host can do for others, in cores.
+func strength(s *settings.Gateway) float64 {
+	return min(s.CPUShare*s.CPUSpeed, s.LinkMbps/linkPerCore)
+}
+
 func provideExchange(s *settings.Gateway, n link.Network, c *clock.Service, caller *peer.Caller, d Directory) *peer.Exchange {
 	self := hostAt(s.PeerAddr)
-	self.Domain, self.Incarnation = s.Domain, time.Now().UnixNano()
+	self.Domain, self.Incarnation, self.Strength = s.Domain, time.Now().UnixNano(), strength(s)
 	x := &peer.Exchange{Self: self, Net: n, Clock: c, Caller: caller}
 	for _, addr := range s.Peers {
 		if addr != s.PeerAddr {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,8 @@
 	Domain string
 	// Incarnation is larger for each later life of a host of this name.
 	Incarnation int64
+	// Strength compares what hosts can do for others; zero if unknown.
+	Strength float64
 }
 
 // Members is an immutable list of the hosts that are believed alive, sorted by
@@ -47,6 +49,25 @@
 	return m.Hosts[best]
 }
 
+// strongShare is the share of the greatest strength that a strong host has.
+const strongShare = 0.5
+
+// Strong returns the members that are about as strong as the strongest, for work
+// that one host does for all.
+func (m *Members) Strong() *Members {
+	most := 0.0
+	for _, h := range m.Hosts {
+		most = max(most, h.Strength)
+	}
+	out := &Members{}
+	for _, h := range m.Hosts {
+		if h.Strength >= strongShare*most {
+			out.Hosts = append(out.Hosts, h)
+		}
+	}
+	return out
+}
+
 // Find returns the member of that name.
 func (m *Members) Find(name string) (Host, bool) {
 	for _, h := range m.Hosts {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -23,6 +23,11 @@
 	Peers []netip.AddrPort `json:",omitempty"`
 	// StoreAddr is the platform's store.
 	StoreAddr netip.AddrPort
+	// CPUShare is the share of a core that the process may use, CPUSpeed how fast
+	// that core is against a usual one, LinkMbps the host's bandwidth in Mbit/s.
+	CPUShare float64
+	CPUSpeed float64
+	LinkMbps float64
 	// MemoryMB is what the process may use.
 	MemoryMB float64
 	// GracePeriod is the time between the order to stop and the forced end.
@@ -89,6 +94,9 @@
 	if time.Duration(g.RepeatWindow) < minRepeatWin {
 		r.Report("RepeatWindow", "must be at least %v, is %v", minRepeatWin, time.Duration(g.RepeatWindow))
 	}
+	if g.CPUShare <= 0 || g.CPUSpeed <= 0 || g.LinkMbps <= 0 {
+		r.Report("CPUShare", "must be positive, as must be CPUSpeed and LinkMbps")
+	}
 	if g.RepeatRatio < 0 || g.RepeatSlack < 0 {
 		r.Report("RepeatRatio", "must not be negative, nor RepeatSlack")
 	}
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -20,9 +21,11 @@
 // Times of the client.
 const (
 	// pingInterval is the time between two looks at a holder that has jobs of
-	// this host, pingTimeout bounds each.
+	// this host, pingTimeout bounds each. A holder is lost after maxMissed looks
+	// without an answer: one packet that is lost delays an answer by more.
 	pingInterval = 250 * time.Millisecond
 	pingTimeout  = 350 * time.Millisecond
+	maxMissed    = 2
 	// downTime is how long a holder that was silent is passed over.
 	downTime = 3 * time.Second
 	// maxMoves is the number of holders that a job is taken to before this host
@@ -112,6 +115,8 @@
 	// lost is closed when the holder is found silent.
 	lost      chan struct{}
 	downUntil time.Time
+	// missed counts the looks without an answer in a row.
+	missed int
 }
 
 // Run runs j and waits for the outcome. A holder that falls silent is passed
@@ -239,7 +244,7 @@
 			members = members.Without(name)
 		}
 	}
-	return members.Holder(service)
+	return members.Strong().Holder(service)
 }
 
 // runAt runs j at host until it answers, falls silent or ctx ends.
@@ -311,6 +316,7 @@
 		return
 	}
 	h.downUntil = c.Clock.Now().Add(downTime)
+	h.missed = 0
 	close(h.lost)
 	h.lost = make(chan struct{})
 	c.Peers.Forget(host.Addr)
@@ -362,12 +368,28 @@
 		return
 	}
 	outlooks := map[string]Outlook{}
-	if err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &sign, &outlooks); err != nil {
+	err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &sign, &outlooks)
+	if c.missed(host, err) {
 		c.Log.Warn("holder is silent", zap.String("Holder", host.Name), journal.Error(err))
 		c.lose(host)
-		return
 	}
-	c.see(outlooks)
+	if err == nil {
+		c.see(outlooks)
+	}
+}
+
+// missed notes the outcome of a look at host and reports whether it is lost. A
+// connection that breaks tells at once.
+func (c *Client) missed(host peer.Host, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.holder(host)
+	if err == nil {
+		h.missed = 0
+		return false
+	}
+	h.missed++
+	return h.missed >= maxMissed || !errors.Is(err, context.DeadlineExceeded)
 }
 
 // Free drops results by way of the former that counts their room, or, where
--- a/internal/stage/line.go
+++ b/internal/stage/line.go
@@ -16,10 +16,12 @@
 	largeMove      = 256 << 10
 	domainPatience = 400 * time.Millisecond
 	domainSlack    = 2
-	// rejectPause, roomPause and failPause keep a target from new calls.
-	rejectPause = 40 * time.Millisecond
-	roomPause   = 60 * time.Millisecond
-	failPause   = 400 * time.Millisecond
+	// rejectPause, roomPause and failPause keep a target from new calls. The first
+	// doubles up to maxRejectDoubling times.
+	rejectPause       = 40 * time.Millisecond
+	maxRejectDoubling = 4
+	roomPause         = 60 * time.Millisecond
+	failPause         = 400 * time.Millisecond
 	// maxFailPause bounds the pause that doubles with each failure in a row.
 	maxFailPause = 3 * time.Second
 	// slowFactor is how many times as long as the fastest target's a target's
--- a/internal/stage/worker.go
+++ b/internal/stage/worker.go
@@ -10,6 +10,7 @@
 	// pace is the time of recent calls over the expected time.
 	pace        float64
 	failures    int
+	rejections  int
 	pausedUntil time.Time
 	lastUsed    time.Time
 
@@ -60,12 +61,16 @@
 }
 
 func (w *worker) succeeded(took, expected time.Duration) {
-	w.failures = 0
+	w.failures, w.rejections = 0, 0
 	w.pace += paceWeight * (float64(took)/float64(expected) - w.pace)
 }
 
-// rejected pauses a target that had no place for a call.
-func (w *worker) rejected(now time.Time) { w.pause(now, rejectPause) }
+// rejected pauses a target that had no place for a call, longer each time in a
+// row: another former must be calling it too.
+func (w *worker) rejected(now time.Time) {
+	w.pause(now, rejectPause<<min(w.rejections, maxRejectDoubling))
+	w.rejections++
+}
 
 // full pauses a target that had no room for a result of so many bytes: when the
 // call began, others must have used what this former didn't.
