Join only once the targets are known, and read the store less often

Change: a host joins only with configuration and targets, and asks the first contacts of its settings until then; without a configuration callers are told to come back after 2 s; one read of the store waits as long as the bounds of the settings allow (3.5 s instead of 3 s, 5.5 s on the grown sites).

TestStartWithoutStore.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -54,10 +54,8 @@
 
 // Times of the follower.
 const (
-	// readWait is how long one read waits for a change. A store that was away may
-	// leave a read without an answer, and the next one has to find a change of the
-	// first seconds after its return in time.
-	readWait = 3 * time.Second
+	// minWait is the least time that a read waits for a change.
+	minWait = time.Second
 	// readTimeout bounds a read beyond the time that it asks to wait.
 	readTimeout = 700 * time.Millisecond
 	// targetPause is the time between two reads of the targets, which collects
@@ -68,9 +66,6 @@
 	// lapseGrace is how long after an outage of the store a target is kept whose
 	// entry lapsed meanwhile; a live target registers again by then.
 	lapseGrace = 2 * time.Second
-	// healthyAge is the age of a peer's last read up to which the store counts
-	// as there for others.
-	healthyAge = readWait + readTimeout
 	// relayAfter is the number of failed reads in a row after which peers are
 	// asked for what they have.
 	relayAfter = 2
@@ -90,7 +85,13 @@
 	Log     *zap.Logger
 	Self    string
 	Members Members
-	Peers   *peer.Caller
+	// Seeds are hosts to ask besides the members.
+	Seeds []peer.Host
+	Peers *peer.Caller
+	// Wait is how long one read waits for a change. A store that was away, or a
+	// connection that fell silent, may leave a read without an answer, and the next
+	// one has to find a change that came meanwhile in time.
+	Wait time.Duration
 	// OnChange, unless nil, is called after each new snapshot.
 	OnChange func(*Snapshot)
 
@@ -156,7 +157,7 @@
 			f.Clock.Sleep(ctx, retryPause)
 			continue
 		}
-		next, wait = news.Next, readWait
+		next, wait = news.Next, f.wait()
 		if news.Table != nil {
 			f.TakeTable(news.Table, "store")
 		}
@@ -212,12 +213,14 @@
 	defer f.mu.Unlock()
 	for _, r := range f.targets {
 		if r.lapsed {
-			return min(readWait, max(retryPause, f.graceUntil.Sub(f.Clock.Now())))
+			return min(f.wait(), max(retryPause, f.graceUntil.Sub(f.Clock.Now())))
 		}
 	}
-	return readWait
+	return f.wait()
 }
 
+func (f *Follower) wait() time.Duration { return max(minWait, f.Wait) }
+
 func (f *Follower) noteRead() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/journal"
+	"berylswitch.example/berylswitch/internal/peer"
 	"go.uber.org/zap"
 )
 
@@ -52,6 +54,18 @@
 	return nil
 }
 
+// peers returns the other members and the first contacts: a host that has not
+// joined knows only these.
+func (f *Follower) peers() []peer.Host {
+	hosts := f.Members.Members().Hosts
+	for _, seed := range f.Seeds {
+		if !slices.ContainsFunc(hosts, func(h peer.Host) bool { return h.Name == seed.Name }) {
+			hosts = append(slices.Clone(hosts), seed)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(h peer.Host) bool { return h.Name == f.Self })
+}
+
 // relay asks the peers for what they have once reads have failed more than once
 // in a row, and reports whether one of them reads the store. Peers that are as
 // badly off answer with what is known already.
@@ -59,10 +73,7 @@
 	if failures < relayAfter || f.Members == nil {
 		return false
 	}
-	for _, h := range f.Members.Members().Hosts {
-		if h.Name == f.Self {
-			continue
-		}
+	for _, h := range f.peers() {
 		known := Known{}
 		if t := f.Snapshot().Table; t != nil {
 			known.Version = t.Version
@@ -80,7 +91,7 @@
 		}
 		if held.Whole {
 			f.TakeTargets(TargetNews{Whole: true, Changes: held.Targets, Next: held.Next})
-			peerReads = peerReads || held.ReadAge < healthyAge
+			peerReads = peerReads || held.ReadAge < f.wait()+readTimeout
 		}
 	}
 	return peerReads
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -63,8 +63,13 @@
 	return x
 }
 
-func provideFollower(c *clock.Service, log *zap.Logger, feed catalog.Feed, x *peer.Exchange, caller *peer.Caller) *catalog.Follower {
-	return &catalog.Follower{Feed: feed, Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller}
+// readMargin is left of the time in which a change has to be in force for the
+// read that brings it.
+const readMargin = 1500 * time.Millisecond
+
+func provideFollower(s *settings.Gateway, c *clock.Service, log *zap.Logger, feed catalog.Feed, x *peer.Exchange, caller *peer.Caller) *catalog.Follower {
+	return &catalog.Follower{Feed: feed, Clock: c, Log: log, Self: x.Self.Name, Members: x, Seeds: x.Seeds, Peers: caller,
+		Wait: time.Duration(s.SettleTime+s.ApplyTime) - readMargin}
 }
 
 func provideFormer(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower, x *peer.Exchange) *stage.Former {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -46,6 +46,7 @@
 
 	front   front
 	leaving atomic.Bool
+	joined  atomic.Bool
 	// open is the number of requests that are being served.
 	open atomic.Int64
 	// ending ends the requests that are left when the process has to end.
@@ -105,24 +106,21 @@
 }
 
 // join runs the exchange once this host can be of use to others: a member may
-// hold services, and needs to know their targets. A host that can't learn them
-// from the store joins to learn them from its peers.
+// hold services, and needs to know their targets.
 func (h *Host) join(ctx context.Context) error {
 	start := h.Clock.Now()
-	for !h.Follower.Ready() && h.Clock.Since(start) < joinPatience {
+	for !h.Follower.Ready() {
 		if err := h.Clock.Sleep(ctx, joinPoll); err != nil {
 			return err
 		}
 	}
-	h.Log.Info("joining the exchange", zap.Bool("Ready", h.Follower.Ready()), zap.Duration("After", h.Clock.Since(start)))
+	h.joined.Store(true)
+	h.Log.Info("joining the exchange", zap.Duration("After", h.Clock.Since(start)))
 	return h.Exchange.Run(ctx)
 }
 
-// Times of joining.
-const (
-	joinPatience = time.Second
-	joinPoll     = 10 * time.Millisecond
-)
+// joinPoll is the time between two looks at whether the host is ready to join.
+const joinPoll = 10 * time.Millisecond
 
 // listen opens the host's listeners and serves them in g.
 func (h *Host) listen(g *errgroup.Group) ([]*http.Server, error) {
@@ -172,7 +170,9 @@
 	h.leaving.Store(true)
 	grace := time.Duration(h.Settings.GracePeriod) - endMargin
 	h.Log.Info("draining", zap.Int64("Open", h.open.Load()), zap.Duration("Grace", grace))
-	h.Exchange.Leave()
+	if h.joined.Load() {
+		h.Exchange.Leave()
+	}
 	h.Former.Retire()
 	start := h.Clock.Now()
 	h.Clock.Sleep(ctx, min(leaveTime, grace))
--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,9 +74,15 @@
 type testFeed struct {
 	table   *catalog.Table
 	targets []catalog.TargetChange
+	down    atomic.Bool
 }
 
+var errDown = errors.New("down")
+
 func (f *testFeed) ReadTable(ctx context.Context, from catalog.Offset, wait time.Duration) (catalog.TableNews, error) {
+	if f.down.Load() {
+		return catalog.TableNews{}, errDown
+	}
 	if from == catalog.Start {
 		return catalog.TableNews{Table: f.table, Next: 1}, nil
 	}
@@ -138,6 +145,7 @@
 	t       *testing.T
 	network *link.Memory
 	host    *Host
+	feed    *testFeed
 	pool    *testPool
 	client  *http.Client
 	stop    context.CancelFunc
@@ -159,6 +167,14 @@
 // newRig starts a host before one target of service "s" for each behaviour, and
 // a stage pool "p" of one target.
 func newRig(t *testing.T, routes []*catalog.Route, targets ...behaviour) *rig {
+	t.Helper()
+	r := prepareRig(t, routes, targets...)
+	r.start()
+	return r
+}
+
+// prepareRig is newRig without the start of the host.
+func prepareRig(t *testing.T, routes []*catalog.Route, targets ...behaviour) *rig {
 	t.Helper()
 	r := &rig{t: t, network: &link.Memory{Delay: 500 * time.Microsecond}, pool: &testPool{}, done: make(chan error, 1)}
 	feed := &testFeed{table: &catalog.Table{Version: 1, Routes: routes, Services: map[string]*catalog.Service{
@@ -175,20 +191,24 @@
 	u := &upstream.Client{Net: n, Clock: c}
 	s := &settings.Gateway{
 		Name: "h", Domain: "d", CallerAddr: callerAddr, ReadyAddr: netip.AddrPortFrom(hostAddr, 81), PeerAddr: netip.AddrPortFrom(hostAddr, 82),
-		MetricsPort: 83, CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
+		MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), SettleTime: declaration.Duration(3 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
 		RepeatWindow: declaration.Duration(10 * time.Second),
 	}
 	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, feed, r.pool, noDirectory{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.host = h
+	r.host, r.feed = h, feed
 	r.client = &http.Client{Transport: link.Transport(r.network.Process(netip.MustParseAddr("10.0.0.2")))}
+	return r
+}
+
+// start runs the host.
+func (r *rig) start() {
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	go func() { r.done <- h.Run(ctx) }()
+	go func() { r.done <- r.host.Run(ctx) }()
 	time.Sleep(time.Second)
-	return r
 }
 
 // close ends the host and waits for it.
@@ -518,3 +538,31 @@
 		}
 	})
 }
+
+// TestStartWithoutStore starts a host while the store is down: it refuses with
+// the time to come back and holds nothing for others, joins once it has read the
+// configuration, and ends in time when it is told to stop before.
+func TestStartWithoutStore(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := prepareRig(t, route(catalog.Safe, nil), answers("x"))
+			r.feed.down.Store(true)
+			r.start()
+			if got := r.ask("/a/b", "Wait", "3000"); got != "503" || r.host.joined.Load() || r.host.ready() {
+				t.Errorf("got %s, joined %v, ready %v", got, r.host.joined.Load(), r.host.ready())
+			}
+			if back {
+				r.feed.down.Store(false)
+				time.Sleep(time.Second)
+				if got := r.ask("/a/b", "Wait", "3000"); got != `200 signed t "x"` || !r.host.joined.Load() {
+					t.Errorf("got %s, joined %v", got, r.host.joined.Load())
+				}
+			}
+			start := time.Now()
+			r.close()
+			if took := time.Since(start); took > 8*time.Second {
+				t.Errorf("the host ended after %v", took)
+			}
+		})
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -27,7 +27,7 @@
 	// has no configuration.
 	fullRetry     = 200 * time.Millisecond
 	noTargetRetry = 500 * time.Millisecond
-	noTableRetry  = 300 * time.Millisecond
+	noTableRetry  = 2 * time.Second
 )
 
 // sender sends one request to one target after another.
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -22,7 +22,7 @@
 func New(s *settings.Gateway, n link.Network, c *clock.Service, log *zap.Logger, u *upstream.Client, f Format, feed catalog.Feed, pool stage.Pool, d Directory) (*Host, error) {
 	caller := provideCaller(n)
 	exchange := provideExchange(s, n, c, caller, d)
-	follower := provideFollower(c, log, feed, exchange, caller)
+	follower := provideFollower(s, c, log, feed, exchange, caller)
 	table := provideCrashes(c, exchange, caller)
 	former := provideFormer(c, log, pool, follower, exchange)
 	server, err := providePeers(exchange, follower, table, former)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -32,6 +32,11 @@
 	MemoryMB float64
 	// GracePeriod is the time between the order to stop and the forced end.
 	GracePeriod declaration.Duration
+	// ApplyTime is the time in which a change of the configuration or of a target
+	// has to be in force. SettleTime is the time after a disruption from which on
+	// that holds.
+	ApplyTime  declaration.Duration
+	SettleTime declaration.Duration
 	// RepeatRatio and RepeatSlack bound the repeated sends to a service of all
 	// hosts together in any RepeatWindow: the ratio of its requests, plus the
 	// slack.
@@ -94,6 +99,9 @@
 	if time.Duration(g.RepeatWindow) < minRepeatWin {
 		r.Report("RepeatWindow", "must be at least %v, is %v", minRepeatWin, time.Duration(g.RepeatWindow))
 	}
+	if g.ApplyTime <= 0 || g.SettleTime < 0 {
+		r.Report("ApplyTime", "must be positive, and SettleTime not negative")
+	}
 	if g.CPUShare <= 0 || g.CPUSpeed <= 0 || g.LinkMbps <= 0 {
 		r.Report("CPUShare", "must be positive, as must be CPUSpeed and LinkMbps")
 	}
