Reload the settings of a running host

Cause: SIGHUP only checked the settings, and a file that changes without a signal was never read again.

Change: on SIGHUP, and when the file has changed, the bounds of repeats and the grace period are taken into use, and the log says whether the rest needs a restart; settings that can't be read leave the former ones in force.

--- a/cmd/berylswitch/gateway.go
+++ b/cmd/berylswitch/gateway.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/gateway"
@@ -38,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	go reload(c.ctx, c.Settings, log)
+	go reload(c.ctx, c.Settings, h)
 	return h.Run(c.ctx)
 }
 
@@ -55,21 +56,42 @@
 	)
 }
 
-// reload reads the settings anew on SIGHUP and says what became of them.
-func reload(ctx context.Context, file string, log *zap.Logger) {
+// settingsPoll is the time between two looks at whether the settings file has
+// changed; the platform need not send a signal.
+const settingsPoll = 2 * time.Second
+
+// reload reads the settings anew on SIGHUP and when their file has changed.
+func reload(ctx context.Context, file string, h *gateway.Host) {
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	defer signal.Stop(hups)
+	ticks := h.Clock.Subscribe(ctx, settingsPoll)
+	last := modified(file)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hups:
-			if _, err := settings.LoadGateway(file); err != nil {
-				log.Error("settings not reloaded", journal.Error(err))
+		case <-ticks:
+			if modified(file).Equal(last) {
 				continue
 			}
-			log.Info("settings checked; changes take effect at the next start")
+		case <-hups:
+		}
+		last = modified(file)
+		s, err := settings.LoadGateway(file)
+		if err != nil {
+			h.Log.Error("settings not reloaded, the former ones stay in force", journal.Error(err))
+			continue
 		}
+		h.Reload(s)
+	}
+}
+
+// modified is the time of the file's last change; zero if it can't be told.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
 	}
+	return info.ModTime()
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -47,6 +47,8 @@
 	front   front
 	leaving atomic.Bool
 	joined  atomic.Bool
+	// grace is the grace period in force, a time.Duration.
+	grace atomic.Int64
 	// open is the number of requests that are being served.
 	open atomic.Int64
 	// ending ends the requests that are left when the process has to end.
@@ -72,6 +74,7 @@
 // or the grace period is nearly over.
 func (h *Host) Run(ctx context.Context) error {
 	h.Follower.OnChange = h.changed
+	h.grace.CompareAndSwap(0, int64(h.Settings.GracePeriod))
 	h.ending, h.end = context.WithCancelCause(context.WithoutCancel(ctx))
 	defer h.end(nil)
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -162,13 +165,24 @@
 	}
 }
 
+// Reload takes new settings into use: the bounds of repeats and the grace period
+// at once. Addresses, the store and the wait of reads take effect at the next
+// start.
+func (h *Host) Reload(s *settings.Gateway) {
+	h.Repeats.Limit(s.RepeatRatio, s.RepeatSlack)
+	h.grace.Store(int64(s.GracePeriod))
+	h.Log.Info("settings reloaded", zap.Duration("GracePeriod", time.Duration(s.GracePeriod)),
+		zap.Float64("RepeatRatio", s.RepeatRatio), zap.Float64("RepeatSlack", s.RepeatSlack),
+		zap.Bool("RestartNeeded", s.StoreAddr != h.Settings.StoreAddr || s.CallerAddr != h.Settings.CallerAddr || s.PeerAddr != h.Settings.PeerAddr))
+}
+
 // ready reports whether the balancer should send new connections.
 func (h *Host) ready() bool { return !h.leaving.Load() && h.Follower.Ready() }
 
 // drain goes through the steps of a graceful shutdown.
 func (h *Host) drain(ctx context.Context) {
 	h.leaving.Store(true)
-	grace := time.Duration(h.Settings.GracePeriod) - endMargin
+	grace := time.Duration(h.grace.Load()) - endMargin
 	h.Log.Info("draining", zap.Int64("Open", h.open.Load()), zap.Duration("Grace", grace))
 	if h.joined.Load() {
 		h.Exchange.Leave()
--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -566,3 +566,24 @@
 		})
 	}
 }
+
+// TestReload shortens the grace period of a running host.
+func TestReload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, route(catalog.Unsafe, nil), hangs)
+		s := *r.host.Settings
+		s.GracePeriod = declaration.Duration(3 * time.Second)
+		r.host.Reload(&s)
+		done := make(chan string, 1)
+		go func() { done <- r.ask("/a/b", "Wait", "20000") }()
+		time.Sleep(100 * time.Millisecond)
+		start := time.Now()
+		r.close()
+		if took := time.Since(start); took > 3*time.Second {
+			t.Errorf("the host ended after %v", took)
+		}
+		if got := <-done; got != "502" {
+			t.Error(got)
+		}
+	})
+}
--- a/internal/workspace/repeats.go
+++ b/internal/workspace/repeats.go
@@ -32,7 +32,7 @@
 	// Hosts returns the number of hosts that are believed alive.
 	Hosts func() int
 
-	mu sync.Mutex
+	mu sync.Mutex // also guards Ratio and Slack after the first call
 	// origin is the time from which steps are counted.
 	origin   time.Time
 	services map[string]*repeatCounts
@@ -47,6 +47,13 @@
 	repeats  [repeatSteps]int
 }
 
+// Limit sets the ratio and the slack.
+func (b *Repeats) Limit(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Ratio, b.Slack = ratio, slack
+}
+
 // Request counts a request of a caller for service.
 func (b *Repeats) Request(service string) {
 	b.mu.Lock()
