Let two hosts read the store for many

Change: from 16 hosts on, two strong ones read the store at short waits and the others wait at these for what is new. An answer tells how long ago its host read the store; an asker reads by itself where that is too long or no answer comes, so that a change is in force within the bound of the settings. The relay for hosts that the store turns away is the same call.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -92,19 +92,32 @@
 	// connection that fell silent, may leave a read without an answer, and the next
 	// one has to find a change that came meanwhile in time.
 	Wait time.Duration
+	// ApplyTime is the time in which a change has to be in force.
+	ApplyTime time.Duration
 	// OnChange, unless nil, is called after each new snapshot.
 	OnChange func(*Snapshot)
 
 	snapshot atomic.Pointer[Snapshot]
+	// asking says that this host gets what is new from a reader.
+	asking atomic.Bool
 
 	mu      sync.Mutex
 	table   *Table
 	targets map[string]*row
 	// whole says that the targets were read at least once.
 	whole bool
-	// lastRead is the time of the last read of the targets, graceUntil the time
-	// until which entries that lapsed in the last outage of the store are kept.
+	// position is the offset up to which the targets are known, tombs are the last
+	// removals, all of them from tombsFrom on.
+	position  Offset
+	tombs     []TargetChange
+	tombsFrom Offset
+	// changedCh is closed at the next change.
+	changedCh chan struct{}
+	// lastRead and lastTable are the times of the last reads of the targets and of
+	// the configurations, graceUntil the time until which entries that lapsed in
+	// the last outage of the store are kept.
 	lastRead   time.Time
+	lastTable  time.Time
 	graceUntil time.Time
 }
 
@@ -144,6 +157,11 @@
 	next, wait := Start, time.Duration(0)
 	link := &dependency{log: f.Log, name: "configuration stream"}
 	for ctx.Err() == nil {
+		if f.asking.Load() {
+			wait = 0
+			f.Clock.Sleep(ctx, retryPause)
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 		news, err := f.Feed.ReadTable(callCtx, next, wait)
 		cancel()
@@ -158,6 +176,7 @@
 			continue
 		}
 		next, wait = news.Next, f.wait()
+		f.noteTable()
 		if news.Table != nil {
 			f.TakeTable(news.Table, "store")
 		}
@@ -174,6 +193,7 @@
 	t.Index()
 	f.table = t
 	f.publish()
+	f.wake()
 	f.mu.Unlock()
 	f.Log.Info("configuration in force", zap.Int64("Version", t.Version), zap.String("Source", source),
 		zap.Int("Routes", len(t.Routes)), zap.Int("Workspaces", len(t.Workspaces)))
@@ -185,6 +205,18 @@
 	next, wait := Start, time.Duration(0)
 	link := &dependency{log: f.Log, name: "target stream"}
 	for ctx.Err() == nil {
+		if h, ok := f.reader(); ok && next != Start {
+			answered := f.ask(ctx, h)
+			if f.asking.Swap(answered) != answered {
+				f.Log.Info("reading of the store changed hands", zap.String("Reader", h.Name), zap.Bool("Asking", answered))
+			}
+			if answered {
+				continue
+			}
+			next, wait = f.known(), 0
+		} else {
+			f.asking.Store(false)
+		}
 		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 		news, err := f.Feed.ReadTargets(callCtx, next, wait)
 		cancel()
@@ -219,7 +251,28 @@
 	return f.wait()
 }
 
-func (f *Follower) wait() time.Duration { return max(minWait, f.Wait) }
+func (f *Follower) wait() time.Duration {
+	if wait := f.askWait(); wait > 0 {
+		return wait
+	}
+	return max(minWait, f.Wait)
+}
+
+// known is the offset up to which the targets are known.
+func (f *Follower) known() Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.whole {
+		return Start
+	}
+	return f.position
+}
+
+func (f *Follower) noteTable() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastTable = f.Clock.Now()
+}
 
 func (f *Follower) noteRead() {
 	f.mu.Lock()
@@ -255,11 +308,17 @@
 		f.whole = true
 		for id, r := range f.targets {
 			if !seen[id] && r.offset < news.Next {
+				// Its removal has no offset; askers need the whole list.
+				f.tombsFrom = max(f.tombsFrom, news.Next)
 				changed = f.remove(id, r, now) || changed
 			}
 		}
 	}
 	changed = f.expire(now) || changed
+	if news.Next > f.position {
+		f.position = news.Next
+		f.wake()
+	}
 	if changed {
 		f.publish()
 	}
@@ -280,6 +339,7 @@
 			return false
 		}
 		r.offset = c.Offset
+		f.bury(c)
 		return f.remove(c.ID, r, now)
 	}
 	if r == nil {
--- /dev/null
+++ b/internal/catalog/reader_test.go
@@ -0,0 +1,127 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/peer"
+	"github.com/google/go-cmp/cmp"
+)
+
+// fetch has to ask from what it knows.
+func fetch(t *testing.T, from, to *Follower, wait time.Duration) *Held {
+	t.Helper()
+	known := Known{Next: to.known(), Wait: wait}
+	if table := to.Snapshot().Table; table != nil {
+		known.Version = table.Version
+	}
+	held := &Held{}
+	if err := (&Relay{from}).Fetch(known, held); err != nil {
+		t.Fatal(err)
+	}
+	to.takeHeld(held, "reader")
+	return held
+}
+
+// TestAsk follows a reader through changes, removals and a lost history, and
+// expects the asker to know the same targets each time.
+func TestAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, asker := newFollower(), newFollower()
+		reader.TakeTable(&Table{Version: 3}, "store")
+		next := Offset(10)
+		reader.TakeTargets(TargetNews{Whole: true, Changes: entries(10, 0, 1), Next: next})
+		steps := map[string]func(){
+			"removal": func() {
+				reader.TakeTargets(TargetNews{Changes: []TargetChange{{ID: "t3", Offset: next}}, Next: next + 1})
+				next++
+			},
+			"change": func() {
+				c := entries(1, next, 2)
+				c[0].Target.Leaving = true
+				reader.TakeTargets(TargetNews{Changes: c, Next: next + 1})
+				next++
+			},
+			"whole": func() {
+				reader.TakeTargets(TargetNews{Whole: true, Changes: entries(5, 0, 1), Next: next + 1})
+				next++
+			},
+			"nothing": func() {},
+		}
+		for _, name := range []string{"nothing", "change", "removal", "nothing", "whole", "removal"} {
+			steps[name]()
+			fetch(t, reader, asker, 0)
+			if diff := cmp.Diff(ids(reader), ids(asker)); diff != "" {
+				t.Fatalf("after %s (-reader +asker):\n%s", name, diff)
+			}
+		}
+		if got := asker.Snapshot().Table.Version; got != 3 {
+			t.Errorf("version %d", got)
+		}
+	})
+}
+
+func ids(f *Follower) []string {
+	var out []string
+	for _, t := range f.Snapshot().Targets["s"] {
+		out = append(out, fmt.Sprint(t.ID, t.Leaving))
+	}
+	return out
+}
+
+// TestAskWaits expects an ask to return at the next change, or after its wait
+// with the age of what the reader knows.
+func TestAskWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, asker := newFollower(), newFollower()
+		reader.noteRead()
+		reader.noteTable()
+		reader.TakeTargets(TargetNews{Whole: true, Changes: entries(2, 0, 1), Next: 2})
+		fetch(t, reader, asker, 0)
+		time.AfterFunc(300*time.Millisecond, func() {
+			reader.TakeTargets(TargetNews{Changes: []TargetChange{{ID: "t0", Offset: 2}}, Next: 3})
+		})
+		start := time.Now()
+		fetch(t, reader, asker, time.Second)
+		if took := time.Since(start); took != 300*time.Millisecond || len(ids(asker)) != 1 {
+			t.Errorf("took %v, knows %v", took, ids(asker))
+		}
+		held := fetch(t, reader, asker, time.Second)
+		if took := time.Since(start); took != 1300*time.Millisecond || held.ReadAge != took {
+			t.Errorf("took %v, age %v", took, held.ReadAge)
+		}
+	})
+}
+
+// TestReaders expects few of many hosts to read for all, and every host to read
+// for itself where they are few or a change has to be in force at once.
+func TestReaders(t *testing.T) {
+	for _, c := range []struct {
+		hosts  int
+		apply  time.Duration
+		asking int
+	}{{6, 3 * time.Second, 0}, {40, 3 * time.Second, 38}, {40, 1500 * time.Millisecond, 0}} {
+		var hosts []peer.Host
+		for i := range c.hosts {
+			hosts = append(hosts, peer.Host{Name: fmt.Sprint("h", i)})
+		}
+		members := fixedMembers{peer.NewMembers(hosts)}
+		asking := 0
+		for _, h := range hosts {
+			f := newFollower()
+			f.Self, f.Members, f.ApplyTime = h.Name, members, c.apply
+			if _, ok := f.reader(); ok {
+				asking++
+			}
+		}
+		if asking != c.asking {
+			t.Errorf("%d hosts, %v: %d ask, want %d", c.hosts, c.apply, asking, c.asking)
+		}
+	}
+}
+
+type fixedMembers struct{ members *peer.Members }
+
+func (f fixedMembers) Members() *peer.Members { return f.members }
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -13,45 +13,51 @@
 // serviceName is the name of the relay among the RPC services of a host.
 const serviceName = "Catalog"
 
-// Known says what a host has already.
+// Known says what a host has already, and how long it waits for more.
 type Known struct {
 	Version int64
+	// Next is the offset up to which the host knows the targets.
+	Next Offset
+	Wait time.Duration
 }
 
-// Held is what a host has.
+// Held is what a host has that the asker doesn't know.
 type Held struct {
 	// Table is nil unless it is later than the asker's.
 	Table *Table
-	// Whole says that the host has read the targets; Next is the offset up to
-	// which Targets hold.
+	// Whole says that Targets are all targets up to Next; otherwise they are the
+	// changes from the asker's offset up to there.
 	Whole   bool
 	Targets []TargetChange
 	Next    Offset
-	// ReadAge is the time since the host last read the targets from the store.
+	// ReadAge is the time since the host last read both streams of the store.
 	ReadAge time.Duration
 }
 
-// Relay is the RPC service of a Follower. Hosts that the store turns away get
-// from it what others have read.
+// Relay is the RPC service of a Follower. Hosts that the store turns away, and
+// those that leave the reading to others, get from it what the host has read.
 type Relay struct{ f *Follower }
 
-// Fetch returns what the host has.
+// Fetch returns what the host has, once it has what the asker doesn't know or
+// the asker's wait is over.
 func (r *Relay) Fetch(known Known, reply *Held) error {
 	f := r.f
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.table != nil && f.table.Version > known.Version {
-		reply.Table = f.table
-	}
-	reply.Whole = f.whole
-	reply.ReadAge = f.Clock.Since(f.lastRead)
-	for id, row := range f.targets {
-		if !row.lapsed {
-			reply.Targets = append(reply.Targets, TargetChange{ID: id, Target: row.target, Offset: row.offset})
+	over, stop := f.Clock.After(known.Wait)
+	defer stop()
+	for waiting := known.Wait > 0; ; {
+		f.mu.Lock()
+		held, news := f.since(known), f.news()
+		f.mu.Unlock()
+		if !waiting || held.Table != nil || held.Whole || len(held.Targets) > 0 {
+			*reply = *held
+			return nil
+		}
+		select {
+		case <-news:
+		case <-over:
+			waiting = false
 		}
-		reply.Next = max(reply.Next, row.offset)
 	}
-	return nil
 }
 
 // peers returns the other members and the first contacts: a host that has not
@@ -74,7 +80,7 @@
 		return false
 	}
 	for _, h := range f.peers() {
-		known := Known{}
+		known := Known{Next: Start}
 		if t := f.Snapshot().Table; t != nil {
 			known.Version = t.Version
 		}
@@ -86,13 +92,8 @@
 			f.Log.Debug("peer has no catalog to relay", zap.String("Peer", h.Name), journal.Error(err))
 			continue
 		}
-		if held.Table != nil {
-			f.TakeTable(held.Table, h.Name)
-		}
-		if held.Whole {
-			f.TakeTargets(TargetNews{Whole: true, Changes: held.Targets, Next: held.Next})
-			peerReads = peerReads || held.ReadAge < f.wait()+readTimeout
-		}
+		f.takeHeld(held, h.Name)
+		peerReads = peerReads || held.ReadAge < f.wait()+readTimeout
 	}
 	return peerReads
 }
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -69,7 +69,7 @@
 
 func provideFollower(s *settings.Gateway, c *clock.Service, log *zap.Logger, feed catalog.Feed, x *peer.Exchange, caller *peer.Caller) *catalog.Follower {
 	return &catalog.Follower{Feed: feed, Clock: c, Log: log, Self: x.Self.Name, Members: x, Seeds: x.Seeds, Peers: caller,
-		Wait: time.Duration(s.SettleTime+s.ApplyTime) - readMargin}
+		Wait: time.Duration(s.SettleTime+s.ApplyTime) - readMargin, ApplyTime: time.Duration(s.ApplyTime)}
 }
 
 func provideFormer(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower, x *peer.Exchange) *stage.Former {
