Keep reads short at the start and collect changes of targets

The hosts that read for others had begun a long read before they knew that, so that their knowledge counted as old for 5 s; and each of 141 registrations woke every host.

Change: reads wait 1 s at most in the first 5 s of a process; changes of targets are collected for 250 ms.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -54,13 +54,15 @@
 
 // Times of the follower.
 const (
-	// minWait is the least time that a read waits for a change.
-	minWait = time.Second
+	// minWait is the least time that a read waits for a change. Reads wait no longer
+	// for startTime after the start: the host may turn out to read for others.
+	minWait   = time.Second
+	startTime = 5 * time.Second
 	// readTimeout bounds a read beyond the time that it asks to wait.
 	readTimeout = 700 * time.Millisecond
 	// targetPause is the time between two reads of the targets, which collects
 	// changes.
-	targetPause = 100 * time.Millisecond
+	targetPause = 250 * time.Millisecond
 	// retryPause is the time between two reads after a failure.
 	retryPause = 250 * time.Millisecond
 	// lapseGrace is how long after an outage of the store a target is kept whose
@@ -97,6 +99,7 @@
 	// OnChange, unless nil, is called after each new snapshot.
 	OnChange func(*Snapshot)
 
+	started  time.Time
 	snapshot atomic.Pointer[Snapshot]
 	// asking says that this host gets what is new from a reader.
 	asking atomic.Bool
@@ -145,6 +148,7 @@
 
 // Run follows both streams until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	f.started = f.Clock.Now()
 	var wg sync.WaitGroup
 	wg.Go(func() { f.followTable(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
@@ -255,6 +259,9 @@
 	if wait := f.askWait(); wait > 0 {
 		return wait
 	}
+	if f.Clock.Since(f.started) < startTime {
+		return minWait
+	}
 	return max(minWait, f.Wait)
 }
 
