Split what grew, and keep one copy of each function

Cause: the queue, the former, its client, the plan and the follower had grown to 400 lines and more; the collector's set-up and the test for closed listeners stood twice; figures were decoded that nothing used.

Change: files by theme (choose, calls, free, outlook, holder, service; admit; targets; finish); command.TuneCollector and link.IgnoreClosed for both programs; routes and services without the unused fields.

Result: no behaviour changed; all tests of the packages pass.

--- a/cmd/berylswitch/gateway.go
+++ b/cmd/berylswitch/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/command"
 	"berylswitch.example/berylswitch/internal/gateway"
 	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/link"
@@ -31,7 +32,7 @@
 	if err != nil || c.Check {
 		return err
 	}
-	gateway.TuneCollector(s.MemoryMB)
+	command.TuneCollector(s.SoftMemoryBytes())
 	out := journal.NewWriter(os.Stdout)
 	log := journal.NewLogger(out).With(zap.String("Host", s.Name))
 	defer out.Close()
--- a/cmd/berylswitch/main.go
+++ b/cmd/berylswitch/main.go
@@ -13,8 +13,8 @@
 	"github.com/jessevdk/go-flags"
 )
 
-// command is a subcommand; its Execute is called by the flag parser.
-type command struct {
+// subcommand is a subcommand; its Execute is called by the flag parser.
+type subcommand struct {
 	name, short string
 	data        any
 }
@@ -24,7 +24,7 @@
 	defer stop()
 	p := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	p.Name = "berylswitch"
-	commands := []command{
+	commands := []subcommand{
 		{"config", "Check, publish and show the declared document", newConfigCommand(ctx)},
 		{"call", "Send a request and print its answer", &callCommand{ctx: ctx}},
 		{"serve", "Run a host", &serveCommand{ctx: ctx}},
--- a/cmd/berylswitch/serve.go
+++ b/cmd/berylswitch/serve.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/command"
 	"berylswitch.example/berylswitch/internal/host"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/settings"
@@ -31,7 +32,7 @@
 		return err
 	}
 	defer log.Sync()
-	host.TuneCollector()
+	command.TuneCollector(host.SoftMemoryBytes)
 	h, err := host.New(s, link.TCP{}, &clock.Service{}, log.With(zap.String("Host", s.Name)))
 	if err != nil {
 		return err
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -70,8 +70,6 @@
 	Stages     []Stage
 	// Public routes need no key.
 	Public bool
-	// Sticky routes carry requests with a prompt whose parts targets cache.
-	Sticky bool
 	// Resumable streams may be continued at another target.
 	Resumable bool
 }
@@ -99,13 +97,8 @@
 // Service describes the targets of one service.
 type Service struct {
 	Name string
-	// MaxConns is the number of connections that one target accepts from all
-	// hosts; zero means no limit.
-	MaxConns int
 	// Pool is set for services whose targets run pieces of stages.
 	Pool *Pool
-	// Engine is set for model engines.
-	Engine *Engine
 }
 
 // Pool holds the figures of one target of a stage pool.
@@ -123,12 +116,6 @@
 	ResultLife time.Duration
 }
 
-// Engine holds the figures of one model engine.
-type Engine struct {
-	Slots       int
-	CacheTokens int
-}
-
 // Workspace is a customer's account.
 type Workspace struct {
 	Name string
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -124,14 +124,6 @@
 	graceUntil time.Time
 }
 
-// row is a target as the follower keeps it.
-type row struct {
-	target *Target
-	offset Offset
-	// lapsed says that the entry lapsed in an outage of the store.
-	lapsed bool
-}
-
 // Snapshot returns what is in force; it is never nil.
 func (f *Follower) Snapshot() *Snapshot {
 	if s := f.snapshot.Load(); s != nil {
@@ -204,57 +196,6 @@
 	f.changed()
 }
 
-// followTargets reads the targets.
-func (f *Follower) followTargets(ctx context.Context) {
-	next, wait := Start, time.Duration(0)
-	link := &dependency{log: f.Log, name: "target stream"}
-	for ctx.Err() == nil {
-		if h, ok := f.reader(); ok && next != Start {
-			answered := f.ask(ctx, h)
-			if f.asking.Swap(answered) != answered {
-				f.Log.Info("reading of the store changed hands", zap.String("Reader", h.Name), zap.Bool("Asking", answered))
-			}
-			if answered {
-				continue
-			}
-			next, wait = f.known(), 0
-		} else {
-			f.asking.Store(false)
-		}
-		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
-		news, err := f.Feed.ReadTargets(callCtx, next, wait)
-		cancel()
-		if ctx.Err() != nil {
-			return
-		}
-		link.result(err)
-		if err != nil {
-			f.noteFailure(f.relay(ctx, link.failures))
-			wait = 0
-			f.Clock.Sleep(ctx, retryPause)
-			continue
-		}
-		next = news.Next
-		f.noteRead()
-		f.TakeTargets(news)
-		wait = f.nextWait()
-		f.Clock.Sleep(ctx, targetPause)
-	}
-}
-
-// nextWait is how long the next read waits: a lapsed entry needs a look when its
-// grace ends.
-func (f *Follower) nextWait() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, r := range f.targets {
-		if r.lapsed {
-			return min(f.wait(), max(retryPause, f.graceUntil.Sub(f.Clock.Now())))
-		}
-	}
-	return f.wait()
-}
-
 func (f *Follower) wait() time.Duration {
 	if wait := f.askWait(); wait > 0 {
 		return wait
@@ -265,150 +206,12 @@
 	return max(minWait, f.Wait)
 }
 
-// known is the offset up to which the targets are known.
-func (f *Follower) known() Offset {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.whole {
-		return Start
-	}
-	return f.position
-}
-
 func (f *Follower) noteTable() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastTable = f.Clock.Now()
 }
 
-func (f *Follower) noteRead() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lastRead = f.Clock.Now()
-}
-
-// noteFailure takes a failed read for an outage of the store, in which entries
-// lapse, unless a peer can read it.
-func (f *Follower) noteFailure(peerReads bool) {
-	if peerReads {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.graceUntil = f.Clock.Now().Add(lapseGrace)
-}
-
-// TakeTargets applies what was read of the targets.
-func (f *Follower) TakeTargets(news TargetNews) {
-	f.mu.Lock()
-	now := f.Clock.Now()
-	if f.targets == nil {
-		f.targets = map[string]*row{}
-	}
-	changed := !f.whole
-	seen := map[string]bool{}
-	for _, c := range news.Changes {
-		seen[c.ID] = true
-		changed = f.change(c, now) || changed
-	}
-	if news.Whole {
-		f.whole = true
-		for id, r := range f.targets {
-			if !seen[id] && r.offset < news.Next {
-				// Its removal has no offset; askers need the whole list.
-				f.tombsFrom = max(f.tombsFrom, news.Next)
-				changed = f.remove(id, r, now) || changed
-			}
-		}
-	}
-	changed = f.expire(now) || changed
-	if news.Next > f.position {
-		f.position = news.Next
-		f.wake()
-	}
-	if changed {
-		f.publish()
-	}
-	f.mu.Unlock()
-	if changed {
-		f.changed()
-	}
-}
-
-// change applies one entry and reports whether the snapshot differs; f.mu is held.
-func (f *Follower) change(c TargetChange, now time.Time) bool {
-	r := f.targets[c.ID]
-	if c.Unreadable || r != nil && c.Offset < r.offset {
-		return false
-	}
-	if c.Target == nil {
-		if r == nil {
-			return false
-		}
-		r.offset = c.Offset
-		f.bury(c)
-		return f.remove(c.ID, r, now)
-	}
-	if r == nil {
-		f.targets[c.ID] = &row{target: c.Target, offset: c.Offset}
-		f.logTarget("target registered", c.Target)
-		return true
-	}
-	if c.Target.older(r.target) {
-		return false
-	}
-	old := *r
-	r.target, r.offset, r.lapsed = c.Target, c.Offset, false
-	if same(old.target, c.Target) && !old.lapsed {
-		return false
-	}
-	f.logTarget("target changed", c.Target)
-	return true
-}
-
-// same reports whether only the sequences of two entries differ.
-func same(a, b *Target) bool {
-	c := *b
-	c.Sequence = a.Sequence
-	return *a == c
-}
-
-// remove takes the entry out, or lets it lapse if the store was away lately;
-// f.mu is held.
-func (f *Follower) remove(id string, r *row, now time.Time) bool {
-	if !r.target.Leaving && now.Before(f.graceUntil) {
-		if !r.lapsed {
-			r.lapsed = true
-			f.logTarget("target's entry lapsed in an outage", r.target)
-		}
-		return false
-	}
-	f.logTarget("target gone", r.target)
-	delete(f.targets, id)
-	return true
-}
-
-// expire takes out the entries that lapsed and did not come back; f.mu is held.
-func (f *Follower) expire(now time.Time) bool {
-	if now.Before(f.graceUntil) {
-		return false
-	}
-	changed := false
-	for id, r := range f.targets {
-		if r.lapsed {
-			f.logTarget("target gone after an outage", r.target)
-			delete(f.targets, id)
-			changed = true
-		}
-	}
-	return changed
-}
-
-func (f *Follower) logTarget(event string, t *Target) {
-	f.Log.Info(event, zap.String("Target", t.ID), zap.String("Service", t.Service), zap.Stringer("Addr", t.Addr),
-		zap.Bool("Leaving", t.Leaving), zap.Int64("Born", t.Born), zap.Int64("Sequence", t.Sequence))
-}
-
 // publish makes a snapshot; f.mu is held.
 func (f *Follower) publish() {
 	s := &Snapshot{Table: f.table}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -9,6 +9,7 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/journal"
+	"berylswitch.example/berylswitch/internal/link"
 	"go.uber.org/zap"
 )
 
@@ -91,7 +92,7 @@
 	f.server = server
 	l := &handedOver{front: f, closed: make(chan struct{})}
 	go func() {
-		if err := ignoreClosed(server.Serve(l)); err != nil {
+		if err := link.IgnoreClosed(server.Serve(l)); err != nil {
 			f.host.Log.Error("serving callers", journal.Error(err))
 		}
 	}()
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -151,7 +150,7 @@
 		}
 		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		servers = append(servers, server)
-		g.Go(func() error { return ignoreClosed(server.Serve(l)) })
+		g.Go(func() error { return link.IgnoreClosed(server.Serve(l)) })
 	}
 	g.Go(func() error { <-h.front.closed(); peers.Close(); return nil })
 	return servers, nil
@@ -211,10 +210,3 @@
 	h.Caller.Close()
 	h.Upstream.Close()
 }
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -16,7 +16,6 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/pkg/result"
-	"go.uber.org/zap"
 )
 
 // request is a caller's request while it is served.
@@ -228,64 +227,3 @@
 	io.WriteString(d, s)
 	d.Write([]byte{0})
 }
-
-// finish answers what err calls for and writes the request's line to the log.
-func (h *Host) finish(caller context.Context, q *request, out *reply, err error) {
-	var e *result.Error
-	code := result.OK
-	if err != nil {
-		if caller.Err() != nil {
-			err = result.Failed(result.Cancelled, "%v", errCallerGone)
-		}
-		e = result.From(err)
-		code = e.Code
-	}
-	took := h.Clock.Since(q.arrived)
-	h.count(q, code, took)
-	abort := e != nil && (out.begun || code == result.Cancelled)
-	if e != nil && !abort {
-		out.refuse(q.ID, e)
-	}
-	h.logRequest(q, out, e, took)
-	if abort {
-		// The caller must see that the answer is not whole.
-		panic(http.ErrAbortHandler)
-	}
-}
-
-func (h *Host) logRequest(q *request, out *reply, e *result.Error, took time.Duration) {
-	fields := []zap.Field{
-		zap.String("RequestID", q.ID), zap.Int("Status", out.status), zap.Duration("Took", took),
-		zap.String("Workspace", q.workspace), zap.String("Target", q.target), zap.Int("Sends", q.sends),
-	}
-	if q.route != nil {
-		fields = append(fields, zap.String("Route", q.route.Name), zap.Stringer("Kind", q.route.Kind), zap.String("Service", q.service),
-			zap.Int64("Version", h.version()))
-	}
-	if q.staged > 0 {
-		fields = append(fields, zap.Duration("Stages", q.staged))
-	}
-	if q.firstOut > 0 {
-		fields = append(fields, zap.Duration("FirstEvent", q.firstOut), zap.Int("Events", q.events))
-	}
-	if e != nil {
-		fields = append(fields, zap.Stringer("Code", e.Code), zap.String("Why", e.Message), zap.Bool("MayHaveRun", q.mayRun),
-			zap.Duration("RetryAfter", e.RetryAfter))
-	}
-	h.Log.Info("request", fields...)
-}
-
-// version is that of the configuration in force, or zero.
-func (h *Host) version() int64 {
-	if t := h.Follower.Snapshot().Table; t != nil {
-		return t.Version
-	}
-	return 0
-}
-
-// later is a refusal of a request that has not run, with the time to come back.
-func later(code result.Code, after time.Duration, format string, args ...any) *result.Error {
-	e := result.NotRun(code, format, args...)
-	e.RetryAfter = after
-	return e
-}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -84,7 +84,7 @@
 	g.Go(func() error { return h.Leases.Run(partsCtx) })
 	g.Go(func() error { return h.Orders.Run(partsCtx) })
 	g.Go(func() error { return h.Peers.Serve(h.peerSockets) })
-	g.Go(func() error { return ignoreClosed(h.server.Serve(h.callerSockets)) })
+	g.Go(func() error { return link.IgnoreClosed(h.server.Serve(h.callerSockets)) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -161,12 +161,9 @@
 // peerPoll is the time between two looks at the calls of peers.
 const peerPoll = 20 * time.Millisecond
 
+// SoftMemoryBytes is the size of the heap towards which collections become more
+// frequent.
+const SoftMemoryBytes = 1 << 30
+
 // closeTimeout bounds the wait for callers to take the end of their answers.
 const closeTimeout = time.Second
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -87,3 +87,12 @@
 		DisableCompression:  true,
 	}
 }
+
+// IgnoreClosed returns err unless it says that a listener or a server was
+// closed, which ends a server as it should.
+func IgnoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- a/internal/load/process/process.go
+++ b/internal/load/process/process.go
@@ -111,7 +111,7 @@
 
 // overhead starts a host before one stand-in and compares the two ways.
 func overhead(ctx context.Context, o *options) error {
-	host.TuneCollector() // as serve does
+	command.TuneCollector(host.SoftMemoryBytes) // as serve does
 	worker := &standin.Worker{Speed: 1, Slots: overheadSlots}
 	p := declaration.Pipeline{Name: "Overhead", Deadline: declaration.Duration(o.Deadline)}
 	for i := range o.Stages {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,6 +45,17 @@
 	RepeatWindow declaration.Duration
 }
 
+// heapShare is the part of the process's memory that the heap may grow to before
+// it is collected more often; bytesPerMB is the platform's megabyte.
+const (
+	heapShare  = 0.5
+	bytesPerMB = 1e6
+)
+
+// SoftMemoryBytes is the size of the heap towards which it is collected more
+// often.
+func (g *Gateway) SoftMemoryBytes() int64 { return int64(heapShare * bytesPerMB * g.MemoryMB) }
+
 // LoadGateway reads and checks the file. Its error is as that of Load.
 func LoadGateway(file string) (*Gateway, error) {
 	src, err := declaration.ReadSource(file)
--- /dev/null
+++ b/internal/stage/choose.go
@@ -0,0 +1,157 @@
+package stage
+
+import (
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+)
+
+// choose returns the best free target for j, or nil.
+func (l *line) choose(j *job, now time.Time) (*worker, *catalog.Target) {
+	var best *worker
+	var at *catalog.Target
+	fastest := l.fastest(now)
+	local := l.wantsDomain(j, now)
+	for _, t := range l.targets {
+		w := l.worker(t.ID)
+		if !l.free(w, now) || local && t.Domain != j.Domain {
+			continue
+		}
+		if w.pace > slowFactor*fastest && now.Sub(w.lastUsed) < slowProbe {
+			continue
+		}
+		if l.pieces(j, w, now) == 0 {
+			continue
+		}
+		if best == nil || better(w, t, best, at, j.Domain) {
+			best, at = w, t
+		}
+	}
+	return best, at
+}
+
+// better prefers a target in the domain, then the faster one.
+func better(w *worker, t *catalog.Target, best *worker, at *catalog.Target, domain string) bool {
+	if (t.Domain == domain) != (at.Domain == domain) {
+		return t.Domain == domain
+	}
+	return w.pace < best.pace
+}
+
+// wantsDomain reports whether j should wait for a target of its own domain.
+func (l *line) wantsDomain(j *job, now time.Time) bool {
+	if j.Domain == "" || j.MoveBytes < largeMove || now.Sub(j.arrived) > domainPatience {
+		return false
+	}
+	if j.due.Sub(now) < domainSlack*l.expected(min(j.Pieces, l.pool.Batch)) {
+		return false
+	}
+	for _, t := range l.targets {
+		if t.Domain == j.Domain && !l.worker(t.ID).pausedUntil.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *line) free(w *worker, now time.Time) bool {
+	return w.calls < max(1, l.pool.Slots) && !w.pausedUntil.After(now)
+}
+
+// fastest returns the least pace among the usable targets.
+func (l *line) fastest(now time.Time) float64 {
+	least := 0.0
+	for _, t := range l.targets {
+		w := l.worker(t.ID)
+		if w.pausedUntil.After(now) {
+			continue
+		}
+		if least == 0 || w.pace < least {
+			least = w.pace
+		}
+	}
+	return least
+}
+
+// pieces returns how many waiting pieces of j an empty call at w may take.
+func (l *line) pieces(j *job, w *worker, now time.Time) int {
+	return l.fitting(j, w, 0, 0, now)
+}
+
+// fitting returns how many waiting pieces of j fit in a call that has taken so
+// many pieces and bytes. A job is not split unless it is larger than a call, or
+// than the room of an empty target.
+func (l *line) fitting(j *job, w *worker, taken int, bytes int64, now time.Time) int {
+	n := min(len(j.waiting), l.pool.Batch-taken)
+	if j.PieceBytes > 0 && l.pool.RoomBytes > 0 {
+		room := l.pool.RoomBytes - w.used(now) - bytes
+		n = min(n, int(max(0, room)/j.PieceBytes))
+	}
+	if n == len(j.waiting) {
+		return n
+	}
+	if taken == 0 && (len(j.waiting) > l.pool.Batch || w.used(now) == 0) {
+		return n
+	}
+	return 0
+}
+
+// form makes a call at w that begins with j and takes what else fits.
+func (l *line) form(j *job, w *worker, t *catalog.Target, now time.Time) *call {
+	c := &call{}
+	bytes := c.add(j, l.pieces(j, w, now))
+	for _, other := range l.jobs {
+		if len(c.parts) >= l.pool.Batch {
+			break
+		}
+		if other == j || len(other.waiting) == 0 || l.wantsDomain(other, now) && other.Domain != t.Domain {
+			continue
+		}
+		bytes += c.add(other, l.fitting(other, w, len(c.parts), bytes, now))
+	}
+	if len(c.parts) == 0 {
+		return nil
+	}
+	return c
+}
+
+// call is one call at a target.
+type call struct {
+	parts    []part
+	begun    time.Time
+	expected time.Duration
+	// room is what this former's results left free at the target when the call
+	// began, less the results that it made.
+	room int64
+}
+
+// part is one piece in a call.
+type part struct {
+	job    *job
+	number int
+}
+
+// add moves n waiting pieces of j into c and returns their size in bytes.
+func (c *call) add(j *job, n int) int64 {
+	for _, number := range j.waiting[:n] {
+		c.parts = append(c.parts, part{j, number})
+	}
+	j.waiting = j.waiting[n:]
+	return int64(n) * j.PieceBytes
+}
+
+// pieces returns what the target is asked for.
+func (c *call) pieces(now time.Time) []Piece {
+	out := make([]Piece, len(c.parts))
+	for i, p := range c.parts {
+		out[i] = Piece{
+			RequestID: p.job.RequestID,
+			Stage:     p.job.Stage,
+			Number:    p.number,
+			Key:       p.job.Key,
+			Inputs:    p.job.Inputs,
+			Left:      p.job.until.Sub(now),
+		}
+	}
+	return out
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -75,8 +75,8 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	// Whole tells whether the end of Body will be marked by its framing; an
-	// answer without it ends with its connection.
+	// Framed says that the end of Body is marked; an answer without a mark ends
+	// with its connection.
 	Framed bool
 	// Length is the declared length of the body, or -1.
 	Length int64
