--- /dev/null
+++ b/internal/gateway/rig_test.go
@@ -0,0 +1,309 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/settings"
+	"berylswitch.example/berylswitch/internal/stage"
+	"berylswitch.example/berylswitch/internal/upstream"
+	"berylswitch.example/berylswitch/pkg/declaration"
+	"go.uber.org/zap"
+)
+
+// testFormat is a plain form of the headers.
+type testFormat struct{}
+
+// testFeed serves one configuration and its targets.
+type testFeed struct {
+	table   *catalog.Table
+	targets []catalog.TargetChange
+	down    atomic.Bool
+}
+
+var errDown = errors.New("down")
+
+func (f *testFeed) ReadTable(ctx context.Context, from catalog.Offset, wait time.Duration) (catalog.TableNews, error) {
+	if f.down.Load() {
+		return catalog.TableNews{}, errDown
+	}
+	if from == catalog.Start {
+		return catalog.TableNews{Table: f.table, Next: 1}, nil
+	}
+	return catalog.TableNews{Next: 1}, sleep(ctx, wait)
+}
+
+func (f *testFeed) ReadTargets(ctx context.Context, from catalog.Offset, wait time.Duration) (catalog.TargetNews, error) {
+	if from == catalog.Start {
+		return catalog.TargetNews{Whole: true, Changes: f.targets, Next: 1}, nil
+	}
+	return catalog.TargetNews{Next: 1}, sleep(ctx, wait)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// testPool makes results at once.
+type testPool struct {
+	mu    sync.Mutex
+	calls []string
+	freed []string
+}
+
+func (p *testPool) Call(ctx context.Context, _ *catalog.Target, pieces []stage.Piece) ([]stage.PieceResult, error) {
+	if err := sleep(ctx, 100*time.Millisecond); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []stage.PieceResult
+	for _, piece := range pieces {
+		p.calls = append(p.calls, fmt.Sprintf("stage %d piece %d of %v", piece.Stage, piece.Number, piece.Inputs))
+		out = append(out, stage.PieceResult{Handle: fmt.Sprintf("h%d.%d", piece.Stage, piece.Number)})
+	}
+	return out, nil
+}
+
+func (p *testPool) Free(_ context.Context, _ netip.AddrPort, handles []string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.freed = append(p.freed, handles...)
+	return nil
+}
+
+type noDirectory struct{}
+
+// behaviour is what a test target does with a request.
+type behaviour func(w http.ResponseWriter, r *http.Request)
+
+// rig is one host before test targets in virtual time.
+type rig struct {
+	t       *testing.T
+	network *link.Memory
+	host    *Host
+	feed    *testFeed
+	pool    *testPool
+	client  *http.Client
+	stop    context.CancelFunc
+	done    chan error
+
+	mu   sync.Mutex
+	runs []string // what reached targets
+}
+
+var (
+	hostAddr   = netip.MustParseAddr("10.0.0.1")
+	callerAddr = netip.AddrPortFrom(hostAddr, 80)
+)
+
+func targetAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(i)}), 80)
+}
+
+// newRig starts a host before one target of service "s" for each behaviour, and
+// a stage pool "p" of one target.
+func newRig(t *testing.T, routes []*catalog.Route, targets ...behaviour) *rig {
+	t.Helper()
+	r := prepareRig(t, routes, targets...)
+	r.start()
+	return r
+}
+
+// prepareRig is newRig without the start of the host.
+func prepareRig(t *testing.T, routes []*catalog.Route, targets ...behaviour) *rig {
+	t.Helper()
+	r := &rig{t: t, network: &link.Memory{Delay: 500 * time.Microsecond}, pool: &testPool{}, done: make(chan error, 1)}
+	feed := &testFeed{table: &catalog.Table{Version: 1, Routes: routes, Services: map[string]*catalog.Service{
+		"s": {Name: "s"},
+		"p": {Name: "p", Pool: &catalog.Pool{Slots: 1, Batch: 8, CallTime: 100 * time.Millisecond, RoomBytes: 1 << 20, ResultLife: time.Minute}},
+	}}}
+	for i, b := range targets {
+		r.serve(i, b)
+		id := fmt.Sprintf("t%d", i)
+		feed.targets = append(feed.targets, catalog.TargetChange{ID: id, Target: &catalog.Target{ID: id, Service: "s", Addr: targetAddr(i), Slots: 8}})
+	}
+	feed.targets = append(feed.targets, catalog.TargetChange{ID: "p0", Target: &catalog.Target{ID: "p0", Service: "p", Addr: targetAddr(99), Slots: 1}})
+	n, c := r.network.Process(hostAddr), &clock.Service{}
+	u := &upstream.Client{Net: n, Clock: c}
+	s := &settings.Gateway{
+		Name: "h", Domain: "d", CallerAddr: callerAddr, ReadyAddr: netip.AddrPortFrom(hostAddr, 81), PeerAddr: netip.AddrPortFrom(hostAddr, 82),
+		MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), SettleTime: declaration.Duration(3 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
+		RepeatWindow: declaration.Duration(10 * time.Second),
+	}
+	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, feed, r.pool, noDirectory{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.host, r.feed = h, feed
+	r.client = &http.Client{Transport: link.Transport(r.network.Process(netip.MustParseAddr("10.0.0.2")))}
+	return r
+}
+
+// start runs the host.
+func (r *rig) start() {
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	go func() { r.done <- r.host.Run(ctx) }()
+	time.Sleep(time.Second)
+}
+
+// close ends the host and waits for it.
+func (r *rig) close() {
+	r.client.CloseIdleConnections()
+	r.stop()
+	if err := <-r.done; err != nil {
+		r.t.Error(err)
+	}
+}
+
+func (r *rig) serve(i int, b behaviour) {
+	l, err := r.network.Process(targetAddr(i).Addr()).Listen(targetAddr(i))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.mu.Lock()
+		r.runs = append(r.runs, fmt.Sprintf("t%d %s", i, req.Header.Get("Id")))
+		r.mu.Unlock()
+		io.Copy(io.Discard, req.Body)
+		w.Header().Set("Id", req.Header.Get("Id"))
+		b(w, req)
+	})}
+	go s.Serve(l)
+	r.t.Cleanup(func() { s.Close() })
+}
+
+// reached is the number of requests that reached targets.
+func (r *rig) reached() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
+// ask sends a request and describes its answer.
+func (r *rig) ask(path string, header ...string) string {
+	return r.askWith(context.Background(), path, header...)
+}
+
+func (r *rig) askWith(ctx context.Context, path string, header ...string) string {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callerAddr.String()+path, strings.NewReader("body"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Id", "r1")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return "no answer"
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	signed := ""
+	if s := resp.Header.Get("Signed"); s != "" {
+		signed = " signed " + s
+	}
+	if err != nil {
+		return fmt.Sprintf("%d%s cut after %q", resp.StatusCode, signed, body)
+	}
+	if signed == "" {
+		return strconv.Itoa(resp.StatusCode)
+	}
+	return fmt.Sprintf("%d%s %q", resp.StatusCode, signed, body)
+}
+
+func route(kind catalog.Kind, change func(*catalog.Route)) []*catalog.Route {
+	r := &catalog.Route{Name: "r", Host: "h.example", Prefix: "/a/", Kind: kind, MaxTargets: 2, Aim: time.Second, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
+	if change != nil {
+		change(r)
+	}
+	return []*catalog.Route{r}
+}
+
+// Behaviours of test targets.
+func answers(body string) behaviour {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "t")
+		io.WriteString(w, body)
+	}
+}
+
+func fails(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Signed", "t")
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+func rejects(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func breaks(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func unsigned(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "x") }
+
+func hangs(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func (testFormat) ReadAsk(h http.Header) (Ask, error) {
+	a := Ask{ID: h.Get("Id"), Key: h.Get("Key")}
+	if a.ID == "" {
+		return a, errors.New("no Id")
+	}
+	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
+		a.Wait = time.Duration(ms) * time.Millisecond
+	}
+	if h.Get("Pieces") != "" {
+		for _, f := range strings.Split(h.Get("Pieces"), ",") {
+			n, err := strconv.Atoi(f)
+			if err != nil {
+				return a, err
+			}
+			a.Pieces = append(a.Pieces, n)
+		}
+	}
+	return a, nil
+}
+
+func (testFormat) Forward(h http.Header, s Send) http.Header {
+	out := http.Header{"Id": h["Id"], "Target": {s.Target}, "Workspace": {s.Workspace}, "User-Agent": {""}, "Inputs": {strings.Join(s.Inputs, ",")}}
+	out.Set("Left", strconv.FormatInt(s.Left.Milliseconds(), 10))
+	if s.Resumes {
+		out.Set("After", strconv.FormatInt(s.ResumeAfter, 10))
+	}
+	return out
+}
+
+func (testFormat) ReadReply(_ int, h http.Header) Reply {
+	return Reply{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", InputsGone: h.Get("Not-Run") == "inputs"}
+}
+
+func (testFormat) Backward(h http.Header) http.Header { return http.Header{"Signed": h["Signed"]} }
+
+func (testFormat) Refusal(_ string, after time.Duration) http.Header {
+	return http.Header{"Retry": {after.String()}}
+}
+
+func (testFormat) ReadyPath() string { return "/ready" }
+
+func (noDirectory) Hosts(context.Context) ([]netip.AddrPort, error) { return nil, nil }
--- a/internal/stage/order.go
+++ b/internal/stage/order.go
@@ -41,9 +41,14 @@
 // jobHeap has the job that is worth least for its pieces on top.
 type jobHeap []*job
 
-func (h jobHeap) Len() int           { return len(h) }
+// Len is the number of jobs.
+func (h jobHeap) Len() int { return len(h) }
+
+// Less reports whether job i is worth less for its pieces than job k.
 func (h jobHeap) Less(i, k int) bool { return h[i].density() < h[k].density() }
-func (h jobHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
+
+// Swap swaps two jobs.
+func (h jobHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
 
 // Push adds a job.
 func (h *jobHeap) Push(x any) { *h = append(*h, x.(*job)) }
