--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -27,5 +27,8 @@
 	[ -z "$names" ] || skip=(-skip "^($names)\$")
 fi
 go test -race -timeout 30m ${skip[@]+"${skip[@]}"} ./...
+# The race detector itself crashes in this test on a busy machine (KNOWN-RED.txt);
+# its check runs without the detector.
+go test -timeout 30m -run '^TestFuzzAtMostOnce$' ./internal/claim
 # The loads that hold the aims are too large for the race detector.
 go test -timeout 30m -run Aim ${skip[@]+"${skip[@]}"} ./internal/experiment
