Keep to one former when connections break or many hosts die

After the kill of 53 of 89 hosts a job tried three holders and then formed its own calls: 58 formers of one service at once.

Change: a call to a holder is repeated over a new connection before the holder counts as lost, and the former knows a job by its ID, whether it runs or was just answered; a holder lost by refusal is taken back once it answers, rather than after 3 s; a job tries 16 holders, at most for a second. Calls that leave pieces without a result have a log line with what the former thought of the room. TestResetConnection, TestHolderIsBack and TestManyDead failed before.

--- a/internal/stage/calls.go
+++ b/internal/stage/calls.go
@@ -47,6 +47,7 @@
 		f.callFailed(l, w, t, c, err, now)
 	} else {
 		w.succeeded(took, c.expected)
+		f.logFaults(l, w, t, c, results, now)
 		for i, p := range c.parts {
 			f.take(l, w, t, c, p, results[i], now)
 		}
@@ -54,6 +55,20 @@
 	f.dispatch(l)
 }
 
+// logFaults notes the pieces that a call left without a result.
+func (f *Former) logFaults(l *line, w *worker, t *catalog.Target, c *call, results []PieceResult, now time.Time) {
+	var counts [PieceError + 1]int
+	for _, r := range results {
+		counts[r.Fault]++
+	}
+	if counts[PieceDone] == len(results) {
+		return
+	}
+	f.Log.Info("stage call without some results", zap.String("Service", l.service), zap.String("Target", t.ID), zap.Int("Pieces", len(results)),
+		zap.Int("Late", counts[PieceLate]), zap.Int("InputGone", counts[PieceGone]), zap.Int("NoRoom", counts[PieceNoRoom]), zap.Int("Errors", counts[PieceError]),
+		zap.Int64("RoomThought", c.room), zap.Int64("Others", w.others(now)), zap.Duration("Took", now.Sub(c.begun)), zap.String("FirstRequestID", c.parts[0].job.RequestID))
+}
+
 // callFailed puts the pieces of a failed call back.
 func (f *Former) callFailed(l *line, w *worker, t *catalog.Target, c *call, err error, now time.Time) {
 	rejected := errors.Is(err, ErrRejected)
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -26,8 +26,9 @@
 	// downTime is how long a holder that was silent is passed over.
 	downTime = 3 * time.Second
 	// maxMoves is the number of holders that a job is taken to before this host
-	// forms its calls itself.
-	maxMoves = 3
+	// forms its calls itself, moveTime the time after which it does so anyway.
+	maxMoves = 16
+	moveTime = time.Second
 	// outlookLife is how long an outlook holds.
 	outlookLife = 600 * time.Millisecond
 	// tookWeight is the weight of the newest job in the usual time.
@@ -68,9 +69,10 @@
 	start := c.Clock.Now()
 	due, left := j.Due, j.Left
 	sent := false
+	var firstLoss time.Time
 	for moves := 0; ; moves++ {
 		host := c.holderOf(j.Service)
-		if moves >= maxMoves {
+		if moves >= maxMoves || moves > 1 && c.Clock.Since(firstLoss) > moveTime {
 			host = peer.Host{Name: c.Self}
 		}
 		passed := c.Clock.Since(start)
@@ -97,7 +99,10 @@
 		}
 		c.Log.Warn("holder of a service lost", zap.String("Service", j.Service), zap.String("Holder", host.Name),
 			zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), journal.Error(err))
-		c.lose(host)
+		c.lose(host, err)
+		if firstLoss.IsZero() {
+			firstLoss = c.Clock.Now()
+		}
 	}
 }
 
@@ -114,8 +119,11 @@
 		case <-callCtx.Done():
 		}
 	}()
-	o := &Outcome{}
-	err := c.Peers.Call(callCtx, host.Addr, serviceName+".Run", &j, o)
+	var o *Outcome
+	err := twice(callCtx, func() error {
+		o = &Outcome{}
+		return c.Peers.Call(callCtx, host.Addr, serviceName+".Run", &j, o)
+	})
 	if err == nil {
 		return *o, nil
 	}
--- a/internal/stage/client_test.go
+++ b/internal/stage/client_test.go
@@ -45,7 +45,8 @@
 	return f
 }
 
-func (f *fleetOf) start(t *testing.T, h peer.Host) {
+// serve starts a former at h, on the way from the host's start.
+func (f *fleetOf) serve(t *testing.T, h peer.Host) (*Former, *fakePool) {
 	pool := &fakePool{}
 	former := newFormer(t, pool, 2, testPool())
 	former.Self = h.Name
@@ -58,6 +59,12 @@
 		t.Fatal(err)
 	}
 	go s.Serve(l)
+	t.Cleanup(func() { l.Close(); s.Close() })
+	return former, pool
+}
+
+func (f *fleetOf) start(t *testing.T, h peer.Host) {
+	former, pool := f.serve(t, h)
 	c := &Client{
 		Clock: &clock.Service{}, Log: zap.NewNop(), Self: h.Name, Members: f.members, Former: former,
 		Peers: &peer.Caller{Net: f.network.Process(h.Addr.Addr())},
@@ -65,7 +72,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- c.Watch(ctx) }()
-	t.Cleanup(func() { cancel(); <-done; l.Close(); s.Close(); c.Peers.Close() })
+	t.Cleanup(func() { cancel(); <-done; c.Peers.Close() })
 	f.pools = append(f.pools, pool)
 	f.formers = append(f.formers, former)
 	f.clients = append(f.clients, c)
@@ -127,6 +134,90 @@
 	})
 }
 
+// calls returns the number of calls by host.
+func (f *fleetOf) calls() []int {
+	var out []int
+	for _, p := range f.pools {
+		out = append(out, len(p.calls))
+	}
+	return out
+}
+
+// TestResetConnection resets the connection to the holder while it has a job,
+// and again when it has answered: it goes on with the job.
+func TestResetConnection(t *testing.T) {
+	for _, at := range []time.Duration{testCallTime / 2, testCallTime + 200*time.Microsecond} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3)
+			holder, other := f.holder(), f.other()
+			time.AfterFunc(at, func() { f.network.Reset(f.hosts[holder].Addr.Addr(), f.hosts[other].Addr.Addr()) })
+			o, err := f.clients[other].Run(t.Context(), testJob("r", 2))
+			if err != nil || o.Fault != None || len(o.Results) != 2 {
+				t.Errorf("outcome %+v, %v", o, err)
+			}
+			want := make([]int, 3)
+			want[holder] = 1
+			if diff := cmp.Diff(want, f.calls()); diff != "" {
+				t.Errorf("reset at %v: calls by host (-want +got):\n%s", at, diff)
+			}
+		})
+	}
+}
+
+// TestHolderIsBack kills the holder and starts it again: new jobs go there as
+// soon as it answers.
+func TestHolderIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		holder, other := f.holder(), f.other()
+		f.network.Kill(f.hosts[holder].Addr.Addr())
+		if _, err := f.clients[other].Run(t.Context(), testJob("r", 2)); err != nil {
+			t.Fatal(err)
+		}
+		f.network.Revive(f.hosts[holder].Addr.Addr())
+		_, pool := f.serve(t, f.hosts[holder])
+		time.Sleep(2 * pingInterval)
+		if _, err := f.clients[other].Run(t.Context(), testJob("q", 2)); err != nil {
+			t.Fatal(err)
+		}
+		if len(pool.calls) != 1 {
+			t.Errorf("the holder formed %d calls after it came back, want 1", len(pool.calls))
+		}
+	})
+}
+
+// TestManyDead kills most hosts before the others know: jobs of all of the
+// living come together at one of them.
+func TestManyDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12)
+		left := f.members.members
+		for range 9 {
+			h := left.Holder("s")
+			left = left.Without(h.Name)
+			f.network.Kill(h.Addr.Addr())
+		}
+		holder := left.Holder("s").Name
+		for i, h := range f.hosts {
+			if _, alive := left.Find(h.Name); !alive {
+				continue
+			}
+			if _, err := f.clients[i].Run(t.Context(), testJob("r", 2)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i, h := range f.hosts {
+			want := 0
+			if h.Name == holder {
+				want = 3
+			}
+			if n := len(f.pools[i].calls); n != want {
+				t.Errorf("host %d formed %d calls, want %d", i, n, want)
+			}
+		}
+	})
+}
+
 // TestRetiredHolder expects jobs that wait at a former that shuts down to run
 // at the next one, and a host without any other to form its own calls.
 func TestRetiredHolder(t *testing.T) {
--- a/internal/stage/former.go
+++ b/internal/stage/former.go
@@ -28,6 +28,8 @@
 	freeDelay = 4 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
+	// answerLife is how long an answer to another host is kept.
+	answerLife = 500 * time.Millisecond
 	// maxJobs bounds the jobs that wait or run at one former.
 	maxJobs = 4096
 )
@@ -49,6 +51,9 @@
 	ctx   context.Context
 	lines map[string]*line
 	jobs  map[string]*job
+	// answered are jobs of other hosts that have results, which a host asks for
+	// again when the answer was lost on the way.
+	answered map[string]*job
 	// coming is what hosts have told of their pieces on the way, by service and
 	// host.
 	coming map[string]map[string]comingPieces
@@ -67,7 +72,7 @@
 func (f *Former) Run(ctx context.Context) error {
 	f.init()
 	defer close(f.stopped)
-	f.ctx, f.lines, f.jobs = ctx, map[string]*line{}, map[string]*job{}
+	f.ctx, f.lines, f.jobs, f.answered = ctx, map[string]*line{}, map[string]*job{}, map[string]*job{}
 	f.coming = map[string]map[string]comingPieces{}
 	ticks := f.Clock.Subscribe(ctx, sweepInterval)
 	for {
@@ -110,8 +115,11 @@
 	sent     bool
 	queued   time.Duration
 	ran      time.Duration
-	done     chan Outcome
+	// finished is closed when the job ends with outcome, at endedAt.
+	finished chan struct{}
+	outcome  Outcome
 	ended    bool
+	endedAt  time.Time
 	// remote jobs are another host's.
 	remote bool
 	// worth is Worth against jobs of all ranks; behind says that the job is left
@@ -133,20 +141,25 @@
 		return Outcome{Fault: Failed}
 	}
 	select {
-	case o := <-running.done:
-		return o
+	case <-running.finished:
+		return running.outcome
 	case <-ctx.Done():
 		f.Cancel(j.ID)
-		return <-running.done
+		<-running.finished
+		return running.outcome
 	case <-f.stopped:
 		return Outcome{Fault: Failed, Sent: true}
 	}
 }
 
-// accept queues j.
+// accept queues j, unless it is here already.
 func (f *Former) accept(j Job, remote bool) *job {
+	if known := f.known(j.ID); known != nil && remote {
+		f.Log.Info("stage asked for again", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), zap.Bool("Done", known.ended))
+		return known
+	}
 	now := f.Clock.Now()
-	running := &job{Job: j, remote: remote, due: now.Add(j.Due), until: now.Add(j.Left), arrived: now, missing: j.Pieces, done: make(chan Outcome, 1)}
+	running := &job{Job: j, remote: remote, due: now.Add(j.Due), until: now.Add(j.Left), arrived: now, missing: j.Pieces, finished: make(chan struct{})}
 	running.results = make([]Result, j.Pieces)
 	for i := range j.Pieces {
 		running.waiting = append(running.waiting, i)
@@ -167,6 +180,14 @@
 	return running
 }
 
+// known returns the job of that ID if it waits, runs or was just answered.
+func (f *Former) known(id string) *job {
+	if j := f.jobs[id]; j != nil {
+		return j
+	}
+	return f.answered[id]
+}
+
 // Cancel drops the job; what already runs of it is freed when it ends.
 func (f *Former) Cancel(id string) {
 	f.do(func() {
@@ -204,6 +225,9 @@
 	}
 	if fault == None {
 		o.Results = j.results
+		if j.remote {
+			f.answered[j.ID] = j
+		}
 		f.Log.Info("stage done", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), zap.String("Service", j.Service),
 			zap.String("Target", j.results[0].Target), zap.Int("Pieces", j.Pieces), zap.Bool("Behind", j.behind), zap.Float64("Worth", j.worth), zap.Duration("Queued", j.queued), zap.Duration("Ran", j.ran), zap.Duration("Slack", j.due.Sub(f.Clock.Now())),
 			zap.Duration("Ahead", o.Outlook.Ahead), zap.Duration("All", o.Outlook.All))
@@ -212,7 +236,8 @@
 		f.Log.Info("stage without result", zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage),
 			zap.Stringer("Fault", fault), zap.Int("Failures", j.failures), zap.Duration("Waited", f.Clock.Since(j.arrived)))
 	}
-	j.done <- o
+	j.outcome, j.endedAt = o, f.Clock.Now()
+	close(j.finished)
 }
 
 // made returns the results that exist.
@@ -235,6 +260,11 @@
 			f.end(j, Late)
 		}
 	}
+	for id, j := range f.answered {
+		if now.Sub(j.endedAt) > answerLife {
+			delete(f.answered, id)
+		}
+	}
 	for _, l := range f.lines {
 		l.expire(now)
 		f.dispatch(l)
--- a/internal/stage/holder.go
+++ b/internal/stage/holder.go
@@ -19,6 +19,9 @@
 	// lost is closed when the holder is found silent.
 	lost      chan struct{}
 	downUntil time.Time
+	// refused says that the host was lost by a broken connection rather than by
+	// silence; it is passed over only until it answers again.
+	refused bool
 	// missed counts the looks without an answer in a row.
 	missed int
 }
@@ -75,11 +78,13 @@
 func (c *Client) passOver(host peer.Host) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.holder(host).downUntil = c.Clock.Now().Add(downTime)
+	h := c.holder(host)
+	h.downUntil, h.refused = c.Clock.Now().Add(downTime), false
 }
 
-// lose passes host over for a while and wakes its jobs.
-func (c *Client) lose(host peer.Host) {
+// lose passes host over for a while and wakes its jobs; err is what it was lost
+// by.
+func (c *Client) lose(host peer.Host, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.holder(host)
@@ -87,6 +92,7 @@
 		return
 	}
 	h.downUntil = c.Clock.Now().Add(downTime)
+	h.refused = !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled)
 	h.missed = 0
 	close(h.lost)
 	h.lost = make(chan struct{})
@@ -104,6 +110,9 @@
 			for _, host := range c.busy() {
 				go c.look(ctx, host)
 			}
+			for _, host := range c.refused() {
+				go c.lookAgain(ctx, host)
+			}
 		}
 	}
 }
@@ -127,6 +136,47 @@
 	return slices.Collect(maps.Values(hosts))
 }
 
+// refused returns the holders that are passed over until they answer again.
+func (c *Client) refused() []peer.Host {
+	now := c.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var hosts []peer.Host
+	for _, h := range c.holders {
+		if h.refused && h.downUntil.After(now) {
+			hosts = append(hosts, h.host)
+		}
+	}
+	return hosts
+}
+
+// lookAgain takes a holder back that answers again. All hosts have to come back
+// to it soon: each former that they use beside it fills fewer calls.
+func (c *Client) lookAgain(ctx context.Context, host peer.Host) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	if c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &SignOfLife{Host: c.Self}, &map[string]Outlook{}) != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.holder(host)
+	if h.refused {
+		h.refused, h.downUntil = false, time.Time{}
+		c.Log.Info("holder is back", zap.String("Holder", host.Name))
+	}
+}
+
+// twice calls again when a connection broke: that is no proof that the holder is
+// gone, and the second call goes over a new one.
+func twice(ctx context.Context, call func() error) error {
+	err := call()
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	return call()
+}
+
 // look asks host for a sign of life.
 func (c *Client) look(ctx context.Context, host peer.Host) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -138,11 +188,14 @@
 		c.see(c.Former.outlooks(sign))
 		return
 	}
-	outlooks := map[string]Outlook{}
-	err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &sign, &outlooks)
+	var outlooks map[string]Outlook
+	err := twice(ctx, func() error {
+		outlooks = map[string]Outlook{}
+		return c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &sign, &outlooks)
+	})
 	if c.missed(host, err) {
 		c.Log.Warn("holder is silent", zap.String("Holder", host.Name), journal.Error(err))
-		c.lose(host)
+		c.lose(host, err)
 	}
 	if err == nil {
 		c.see(outlooks)
@@ -150,7 +203,7 @@
 }
 
 // missed notes the outcome of a look at host and reports whether it is lost. A
-// connection that breaks tells at once.
+// host that can't be connected to is lost at once.
 func (c *Client) missed(host peer.Host, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
