Choose the targets of prompts for all hosts together

A host sees about two requests a second for 89 engines, so that neither its open counts nor its times tell of a loaded or slow engine, and the home of a prompt got everything. Ruled out: the stages (of the late requests between t 9.5 and 14 the stages took 0.96 s of 1.9).

Change: package placement. The holder of a service keeps a board of what all hosts have sent where: tokens to read, time for each token as it was lately and as the oldest waiting request shows it, parts of prompts read before, failures. Hosts ask it for each request with a prompt and report the first event and the end within 10 ms; without an answer in 150 ms the next holder, then the host's own choice as before. TestHostsSpread is the case of the trace (the package is new, so no run of it failed before).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,7 +10,7 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
-	"github.com/cespare/xxhash/v2"
+	"berylswitch.example/berylswitch/internal/peer"
 	"go.uber.org/zap"
 )
 
@@ -128,6 +128,20 @@
 	return best
 }
 
+// Paused returns those of targets that this host passes over now.
+func (f *Fleet) Paused(targets []*catalog.Target) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	var out []string
+	for _, t := range targets {
+		if f.state(t).pausedUntil.After(now) {
+			out = append(out, t.ID)
+		}
+	}
+	return out
+}
+
 // cost is the expected time of a request at t, in nanoseconds.
 func (f *Fleet) cost(t *catalog.Target, want Want) float64 {
 	s := f.state(t)
@@ -162,7 +176,7 @@
 		if least == nil || s.open < f.state(least).open {
 			least = t
 		}
-		w := weight(t.ID, want.Home)
+		w := peer.Weight(t.ID, want.Home)
 		if float64(s.open) <= limit && (best == nil || w > bestWeight) {
 			best, bestWeight = t, w
 		}
@@ -173,14 +187,6 @@
 	return best
 }
 
-func weight(target, home string) uint64 {
-	d := xxhash.New()
-	d.WriteString(target)
-	d.Write([]byte{0})
-	d.WriteString(home)
-	return d.Sum64()
-}
-
 // state returns what is known of t; f.mu is held.
 func (f *Fleet) state(t *catalog.Target) *state {
 	if f.states == nil {
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -12,6 +12,7 @@
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/stage"
 	"berylswitch.example/berylswitch/internal/workspace"
@@ -84,6 +85,14 @@
 	return &fleet.Fleet{Clock: c, Log: log, Domain: s.Domain}
 }
 
+func provideBoards(c *clock.Service, f *catalog.Follower) *placement.Holder {
+	return &placement.Holder{Clock: c, Catalog: f.Snapshot}
+}
+
+func providePlaces(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, boards *placement.Holder) *placement.Client {
+	return &placement.Client{Self: x.Self.Name, Clock: c, Log: log, Members: x, Peers: caller, Holder: boards}
+}
+
 func provideRepeats(s *settings.Gateway, c *clock.Service, x *peer.Exchange) *workspace.Repeats {
 	return &workspace.Repeats{
 		Clock:  c,
@@ -103,9 +112,9 @@
 func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
 
 // providePeers registers the services that peers call.
-func providePeers(x *peer.Exchange, f *catalog.Follower, t *crash.Table, former *stage.Former) (*peer.Server, error) {
+func providePeers(x *peer.Exchange, f *catalog.Follower, t *crash.Table, former *stage.Former, boards *placement.Holder) (*peer.Server, error) {
 	s := &peer.Server{RPC: rpc.NewServer()}
-	for _, register := range []func(*rpc.Server) error{x.Register, f.Register, t.Register, former.Register} {
+	for _, register := range []func(*rpc.Server) error{x.Register, f.Register, t.Register, former.Register, boards.Register} {
 		if err := register(s.RPC); err != nil {
 			return nil, err
 		}
--- a/internal/gateway/format.go
+++ b/internal/gateway/format.go
@@ -11,6 +11,8 @@
 import (
 	"net/http"
 	"time"
+
+	"berylswitch.example/berylswitch/internal/placement"
 )
 
 // Ask is what the header of a caller's request says.
@@ -29,13 +31,7 @@
 	Pieces   []int
 	PieceKey string
 	// Prompt lists the parts of a prompt, the request's own last.
-	Prompt []Part
-}
-
-// Part is a part of a prompt that requests may share.
-type Part struct {
-	ID     string
-	Tokens int
+	Prompt []placement.Part
 }
 
 // Send is what a host adds to a request for a target.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -14,6 +14,7 @@
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/stage"
 	"berylswitch.example/berylswitch/internal/upstream"
@@ -38,6 +39,7 @@
 	Former   *stage.Former
 	Stages   *stage.Client
 	Fleet    *fleet.Fleet
+	Places   *placement.Client
 	Upstream *upstream.Client
 	Repeats  *workspace.Repeats
 	Crashes  *crash.Table
@@ -85,7 +87,7 @@
 	}
 	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr),
 		zap.String("Domain", h.Settings.Domain), zap.Int("Peers", len(h.Settings.Peers)))
-	for _, run := range []func(context.Context) error{h.Follower.Run, h.join, h.Former.Run, h.Stages.Watch} {
+	for _, run := range []func(context.Context) error{h.Follower.Run, h.join, h.Former.Run, h.Stages.Watch, h.Places.Run} {
 		g.Go(func() error { return run(partsCtx) })
 	}
 	g.Go(func() error {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,6 +10,7 @@
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/journal"
+	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/pkg/result"
 	"go.uber.org/zap"
@@ -43,6 +44,8 @@
 	// of them lie.
 	inputs []string
 	domain string
+	// lease is the send at the holder that chose its target, or nil.
+	lease *placement.Lease
 }
 
 // answer is a target's whole answer.
@@ -58,16 +61,17 @@
 
 // next returns the target of the next send, or nil. A send after the first
 // needs a part of the shared budget.
-func (s *sender) next() *catalog.Target {
+func (s *sender) next(ctx context.Context) *catalog.Target {
 	if s.q.sends >= maxSends || s.ran >= max(1, s.q.route.MaxTargets) {
 		return nil
 	}
 	targets := s.h.Follower.Snapshot().TargetsOf(s.q.service)
-	t := s.h.Fleet.Choose(targets, fleet.Want{Home: s.q.home(), Except: s.tried, Domain: s.domain})
+	t := s.choose(ctx, targets)
 	if t == nil {
 		return nil
 	}
 	if s.q.sends > 0 && !s.h.Repeats.Take(s.q.service) {
+		s.lease.End(placement.Abandoned)
 		s.h.Log.Info("repeat refused by the budget", zap.String("RequestID", s.q.ID), zap.String("Service", s.q.service), zap.Int("Sends", s.q.sends))
 		return nil
 	}
@@ -77,6 +81,56 @@
 	return t
 }
 
+// choose returns the best of targets. Those of prompts are chosen by the holder
+// of the service, and by this host alone where that does not answer.
+func (s *sender) choose(ctx context.Context, targets []*catalog.Target) *catalog.Target {
+	s.lease = nil
+	if len(s.q.Prompt) > 0 {
+		if t := s.place(ctx, targets); t != nil {
+			return t
+		}
+	}
+	return s.h.Fleet.Choose(targets, fleet.Want{Home: s.q.home(), Except: s.tried, Domain: s.domain})
+}
+
+// place asks the holder of the service for a target.
+func (s *sender) place(ctx context.Context, targets []*catalog.Target) *catalog.Target {
+	except := s.h.Fleet.Paused(targets)
+	for id := range s.tried {
+		except = append(except, id)
+	}
+	start := s.h.Clock.Now()
+	l := s.h.Places.Choose(ctx, placement.Work{RequestID: s.q.ID, Service: s.q.service, Parts: s.q.Prompt, Except: except, Domain: s.domain})
+	if l == nil {
+		return nil
+	}
+	s.h.Log.Info("target chosen", zap.String("RequestID", s.q.ID), zap.String("Target", l.Choice.Target), zap.Duration("Expected", l.Choice.Expected),
+		zap.Int("Reading", l.Choice.Reading), zap.Int("Cached", l.Choice.Cached), zap.Int("Except", len(except)), zap.Duration("Took", s.h.Clock.Since(start)))
+	for _, t := range targets {
+		if t.ID == l.Choice.Target {
+			s.lease = l
+			return t
+		}
+	}
+	l.End(placement.Abandoned)
+	return nil
+}
+
+// end notes what became of a send to t.
+func (s *sender) end(t *catalog.Target, r fleet.Result, took time.Duration) {
+	s.h.Fleet.End(t, r, took)
+	s.lease.End(progress[r])
+}
+
+// progress is the end of a send as a board takes it.
+var progress = [...]placement.Progress{
+	fleet.Answered:    placement.Answered,
+	fleet.Failed:      placement.Failed,
+	fleet.Unreachable: placement.Failed,
+	fleet.Rejected:    placement.Rejected,
+	fleet.Abandoned:   placement.Abandoned,
+}
+
 // send sends the request to t and returns the head of the answer.
 func (s *sender) send(ctx context.Context, t *catalog.Target, resumes bool, after int64) (*upstream.Answer, Reply, error) {
 	q := s.q
@@ -122,7 +176,7 @@
 			go s.h.Crashes.Broke(context.Background(), s.q.digest, t.ID)
 		}
 	}
-	s.h.Fleet.End(t, r, took)
+	s.end(t, r, took)
 	s.h.Log.Info("send failed", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Stringer("Result", r),
 		zap.Duration("Took", took), journal.Error(err))
 	return r
@@ -131,7 +185,7 @@
 // rejected notes that t did not run the request.
 func (s *sender) rejected(t *catalog.Target, a *upstream.Answer, took time.Duration) {
 	a.Body.Close()
-	s.h.Fleet.End(t, fleet.Rejected, took)
+	s.end(t, fleet.Rejected, took)
 	s.h.Log.Info("send rejected", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Int("Status", a.Status), zap.Duration("Took", took))
 }
 
@@ -157,7 +211,7 @@
 func (h *Host) plain(ctx context.Context, q *request, out *reply) error {
 	s := h.newSender(q)
 	for ctx.Err() == nil {
-		t := s.next()
+		t := s.next(ctx)
 		if t == nil {
 			break
 		}
@@ -209,7 +263,7 @@
 	if a.Status >= http.StatusInternalServerError {
 		r = fleet.Failed
 	}
-	s.h.Fleet.End(t, r, s.h.Clock.Since(start))
+	s.end(t, r, s.h.Clock.Since(start))
 	return &answer{a.Status, a.Header, body}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,7 +51,7 @@
 		if err := s.prepare(ctx, p); err != nil {
 			return s.cut(rel, err)
 		}
-		t := s.next()
+		t := s.next(ctx)
 		if t == nil {
 			break
 		}
@@ -163,7 +163,7 @@
 	}
 	s.ran++
 	s.q.mayRun = true
-	s.h.Fleet.End(t, fleet.Failed, s.h.Clock.Since(start))
+	s.end(t, fleet.Failed, s.h.Clock.Since(start))
 	s.last = &answer{a.Status, a.Header, body}
 	if rel.out.begun || a.Status >= http.StatusInternalServerError && s.q.route.Repeatable() && s.ran < s.q.route.MaxTargets {
 		return streamBroken
@@ -181,8 +181,8 @@
 	for {
 		ev, err := events.next()
 		if err == io.EOF {
-			s.h.Fleet.End(t, fleet.Answered, max(first, s.h.Clock.Since(start)/2))
-			return s.end(a, rel)
+			s.end(t, fleet.Answered, max(first, s.h.Clock.Since(start)/2))
+			return s.ended(a, rel)
 		}
 		if err != nil {
 			s.ran--
@@ -193,20 +193,21 @@
 		if first == 0 {
 			first = s.h.Clock.Since(start)
 			p.release()
+			s.lease.Begun()
 		}
 		if ev.hasID && rel.hasLast && ev.id <= rel.last {
 			continue
 		}
 		if err := s.pass(a, rel, ev, control); err != nil {
-			s.h.Fleet.End(t, fleet.Abandoned, first)
+			s.end(t, fleet.Abandoned, first)
 			s.h.Log.Info("caller does not read", zap.String("RequestID", s.q.ID), journal.Error(err))
 			return streamBroken
 		}
 	}
 }
 
-// end ends the answer of a stream that was read to its end.
-func (s *sender) end(a *upstream.Answer, rel *relayed) streamEnd {
+// ended ends the answer of a stream that was read to its end.
+func (s *sender) ended(a *upstream.Answer, rel *relayed) streamEnd {
 	if !rel.out.begun {
 		rel.out.head(a.Status, streamHeader(a))
 	}
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -25,12 +25,14 @@
 	follower := provideFollower(s, c, log, feed, exchange, caller)
 	table := provideCrashes(c, exchange, caller)
 	former := provideFormer(c, log, pool, follower, exchange)
-	server, err := providePeers(exchange, follower, table, former)
+	holder := provideBoards(c, follower)
+	server, err := providePeers(exchange, follower, table, former, holder)
 	if err != nil {
 		return nil, err
 	}
 	client := provideStages(c, log, exchange, caller, former)
 	fleet := provideFleet(s, c, log)
+	placementClient := providePlaces(c, log, exchange, caller, holder)
 	repeats := provideRepeats(s, c, exchange)
 	registry := provideMetrics()
 	host := &Host{
@@ -46,6 +48,7 @@
 		Former:   former,
 		Stages:   client,
 		Fleet:    fleet,
+		Places:   placementClient,
 		Upstream: u,
 		Repeats:  repeats,
 		Crashes:  table,
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -206,7 +206,7 @@
 func (x *Exchange) start(ctx context.Context) {
 	x.ctx = ctx
 	x.table = newTable(x.Self)
-	x.rand = rand.New(rand.NewPCG(weight(x.Self.Name, "exchange"), 0))
+	x.rand = rand.New(rand.NewPCG(Weight(x.Self.Name, "exchange"), 0))
 	if x.Caller == nil {
 		x.Caller = &Caller{Net: x.Net}
 		x.ownCaller = true
@@ -216,7 +216,7 @@
 
 // phase spreads the beats of many hosts over the interval.
 func (x *Exchange) phase() time.Duration {
-	return time.Duration(weight(x.Self.Name, "phase") % uint64(beatInterval))
+	return time.Duration(Weight(x.Self.Name, "phase") % uint64(beatInterval))
 }
 
 // publish makes the table's members visible and chooses the neighbours anew.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,7 +41,7 @@
 func (m *Members) Holder(key string) Host {
 	best, bestWeight := 0, uint64(0)
 	for i := range m.Hosts {
-		w := weight(m.Hosts[i].Name, key)
+		w := Weight(m.Hosts[i].Name, key)
 		if i == 0 || w > bestWeight {
 			best, bestWeight = i, w
 		}
@@ -93,7 +93,9 @@
 	return out
 }
 
-func weight(host, key string) uint64 {
+// Weight ranks host among others for key, in the way of rendezvous hashing: the
+// one with the greatest weight goes first.
+func Weight(host, key string) uint64 {
 	d := xxhash.New()
 	d.WriteString(host)
 	d.Write([]byte{0})
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -215,7 +215,7 @@
 	var all []ranked
 	for _, h := range m.Hosts {
 		if h.Name != self {
-			all = append(all, ranked{h, weight(h.Name, self)})
+			all = append(all, ranked{h, Weight(h.Name, self)})
 		}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].weight > all[j].weight })
--- /dev/null
+++ b/internal/placement/board_test.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"github.com/cockroachdb/datadriven"
+)
+
+// boardScript plays a script against one board under a clock of its own.
+//
+//	targets NAME[=DOMAIN] ...
+//	ask ID [host=H] [parts=(ID:TOKENS,...)] [domain=D] [except=NAME]
+//	begun|answered|failed|rejected|abandoned ID [host=H]
+//	life HOST
+//	wait D
+type boardScript struct {
+	b       *Board
+	now     time.Time
+	targets []*catalog.Target
+}
+
+func TestBoard(t *testing.T) {
+	datadriven.Walk(t, "testdata/board", func(t *testing.T, path string) {
+		s := &boardScript{b: NewBoard(), now: time.Unix(1000, 0)}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func (s *boardScript) run(t *testing.T, d *datadriven.TestData) string {
+	host := "h"
+	d.MaybeScanArgs(t, "host", &host)
+	switch d.Cmd {
+	case "targets":
+		s.targets = nil
+		for _, a := range d.CmdArgs {
+			target := &catalog.Target{ID: a.Key, Slots: 4}
+			if len(a.Vals) > 0 {
+				target.Domain = a.Vals[0]
+			}
+			s.targets = append(s.targets, target)
+		}
+		s.b.Keep(s.targets)
+	case "ask":
+		return s.ask(t, d, host)
+	case "begun", "answered", "failed", "rejected", "abandoned":
+		progress := map[string]Progress{"begun": Begun, "answered": Answered, "failed": Failed, "rejected": Rejected, "abandoned": Abandoned}
+		s.b.Take(&Report{Host: host, News: []News{{ID: d.CmdArgs[0].Key, Progress: progress[d.Cmd]}}}, s.now)
+	case "life":
+		s.b.Take(&Report{Host: d.CmdArgs[0].Key}, s.now)
+	case "wait":
+		pause, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		s.now = s.now.Add(pause)
+	default:
+		d.Fatalf(t, "unknown command")
+	}
+	return "ok\n"
+}
+
+func (s *boardScript) ask(t *testing.T, d *datadriven.TestData, host string) string {
+	w := &Work{ID: d.CmdArgs[0].Key, Host: host}
+	d.MaybeScanArgs(t, "domain", &w.Domain)
+	for _, a := range d.CmdArgs[1:] {
+		switch a.Key {
+		case "except":
+			w.Except = a.Vals
+		case "parts":
+			for _, v := range a.Vals {
+				id, tokens, _ := strings.Cut(v, ":")
+				p := Part{ID: id}
+				fmt.Sscan(tokens, &p.Tokens)
+				w.Parts = append(w.Parts, p)
+			}
+		}
+	}
+	c := s.b.Choose(w, s.targets, s.now)
+	if c.Target == "" {
+		return "none\n"
+	}
+	return fmt.Sprintf("%s: expected %v, reading %d, cached %d\n", c.Target, c.Expected.Round(time.Millisecond), c.Reading, c.Cached)
+}
+
+// TestBoardForgets expects nothing to be kept of requests that have ended and of
+// targets that are gone.
+func TestBoardForgets(t *testing.T) {
+	b, now := NewBoard(), time.Unix(1000, 0)
+	targets := []*catalog.Target{{ID: "a", Slots: 4}, {ID: "b", Slots: 4}}
+	for i := range 1000 {
+		id := fmt.Sprint(i)
+		b.Choose(&Work{ID: id, Host: "h", Parts: []Part{{ID: id, Tokens: 100}, {Tokens: 10}}}, targets, now)
+		now = now.Add(time.Millisecond)
+		b.Take(&Report{Host: "h", News: []News{{ID: id, Progress: Progress(i % 5)}, {ID: id, Progress: Answered}}}, now)
+	}
+	if len(b.runs) != 0 {
+		t.Errorf("%d requests are kept", len(b.runs))
+	}
+	for id, s := range b.targets {
+		if len(s.runs) != 0 || s.reading != 0 {
+			t.Errorf("target %s: %d requests with %v tokens are kept", id, len(s.runs), s.reading)
+		}
+	}
+	b.Keep(targets[:1])
+	if len(b.targets) != 1 {
+		t.Errorf("%d targets are kept", len(b.targets))
+	}
+}
--- /dev/null
+++ b/internal/placement/client.go
@@ -0,0 +1,220 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/journal"
+	"berylswitch.example/berylswitch/internal/peer"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+)
+
+// Times of the client.
+const (
+	// chooseTimeout bounds a question to the holder.
+	chooseTimeout = 150 * time.Millisecond
+	// tellDelay collects news for one report, tellTimeout bounds it.
+	tellDelay   = 10 * time.Millisecond
+	tellTimeout = time.Second
+	// lifeInterval is the time between two signs of life to a holder that has
+	// requests of this host.
+	lifeInterval = 500 * time.Millisecond
+	// downTime is how long a holder without an answer is passed over.
+	downTime = time.Second
+	// maxHolders is the number of holders that are asked for one request.
+	maxHolders = 2
+)
+
+// Members says who holds a service.
+type Members interface {
+	Members() *peer.Members
+}
+
+// Client asks the holders of services for targets. Exported fields are set
+// before Run.
+type Client struct {
+	Self    string
+	Clock   *clock.Service
+	Log     *zap.Logger
+	Members Members
+	Peers   *peer.Caller
+	Holder  *Holder
+
+	mu    sync.Mutex
+	down  map[string]time.Time
+	peers map[string]*correspondent
+}
+
+// correspondent is a holder that has requests of this host.
+type correspondent struct {
+	host peer.Host
+	open int
+	news []News
+}
+
+// Lease is a request that a holder knows. The methods of a nil Lease do nothing.
+type Lease struct {
+	client  *Client
+	at      peer.Host
+	id      string
+	service string
+	once    sync.Once
+	Choice  Choice
+}
+
+// Choose asks the holder of w.Service for a target. It returns nil if no holder
+// answers or none of the targets will do.
+func (c *Client) Choose(ctx context.Context, w Work) *Lease {
+	w.ID, w.Host = uuid.NewString(), c.Self
+	for range maxHolders {
+		host := c.holder(w.Service)
+		choice, err := c.ask(ctx, host, &w)
+		if err == nil {
+			if choice.Target == "" {
+				return nil
+			}
+			l := &Lease{client: c, at: host, id: w.ID, service: w.Service, Choice: choice}
+			c.enter(host)
+			return l
+		}
+		c.Log.Info("holder of a board does not answer", zap.String("Holder", host.Name), zap.String("Service", w.Service),
+			zap.String("RequestID", w.RequestID), journal.Error(err))
+		if ctx.Err() != nil {
+			return nil
+		}
+		c.passOver(host)
+	}
+	return nil
+}
+
+func (c *Client) ask(ctx context.Context, host peer.Host, w *Work) (Choice, error) {
+	if host.Name == c.Self {
+		return c.Holder.choose(w), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, chooseTimeout)
+	defer cancel()
+	choice := &Choice{}
+	if err := c.Peers.Call(ctx, host.Addr, serviceName+".Choose", w, choice); err != nil {
+		return Choice{}, err
+	}
+	return *choice, nil
+}
+
+// holder returns the host that has the board of service.
+func (c *Client) holder(service string) peer.Host {
+	now := c.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	members := c.Members.Members()
+	for name, until := range c.down {
+		if !until.After(now) {
+			delete(c.down, name)
+			continue
+		}
+		members = members.Without(name)
+	}
+	return members.Strong().Holder(service)
+}
+
+func (c *Client) passOver(host peer.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down == nil {
+		c.down = map[string]time.Time{}
+	}
+	c.down[host.Name] = c.Clock.Now().Add(downTime)
+}
+
+func (c *Client) enter(host peer.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peers == nil {
+		c.peers = map[string]*correspondent{}
+	}
+	p := c.peers[host.Name]
+	if p == nil {
+		p = &correspondent{host: host}
+		c.peers[host.Name] = p
+	}
+	p.open++
+}
+
+// Begun notes the first event.
+func (l *Lease) Begun() {
+	if l != nil {
+		l.client.tell(l, Begun)
+	}
+}
+
+// End notes what became of the request; the first call counts.
+func (l *Lease) End(p Progress) {
+	if l != nil {
+		l.once.Do(func() { l.client.tell(l, p) })
+	}
+}
+
+// tell notes news for the holder.
+func (c *Client) tell(l *Lease, x Progress) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[l.at.Name]
+	if x != Begun {
+		p.open--
+	}
+	if len(p.news) == 0 {
+		c.Clock.AfterFunc(tellDelay, func() { c.report(p) })
+	}
+	p.news = append(p.news, News{ID: l.id, Service: l.service, Progress: x})
+}
+
+// report sends the news that p waits for.
+func (c *Client) report(p *correspondent) {
+	c.mu.Lock()
+	r := &Report{Host: c.Self, News: p.news}
+	p.news = nil
+	c.mu.Unlock()
+	if p.host.Name == c.Self {
+		c.Holder.tell(r)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	if err := c.Peers.Call(ctx, p.host.Addr, serviceName+".Tell", r, &Empty{}); err != nil {
+		c.Log.Info("report to the holder of a board lost", zap.String("Holder", p.host.Name), zap.Int("News", len(r.News)), journal.Error(err))
+	}
+}
+
+// Run tells the holders that have requests of this host that it is alive, until
+// ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	ticks := c.Clock.Subscribe(ctx, lifeInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks:
+			for _, p := range c.open() {
+				go c.report(p)
+			}
+		}
+	}
+}
+
+// open returns the holders that have requests of this host, and forgets others.
+func (c *Client) open() []*correspondent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*correspondent
+	for name, p := range c.peers {
+		switch {
+		case p.open > 0:
+			out = append(out, p)
+		case len(p.news) == 0:
+			delete(c.peers, name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placement/client_test.go
@@ -0,0 +1,172 @@
+package placement
+
+import (
+	"context"
+	"net/netip"
+	"net/rpc"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/peer"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+)
+
+// rig is a few hosts with a holder and a client each.
+type rig struct {
+	network *link.Memory
+	members *peer.Members
+	clients []*Client
+}
+
+func (r *rig) Members() *peer.Members { return r.members }
+
+func newRig(t *testing.T, hosts int) *rig {
+	t.Helper()
+	r := &rig{network: &link.Memory{Delay: 500 * time.Microsecond}}
+	var list []peer.Host
+	for i := range hosts {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 81)
+		list = append(list, peer.Host{Name: addr.String(), Addr: addr})
+	}
+	r.members = peer.NewMembers(list)
+	for _, h := range list {
+		r.start(t, h)
+	}
+	return r
+}
+
+func (r *rig) start(t *testing.T, h peer.Host) {
+	snapshot := &catalog.Snapshot{Targets: map[string][]*catalog.Target{"s": {{ID: "a", Slots: 4}, {ID: "b", Slots: 4}, {ID: "c", Slots: 4}}}}
+	c := &clock.Service{}
+	holder := &Holder{Clock: c, Catalog: func() *catalog.Snapshot { return snapshot }}
+	s := &peer.Server{RPC: rpc.NewServer()}
+	if err := holder.Register(s.RPC); err != nil {
+		t.Fatal(err)
+	}
+	l, err := r.network.Process(h.Addr.Addr()).Listen(h.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	client := &Client{Self: h.Name, Clock: c, Log: zap.NewNop(), Members: r, Peers: &peer.Caller{Net: r.network.Process(h.Addr.Addr())}, Holder: holder}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- client.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; l.Close(); s.Close(); client.Peers.Close() })
+	r.clients = append(r.clients, client)
+}
+
+func (r *rig) holder() int {
+	name := r.members.Holder("s").Name
+	for i, c := range r.clients {
+		if c.Self == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// state returns what the holder's board has at target: tokens to read and
+// requests.
+func (r *rig) state(target string) (reading float64, requests int) {
+	h := r.clients[r.holder()].Holder
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.boards["s"].targets[target]
+	if s == nil {
+		return 0, 0
+	}
+	return s.reading, len(s.runs)
+}
+
+func work() Work {
+	return Work{Service: "s", Parts: []Part{{ID: "p", Tokens: 4000}, {ID: "own", Tokens: 4000}}}
+}
+
+// TestHostsSpread sends requests of the same prompt from different hosts, each
+// of which sees its own alone: together they spread over the targets.
+func TestHostsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 6)
+		got := map[string]int{}
+		for _, c := range r.clients {
+			got[c.Choose(t.Context(), work()).Choice.Target]++
+		}
+		if diff := cmp.Diff(map[string]int{"a": 2, "b": 2, "c": 2}, got); diff != "" {
+			t.Errorf("requests by target (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestNews expects the holder to forget a request that has ended.
+func TestNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		l := r.clients[(r.holder()+1)%3].Choose(t.Context(), work())
+		l.Begun()
+		time.Sleep(2 * tellDelay)
+		if reading, n := r.state(l.Choice.Target); reading != 0 || n != 1 {
+			t.Errorf("after the first event: %v tokens to read, %d requests", reading, n)
+		}
+		l.End(Answered)
+		l.End(Abandoned)
+		time.Sleep(2 * tellDelay)
+		if _, n := r.state(l.Choice.Target); n != 0 {
+			t.Errorf("%d requests are kept", n)
+		}
+	})
+}
+
+// TestLostHolder cuts the holder off, and kills it: the next one answers within
+// the bound, and at once from then on.
+func TestLostHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		holder := r.members.Holder("s").Addr.Addr()
+		c := r.clients[(r.holder()+1)%3]
+		self, _ := r.members.Find(c.Self)
+		r.network.Cut(self.Addr.Addr(), holder)
+		for i, bound := range []time.Duration{chooseTimeout + 20*time.Millisecond, 20 * time.Millisecond} {
+			start := time.Now()
+			if l := c.Choose(t.Context(), work()); l == nil {
+				t.Errorf("request %d: no answer", i)
+			}
+			if took := time.Since(start); took > bound {
+				t.Errorf("request %d took %v, bound %v", i, took, bound)
+			}
+		}
+		r.network.Kill(holder)
+		time.Sleep(2 * downTime)
+		if l := c.Choose(t.Context(), work()); l == nil {
+			t.Error("no answer after the holder died")
+		}
+	})
+}
+
+// TestSilentHostIsForgotten expects requests of a host that died not to count
+// after hostLife, and those of a living one to go on counting.
+func TestSilentHostIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		dies, lives := r.clients[(r.holder()+1)%3], r.clients[(r.holder()+2)%3]
+		dies.Choose(t.Context(), work())
+		lives.Choose(t.Context(), work())
+		h, _ := r.members.Find(dies.Self)
+		r.network.Kill(h.Addr.Addr())
+		time.Sleep(hostLife + time.Second)
+		lives.Choose(t.Context(), work())
+		kept := 0
+		for _, target := range []string{"a", "b", "c"} {
+			_, n := r.state(target)
+			kept += n
+		}
+		if kept != 2 {
+			t.Errorf("%d requests are kept, want those of the living host, 2", kept)
+		}
+	})
+}
