Weigh shared prompt parts that are read again more

Change: readShare 0.5 to 2: a target without the parts counts as slower by twice the time to read them.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -24,9 +24,9 @@
 	// moveTime is what a target counts as slower that lies in another domain than
 	// large inputs.
 	moveTime = 80 * time.Millisecond
-	// readShare is the part of the time to read shared tokens again by which a
+	// readShare is how many times the time to read shared tokens again by which a
 	// target without them counts as slower still, since others pay for it too.
-	readShare = 0.5
+	readShare = 2
 	// hashShare is the part by which the order of rendezvous hashing tells between
 	// targets that are alike.
 	hashShare = 0.15
