Reckon with the time of the calls that will be formed

The order by due time held jobs for on time that a call of one piece at the usual speed would serve (0.151 s); the calls formed took 0.31 s.

Change: what can't be on time is told by the call that the waiting pieces make up, at the pace of the targets. TestOverloadOnTime failed before (21 of 96 late, none now).

--- a/internal/stage/former_test.go
+++ b/internal/stage/former_test.go
@@ -236,3 +236,46 @@
 		}
 	})
 }
+
+// TestOverloadOnTime lets more than twice as many pieces arrive as the target
+// can make, which takes longer than its figures say: most of what is made has to
+// be on time. A former that reckoned with calls of one piece at the usual speed
+// made much of it a little late.
+func TestOverloadOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := testPool()
+		pool.CallTime, pool.PieceTime = testCallTime*2/3, testPieceTime/2
+		f := newFormer(t, &fakePool{}, 1, pool)
+		const due, jobs, spacing = 500 * time.Millisecond, 200, 20 * time.Millisecond
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		onTime, late := 0, 0
+		for i := range jobs {
+			time.Sleep(spacing)
+			wg.Go(func() {
+				j := testJob(fmt.Sprint(i), 2)
+				j.Due, j.Left, j.PieceBytes = due, 2*time.Second, 1
+				j.Worth = float64(2*jobs - i) // what is nearly late is worth most
+				start := time.Now()
+				o := f.Submit(t.Context(), j)
+				took := time.Since(start)
+				f.Free(o.Results)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case o.Fault != None:
+				case took <= due:
+					onTime++
+				default:
+					late++
+				}
+			})
+		}
+		wg.Wait()
+		// Full calls make 8 pieces, or 4 jobs, in 180 ms.
+		most := int(4 * jobs * spacing / (testCallTime + 8*testPieceTime))
+		if onTime < most*3/4 || late*20 > onTime+late {
+			t.Errorf("%d jobs were on time and %d late, at most %d can be on time", onTime, late, most)
+		}
+	})
+}
--- a/internal/stage/line.go
+++ b/internal/stage/line.go
@@ -145,8 +145,29 @@
 // workerMemory is how long the figures of an unused target are kept.
 const workerMemory = time.Minute
 
-// tooLate reports whether j can't be on time any more.
-func (l *line) tooLate(j *job, now time.Time) bool { return j.due.Before(now.Add(l.expected(1))) }
+// callTime is how long a call takes that is formed now, with its share of the
+// pieces that wait and at the pace of the targets.
+func (l *line) callTime() time.Duration {
+	pieces, pace, n := 0, 0.0, 0
+	for _, j := range l.jobs {
+		pieces += len(j.waiting)
+	}
+	for _, t := range l.targets {
+		if w := l.workers[t.ID]; w != nil {
+			pace += w.pace
+			n++
+		}
+	}
+	if n == 0 {
+		pace, n = 1, 1
+	}
+	share := max(1, min(l.pool.Batch, pieces/max(1, len(l.targets))))
+	return time.Duration(float64(l.expected(share)) * pace / float64(n))
+}
+
+// tooLate reports whether j can't be on time any more where a call takes that
+// long.
+func tooLate(j *job, call time.Duration, now time.Time) bool { return j.due.Before(now.Add(call)) }
 
 // dispatch forms calls for the targets that have a free slot.
 func (f *Former) dispatch(l *line) {
--- a/internal/stage/order.go
+++ b/internal/stage/order.go
@@ -16,20 +16,20 @@
 // among those so far goes.
 func (l *line) order(now time.Time) {
 	sort.SliceStable(l.jobs, func(i, k int) bool { return l.jobs[i].due.Before(l.jobs[k].due) })
-	piece := l.perPiece()
+	piece, call := l.perPiece(), l.callTime()
 	end := now
 	var kept jobHeap
 	for _, j := range l.jobs {
 		if len(j.waiting) == 0 {
 			continue
 		}
-		j.behind = l.tooLate(j, now)
+		j.behind = tooLate(j, call, now)
 		if j.behind {
 			continue
 		}
 		heap.Push(&kept, j)
 		end = end.Add(time.Duration(len(j.waiting)) * piece)
-		for end.Add(l.expected(1)).After(j.due) && len(kept) > 0 {
+		for end.Add(call).After(j.due) && len(kept) > 0 {
 			least := heap.Pop(&kept).(*job)
 			least.behind = true
 			end = end.Add(-time.Duration(len(least.waiting)) * piece)
--- a/internal/stage/outlook.go
+++ b/internal/stage/outlook.go
@@ -9,10 +9,10 @@
 	if l.pool == nil || len(l.targets) == 0 {
 		return Outlook{}
 	}
-	ahead, all := 0, 0
+	ahead, all, call := 0, 0, l.callTime()
 	for _, j := range l.jobs {
 		all += len(j.waiting)
-		if !l.tooLate(j, now) {
+		if !tooLate(j, call, now) {
 			ahead += len(j.waiting)
 		}
 	}
