Wait for the own domain while in time, and when late anyway

At a crest every job had used up its slack, so that the first free target of any domain took it; carrying the inputs of a job that is late costs more than it is worth.

Change: a job with large inputs waits for a target of its domain as long as it can be on time there, reckoned with the time until one of that domain's targets is next free, and always if it can't be on time; a call takes jobs of its own domain first. The fixed patience of 400 ms goes. TestOwnDomain and TestCallOfOneDomain failed before.

--- a/internal/stage/choose.go
+++ b/internal/stage/choose.go
@@ -38,20 +38,23 @@
 	return w.pace < best.pace
 }
 
-// wantsDomain reports whether j should wait for a target of its own domain.
+// wantsDomain reports whether j should wait for a target of its own domain: as
+// long as it can be on time nevertheless, or if it can't be on time anyway.
 func (l *line) wantsDomain(j *job, now time.Time) bool {
-	if j.Domain == "" || j.MoveBytes < largeMove || now.Sub(j.arrived) > domainPatience {
-		return false
-	}
-	if j.due.Sub(now) < domainSlack*l.expected(min(j.Pieces, l.pool.Batch)) {
+	if j.Domain == "" || j.MoveBytes < largeMove {
 		return false
 	}
+	own := 0
 	for _, t := range l.targets {
 		if t.Domain == j.Domain && !l.worker(t.ID).pausedUntil.After(now) {
-			return true
+			own++
 		}
 	}
-	return false
+	if own == 0 {
+		return false
+	}
+	call := l.callTime()
+	return j.behind || !tooLate(j, call+call/time.Duration(own), now)
 }
 
 func (l *line) free(w *worker, now time.Time) bool {
@@ -100,14 +103,17 @@
 func (l *line) form(j *job, w *worker, t *catalog.Target, now time.Time) *call {
 	c := &call{}
 	bytes := c.add(j, l.pieces(j, w, now))
-	for _, other := range l.jobs {
-		if len(c.parts) >= l.pool.Batch {
-			break
-		}
-		if other == j || len(other.waiting) == 0 || l.wantsDomain(other, now) && other.Domain != t.Domain {
-			continue
+	for _, own := range []bool{true, false} {
+		for _, other := range l.jobs {
+			if len(c.parts) >= l.pool.Batch {
+				break
+			}
+			near := other.Domain == t.Domain || other.Domain == "" || other.MoveBytes < largeMove
+			if other == j || len(other.waiting) == 0 || near != own || !own && l.wantsDomain(other, now) {
+				continue
+			}
+			bytes += c.add(other, l.fitting(other, w, len(c.parts), bytes, now))
 		}
-		bytes += c.add(other, l.fitting(other, w, len(c.parts), bytes, now))
 	}
 	if len(c.parts) == 0 {
 		return nil
--- a/internal/stage/former_test.go
+++ b/internal/stage/former_test.go
@@ -279,3 +279,66 @@
 		}
 	})
 }
+
+// domainJob is a job whose inputs are large and lie in domain.
+func domainJob(id, domain string, due time.Duration) Job {
+	j := testJob(id, 2)
+	j.Domain, j.MoveBytes, j.PieceBytes, j.Due = domain, 2*largeMove, 1, due
+	return j
+}
+
+// TestOwnDomain expects jobs with large inputs to wait for the target of their
+// domain, t0, while they can be on time there or can't be on time anywhere, and
+// to go elsewhere when only that is in time.
+func TestOwnDomain(t *testing.T) {
+	full := testCallTime + 8*testPieceTime
+	for _, test := range []struct {
+		due  time.Duration
+		want string
+	}{
+		{4 * full, "t0"},
+		{full * 3 / 2, "t1"},
+		{0, "t0"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			pool := &fakePool{}
+			f := newFormer(t, pool, 2, testPool())
+			first := testJob("first", 8)
+			first.Domain, first.MoveBytes, first.PieceBytes = "d0", 2*largeMove, 1
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			wg.Go(func() { f.Submit(t.Context(), first) })
+			time.Sleep(time.Millisecond)
+			o := f.Submit(t.Context(), domainJob("r", "d0", test.due))
+			if o.Fault != None || o.Results[0].Target != test.want {
+				t.Errorf("due in %v: %v at %v, want %s", test.due, o.Fault, o.Results, test.want)
+			}
+		})
+	}
+}
+
+// TestCallOfOneDomain expects a call to take the jobs of its target's domain
+// before others that came earlier.
+func TestCallOfOneDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFormer(t, &fakePool{}, 2, testPool())
+		var wg sync.WaitGroup
+		for i := range 2 {
+			busy := testJob(fmt.Sprint("busy", i), 8)
+			busy.PieceBytes = 1
+			wg.Go(func() { f.Submit(t.Context(), busy) })
+		}
+		time.Sleep(time.Millisecond)
+		for i := range 8 {
+			domain := fmt.Sprintf("d%d", i%2)
+			wg.Go(func() {
+				o := f.Submit(t.Context(), domainJob(fmt.Sprint(i), domain, 350*time.Millisecond+time.Duration(i)))
+				if o.Fault != None || o.Results[0].Domain != domain {
+					t.Errorf("job %d of %s: %v, %v", i, domain, o.Fault, o.Results)
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+	})
+}
--- a/internal/stage/line.go
+++ b/internal/stage/line.go
@@ -11,11 +11,8 @@
 	// maxFailures is the number of failures of each piece after which a job ends.
 	maxFailures = 2
 	// largeMove is the size in bytes from which a job waits for a target in its
-	// own domain, at most for domainPatience and while domainSlack calls fit into
-	// the time that is left.
-	largeMove      = 256 << 10
-	domainPatience = 400 * time.Millisecond
-	domainSlack    = 2
+	// own domain.
+	largeMove = 256 << 10
 	// rejectPause, roomPause and failPause keep a target from new calls. The first
 	// doubles up to maxRejectDoubling times.
 	rejectPause       = 40 * time.Millisecond
