Find the other hosts at once after a start

Change: all seeds are asked at the start and every 100 ms until one answers, for 2 s. TestJoinAtOnce failed before.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -31,6 +31,10 @@
 	// retryEvery is the number of beats between two tries to reach a host that is
 	// gone or a seed that was never met.
 	retryEvery = 5
+	// joinInterval is the time between two tries to reach all seeds after the
+	// start, while none has answered; there are maxJoins.
+	joinInterval = 100 * time.Millisecond
+	maxJoins     = 20
 	// syncInterval is the least time between two whole exchanges that differing
 	// digests cause.
 	syncInterval = 5 * time.Second
@@ -72,6 +76,7 @@
 	watched  []Host
 	next     int
 	beats    int
+	joins    int
 	rand     *rand.Rand
 	news     Push
 	flush    <-chan struct{}
@@ -184,17 +189,25 @@
 	if x.ownCaller {
 		defer x.Caller.Close()
 	}
-	if err := x.Clock.Sleep(ctx, x.phase()); err != nil {
-		return err
-	}
-	beat := x.Clock.Subscribe(ctx, beatInterval)
-	x.retry()
+	x.join()
+	var beat <-chan time.Time
+	first, _ := x.Clock.After(x.phase())
+	again, _ := x.Clock.After(joinInterval)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case f := <-x.commands:
 			f()
+		case <-first:
+			first, beat = nil, x.Clock.Subscribe(ctx, beatInterval)
+			x.retry()
+		case <-again:
+			again = nil
+			if len(x.watched) == 0 && x.joins < maxJoins {
+				x.join()
+				again, _ = x.Clock.After(joinInterval)
+			}
 		case <-beat:
 			x.round()
 		case <-x.flush:
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -111,6 +111,15 @@
 	}()
 }
 
+// join tries to reach every seed: until one answers, this host believes that it
+// holds everything.
+func (x *Exchange) join() {
+	x.joins++
+	for _, s := range x.Seeds {
+		x.sync(s)
+	}
+}
+
 // retry tries to reach one host that is gone or a seed that is no member, so
 // that parts of the system that were cut from each other find together again.
 func (x *Exchange) retry() {
