Wait shortly for changes after an outage of the store

Ruled out: a read without an answer (it came, after exactly its wait), the relay (34 failures before, none after), the readers (8 hosts, each reads for itself).

Change: reads wait for a second at most for 5 s after an outage, as they did after a start. TestChangeAfterOutage failed before (version 1 in force 2 s after the outage).

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -55,9 +55,11 @@
 // Times of the follower.
 const (
 	// minWait is the least time that a read waits for a change. Reads wait no longer
-	// for startTime after the start: the host may turn out to read for others.
-	minWait   = time.Second
-	startTime = 5 * time.Second
+	// for settleTime after the start, since the host may turn out to read for
+	// others, and after an outage, since a store that has just come back may leave
+	// a waiting read unaware of a change until its wait is over.
+	minWait    = time.Second
+	settleTime = 5 * time.Second
 	// readTimeout bounds a read beyond the time that it asks to wait.
 	readTimeout = 700 * time.Millisecond
 	// targetPause is the time between two reads of the targets, which collects
@@ -99,7 +101,6 @@
 	// OnChange, unless nil, is called after each new snapshot.
 	OnChange func(*Snapshot)
 
-	started  time.Time
 	snapshot atomic.Pointer[Snapshot]
 	// asking says that this host gets what is new from a reader.
 	asking atomic.Bool
@@ -122,6 +123,8 @@
 	lastRead   time.Time
 	lastTable  time.Time
 	graceUntil time.Time
+	// settled is the time until which reads wait for a short time only.
+	settled time.Time
 }
 
 // Snapshot returns what is in force; it is never nil.
@@ -140,7 +143,7 @@
 
 // Run follows both streams until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.started = f.Clock.Now()
+	f.settle()
 	var wg sync.WaitGroup
 	wg.Go(func() { f.followTable(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
@@ -164,7 +167,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		link.result(err)
+		if link.result(err) {
+			f.settle()
+		}
 		if err != nil {
 			f.relay(ctx, link.failures)
 			wait = 0
@@ -200,12 +205,21 @@
 	if wait := f.askWait(); wait > 0 {
 		return wait
 	}
-	if f.Clock.Since(f.started) < startTime {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.Clock.Now().Before(f.settled) {
 		return minWait
 	}
 	return max(minWait, f.Wait)
 }
 
+// settle keeps the waits of reads short for a while.
+func (f *Follower) settle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settled = f.Clock.Now().Add(settleTime)
+}
+
 func (f *Follower) noteTable() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -240,18 +254,21 @@
 	failures int
 }
 
-func (d *dependency) result(err error) {
+// result takes the outcome of a read and reports whether it ends an outage.
+func (d *dependency) result(err error) (regained bool) {
 	switch {
 	case err != nil && d.failures == 0:
 		d.log.Warn("dependency lost", zap.String("Dependency", d.name), journal.Error(err))
 	case err == nil && d.failures > 0:
 		d.log.Info("dependency regained", zap.String("Dependency", d.name), zap.Int("Failures", d.failures))
+		regained = true
 	}
 	if err == nil {
 		d.failures = 0
 	} else {
 		d.failures++
 	}
+	return regained
 }
 
 // Register adds the service by which peers ask for what this host has.
--- /dev/null
+++ b/internal/catalog/settle_test.go
@@ -0,0 +1,65 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"go.uber.org/zap"
+)
+
+// deafFeed is a store that is away until back. A read of configurations that
+// waits when the store has just come back does not hear of the change made then,
+// and returns it only when its wait is over.
+type deafFeed struct {
+	back time.Time
+}
+
+func (d *deafFeed) ReadTable(ctx context.Context, from Offset, wait time.Duration) (TableNews, error) {
+	if time.Now().Before(d.back) {
+		return TableNews{}, errors.New("the store is away")
+	}
+	if from == Start {
+		return TableNews{Table: &Table{Version: 1}, Next: 1}, nil
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return TableNews{}, ctx.Err()
+	}
+	if from > 1 {
+		return TableNews{Next: from}, nil
+	}
+	return TableNews{Table: &Table{Version: 2}, Next: 2}, nil
+}
+
+func (d *deafFeed) ReadTargets(ctx context.Context, _ Offset, wait time.Duration) (TargetNews, error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return TargetNews{}, ctx.Err()
+	}
+	return TargetNews{Whole: true, Next: 1}, nil
+}
+
+// TestChangeAfterOutage expects a change that is made when the store has just
+// come back to be in force within ApplyTime.
+func TestChangeAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage, apply = 9 * time.Second, 2 * time.Second
+		feed := &deafFeed{back: time.Now().Add(outage)}
+		f := &Follower{Feed: feed, Clock: &clock.Service{}, Log: zap.NewNop(), Wait: 3500 * time.Millisecond, ApplyTime: apply}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(outage + apply)
+		if table := f.Snapshot().Table; table == nil || table.Version != 2 {
+			t.Errorf("in force %v after the outage: %+v", apply, table)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -38,7 +38,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		link.result(err)
+		if link.result(err) {
+			f.settle()
+		}
 		if err != nil {
 			f.noteFailure(f.relay(ctx, link.failures))
 			wait = 0
@@ -56,14 +58,15 @@
 // nextWait is how long the next read waits: a lapsed entry needs a look when its
 // grace ends.
 func (f *Follower) nextWait() time.Duration {
+	wait := f.wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, r := range f.targets {
 		if r.lapsed {
-			return min(f.wait(), max(retryPause, f.graceUntil.Sub(f.Clock.Now())))
+			return min(wait, max(retryPause, f.graceUntil.Sub(f.Clock.Now())))
 		}
 	}
-	return f.wait()
+	return wait
 }
 
 // known is the offset up to which the targets are known.
