Keep a target's connection whose request was written whole

Whether the request had been written was asked right after the head of the answer; under load the goroutine that had written it had not yet said so, and the connection was closed as if the rest were still on its way, so that the next request met a new connection, which the script answers from its start. Ruled out: the look for bytes on a kept connection (it was never kept).

Change: a request without a body is written before the answer is awaited; for one with a body the question is asked at the end of the answer's body.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -123,28 +123,24 @@
 	return &connection{Conn: conn, addr: addr, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
 
-// exchange writes r and reads the head of its answer. The body is written while
+// exchange writes r and reads the head of its answer. A body is written while
 // the answer is awaited, since a target may answer before it has read it all.
 func (c *Client) exchange(conn *connection, r *Request) (*Answer, error) {
 	req, err := newRequest(r)
 	if err != nil {
 		return nil, err
 	}
-	wrote := make(chan error, 1)
-	go func() { wrote <- writeRequest(conn, req) }()
+	conn.wrote = make(chan error, 1)
+	if req.Body == nil {
+		conn.wrote <- writeRequest(conn, req)
+	} else {
+		go func() { conn.wrote <- writeRequest(conn, req) }()
+	}
 	resp, err := readAnswer(conn, req, r.Echoed)
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case err := <-wrote:
-		conn.spent = err != nil
-	default:
-		// The rest of the body is still on its way; bytes of another request must
-		// not follow it.
-		conn.spent = true
-	}
-	conn.spent = conn.spent || resp.Close
+	conn.spent = resp.Close
 	conn.noteKeepAlive(resp.Header)
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Framed: framed, Length: resp.ContentLength}, nil
@@ -254,7 +250,7 @@
 	}
 	b.done = true
 	// A stop that comes too late means that the connection is being closed.
-	if b.stop() && keep && !b.conn.spent && b.conn.reader.Buffered() == 0 {
+	if b.stop() && keep && !b.conn.spent && b.conn.whole() && b.conn.reader.Buffered() == 0 {
 		b.client.idle.put(b.conn, b.client.Clock.Now())
 		return
 	}
@@ -268,11 +264,24 @@
 	reader *bufio.Reader
 	// spent connections are closed after their answer.
 	spent bool
+	// wrote gets the outcome of writing the request.
+	wrote chan error
 	// keep is how long the target keeps the connection idle; zero if unsaid.
 	keep time.Duration
 	// since is the time of the last use.
 	since time.Time
 }
 
+// whole reports whether the request was written to its end: the rest of one that
+// is still on its way must not be followed by another request.
+func (c *connection) whole() bool {
+	select {
+	case err := <-c.wrote:
+		return err == nil
+	default:
+		return false
+	}
+}
+
 // abort closes the connection. Closing, and not a deadline, tells the target.
 func (c *connection) abort() { c.Close() }
