--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,6 +13,7 @@
 	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 )
 
@@ -89,6 +90,7 @@
 		if t := s.place(ctx, targets); t != nil {
 			return t
 		}
+		metrics.GetOrRegisterCounter("Placement.OwnChoices", s.h.Metrics).Inc(1)
 	}
 	return s.h.Fleet.Choose(targets, fleet.Want{Home: s.q.home(), Except: s.tried, Domain: s.domain})
 }
@@ -104,6 +106,7 @@
 	if l == nil {
 		return nil
 	}
+	s.h.histogram("Placement.Took").Update(int64(s.h.Clock.Since(start)))
 	s.h.Log.Info("target chosen", zap.String("RequestID", s.q.ID), zap.String("Target", l.Choice.Target), zap.Duration("Expected", l.Choice.Expected),
 		zap.Int("Reading", l.Choice.Reading), zap.Int("Cached", l.Choice.Cached), zap.Int("Except", len(except)), zap.Duration("Took", s.h.Clock.Since(start)))
 	for _, t := range targets {
