--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -161,6 +161,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peers[l.at.Name]
+	if p == nil {
+		return // the request has ended already
+	}
 	if x != Begun {
 		p.open--
 	}
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -69,10 +69,13 @@
 	start := c.Clock.Now()
 	due, left := j.Due, j.Left
 	sent := false
-	var firstLoss time.Time
+	var moved time.Time // when the first holder was given up
 	for moves := 0; ; moves++ {
+		if moves == 1 {
+			moved = c.Clock.Now()
+		}
 		host := c.holderOf(j.Service)
-		if moves >= maxMoves || moves > 1 && c.Clock.Since(firstLoss) > moveTime {
+		if moves >= maxMoves || moves > 0 && c.Clock.Since(moved) > moveTime {
 			host = peer.Host{Name: c.Self}
 		}
 		passed := c.Clock.Since(start)
@@ -100,13 +103,11 @@
 		c.Log.Warn("holder of a service lost", zap.String("Service", j.Service), zap.String("Holder", host.Name),
 			zap.String("RequestID", j.RequestID), zap.Int("Stage", j.Stage), journal.Error(err))
 		c.lose(host, err)
-		if firstLoss.IsZero() {
-			firstLoss = c.Clock.Now()
-		}
 	}
 }
 
-// runAt runs j at host until it answers, falls silent or ctx ends.
+// runAt runs j at host until it answers, falls silent or ctx ends. It asks again
+// when the connection breaks; the former knows j by its ID.
 func (c *Client) runAt(ctx context.Context, host peer.Host, j Job) (Outcome, error) {
 	lost := c.enter(host)
 	defer c.leave(host)
