--- a/internal/stage/holder.go
+++ b/internal/stage/holder.go
@@ -155,7 +155,8 @@
 func (c *Client) lookAgain(ctx context.Context, host peer.Host) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	if c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &SignOfLife{Host: c.Self}, &map[string]Outlook{}) != nil {
+	if err := c.Peers.Call(ctx, host.Addr, serviceName+".Ping", &SignOfLife{Host: c.Self}, &map[string]Outlook{}); err != nil {
+		c.Log.Debug("holder is still gone", zap.String("Holder", host.Name), journal.Error(err))
 		return
 	}
 	c.mu.Lock()
