Look for calls at less cost while targets are busy

At t 18, in a crest, 88 of 89 hosts took the former of two services for silent, and its jobs moved to another one and back until t 24. Each look for a call reckoned the time of a call for each waiting job anew, over all jobs, so that its cost grew with the square of the queue, and each arrival paid it although no target was free. Ruled out: a loss of the host (it went on answering later), the links.

Change: the time of a call is reckoned once an order of the jobs; nothing is ordered while no target has a free slot. TestBusyTargets failed before.

--- a/internal/stage/choose.go
+++ b/internal/stage/choose.go
@@ -53,14 +53,23 @@
 	if own == 0 {
 		return false
 	}
-	call := l.callTime()
-	return j.behind || !tooLate(j, call+call/time.Duration(own), now)
+	return j.behind || !tooLate(j, l.call+l.call/time.Duration(own), now)
 }
 
 func (l *line) free(w *worker, now time.Time) bool {
 	return w.calls < max(1, l.pool.Slots) && !w.pausedUntil.After(now)
 }
 
+// anyFree reports whether any target has a free slot.
+func (l *line) anyFree(now time.Time) bool {
+	for _, t := range l.targets {
+		if l.free(l.worker(t.ID), now) {
+			return true
+		}
+	}
+	return false
+}
+
 // fastest returns the least pace among the usable targets.
 func (l *line) fastest(now time.Time) float64 {
 	least := 0.0
--- a/internal/stage/former_test.go
+++ b/internal/stage/former_test.go
@@ -342,3 +342,43 @@
 		wg.Wait()
 	})
 }
+
+// crowded returns a former with 500 jobs of four domains before 20 targets in
+// use, and its queue.
+func crowded(pool *catalog.Pool) (*Former, *line) {
+	now := time.Now()
+	l := &line{service: "s", pool: pool, workers: map[string]*worker{}}
+	s := &catalog.Snapshot{Table: &catalog.Table{Services: map[string]*catalog.Service{"s": {Name: "s", Pool: pool}}}, Targets: map[string][]*catalog.Target{}}
+	for i := range 20 {
+		t := &catalog.Target{ID: fmt.Sprint(i), Service: "s", Domain: fmt.Sprintf("d%d", i%4)}
+		s.Targets["s"] = append(s.Targets["s"], t)
+		l.worker(t.ID).calls = 1
+	}
+	for i := range 500 {
+		j := domainJob(fmt.Sprint(i), fmt.Sprintf("d%d", i%4), time.Second)
+		l.jobs = append(l.jobs, &job{Job: j, due: now.Add(time.Hour - time.Duration(i)), waiting: []int{0, 1}, missing: 2})
+	}
+	return &Former{Clock: &clock.Service{}, Log: zap.NewNop(), Catalog: func() *catalog.Snapshot { return s }}, l
+}
+
+// TestBusyTargets expects jobs not to be put in order while no target is free:
+// every arrival at a crest would pay for it.
+func TestBusyTargets(t *testing.T) {
+	pool := testPool()
+	f, l := crowded(&pool)
+	f.dispatch(l)
+	if l.jobs[0].ID != "0" {
+		t.Error("the jobs were put in order while every target was in use")
+	}
+}
+
+// BenchmarkDispatch looks for calls while the only target with a free slot has
+// no room.
+func BenchmarkDispatch(b *testing.B) {
+	pool := testPool()
+	f, l := crowded(&pool)
+	l.worker("0").calls, l.worker("0").held = 0, pool.RoomBytes
+	for b.Loop() {
+		f.dispatch(l)
+	}
+}
--- a/internal/stage/line.go
+++ b/internal/stage/line.go
@@ -46,6 +46,8 @@
 	targets []*catalog.Target
 	jobs    []*job
 	workers map[string]*worker
+	// call is the time of a call as it was when the jobs were last ordered.
+	call time.Duration
 
 	// measured is the time in which the targets make one piece while jobs wait.
 	// busySince is when jobs began to wait, busyMade the pieces made since.
@@ -176,6 +178,9 @@
 		return
 	}
 	now := f.Clock.Now()
+	if !l.anyFree(now) {
+		return
+	}
 	l.order(now)
 	for i := 0; i < len(l.jobs); {
 		j := l.jobs[i]
--- a/internal/stage/order.go
+++ b/internal/stage/order.go
@@ -16,7 +16,8 @@
 // among those so far goes.
 func (l *line) order(now time.Time) {
 	sort.SliceStable(l.jobs, func(i, k int) bool { return l.jobs[i].due.Before(l.jobs[k].due) })
-	piece, call := l.perPiece(), l.callTime()
+	l.call = l.callTime()
+	piece, call := l.perPiece(), l.call
 	end := now
 	var kept jobHeap
 	for _, j := range l.jobs {
