link, gateway, host: answer the requests that were accepted before a stop

Cause: http.Server.Shutdown drops a request whose head is still being read: the connection's loop returns without an answer once the server is shutting down. A request on a connection that was accepted just before a planned stop, or before new limits of the configuration replaced the callers' server, ended so. And the drain ended as soon as no request was running, though an accepted connection might have one on its way. Ruled out: the listener (it hands over what it accepted) and the close of idle connections, which a caller sees before it has sent anything. Change: link.Server counts its connections and drains them with keep-alives off; both programs use it. The gateway's drain waits until no connection can carry a request, within the grace period. The product's own interface had the same fault.

--- a/internal/gateway/caller_server.go
+++ b/internal/gateway/caller_server.go
@@ -15,6 +15,7 @@
 
 // Limits on callers' connections where the configuration sets no others.
 const (
+	defaultBodyBytes     = 8 << 20
 	defaultHeaderBytes   = 16 << 10
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
@@ -24,8 +25,7 @@
 )
 
 // callerServer serves callers over HTTP. The limits of an http.Server are fixed
-// while it runs, so new limits start a new server; the old one shuts down once its
-// connections are idle.
+// while it runs, so new limits start a new server, and the old one drains.
 type callerServer struct {
 	host     *Host
 	listener net.Listener
@@ -33,7 +33,7 @@
 
 	mu      sync.Mutex
 	limits  catalog.Limits
-	server  *http.Server
+	server  *link.Server
 	conns   chan net.Conn
 	stopped bool
 
@@ -41,12 +41,14 @@
 	shutdownCtx    context.Context
 	cancelShutdown context.CancelFunc
 	shutdowns      sync.WaitGroup
+	// quiet is closed after stop, once every connection is closed.
+	quiet chan struct{}
 }
 
 // start starts serving l.
 func (s *callerServer) start(h *Host, l net.Listener) {
 	s.host, s.listener = h, l
-	s.done = make(chan struct{})
+	s.done, s.quiet = make(chan struct{}), make(chan struct{})
 	s.shutdownCtx, s.cancelShutdown = context.WithCancel(context.Background())
 	s.conns = make(chan net.Conn)
 	s.mu.Lock()
@@ -90,10 +92,11 @@
 	if s.limits.IdleTimeout > 0 {
 		server.IdleTimeout = s.limits.IdleTimeout
 	}
-	s.server = server
 	l := &sharedListener{parent: s, closed: make(chan struct{})}
+	s.server = link.NewServer(s.host.Clock, server, l)
+	started := s.server
 	go func() {
-		if err := link.IgnoreClosed(server.Serve(l)); err != nil {
+		if err := started.Serve(); err != nil {
 			s.host.Log.Error("caller server failed", journal.Error(err))
 		}
 	}()
@@ -112,7 +115,7 @@
 	s.shutdowns.Go(func() {
 		ctx, cancel := context.WithTimeout(s.shutdownCtx, replacedServerTimeout)
 		defer cancel()
-		if err := old.Shutdown(ctx); err != nil {
+		if err := old.Drain(ctx); err != nil {
 			s.host.Log.Warn("connections still open on a server with replaced limits", journal.Error(err))
 		}
 	})
@@ -129,10 +132,25 @@
 	s.listener.Close()
 	close(s.done)
 	s.shutdowns.Go(func() {
-		if err := s.server.Shutdown(s.shutdownCtx); err != nil {
+		if err := s.server.Drain(s.shutdownCtx); err != nil {
 			s.host.Log.Info("connections still open at shutdown", journal.Error(err))
 		}
 	})
+	go func() {
+		s.shutdowns.Wait()
+		close(s.quiet)
+	}()
+}
+
+// busy reports whether a connection may still carry a request: it has one, or was
+// accepted lately and has sent none so far.
+func (s *callerServer) busy() bool {
+	select {
+	case <-s.quiet:
+		return false
+	default:
+		return true
+	}
 }
 
 // close closes all connections.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -193,7 +193,7 @@
 	start := h.Clock.Now()
 	h.Clock.Sleep(ctx, min(drainAcceptTime, grace))
 	h.callerServer.stop()
-	for h.openRequests.Load() > 0 && h.Clock.Since(start) < grace {
+	for (h.openRequests.Load() > 0 || h.callerServer.busy()) && h.Clock.Since(start) < grace {
 		h.Clock.Sleep(ctx, drainPollInterval)
 	}
 	h.abort(errShuttingDown)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -55,7 +54,7 @@
 	draining       atomic.Bool
 	callerListener net.Listener
 	peerListener   net.Listener
-	server         *http.Server
+	server         *link.Server
 }
 
 // Run serves until ctx ends and then drains: the host reports that it is not
@@ -74,7 +73,7 @@
 	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr))
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	h.server = newServer(h.handler())
+	h.server = link.NewServer(h.Clock, newServer(h.handler()), h.callerListener)
 	g, groupCtx := errgroup.WithContext(background)
 	g.Go(func() error { return h.Follower.Run(groupCtx) })
 	g.Go(func() error { return h.Exchange.Run(groupCtx) })
@@ -85,7 +84,7 @@
 	g.Go(func() error { return h.Leases.Run(groupCtx) })
 	g.Go(func() error { return h.Orders.Run(groupCtx) })
 	g.Go(func() error { return h.PeerServer.Serve(h.peerListener) })
-	g.Go(func() error { return link.IgnoreClosed(h.server.Serve(h.callerListener)) })
+	g.Go(h.server.Serve)
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -140,8 +139,8 @@
 func (h *Host) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	if h.server.Shutdown(ctx) != nil {
-		h.server.Close()
+	if err := h.server.Drain(ctx); err != nil {
+		h.Log.Info("caller connections still open at the end of the drain", zap.Error(err))
 	}
 	h.peerListener.Close()
 	h.PeerServer.Close()
