upstream, gateway, platform, peer: bound what others may send without end

A body over its limit was cut by a LimitReader and, where no length was declared, passed on as whole. 64 MiB each was more than a few responses leave a host. An event without data, or one the caller had, counted as progress, so that a stalled stream never went on elsewhere. Ruled out: trailers and chunk headers, which net/http bounds by its buffer; event size, which was bounded. Response.ReadAll returns a body whole or an error, 16 MiB at most, and large bodies share an eighth of the host's memory. Result: TestEndless (13 forms), TestEndlessMemory (50 such targets at once under the memory of the smallest host, 144 MB, with a sound target answering beside them), TestReadAll, TestMessageLimit, TestEndlessResponses, FuzzResponse. TestSignsOfLifeAreNoProgress fails in 3 of 4 cases with the events of before (the stream hangs until its deadline, 9 s).

--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -15,6 +15,7 @@
 	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/stage"
+	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/internal/workspace"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -108,6 +109,14 @@
 	return &crash.Table{Self: x.Self.Name, Clock: c, Exchange: x, Peers: caller, Limit: maxCrashes}
 }
 
+// responseMemoryShare is the part of a host's memory that large responses may take
+// together.
+const responseMemoryShare = 0.125
+
+func provideResponseMemory(s *settings.Gateway) *upstream.MemoryBudget {
+	return &upstream.MemoryBudget{Bytes: int64(responseMemoryShare * float64(s.MemoryMB) * (1 << 20))}
+}
+
 func providePeerCaller(n link.Network) *peer.Caller { return &peer.Caller{Net: n} }
 
 func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -23,6 +23,9 @@
 	// id is the event's number; valid if hasID is set.
 	id    int64
 	hasID bool
+	// hasData is set if the event has a data line. An event without data or a number
+	// is no progress of the stream.
+	hasData bool
 }
 
 // eventReader splits a stream into events.
@@ -54,12 +57,13 @@
 		if len(text) == 0 && line[len(line)-1] == '\n' {
 			return ev, nil
 		}
-		ev.readID(text)
+		ev.readField(text)
 	}
 }
 
-// readID sets the event's number if line is an id line.
-func (ev *event) readID(line []byte) {
+// readField takes the event's number from an id line and notes a data line.
+func (ev *event) readField(line []byte) {
+	ev.hasData = ev.hasData || bytes.HasPrefix(line, []byte("data"))
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
 		return
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -41,9 +41,11 @@
 	Balancer   *fleet.Balancer
 	Placement  *placement.Client
 	Upstream   *upstream.Client
-	Repeats    *workspace.RepeatBudget
-	Crashes    *crash.Table
-	Metrics    metrics.Registry
+	// ResponseMemory bounds the memory of large responses that are not streams.
+	ResponseMemory *upstream.MemoryBudget
+	Repeats        *workspace.RepeatBudget
+	Crashes        *crash.Table
+	Metrics        metrics.Registry
 
 	callerServer callerServer
 	draining     atomic.Bool
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -180,11 +180,12 @@
 const worthExponent = 0.75
 
 // readBody reads the complete body; limit is its maximum size in bytes, or zero
-// for none.
+// for defaultBodyBytes.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	if limit == 0 {
+		limit = defaultBodyBytes
 	}
+	r.Body = http.MaxBytesReader(w, r.Body, limit)
 	body, err := io.ReadAll(r.Body)
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -23,7 +22,7 @@
 	// no target accepted.
 	maxSends = 4
 	// maxResponseBytes is the maximum size of a response that is not a stream.
-	maxResponseBytes = 64 << 20
+	maxResponseBytes = 16 << 20
 	// Retry delays for callers: overloadedRetry if no target had capacity,
 	// noTargetRetry if none was known, noTableRetry while the host has no
 	// configuration.
@@ -49,6 +48,8 @@
 	// lease is the current send at the holder that chose its target, or nil if this
 	// host chose it.
 	lease *placement.Lease
+	// memory accounts for the large responses that are not streams.
+	memory *upstream.Allowance
 }
 
 // targetResponse is a target's complete response.
@@ -58,8 +59,9 @@
 	body   []byte
 }
 
+// newSender returns a sender of q. Its memory must be released.
 func (h *Host) newSender(q *request) *sender {
-	return &sender{h: h, q: q, tried: map[string]bool{}}
+	return &sender{h: h, q: q, tried: map[string]bool{}, memory: h.ResponseMemory.NewAllowance()}
 }
 
 // nextTarget returns the target of the next send, or nil. Every send after the
@@ -216,6 +218,7 @@
 // events.
 func (h *Host) serveSingle(ctx context.Context, q *request, out *callerResponse) error {
 	s := h.newSender(q)
+	defer s.memory.Release()
 	for ctx.Err() == nil {
 		t := s.nextTarget(ctx)
 		if t == nil {
@@ -251,11 +254,7 @@
 		s.recordRejection(t, resp, s.h.Clock.Since(start))
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	resp.Body.Close()
-	if err == nil && resp.Length >= 0 && int64(len(body)) != resp.Length && s.q.method != http.MethodHead {
-		err = upstream.ErrBroken
-	}
+	body, err := resp.ReadAll(maxResponseBytes, s.memory)
 	if err == nil && !info.Signed {
 		err = errUnsigned
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,6 +43,7 @@
 // serveStream serves a request that is answered by a stream of events.
 func (h *Host) serveStream(ctx context.Context, q *request, out *callerResponse) error {
 	s := h.newSender(q)
+	defer s.memory.Release()
 	p := h.newPlan(q)
 	defer p.release()
 	if err := p.admit(); err != nil {
@@ -156,8 +157,7 @@
 
 // readEventless reads a response that contains no events.
 func (s *sender) readEventless(ctx context.Context, t *catalog.Target, resp *upstream.Response, info ResponseInfo, start time.Time, rel *relayState) streamEnd {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	resp.Body.Close()
+	body, err := resp.ReadAll(maxResponseBytes, s.memory)
 	if err == nil && !info.Signed {
 		err = errUnsigned
 	}
@@ -193,15 +193,17 @@
 			s.recordFailure(ctx, t, err, s.h.Clock.Since(start))
 			return streamBroken
 		}
-		timer.reset()
-		if first == 0 {
-			first = s.h.Clock.Since(start)
-			p.release()
-			s.lease.Begun()
-		}
 		if ev.hasID && rel.hasLastEventID && ev.id <= rel.lastEventID {
 			continue
 		}
+		if ev.hasID || ev.hasData {
+			timer.reset()
+			if first == 0 {
+				first = s.h.Clock.Since(start)
+				p.release()
+				s.lease.Begun()
+			}
+		}
 		if err := s.relayEvent(resp, rel, ev, control); err != nil {
 			s.endSend(t, fleet.Abandoned, first)
 			s.h.Log.Info("writing an event to the caller failed", zap.String("RequestID", s.q.ID), journal.Error(err))
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -27,8 +27,9 @@
 		provideRepeatBudget,
 		provideCrashTable,
 		providePeerCaller,
+		provideResponseMemory,
 		provideMetrics,
 		providePeerServer,
-		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Format", "Follower", "Exchange", "PeerCaller", "PeerServer", "Batcher", "Stages", "Balancer", "Placement", "Upstream", "Repeats", "Crashes", "Metrics"),
+		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Format", "Follower", "Exchange", "PeerCaller", "PeerServer", "Batcher", "Stages", "Balancer", "Placement", "Upstream", "ResponseMemory", "Repeats", "Crashes", "Metrics"),
 	))
 }
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -34,26 +34,28 @@
 	client := provideStageClient(c, log, exchange, caller, batcher)
 	balancer := provideBalancer(s, c, log)
 	placementClient := providePlacement(c, log, exchange, caller, holder)
+	memoryBudget := provideResponseMemory(s)
 	repeatBudget := provideRepeatBudget(s, c, exchange)
 	registry := provideMetrics()
 	host := &Host{
-		Settings:   s,
-		Net:        n,
-		Clock:      c,
-		Log:        log,
-		Format:     f,
-		Follower:   follower,
-		Exchange:   exchange,
-		PeerCaller: caller,
-		PeerServer: server,
-		Batcher:    batcher,
-		Stages:     client,
-		Balancer:   balancer,
-		Placement:  placementClient,
-		Upstream:   u,
-		Repeats:    repeatBudget,
-		Crashes:    table,
-		Metrics:    registry,
+		Settings:       s,
+		Net:            n,
+		Clock:          c,
+		Log:            log,
+		Format:         f,
+		Follower:       follower,
+		Exchange:       exchange,
+		PeerCaller:     caller,
+		PeerServer:     server,
+		Batcher:        batcher,
+		Stages:         client,
+		Balancer:       balancer,
+		Placement:      placementClient,
+		Upstream:       u,
+		ResponseMemory: memoryBudget,
+		Repeats:        repeatBudget,
+		Crashes:        table,
+		Metrics:        registry,
 	}
 	return host, nil
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -68,6 +70,8 @@
 	// dialTimeout bounds a dial, which may continue after the request that started
 	// it was cancelled.
 	dialTimeout = 3 * time.Second
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // Transport returns an HTTP transport that dials through n. URLs must name
@@ -86,7 +90,22 @@
 		MaxIdleConnsPerHost: maxIdlePerTarget,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
+}
+
+// ReadBody reads body to its end. It fails if there are more than limit bytes, so
+// that a part of a body is never taken for the whole.
+func ReadBody(body io.Reader, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(b)) > limit {
+		return nil, fmt.Errorf("body exceeds %d bytes", limit)
 	}
+	return b, nil
 }
 
 // IgnoreClosed returns err, or nil if err says that a listener or a server was
--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -122,7 +122,7 @@
 	if c.clients == nil {
 		c.clients = map[netip.AddrPort]*client{}
 	}
-	cl := &client{Client: rpc.NewClient(writeTimeoutConn{conn}), used: now}
+	cl := &client{Client: rpc.NewClient(writeTimeoutConn{&limitedConn{Conn: conn}}), used: now}
 	c.clients[addr] = cl
 	return cl
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -21,6 +21,7 @@
 var _ rpc.ServerCodec = (*codec)(nil)
 
 func newCodec(conn net.Conn, running *atomic.Int64) *codec {
+	conn = &limitedConn{Conn: conn}
 	buf := bufio.NewWriter(conn)
 	return &codec{conn: conn, dec: gob.NewDecoder(conn), enc: gob.NewEncoder(buf), buf: buf, running: running}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -139,7 +138,7 @@
 		return nil, nil, callError(err)
 	}
 	defer resp.Body.Close()
-	src, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	src, err := link.ReadBody(resp.Body, maxReplyBytes)
 	return resp, src, err
 }
 
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -328,7 +328,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	src, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	src, err := link.ReadBody(resp.Body, maxReplyBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -36,12 +36,6 @@
 	// dialTimeout is the time limit for opening a connection. An unreachable target
 	// accepts none, and no part of the request has been sent by then.
 	dialTimeout = 300 * time.Millisecond
-	// maxForeignResponses is the maximum number of responses to other requests that
-	// are skipped.
-	maxForeignResponses = 2
-	// maxForeignBytes limits the body of a skipped response; a body of this size or
-	// more is an error.
-	maxForeignBytes = 1 << 20
 	// readBufferSize is the size of a connection's read buffer in bytes.
 	readBufferSize = 4 << 10
 )
@@ -80,7 +74,8 @@
 	// Framed is set if the response delimits its body by a length or by chunks; any
 	// other body ends with the connection.
 	Framed bool
-	// Length is the declared length of the body, or -1.
+	// Length is the declared length of the body, or -1. It is zero for a response
+	// that can't have a body, such as that to HEAD.
 	Length int64
 }
 
@@ -123,7 +118,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, addr: addr, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	reader, limiter := newReader(conn)
+	return &connection{Conn: conn, addr: addr, reader: reader, limiter: limiter}, nil
 }
 
 // exchange writes r and reads the status and header of its response. A body is
@@ -146,7 +142,11 @@
 	conn.closeAfterResponse = resp.Close
 	conn.readKeepAlive(resp.Header)
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Framed: framed, Length: resp.ContentLength}, nil
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		length = 0
+	}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Framed: framed, Length: length}, nil
 }
 
 func newRequest(r *Request) (*http.Request, error) {
@@ -188,30 +188,6 @@
 	return w.Flush()
 }
 
-// readResponse reads the response to req. It skips responses that matches, unless
-// nil, rejects: they belong to other requests.
-func readResponse(conn *connection, req *http.Request, matches func(http.Header) bool) (*http.Response, error) {
-	for foreign := 0; ; {
-		resp, err := http.ReadResponse(conn.reader, req)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < 200 {
-			continue
-		}
-		if matches == nil || matches(resp.Header) {
-			return resp, nil
-		}
-		if foreign++; foreign > maxForeignResponses || resp.Close {
-			return nil, Error.New("response belongs to another request")
-		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes))
-		if err != nil || n == maxForeignBytes {
-			return nil, Error.New("response belongs to another request: %v", err)
-		}
-	}
-}
-
 // Close closes all idle connections.
 func (c *Client) Close() { c.idle.close() }
 
@@ -265,8 +241,10 @@
 // connection is a connection to a target.
 type connection struct {
 	net.Conn
-	addr   netip.AddrPort
-	reader *bufio.Reader
+	addr netip.AddrPort
+	// reader reads through limiter.
+	reader  *bufio.Reader
+	limiter *headLimiter
 	// closeAfterResponse is set if the connection can't be reused.
 	closeAfterResponse bool
 	// writeResult receives the result of writing the request.
