placement: correct what a holder counts by lists of open requests

Nothing let go but the end of a host. Ruled out: two batchers counting the same room and results made again. Change: each heartbeat lists the host's open requests, waiting and begun; the load table drops or corrects the others once a list can't have crossed them. A report without a reply closes its connection. Each table is pruned by its own time (all shared one).

--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -87,8 +87,8 @@
 	return &fleet.Balancer{Clock: c, Log: log, Domain: s.Domain}
 }
 
-func provideLoadTables(c *clock.Service, f *catalog.Follower) *placement.Holder {
-	return &placement.Holder{Clock: c, Catalog: f.Snapshot}
+func provideLoadTables(c *clock.Service, log *zap.Logger, f *catalog.Follower) *placement.Holder {
+	return &placement.Holder{Clock: c, Log: log, Catalog: f.Snapshot}
 }
 
 func providePlacement(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, tables *placement.Holder) *placement.Client {
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -26,7 +26,7 @@
 	follower := provideFollower(s, c, log, feed, exchange, caller)
 	table := provideCrashTable(c, exchange, caller)
 	batcher := provideBatcher(c, log, pool, follower, exchange)
-	holder := provideLoadTables(c, follower)
+	holder := provideLoadTables(c, log, follower)
 	server, err := providePeerServer(exchange, follower, table, batcher, holder)
 	if err != nil {
 		return nil, err
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -49,12 +50,12 @@
 	sessions  map[string]*holderSession
 }
 
-// holderSession is a holder that has requests of this host, with their number and
+// holderSession is a holder that has requests of this host, with these requests and
 // the updates to report.
 type holderSession struct {
-	host         peer.Host
-	openRequests int
-	updates      []News
+	host    peer.Host
+	leases  map[string]*Lease
+	updates []News
 }
 
 // Lease is a request that a holder counts at a target. The methods of a nil Lease
@@ -64,8 +65,10 @@
 	holder  peer.Host
 	id      string
 	service string
-	once    sync.Once
 	Choice  Choice
+	// begun is set once the first event has arrived; it is guarded by the client's
+	// mu.
+	begun bool
 }
 
 // Choose asks the holder of w.Service for a target. It returns nil if no holder
@@ -80,7 +83,7 @@
 				return nil
 			}
 			l := &Lease{client: c, holder: host, id: w.ID, service: w.Service, Choice: choice}
-			c.addRequest(host)
+			c.addLease(l)
 			return l
 		}
 		c.Log.Info("placement holder did not answer", zap.String("Holder", host.Name), zap.String("Service", w.Service),
@@ -131,18 +134,18 @@
 	c.skipUntil[host.Name] = c.Clock.Now().Add(skipTime)
 }
 
-func (c *Client) addRequest(host peer.Host) {
+func (c *Client) addLease(l *Lease) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sessions == nil {
 		c.sessions = map[string]*holderSession{}
 	}
-	s := c.sessions[host.Name]
+	s := c.sessions[l.holder.Name]
 	if s == nil {
-		s = &holderSession{host: host}
-		c.sessions[host.Name] = s
+		s = &holderSession{host: l.holder, leases: map[string]*Lease{}}
+		c.sessions[l.holder.Name] = s
 	}
-	s.openRequests++
+	s.leases[l.id] = l
 }
 
 // Begun reports the first event.
@@ -155,32 +158,53 @@
 // End reports the end of the request. Only the first call counts.
 func (l *Lease) End(p Progress) {
 	if l != nil {
-		l.once.Do(func() { l.client.queueUpdate(l, p) })
+		l.client.queueUpdate(l, p)
 	}
 }
 
-// queueUpdate queues an update for the next report to the holder of l.
+// queueUpdate queues an update for the next report to the holder of l, unless l has
+// ended.
 func (c *Client) queueUpdate(l *Lease, x Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.sessions[l.holder.Name]
-	if s == nil {
-		return // the request has ended already
+	if s == nil || s.leases[l.id] == nil {
+		return
 	}
-	if x != Begun {
-		s.openRequests--
+	if x == Begun {
+		l.begun = true
+	} else {
+		delete(s.leases, l.id)
 	}
 	if len(s.updates) == 0 {
-		c.Clock.AfterFunc(reportDelay, func() { c.sendReport(s) })
+		c.Clock.AfterFunc(reportDelay, func() { c.sendReport(s, false) })
 	}
 	s.updates = append(s.updates, News{ID: l.id, Service: l.service, Progress: x})
 }
 
-// sendReport sends the queued updates of s.
-func (c *Client) sendReport(s *holderSession) {
+// open returns the requests of s that have not ended; the client's mu is held.
+func (s *holderSession) open() *OpenRequests {
+	o := &OpenRequests{}
+	for id, l := range s.leases {
+		if l.begun {
+			o.Begun = append(o.Begun, id)
+		} else {
+			o.Waiting = append(o.Waiting, id)
+		}
+	}
+	return o
+}
+
+// sendReport sends the queued updates of s, and with list also the list of its open
+// requests. Without a reply in time it closes the connection to the holder, which
+// may have gone silent for good; what is lost then, the next list corrects.
+func (c *Client) sendReport(s *holderSession, list bool) {
 	c.mu.Lock()
 	r := &Report{Host: c.Self, News: s.updates}
 	s.updates = nil
+	if list {
+		r.Open = s.open()
+	}
 	c.mu.Unlock()
 	if s.host.Name == c.Self {
 		c.Holder.apply(r)
@@ -188,8 +212,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	if err := c.Peers.Call(ctx, s.host.Addr, rpcName+".Tell", r, &Empty{}); err != nil {
-		c.Log.Info("failed to report to placement holder", zap.String("Holder", s.host.Name), zap.Int("News", len(r.News)), journal.Error(err))
+	err := c.Peers.Call(ctx, s.host.Addr, rpcName+".Tell", r, &Empty{})
+	if err == nil {
+		return
+	}
+	c.Log.Info("failed to report to placement holder", zap.String("Holder", s.host.Name), zap.Int("News", len(r.News)), journal.Error(err))
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.Peers.Disconnect(s.host.Addr)
 	}
 }
 
@@ -203,7 +232,7 @@
 			return ctx.Err()
 		case <-ticks:
 			for _, s := range c.openSessions() {
-				go c.sendReport(s)
+				go c.sendReport(s, true)
 			}
 		}
 	}
@@ -217,7 +246,7 @@
 	var out []*holderSession
 	for name, s := range c.sessions {
 		switch {
-		case s.openRequests > 0:
+		case len(s.leases) > 0:
 			out = append(out, s)
 		case len(s.updates) == 0:
 			delete(c.sessions, name)
--- a/internal/placement/client_test.go
+++ b/internal/placement/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"net/rpc"
 	"testing"
@@ -43,7 +44,7 @@
 func (cl *cluster) startHost(t *testing.T, h peer.Host) {
 	snapshot := &catalog.Snapshot{Targets: map[string][]*catalog.Target{"s": {{ID: "a", Slots: 4}, {ID: "b", Slots: 4}, {ID: "c", Slots: 4}}}}
 	c := &clock.Service{}
-	holder := &Holder{Clock: c, Catalog: func() *catalog.Snapshot { return snapshot }}
+	holder := &Holder{Clock: c, Log: zap.NewNop(), Catalog: func() *catalog.Snapshot { return snapshot }}
 	s := &peer.Server{RPC: rpc.NewServer()}
 	if err := holder.Register(s.RPC); err != nil {
 		t.Fatal(err)
@@ -171,3 +172,52 @@
 		}
 	})
 }
+
+// TestLostReports replays a time in which connections between hosts go silent:
+// the ends of requests are not reported, and choices are made of which their host
+// never hears. Once new connections work, the holder must count only what is open,
+// and later requests must spread over all targets. A request whose end was lost once
+// made its target look ever slower, so that all requests went to the few others.
+func TestLostReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3)
+		holder := cl.members.Holder("s").Addr.Addr()
+		c := cl.clients[(cl.holder()+1)%3]
+		self, _ := cl.members.Find(c.Self)
+		long := c.Choose(t.Context(), work())
+		long.Begun()
+		lost := []*Lease{c.Choose(t.Context(), work()), c.Choose(t.Context(), work())}
+		// The silence begins just after a heartbeat, so that the holder does not forget
+		// the host.
+		time.Sleep(heartbeatInterval + 10*time.Millisecond)
+		here, there := []netip.Addr{self.Addr.Addr()}, []netip.Addr{holder}
+		cl.network.Partition(here, there)
+		for _, l := range lost {
+			l.End(Answered)
+		}
+		time.Sleep(reportTimeout + 2*reportDelay)
+		cl.network.HealPartition(here, there)
+		cl.network.Cut(holder, self.Addr.Addr())
+		c.Choose(t.Context(), work()).End(Answered)
+		cl.network.HealPartition(here, there)
+		time.Sleep(listDelay + 2*heartbeatInterval)
+		open := 0
+		for _, target := range []string{"a", "b", "c"} {
+			_, n := cl.targetLoad(target)
+			open += n
+		}
+		if open != 1 {
+			t.Errorf("the holder counts %d requests, want the one that is open", open)
+		}
+		time.Sleep(time.Minute)
+		used := map[string]bool{}
+		for i := range 6 {
+			w := work()
+			w.Parts[0].ID = fmt.Sprint(i)
+			used[c.Choose(t.Context(), w).Choice.Target] = true
+		}
+		if len(used) != 3 {
+			t.Errorf("six requests use the targets %v, want all three", used)
+		}
+	})
+}
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -7,23 +7,27 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
+	"go.uber.org/zap"
 )
 
 // rpcName is the name of the holder's RPC service.
 const rpcName = "Placement"
 
-// pruneInterval is the least time between two removals of targets that are gone.
+// pruneInterval is the least time between two removals of a table's targets that
+// are gone.
 const pruneInterval = 10 * time.Second
 
 // Holder keeps the load tables of the services that this host holds. Exported
 // fields are set before Register.
 type Holder struct {
 	Clock   *clock.Service
+	Log     *zap.Logger
 	Catalog func() *catalog.Snapshot
 
-	mu         sync.Mutex
-	tables     map[string]*LoadTable
-	lastPruned time.Time
+	mu     sync.Mutex
+	tables map[string]*LoadTable
+	// lastPruned is the time at which each table was last pruned.
+	lastPruned map[string]time.Time
 }
 
 // Register adds the holder's RPC service to s.
@@ -53,15 +57,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.tables == nil {
-		h.tables = map[string]*LoadTable{}
+		h.tables, h.lastPruned = map[string]*LoadTable{}, map[string]time.Time{}
 	}
 	lt := h.tables[w.Service]
 	if lt == nil {
 		lt = NewLoadTable()
 		h.tables[w.Service] = lt
 	}
-	if now.Sub(h.lastPruned) > pruneInterval {
-		h.lastPruned = now
+	if now.Sub(h.lastPruned[w.Service]) > pruneInterval {
+		h.lastPruned[w.Service] = now
 		lt.Prune(targets)
 	}
 	return lt.Choose(w, targets, now)
@@ -71,7 +75,9 @@
 	now := h.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, lt := range h.tables {
-		lt.Apply(report, now)
+	for service, lt := range h.tables {
+		if n := lt.Apply(report, now); n > 0 {
+			h.Log.Info("load table corrected by a host's list", zap.String("Service", service), zap.String("Peer", report.Host), zap.Int("Requests", n))
+		}
 	}
 }
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -45,6 +45,9 @@
 	// hostTimeout is the time without a message from a host after which its
 	// requests no longer count.
 	hostTimeout = 1500 * time.Millisecond
+	// listDelay is the longest time that a host's list of its requests takes to
+	// arrive. A request that was counted within it may be missing from the list.
+	listDelay = reportTimeout
 	// cachedPartLifetime is how long a target is assumed to cache a part of a
 	// prompt; maxCachedParts bounds the parts recorded for one target.
 	cachedPartLifetime = time.Minute
@@ -54,9 +57,11 @@
 // LoadTable is the state that the holder of a service keeps of its targets and
 // their requests. It is not safe for concurrent use.
 type LoadTable struct {
-	targets     map[string]*targetState
-	requests    map[string]*openRequest
-	lastMessage map[string]time.Time
+	targets  map[string]*targetState
+	requests map[string]*openRequest
+	// hostRequests holds the requests by host.
+	hostRequests map[string]map[string]*openRequest
+	lastMessage  map[string]time.Time
 	// meanPace is the mean pace of all targets in seconds per token.
 	meanPace float64
 }
@@ -93,7 +98,13 @@
 
 // NewLoadTable returns an empty load table.
 func NewLoadTable() *LoadTable {
-	return &LoadTable{targets: map[string]*targetState{}, requests: map[string]*openRequest{}, lastMessage: map[string]time.Time{}, meanPace: initialPace}
+	return &LoadTable{
+		targets:      map[string]*targetState{},
+		requests:     map[string]*openRequest{},
+		hostRequests: map[string]map[string]*openRequest{},
+		lastMessage:  map[string]time.Time{},
+		meanPace:     initialPace,
+	}
 }
 
 // Choose returns the target with the least cost for w, which is the predicted time
@@ -129,6 +140,10 @@
 func (lt *LoadTable) addRequest(w *Work, s *targetState, ownTokens float64, now time.Time) {
 	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens}
 	lt.requests[w.ID], s.requests[w.ID] = r, r
+	if lt.hostRequests[w.Host] == nil {
+		lt.hostRequests[w.Host] = map[string]*openRequest{}
+	}
+	lt.hostRequests[w.Host][w.ID] = r
 	s.pendingTokens += ownTokens
 	for _, p := range w.sharedParts() {
 		if len(s.cachedParts) < maxCachedParts {
@@ -202,14 +217,44 @@
 	return math.Min(pace, maxPaceFactor*lt.meanPace)
 }
 
-// Apply applies the updates in a host's report.
-func (lt *LoadTable) Apply(report *Report, now time.Time) {
+// Apply applies the updates in a host's report and returns how many requests the
+// host's list corrected.
+func (lt *LoadTable) Apply(report *Report, now time.Time) (corrected int) {
 	lt.lastMessage[report.Host] = now
 	for _, n := range report.News {
 		if r := lt.requests[n.ID]; r != nil {
 			lt.applyUpdate(n, r, now)
 		}
 	}
+	if report.Open == nil {
+		return 0
+	}
+	return lt.correct(report.Host, report.Open, now)
+}
+
+// correct makes the requests that are counted for a host those in its list. A
+// request whose end was lost would otherwise make its target look ever slower, and
+// one whose choice was lost as well.
+func (lt *LoadTable) correct(host string, open *OpenRequests, now time.Time) (corrected int) {
+	const waiting, begun = 1, 2
+	listed := map[string]int{}
+	for _, id := range open.Waiting {
+		listed[id] = waiting
+	}
+	for _, id := range open.Begun {
+		listed[id] = begun
+	}
+	for id, r := range lt.hostRequests[host] {
+		switch {
+		case listed[id] == begun && !r.hasFirstEvent:
+			r.begin()
+			corrected++
+		case listed[id] == 0 && now.Sub(r.startedAt) > listDelay:
+			lt.removeRequest(id, r)
+			corrected++
+		}
+	}
+	return corrected
 }
 
 func (lt *LoadTable) applyUpdate(n News, r *openRequest, now time.Time) {
@@ -238,9 +283,14 @@
 	if r.hasFirstEvent {
 		return
 	}
+	r.begin()
+	lt.samplePace(r, now)
+}
+
+// begin takes the work of r off its target's pending work.
+func (r *openRequest) begin() {
 	r.hasFirstEvent = true
 	r.target.pendingTokens = math.Max(0, r.target.pendingTokens-r.ownTokens)
-	lt.samplePace(r, now)
 }
 
 // samplePace takes the time since the start of r as a sample of the pace of its
@@ -266,27 +316,25 @@
 // removeRequest removes r and the pending tokens that it accounts for.
 func (lt *LoadTable) removeRequest(id string, r *openRequest) {
 	if !r.hasFirstEvent {
-		r.target.pendingTokens = math.Max(0, r.target.pendingTokens-r.ownTokens)
+		r.begin()
 	}
 	delete(lt.requests, id)
 	delete(r.target.requests, id)
+	delete(lt.hostRequests[r.host], id)
+	if len(lt.hostRequests[r.host]) == 0 {
+		delete(lt.hostRequests, r.host)
+	}
 }
 
 // removeSilentHosts removes the requests of hosts without a message for
 // hostTimeout.
 func (lt *LoadTable) removeSilentHosts(now time.Time) {
-	silent := map[string]bool{}
 	for host, at := range lt.lastMessage {
-		if now.Sub(at) > hostTimeout {
-			silent[host] = true
-			delete(lt.lastMessage, host)
+		if now.Sub(at) <= hostTimeout {
+			continue
 		}
-	}
-	if len(silent) == 0 {
-		return
-	}
-	for id, r := range lt.requests {
-		if silent[r.host] {
+		delete(lt.lastMessage, host)
+		for id, r := range lt.hostRequests[host] {
 			lt.removeRequest(id, r)
 		}
 	}
--- a/internal/placement/loadtable_test.go
+++ b/internal/placement/loadtable_test.go
@@ -15,7 +15,7 @@
 //	targets NAME[=DOMAIN] ...
 //	ask ID [host=H] [parts=(ID:TOKENS,...)] [domain=D] [except=NAME]
 //	begun|answered|failed|rejected|abandoned ID [host=H]
-//	heartbeat HOST
+//	heartbeat HOST [waiting=(ID,...)] [begun=(ID,...)]
 //	wait D
 type loadTableScript struct {
 	table   *LoadTable
@@ -50,7 +50,7 @@
 		progress := map[string]Progress{"begun": Begun, "answered": Answered, "failed": Failed, "rejected": Rejected, "abandoned": Abandoned}
 		s.table.Apply(&Report{Host: host, News: []News{{ID: d.CmdArgs[0].Key, Progress: progress[d.Cmd]}}}, s.now)
 	case "heartbeat":
-		s.table.Apply(&Report{Host: d.CmdArgs[0].Key}, s.now)
+		return s.heartbeat(t, d)
 	case "wait":
 		pause, err := time.ParseDuration(d.CmdArgs[0].Key)
 		if err != nil {
@@ -63,6 +63,25 @@
 	return "ok\n"
 }
 
+// heartbeat applies a heartbeat, which lists the host's requests if it names any.
+func (s *loadTableScript) heartbeat(t *testing.T, d *datadriven.TestData) string {
+	r := &Report{Host: d.CmdArgs[0].Key}
+	if len(d.CmdArgs) > 1 {
+		r.Open = &OpenRequests{}
+		for _, a := range d.CmdArgs[1:] {
+			switch a.Key {
+			case "waiting":
+				r.Open.Waiting = a.Vals
+			case "begun":
+				r.Open.Begun = a.Vals
+			default:
+				d.Fatalf(t, "unknown list %s", a.Key)
+			}
+		}
+	}
+	return fmt.Sprintf("corrected %d\n", s.table.Apply(r, s.now))
+}
+
 func (s *loadTableScript) ask(t *testing.T, d *datadriven.TestData, host string) string {
 	w := &Work{ID: d.CmdArgs[0].Key, Host: host}
 	d.MaybeScanArgs(t, "domain", &w.Domain)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -83,4 +83,13 @@
 type Report struct {
 	Host string
 	News []News
+	// Open, unless nil, lists all requests that the host has at the holder. Updates
+	// and choices can be lost on the way; the list corrects what the holder counts.
+	Open *OpenRequests
+}
+
+// OpenRequests holds the IDs of requests that have not ended.
+type OpenRequests struct {
+	// Waiting requests have no first event yet, Begun ones have.
+	Waiting, Begun []string
 }
