gateway, stage: estimate the rest of a request from the queues as they are

Cause: how long the later stages of a request would take came from each host's average of the jobs that were on time, which after a crest of requests with a long target latency holds their waits (2 s and more) for ten seconds and longer: a host sees about one job a second. Requests with a short target latency then looked late on arrival, were put behind all others and so were late. Change: the time from the end of a stage to the first event is that of the calls that follow and half a full call for each; admission and the hold of a short branch take the wait from the batcher's present estimate. The average is gone, and TestUsualTime, which tested it alone.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -8,35 +8,48 @@
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
+// The estimates of this file answer a crest that has passed: they follow from what
+// the queues hold now. An average of past waits would outlast the crest that caused
+// it, and requests that it makes look late are put last, so that they are late.
+
 // remainingTime returns the expected time from the end of stage i to the first
-// event.
+// event: that of the calls that follow, each of which usually begins within half of
+// a full call.
 func (p *plan) remainingTime(i int) time.Duration {
-	return p.longestPathAfter(i, func(service string, minTime time.Duration) time.Duration {
-		return max(minTime, p.h.Stages.UsualTime(service))
+	return p.longestPathAfter(i, func(service string, callTime time.Duration) time.Duration {
+		return callTime + p.fullCallTime(service)/2
 	})
 }
 
 // longestPathAfter returns the time of the longest path from the end of stage i
 // to the first event. estimate maps the expected call time of a stage to the
 // time that is counted for it.
-func (p *plan) longestPathAfter(i int, estimate func(service string, minTime time.Duration) time.Duration) time.Duration {
-	table := p.h.Follower.Snapshot().Table
+func (p *plan) longestPathAfter(i int, estimate func(service string, callTime time.Duration) time.Duration) time.Duration {
 	longest := engineTime
 	for k, s := range p.q.route.Stages {
 		if slices.Contains(s.After, i) {
-			longest = max(longest, estimate(s.Service, expectedCallTime(table, s.Service, p.pieceCount(k)))+p.longestPathAfter(k, estimate))
+			longest = max(longest, p.longestPathFrom(k, estimate))
 		}
 	}
 	return longest
 }
 
+// longestPathFrom returns the time of the longest path from the start of stage i to
+// the first event. A stage without pieces takes no time.
+func (p *plan) longestPathFrom(i int, estimate func(service string, callTime time.Duration) time.Duration) time.Duration {
+	after := p.longestPathAfter(i, estimate)
+	if p.pieceCount(i) == 0 {
+		return after
+	}
+	return after + estimate(p.q.route.Stages[i].Service, p.callTime(i))
+}
+
 // longestPath returns the time of the longest path from now to the first event.
-func (p *plan) longestPath(estimate func(service string, minTime time.Duration) time.Duration) time.Duration {
-	table := p.h.Follower.Snapshot().Table
+func (p *plan) longestPath(estimate func(service string, callTime time.Duration) time.Duration) time.Duration {
 	longest := engineTime
 	for k, s := range p.q.route.Stages {
-		if len(s.After) == 0 && p.pieceCount(k) > 0 {
-			longest = max(longest, estimate(s.Service, expectedCallTime(table, s.Service, p.pieceCount(k)))+p.longestPathAfter(k, estimate))
+		if len(s.After) == 0 {
+			longest = max(longest, p.longestPathFrom(k, estimate))
 		}
 	}
 	return longest
@@ -47,15 +60,15 @@
 // admitted only while the queues are short enough for it to be at most
 // maxLateness late.
 func (p *plan) admit() error {
-	onTime := p.longestPath(func(service string, minTime time.Duration) time.Duration {
-		return max(p.h.Stages.UsualTime(service), minTime+p.h.Stages.WaitEstimate(service).Ahead)
+	onTime := p.longestPath(func(service string, callTime time.Duration) time.Duration {
+		return callTime + p.h.Stages.WaitEstimate(service).Ahead
 	})
 	now := p.h.Clock.Now()
 	if !now.Add(onTime).After(p.q.softDeadline()) {
 		return nil
 	}
-	late := p.longestPath(func(service string, minTime time.Duration) time.Duration {
-		return minTime + p.h.Stages.WaitEstimate(service).All
+	late := p.longestPath(func(service string, callTime time.Duration) time.Duration {
+		return callTime + p.h.Stages.WaitEstimate(service).All
 	})
 	if now.Add(late).Before(p.q.softDeadline().Add(maxLateness)) {
 		return nil
@@ -100,12 +113,26 @@
 	retryAfterDivisor = 4
 )
 
-// expectedCallTime returns the expected time of a call with the given number of
-// pieces, without queueing.
-func expectedCallTime(table *catalog.Table, service string, pieces int) time.Duration {
-	svc := table.Services[service]
-	if svc == nil || svc.Pool == nil {
-		return 0
+// callTime returns the expected time of a call with the pieces of stage i alone.
+func (p *plan) callTime(i int) time.Duration {
+	if pool := p.pool(p.q.route.Stages[i].Service); pool != nil {
+		return pool.CallTime + time.Duration(p.pieceCount(i))*pool.PieceTime
+	}
+	return 0
+}
+
+// fullCallTime returns the expected time of a call with as many pieces as fit.
+func (p *plan) fullCallTime(service string) time.Duration {
+	if pool := p.pool(service); pool != nil {
+		return pool.CallTime + time.Duration(pool.Batch)*pool.PieceTime
+	}
+	return 0
+}
+
+// pool returns the pool of service, or nil if there is none.
+func (p *plan) pool(service string) *catalog.Pool {
+	if svc := p.h.Follower.Snapshot().Table.Services[service]; svc != nil {
+		return svc.Pool
 	}
-	return svc.Pool.CallTime + time.Duration(pieces)*svc.Pool.PieceTime
+	return nil
 }
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -208,11 +208,11 @@
 
 // stageToAwait returns the stage whose start stage i waits for, or -1.
 func (p *plan) stageToAwait(i int) int {
-	own := p.usualTime(i)
+	own := p.expectedTime(i)
 	for _, k := range p.sinks {
 		rest := time.Duration(0)
 		for k != i && p.pieceCount(k) > 0 {
-			if rest += p.usualTime(k); rest >= own {
+			if rest += p.expectedTime(k); rest >= own {
 				return k
 			}
 			after := p.q.route.Stages[k].After
@@ -225,10 +225,9 @@
 	return -1
 }
 
-// usualTime returns the usual time of stage i.
-func (p *plan) usualTime(i int) time.Duration {
-	service := p.q.route.Stages[i].Service
-	return max(expectedCallTime(p.h.Follower.Snapshot().Table, service, p.pieceCount(i)), p.h.Stages.UsualTime(service))
+// expectedTime returns the expected time of stage i with the wait before it.
+func (p *plan) expectedTime(i int) time.Duration {
+	return p.callTime(i) + p.h.Stages.WaitEstimate(p.q.route.Stages[i].Service).Ahead
 }
 
 // recordOutcome records whether o shows that a stage may have run.
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -33,8 +33,6 @@
 	maxMoveTime = time.Second
 	// estimateLifetime is how long a wait estimate is valid.
 	estimateLifetime = 600 * time.Millisecond
-	// usualTimeWeight is the weight of the newest job in the usual time.
-	usualTimeWeight = 0.1
 	// notifyTimeout bounds a notification, whose outcome nothing waits for.
 	notifyTimeout = time.Second
 )
@@ -62,8 +60,6 @@
 	upcoming map[string]int
 	// reportedUpcoming is upcoming as last reported to the holders.
 	reportedUpcoming map[string]int
-	// usualTimes is the usual time of jobs that were on time, by service.
-	usualTimes map[string]time.Duration
 }
 
 // Run runs j at the holder of its service and waits for the outcome. If the
@@ -97,7 +93,7 @@
 		}
 		if err == nil {
 			o.Sent = o.Sent || sent
-			c.recordOutcome(j, o)
+			c.storeEstimates(map[string]Outlook{j.Service: o.Outlook})
 			return o, nil
 		}
 		sent = true
--- a/internal/stage/client_test.go
+++ b/internal/stage/client_test.go
@@ -284,15 +284,3 @@
 		})
 	})
 }
-
-// TestUsualTime expects only jobs that were on time to count in the usual time.
-func TestUsualTime(t *testing.T) {
-	c := &Client{Clock: &clock.Service{}}
-	j := Job{Service: "s", Due: time.Second}
-	c.recordOutcome(j, Outcome{Queued: 100 * time.Millisecond, Ran: 200 * time.Millisecond})
-	c.recordOutcome(j, Outcome{Queued: 900 * time.Millisecond, Ran: 200 * time.Millisecond})
-	c.recordOutcome(j, Outcome{Fault: Late, Queued: 10 * time.Millisecond})
-	if diff := cmp.Diff(300*time.Millisecond, c.UsualTime("s")); diff != "" {
-		t.Errorf("usual time (-want +got):\n%s", diff)
-	}
-}
--- a/internal/stage/estimate.go
+++ b/internal/stage/estimate.go
@@ -92,35 +92,6 @@
 	at time.Time
 }
 
-// recordOutcome updates the wait estimate and the usual time of the job's
-// service. Late jobs don't count in the usual time: they waited behind those that
-// were on time and say nothing about them.
-func (c *Client) recordOutcome(j Job, o Outcome) {
-	c.storeEstimates(map[string]Outlook{j.Service: o.Outlook})
-	took := o.Queued + o.Ran
-	if o.Fault != None || took > j.Due {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.usualTimes == nil {
-		c.usualTimes = map[string]time.Duration{}
-	}
-	old, ok := c.usualTimes[j.Service]
-	if !ok {
-		old = took
-	}
-	c.usualTimes[j.Service] = old + time.Duration(usualTimeWeight*float64(took-old))
-}
-
-// UsualTime returns the usual time of a job of service from sending to results,
-// or zero if it is unknown.
-func (c *Client) UsualTime(service string) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.usualTimes[service]
-}
-
 // storeEstimates stores wait estimates received from a batcher.
 func (c *Client) storeEstimates(estimates map[string]Outlook) {
 	now := c.Clock.Now()
