--- a/internal/claim/partition.go
+++ b/internal/claim/partition.go
@@ -163,6 +163,7 @@
 // deferQuestion keeps q until the window of the stream is folded.
 func (p *partition) deferQuestion(q *question) {
 	if len(p.deferred) >= maxPendingClaims {
+		p.stats.TableFull.Inc(1)
 		q.reply <- questionReply{Reply: refusedReply(result.NotRun(result.TableFull, "too many claims are waiting for the log"))}
 		return
 	}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -38,7 +38,8 @@
 	// announced marks the stages that were announced to their batchers and have not
 	// arrived there yet.
 	announced []bool
-	// heldBack is set once a stage was considered for being held back.
+	// heldBack is set once a stage was held back; a second one would wait for the
+	// first.
 	heldBack bool
 }
 
@@ -194,16 +195,23 @@
 	if len(p.q.route.Stages[i].After) > 0 || p.readers[i] > 0 {
 		return
 	}
+	k := p.stageToAwait(i)
+	if k < 0 || !p.mayHoldBack() {
+		return
+	}
+	select {
+	case <-p.start(ctx, k).inputsReady:
+	case <-ctx.Done():
+	}
+}
+
+// mayHoldBack reports whether no stage was held back before.
+func (p *plan) mayHoldBack() bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	first := !p.heldBack
 	p.heldBack = true
-	p.mu.Unlock()
-	if k := p.stageToAwait(i); first && k >= 0 {
-		select {
-		case <-p.start(ctx, k).inputsReady:
-		case <-ctx.Done():
-		}
-	}
+	return first
 }
 
 // stageToAwait returns the stage whose start stage i waits for, or -1.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -264,14 +264,19 @@
 	}
 	s.possibleRuns++
 	s.q.mayHaveRun = true
-	r := fleet.Answered
-	if resp.Status >= http.StatusInternalServerError {
-		r = fleet.Failed
-	}
-	s.endSend(t, r, s.h.Clock.Since(start))
+	s.endSend(t, resultOf(resp.Status), s.h.Clock.Since(start))
 	return &targetResponse{resp.Status, resp.Header, body}
 }
 
+// resultOf returns the outcome of a send that the target answered. A status that
+// says that the request is at fault is no failure of the target.
+func resultOf(status int) fleet.Result {
+	if status >= http.StatusInternalServerError {
+		return fleet.Failed
+	}
+	return fleet.Answered
+}
+
 // errUnsigned means that a response is not signed by a target.
 var errUnsigned = errors.New("response is not signed by a target")
 
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -31,8 +31,10 @@
 	freeTimeout = time.Second
 	// answerLifetime is how long an answer to another host is kept.
 	answerLifetime = 500 * time.Millisecond
-	// maxJobs bounds the jobs that wait or run at one batcher.
-	maxJobs = 4096
+	// maxJobs bounds the jobs that wait or run at one batcher, maxPieces the pieces
+	// of one job.
+	maxJobs   = 4096
+	maxPieces = 1 << 16
 )
 
 // Batcher forms calls to stage pools from the pieces of many jobs. Exported
@@ -147,8 +149,12 @@
 		return running.outcome
 	case <-ctx.Done():
 		b.Cancel(j.ID)
-		<-running.finished
-		return running.outcome
+		select {
+		case <-running.finished:
+			return running.outcome
+		case <-b.stopped:
+			return Outcome{Fault: Cancelled, Sent: true}
+		}
 	case <-b.stopped:
 		return Outcome{Fault: Failed, Sent: true}
 	}
@@ -162,6 +168,11 @@
 		return known
 	}
 	now := b.Clock.Now()
+	if j.Pieces < 1 || j.Pieces > maxPieces || j.PieceBytes < 0 {
+		refused := &job{Job: j, arrived: now, finished: make(chan struct{})}
+		b.endJob(refused, Failed)
+		return refused
+	}
 	running := &job{Job: j, remote: remote, due: now.Add(j.Due), deadline: now.Add(j.Left), arrived: now, missing: j.Pieces, finished: make(chan struct{})}
 	running.results = make([]Result, j.Pieces)
 	for i := range j.Pieces {
--- a/internal/stage/estimate.go
+++ b/internal/stage/estimate.go
@@ -132,5 +132,7 @@
 	if c.upcoming == nil {
 		c.upcoming = map[string]int{}
 	}
-	c.upcoming[service] += pieces
+	if c.upcoming[service] += pieces; c.upcoming[service] == 0 {
+		delete(c.upcoming, service)
+	}
 }
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -82,8 +83,14 @@
 
 var faultNames = [...]string{"none", "late", "gone", "failed", "cancelled", "moved"}
 
-// String returns the name of f for logs.
-func (f Fault) String() string { return faultNames[f] }
+// String returns the name of f for logs. A fault may come from another host, which
+// may know more of them.
+func (f Fault) String() string {
+	if f < 0 || int(f) >= len(faultNames) {
+		return fmt.Sprintf("fault %d", int(f))
+	}
+	return faultNames[f]
+}
 
 // Outcome is the outcome of a job.
 type Outcome struct {
