stage: reconnect to a holder whose connection has gone silent

Cause: when connections among hosts go silent without a reset, every host lost its pings on the old connection, took the batcher for gone after two and passed it over for 3 s, though it lived and new connections reached it. Change: the first ping without an answer closes the connection; the next one and the jobs, which the batcher knows by their IDs, use a new one. Two unanswered pings still mean that the holder is gone. Answers are kept for 2 s, longer than it takes to ask again.

--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -123,8 +123,24 @@
 	m.resetRoutes(map[route]bool{{a, b}: true, {b, a}: true})
 }
 
+// Silence makes every connection between two processes silent for good, without a
+// reset; new connections work.
+func (m *Memory) Silence(a, b netip.Addr) {
+	for _, c := range m.connsOn(map[route]bool{{a, b}: true, {b, a}: true}) {
+		c.out.silence()
+	}
+}
+
 func (m *Memory) resetRoutes(routes map[route]bool) {
+	for _, c := range m.connsOn(routes) {
+		c.reset()
+	}
+}
+
+// connsOn returns the connections whose outgoing link is one of routes.
+func (m *Memory) connsOn(routes map[route]bool) []*memConn {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.init()
 	var conns []*memConn
 	for c := range m.conns {
@@ -132,10 +148,7 @@
 			conns = append(conns, c)
 		}
 	}
-	m.mu.Unlock()
-	for _, c := range conns {
-		c.reset()
-	}
+	return conns
 }
 
 func (m *Memory) init() {
--- a/internal/link/pipe.go
+++ b/internal/link/pipe.go
@@ -27,6 +27,7 @@
 	readDeadline    time.Time
 	writeDeadline   time.Time
 	deliveryTimeout time.Duration // after which chunks are dropped; zero means never
+	silent          bool          // set once nothing arrives any more
 	changed         chan struct{}
 }
 
@@ -84,7 +85,7 @@
 	for {
 		cut, _, linkChanged := p.m.state(p.route)
 		p.mu.Lock()
-		n, until, err := p.tryRead(b, cut)
+		n, until, err := p.tryRead(b, cut || p.silent)
 		changed := p.changed
 		p.mu.Unlock()
 		if n > 0 || err != nil {
@@ -149,6 +150,13 @@
 	}
 }
 
+// silence delivers nothing from now on.
+func (p *pipe) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = true
+}
+
 // finish ends the stream after the bytes already written.
 func (p *pipe) finish(end error) {
 	p.mu.Lock()
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -29,8 +29,9 @@
 	freeDelay = 4 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
-	// answerLifetime is how long an answer to another host is kept.
-	answerLifetime = 500 * time.Millisecond
+	// answerLifetime is how long an answer to another host is kept. It exceeds the time
+	// after which the host asks again over a new connection.
+	answerLifetime = 2 * time.Second
 	// maxJobs bounds the jobs that wait or run at one batcher, maxPieces the pieces
 	// of one job.
 	maxJobs   = 4096
--- a/internal/stage/client_test.go
+++ b/internal/stage/client_test.go
@@ -134,6 +134,35 @@
 	})
 }
 
+// TestSilentConnection lets the connection to the holder go silent without a reset
+// while it runs a job or just after it has answered. New connections work, so the
+// holder must form one call only, and later jobs must go there too: a second batcher
+// would fill fewer calls and count the same memory again.
+func TestSilentConnection(t *testing.T) {
+	for _, at := range []time.Duration{testCallTime / 2, testCallTime + 20*time.Millisecond + 700*time.Microsecond} {
+		synctest.Test(t, func(t *testing.T) {
+			cl := newCluster(t, 3)
+			holder, other := cl.holder(), cl.nonHolder()
+			time.AfterFunc(at, func() { cl.network.Silence(cl.hosts[holder].Addr.Addr(), cl.hosts[other].Addr.Addr()) })
+			start := time.Now()
+			for _, id := range []string{"r", "q"} {
+				o, err := cl.clients[other].Run(t.Context(), testJob(id, 2))
+				if err != nil || o.Fault != None || len(o.Results) != 2 {
+					t.Errorf("silent after %v: outcome %+v, %v", at, o, err)
+				}
+			}
+			if took, bound := time.Since(start), pingInterval+pingTimeout+4*testCallTime; took > bound {
+				t.Errorf("silent after %v: jobs took %v, bound %v", at, took, bound)
+			}
+			want := make([]int, 3)
+			want[holder] = 2
+			if diff := cmp.Diff(want, cl.callsByHost()); diff != "" {
+				t.Errorf("silent after %v: calls by host (-want +got):\n%s", at, diff)
+			}
+		})
+	}
+}
+
 // callsByHost returns the number of calls that each host formed.
 func (cl *cluster) callsByHost() []int {
 	var out []int
--- a/internal/stage/holder.go
+++ b/internal/stage/holder.go
@@ -197,12 +197,17 @@
 		estimates = map[string]Outlook{}
 		return c.Peers.Call(ctx, host.Addr, rpcName+".Ping", &heartbeat, &estimates)
 	})
-	if c.recordPing(host, err) {
+	switch {
+	case err == nil:
+		c.recordPing(host, nil)
+		c.storeEstimates(estimates)
+	case c.recordPing(host, err):
 		c.Log.Warn("holder is silent", zap.String("Holder", host.Name), journal.Error(err))
 		c.markLost(host, err)
-	}
-	if err == nil {
-		c.storeEstimates(estimates)
+	default:
+		// The connection may have gone silent for good while new ones work. The next
+		// ping and the jobs, which the batcher knows by their IDs, use a new one.
+		c.Peers.Disconnect(host.Addr)
 	}
 }
 
