gateway, stage: end what can't be served while its caller still waits

Cause: callers of streams leave when no event comes for the longest of 2 s, four times the target latency and eight times the pause, long before their deadline. Change: the adapter tells how long callers of a route wait; a stage's time left ends when its caller would leave; a request that would come after that is refused at once; the batcher ends deferred jobs that would end too late even if nothing else came. The decision of admission is a function of its inputs alone.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -61,6 +61,9 @@
 	Aim time.Duration
 	// EventPause is the target for the longest gap between two events of a stream.
 	EventPause time.Duration
+	// Patience is how long callers wait for the next event of a stream, also the
+	// first one, before they leave; zero if it is unknown.
+	Patience time.Duration
 	// Priority is the priority of the route; zero is the most urgent.
 	Priority int
 	// Backends are the services among which the route's requests are divided.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -21,6 +21,12 @@
 	})
 }
 
+// leastRemainingTime returns the least time from the end of stage i to the first
+// event: that of the calls that follow, without any wait.
+func (p *plan) leastRemainingTime(i int) time.Duration {
+	return p.longestPathAfter(i, func(_ string, callTime time.Duration) time.Duration { return callTime })
+}
+
 // longestPathAfter returns the time of the longest path from the end of stage i
 // to the first event. estimate maps the expected call time of a stage to the
 // time that is counted for it.
@@ -56,25 +62,54 @@
 }
 
 // admit refuses a request whose stages would take too long, before any of them
-// runs. A request that can meet its target latency is admitted. Any other one is
-// admitted only while the queues are short enough for it to be at most
-// maxLateness late.
+// runs.
 func (p *plan) admit() error {
-	onTime := p.longestPath(func(service string, callTime time.Duration) time.Duration {
+	now := p.h.Clock.Now()
+	a := admission{aimLeft: p.q.softDeadline().Sub(now), usefulLeft: p.q.usefulUntil().Sub(now)}
+	a.onTime = p.longestPath(func(service string, callTime time.Duration) time.Duration {
 		return callTime + p.h.Stages.WaitEstimate(service).Ahead
 	})
-	now := p.h.Clock.Now()
-	if !now.Add(onTime).After(p.q.softDeadline()) {
-		return nil
-	}
-	late := p.longestPath(func(service string, callTime time.Duration) time.Duration {
+	a.late = p.longestPath(func(service string, callTime time.Duration) time.Duration {
 		return callTime + p.h.Stages.WaitEstimate(service).All
 	})
-	if now.Add(late).Before(p.q.softDeadline().Add(maxLateness)) {
+	wait, admitted := a.decide()
+	if admitted {
 		return nil
 	}
-	return retryLater(result.Overloaded, min(max(late-maxLateness, minRetryAfter), p.q.deadline.Sub(now)/retryAfterDivisor),
-		"stages need %v, or %v behind all queued work, but %v is left", onTime, late, p.q.softDeadline().Sub(now))
+	return retryLater(result.Overloaded, p.retryAfter(wait),
+		"stages need %v, or %v behind all queued work, but %v is left", a.onTime, a.late, a.aimLeft)
+}
+
+// admission is what the decision on a request with stages rests on. All times count
+// from now.
+type admission struct {
+	// onTime is the expected time of the first event if the request goes with the
+	// jobs that can be on time, late the one if it goes behind all jobs.
+	onTime, late time.Duration
+	// aimLeft is the time to the target latency, usefulLeft the time until the caller
+	// leaves.
+	aimLeft, usefulLeft time.Duration
+}
+
+// decide reports whether the request is admitted, and otherwise the time until it
+// could be. It answers a crest: a request that can be on time is always admitted. Any
+// other one would wait behind all others, and is admitted only if it would be at most
+// maxLateness late and its caller still there.
+func (a admission) decide() (wait time.Duration, admitted bool) {
+	if a.onTime <= a.aimLeft {
+		return 0, true
+	}
+	limit := min(a.aimLeft+maxLateness, a.usefulLeft)
+	if a.late < limit {
+		return 0, true
+	}
+	return a.late - limit, false
+}
+
+// retryAfter returns the delay after which the caller of a refused request may
+// retry, given the time until it could be admitted.
+func (p *plan) retryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), p.q.deadline.Sub(p.h.Clock.Now())/retryAfterDivisor)
 }
 
 // announceStages notifies the batchers of the stages that will follow others.
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -52,6 +52,15 @@
 	err         error
 }
 
+// lateError means that a stage can't end while its request is of use.
+type lateError struct {
+	service string
+	// wait is the wait of a job that arrives now.
+	wait time.Duration
+}
+
+func (e *lateError) Error() string { return "stage of service " + e.service + " would end too late" }
+
 // errInputGone means that an input of a stage was lost.
 var errInputGone = errors.New("stage input was lost")
 
@@ -112,6 +121,7 @@
 // failure returns the error for a request whose stages failed.
 func (p *plan) failure(ctx context.Context, err error) error {
 	var e *result.Error
+	var late *lateError
 	switch {
 	case errors.As(err, &e):
 		return e
@@ -121,6 +131,8 @@
 		return retryLater(result.Overloaded, overloadedRetry, "deadline exceeded before any stage started")
 	case p.q.stagesMayHaveRun:
 		return result.Failed(result.StageFailed, "%v", err)
+	case errors.As(err, &late):
+		return retryLater(result.Overloaded, p.retryAfter(late.wait), "%v", err)
 	default:
 		return retryLater(result.Overloaded, overloadedRetry, "%v", err)
 	}
@@ -180,7 +192,7 @@
 		case o.Fault == stage.Gone:
 			return nil, errInputGone
 		case o.Fault == stage.Late:
-			return nil, context.DeadlineExceeded
+			return nil, &lateError{service: s.Service, wait: o.Outlook.All}
 		default:
 			return nil, errors.New("stage " + o.Fault.String())
 		}
@@ -298,7 +310,7 @@
 		Stage:      i,
 		Pieces:     p.pieceCount(i),
 		Due:        p.q.softDeadline().Sub(now) - p.remainingTime(i),
-		Left:       p.q.deadline.Sub(now),
+		Left:       p.q.usefulUntil().Sub(now) - p.leastRemainingTime(i),
 		Rank:       p.q.priority,
 		Worth:      p.q.worth(),
 		PieceBytes: s.ResultBytes,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -156,6 +156,15 @@
 	return q.deadline
 }
 
+// usefulUntil returns the time after which the caller is gone if nothing of the
+// response has arrived.
+func (q *request) usefulUntil() time.Time {
+	if left := q.arrived.Add(q.route.Patience); q.route.Patience > 0 && left.Before(q.deadline) {
+		return left
+	}
+	return q.deadline
+}
+
 // affinityKey identifies what targets may have cached of q's prompt: the last
 // part that it shares with other requests.
 func (q *request) affinityKey() string {
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -184,6 +184,9 @@
 		return
 	}
 	q.order(now)
+	for _, j := range q.hopeless(now) {
+		b.endJob(j, Late)
+	}
 	for i := 0; i < len(q.jobs); {
 		j := q.jobs[i]
 		if len(j.waiting) == 0 {
