--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -54,6 +54,9 @@
 	// NewConn requests a new connection. Requests that must not be repeated need
 	// one: an idle connection may have failed unnoticed.
 	NewConn bool
+	// Hold keeps the connection of a response that was read to its end unused until
+	// Response.Release is called.
+	Hold bool
 }
 
 // Client sends requests to targets. Exported fields must be set before the first
@@ -77,6 +80,15 @@
 	// Length is the declared length of the body, or -1. It is zero for a response
 	// that can't have a body, such as that to HEAD.
 	Length int64
+
+	body *body
+}
+
+// Release ends the hold of the connection. With keep it may carry further requests;
+// otherwise it is closed.
+func (r *Response) Release(keep bool) {
+	r.body.hold = false
+	r.body.finish(keep && r.body.whole)
 }
 
 // Do sends r to addr and returns the response with its body unread. An error
@@ -97,7 +109,8 @@
 		}
 		return nil, wrapBroken(err)
 	}
-	resp.Body = &body{ReadCloser: resp.Body, conn: conn, client: c, ctx: ctx, stopAbort: stop, framed: resp.Framed}
+	resp.body = &body{ReadCloser: resp.Body, conn: conn, client: c, ctx: ctx, stopAbort: stop, framed: resp.Framed, hold: r.Hold}
+	resp.Body = resp.body
 	return resp, nil
 }
 
@@ -201,6 +214,9 @@
 	stopAbort func() bool
 	framed    bool
 	finished  bool
+	// hold is set while the connection is kept for Response.Release; whole is set once
+	// the body was read to its end meanwhile.
+	hold, whole bool
 }
 
 // Read reads from the body. An error other than io.EOF wraps ErrBroken.
@@ -221,7 +237,9 @@
 
 // Close discards the rest of the response.
 func (b *body) Close() error {
-	b.finish(false)
+	if !b.whole {
+		b.finish(false)
+	}
 	return nil
 }
 
@@ -229,6 +247,10 @@
 	if b.finished {
 		return
 	}
+	if b.hold && keep {
+		b.whole = true
+		return
+	}
 	b.finished = true
 	// If stopAbort returns false, the connection is already being closed.
 	if b.stopAbort() && keep && !b.conn.closeAfterResponse && b.conn.requestWritten() && b.conn.reader.Buffered() == 0 {
