gateway, stage: count a caller's patience from its last event

Cause, from reading the diff: the time in which a stage's result is of use counted a caller's patience from the arrival. A long resumable stream that broke, and whose inputs were gone by then, would have had its stages ended at once as useless. A job refused for its ID removed the entry of the job that had it, so that this one could not be cancelled any more. The comment on ended jobs told an earlier rule. Change: patience counts from the last event that the caller got; only the job that an entry names removes it. Result: TestUsefulUntil and TestJobOfSameID; without the second change the first job of the latter is not cancelled.

--- a/internal/gateway/admit_test.go
+++ b/internal/gateway/admit_test.go
@@ -111,6 +111,29 @@
 	}
 }
 
+// TestUsefulUntil expects the caller's patience to count from the last event that it
+// got: a long stream whose stages have to run again must not end by it.
+func TestUsefulUntil(t *testing.T) {
+	arrived := time.Unix(1000, 0)
+	after := func(s int) time.Time { return arrived.Add(time.Duration(s) * time.Second) }
+	for _, c := range []struct {
+		name      string
+		patience  time.Duration
+		lastEvent time.Time
+		want      time.Time
+	}{
+		{"no patience known", 0, time.Time{}, after(30)},
+		{"no event yet", 6 * time.Second, time.Time{}, after(6)},
+		{"event at 20 s", 6 * time.Second, after(20), after(26)},
+		{"event near the deadline", 6 * time.Second, after(28), after(30)},
+	} {
+		q := &request{route: &catalog.Route{Patience: c.patience}, arrived: arrived, deadline: after(30), lastEventAt: c.lastEvent}
+		if got := q.usefulUntil(); !got.Equal(c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // TestBurst replays a burst that arrives before the estimates of the hosts show it,
 // so that ten seconds of work are let in at once. Callers leave after four seconds.
 // At least half of what the pool can run in that time must be served in it, and
--- a/internal/gateway/caller_server.go
+++ b/internal/gateway/caller_server.go
@@ -93,10 +93,10 @@
 		server.IdleTimeout = s.limits.IdleTimeout
 	}
 	l := &sharedListener{parent: s, closed: make(chan struct{})}
-	s.server = link.NewServer(s.host.Clock, server, l)
-	started := s.server
+	drainable := link.NewServer(s.host.Clock, server, l)
+	s.server = drainable
 	go func() {
-		if err := started.Serve(); err != nil {
+		if err := drainable.Serve(); err != nil {
 			s.host.Log.Error("caller server failed", journal.Error(err))
 		}
 	}()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,6 +42,7 @@
 	stagesMayHaveRun bool // a target may have run one of its stages
 	stagesTook       time.Duration
 	timeToFirstEvent time.Duration
+	lastEventAt      time.Time
 	eventCount       int
 }
 
@@ -156,11 +157,18 @@
 	return q.deadline
 }
 
-// usefulUntil returns the time after which the caller is gone if nothing of the
-// response has arrived.
+// usefulUntil returns the time after which the caller is gone if no further event
+// has reached it.
 func (q *request) usefulUntil() time.Time {
-	if left := q.arrived.Add(q.route.Patience); q.route.Patience > 0 && left.Before(q.deadline) {
-		return left
+	if q.route.Patience == 0 {
+		return q.deadline
+	}
+	waitsSince := q.arrived
+	if q.lastEventAt.After(waitsSince) {
+		waitsSince = q.lastEventAt
+	}
+	if leaves := waitsSince.Add(q.route.Patience); leaves.Before(q.deadline) {
+		return leaves
 	}
 	return q.deadline
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -230,6 +230,7 @@
 		return err
 	}
 	s.q.eventCount++
+	s.q.lastEventAt = s.h.Clock.Now()
 	if ev.hasID {
 		rel.lastEventID, rel.hasLastEventID = ev.id, true
 	}
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -234,7 +234,9 @@
 	}
 	j.ended = true
 	j.waiting = nil
-	delete(b.jobs, j.ID)
+	if b.jobs[j.ID] == j {
+		delete(b.jobs, j.ID)
+	}
 	o := Outcome{Fault: fault, Sent: j.sent, Queued: j.queued, Ran: j.ran}
 	if q := b.queues[j.Service]; q != nil {
 		q.removeJob(j)
--- a/internal/stage/malformed_test.go
+++ b/internal/stage/malformed_test.go
@@ -37,6 +37,24 @@
 	})
 }
 
+// TestJobOfSameID expects a second job with the ID of a waiting one to be refused
+// without ending the first, which its sender can still cancel.
+func TestJobOfSameID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBatcher(t, &fakePool{}, 1, testPool())
+		first := make(chan Outcome, 1)
+		go func() { first <- b.Submit(t.Context(), testJob("r", 2)) }()
+		synctest.Wait()
+		if o := b.Submit(t.Context(), testJob("r", 2)); o.Fault != Failed {
+			t.Errorf("second job: %v", o.Fault)
+		}
+		b.Cancel("r")
+		if o := <-first; o.Fault != Cancelled {
+			t.Errorf("first job: %v, want it cancelled", o.Fault)
+		}
+	})
+}
+
 // TestFaultOfOtherVersion expects a fault that this version doesn't know to have a
 // name for the log.
 func TestFaultOfOtherVersion(t *testing.T) {
--- a/internal/stage/overload.go
+++ b/internal/stage/overload.go
@@ -5,11 +5,11 @@
 // The decision of this file answers a burst that arrives before the hosts' estimates
 // show it: jobs that can be on time take the pool for themselves, and those that
 // can't wait behind them. One that would end after its deadline even if no other job
-// arrived ends at once, since it would leave its caller in doubt until the caller
-// leaves. Jobs of later stages go on: work was spent on their requests already.
+// arrived ends at once: it would keep its inputs in scarce memory and its caller in
+// doubt until the caller leaves.
 
-// hopeless returns the deferred jobs of first stages that would end after their
-// deadline. The jobs must be in the order of the last call of order.
+// hopeless returns the deferred jobs without a started piece that would end after
+// their deadline. The jobs must be in the order of the last call of order.
 func (q *queue) hopeless(now time.Time) []*job {
 	var out []*job
 	ahead := 0 // pieces
