explain: say where an unknown id was looked for, and which logs are missing

Cause: `berylswitch explain` told only that no line of an id stood in so many lines, and gave the timeline of a request as whole when the logs of hosts that took part were not among the files. Change: an unknown id is reported with the hosts and the time that the given logs cover; a timeline ends with what its lines point at but the logs lack. The gateway's own code is unchanged.

--- a/cmd/berylswitch/explain.go
+++ b/cmd/berylswitch/explain.go
@@ -24,8 +24,8 @@
 		return err
 	}
 	t := journal.NewTimeline(c.Args.RequestID, lines)
-	if len(t.Lines) == 0 {
-		return fmt.Errorf("no line of request %s in %d lines", c.Args.RequestID, len(lines))
+	if err := t.Unknown(); err != nil {
+		return err
 	}
 	if c.JSON {
 		return t.WriteJSON(os.Stdout)
--- a/internal/journal/timeline.go
+++ b/internal/journal/timeline.go
@@ -36,6 +36,11 @@
 	// Context holds lines about the targets and hosts that took part, from
 	// contextBefore the first line to the last line, sorted by time.
 	Context []Line
+	// Missing describes logs that the lines point at but that were not among those
+	// given.
+	Missing []string
+
+	searched coverage
 }
 
 // ReadLines reads the log lines of r. Text before the first brace of a line is
@@ -84,7 +89,7 @@
 
 // NewTimeline returns the timeline of the request id.
 func NewTimeline(id string, lines []Line) *Timeline {
-	t := &Timeline{RequestID: id}
+	t := &Timeline{RequestID: id, searched: newCoverage(lines)}
 	parties := map[string]bool{}
 	for _, l := range lines {
 		if !l.isOfRequest(id) {
@@ -102,6 +107,7 @@
 	if len(t.Lines) == 0 {
 		return t
 	}
+	t.Missing = missingLogs(t.Lines, lines)
 	from, to := t.Lines[0].At.Add(-contextBefore), t.Lines[len(t.Lines)-1].At
 	for _, l := range lines {
 		if _, of := l.Fields["RequestID"]; !of && !l.At.Before(from) && !l.At.After(to) && l.concerns(parties) {
@@ -131,10 +137,19 @@
 	sort.SliceStable(lines, func(i, k int) bool { return lines[i].At.Before(lines[k].At) })
 }
 
+// Unknown returns an error that says where the request was looked for if no line
+// belongs to it.
+func (t *Timeline) Unknown() error {
+	if len(t.Lines) > 0 {
+		return nil
+	}
+	return fmt.Errorf("request %s is unknown in %v; another host may have served it", t.RequestID, t.searched)
+}
+
 // WriteText writes the timeline as text, with times relative to the first line.
 func (t *Timeline) WriteText(w io.Writer) error {
-	if len(t.Lines) == 0 {
-		_, err := fmt.Fprintf(w, "no line of request %s\n", t.RequestID)
+	if err := t.Unknown(); err != nil {
+		_, err := fmt.Fprintln(w, err)
 		return err
 	}
 	start := t.Lines[0].At
@@ -149,6 +164,9 @@
 			l.write(&b, start)
 		}
 	}
+	for _, m := range t.Missing {
+		fmt.Fprintf(&b, "not in these logs: %s\n", m)
+	}
 	_, err := io.WriteString(w, b.String())
 	return err
 }
