settings: drop the settling time, which nothing uses any more

Cause: reads of the store no longer depend on the time since a disruption, so that SettleTime was read, checked and ignored.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -147,7 +147,7 @@
 	u := &upstream.Client{Net: n, Clock: c}
 	s := &settings.Gateway{
 		Name: "h", Domain: "d", CallerAddr: callerAddr, ReadyAddr: netip.AddrPortFrom(hostAddr, 81), PeerAddr: netip.AddrPortFrom(hostAddr, 82),
-		MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), SettleTime: declaration.Duration(3 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
+		MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
 		RepeatWindow: declaration.Duration(10 * time.Second),
 	}
 	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, feed, r.pool, noDirectory{})
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,10 +33,8 @@
 	// GracePeriod is the time between the stop request and the forced termination.
 	GracePeriod declaration.Duration
 	// ApplyTime is the time within which a change to the configuration or to a
-	// target must take effect. This is not required until SettleTime after a
-	// disruption.
-	ApplyTime  declaration.Duration
-	SettleTime declaration.Duration
+	// target must take effect.
+	ApplyTime declaration.Duration
 	// RepeatRatio and RepeatSlack bound the repeated sends of all hosts together to
 	// a service in any RepeatWindow: RepeatRatio times the requests for it, plus
 	// RepeatSlack.
@@ -110,8 +108,8 @@
 	if time.Duration(g.RepeatWindow) < minRepeatWindow {
 		r.Report("RepeatWindow", "must be at least %v, is %v", minRepeatWindow, time.Duration(g.RepeatWindow))
 	}
-	if g.ApplyTime <= 0 || g.SettleTime < 0 {
-		r.Report("ApplyTime", "must be positive, and SettleTime not negative")
+	if g.ApplyTime <= 0 {
+		r.Report("ApplyTime", "must be positive")
 	}
 	if g.CPUShare <= 0 || g.CPUSpeed <= 0 || g.LinkMbps <= 0 {
 		r.Report("CPUShare", "must be positive, as must be CPUSpeed and LinkMbps")
