--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -199,57 +199,6 @@
 	}
 }
 
-// holdBack delays stage i while another branch of the request takes longer, since
-// its results would only occupy memory until that branch is done. It waits for the
-// start of the last stage of that branch from which the rest of the branch takes
-// at least as long as stage i.
-func (p *plan) holdBack(ctx context.Context, i int) {
-	if len(p.q.route.Stages[i].After) > 0 || p.readers[i] > 0 {
-		return
-	}
-	k := p.stageToAwait(i)
-	if k < 0 || !p.mayHoldBack() {
-		return
-	}
-	select {
-	case <-p.start(ctx, k).inputsReady:
-	case <-ctx.Done():
-	}
-}
-
-// mayHoldBack reports whether no stage was held back before.
-func (p *plan) mayHoldBack() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	first := !p.heldBack
-	p.heldBack = true
-	return first
-}
-
-// stageToAwait returns the stage whose start stage i waits for, or -1.
-func (p *plan) stageToAwait(i int) int {
-	own := p.expectedTime(i)
-	for _, k := range p.sinks {
-		rest := time.Duration(0)
-		for k != i && p.pieceCount(k) > 0 {
-			if rest += p.expectedTime(k); rest >= own {
-				return k
-			}
-			after := p.q.route.Stages[k].After
-			if len(after) == 0 {
-				break
-			}
-			k = after[0]
-		}
-	}
-	return -1
-}
-
-// expectedTime returns the expected time of stage i with the wait before it.
-func (p *plan) expectedTime(i int) time.Duration {
-	return p.callTime(i) + p.h.Stages.WaitEstimate(p.q.route.Stages[i].Service).Ahead
-}
-
 // recordOutcome records whether o shows that a stage may have run.
 func (p *plan) recordOutcome(o stage.Outcome) {
 	p.mu.Lock()
@@ -257,14 +206,6 @@
 	p.q.stagesMayHaveRun = p.q.stagesMayHaveRun || o.Sent
 }
 
-// pieceCount returns the number of pieces of stage i.
-func (p *plan) pieceCount(i int) int {
-	if i < len(p.q.Pieces) {
-		return p.q.Pieces[i]
-	}
-	return 0
-}
-
 // inputs returns the results that s reads, after running their stages if
 // necessary.
 func (p *plan) inputs(ctx context.Context, s *catalog.Stage) ([]stage.Result, error) {
@@ -278,93 +219,3 @@
 	}
 	return inputs, nil
 }
-
-// preferredDomain returns the failure domain in which stage i transfers the fewest
-// bytes, and the number of bytes that are saved there. Each piece reads all
-// inputs; the results of a sink are read once, where the request will run.
-func (p *plan) preferredDomain(i int, inputs []stage.Result) (string, int64) {
-	pieces := int64(p.pieceCount(i))
-	bytes := map[string]int64{}
-	for _, r := range inputs {
-		bytes[r.Domain] += pieces * r.Bytes
-	}
-	if p.readers[i] == 0 && p.targetDomain != "" {
-		bytes[p.targetDomain] += pieces * p.q.route.Stages[i].ResultBytes
-	}
-	domain, most := "", int64(0)
-	for d, n := range bytes {
-		if n > most || n == most && d < domain {
-			domain, most = d, n
-		}
-	}
-	return domain, most
-}
-
-// job returns the job that runs stage i.
-func (p *plan) job(i int, inputs []stage.Result) stage.Job {
-	s := &p.q.route.Stages[i]
-	now := p.h.Clock.Now()
-	j := stage.Job{
-		RequestID:  p.q.ID,
-		Service:    s.Service,
-		Stage:      i,
-		Pieces:     p.pieceCount(i),
-		Due:        p.q.softDeadline().Sub(now) - p.remainingTime(i),
-		Left:       p.q.usefulUntil().Sub(now) - p.leastRemainingTime(i),
-		Rank:       p.q.priority,
-		Worth:      p.q.worth(),
-		PieceBytes: s.ResultBytes,
-	}
-	for _, r := range inputs {
-		j.Inputs = append(j.Inputs, r.Handle)
-	}
-	j.Domain, j.MoveBytes = p.preferredDomain(i, inputs)
-	if len(s.After) == 0 {
-		j.Key = p.q.PieceKey
-	}
-	return j
-}
-
-// markInputsRead records that s has read its inputs, and frees those that have no
-// other readers.
-func (p *plan) markInputsRead(s *catalog.Stage) {
-	p.mu.Lock()
-	var done []int
-	for _, before := range s.After {
-		if p.pendingReaders[before]--; p.pendingReaders[before] == 0 {
-			done = append(done, before)
-		}
-	}
-	p.mu.Unlock()
-	p.drop(done)
-}
-
-// drop frees the results of the given stages and marks the stages as not run.
-func (p *plan) drop(stages []int) {
-	for _, i := range stages {
-		p.mu.Lock()
-		run := p.stages[i]
-		p.stages[i] = nil
-		p.mu.Unlock()
-		if run == nil {
-			continue
-		}
-		go func() {
-			<-run.done
-			p.h.Stages.Free(run.results)
-		}()
-	}
-}
-
-// dropInputs drops the results that the request itself reads, after one was lost.
-func (p *plan) dropInputs() { p.drop(p.sinks) }
-
-// release frees all results and withdraws all announcements.
-func (p *plan) release() {
-	all := make([]int, len(p.stages))
-	for i := range all {
-		all[i] = i
-		p.withdrawAnnouncement(i)
-	}
-	p.drop(all)
-}
--- a/internal/stage/choose.go
+++ b/internal/stage/choose.go
@@ -6,6 +6,9 @@
 	"berylswitch.example/berylswitch/internal/catalog"
 )
 
+// The decisions of this file answer pools whose targets differ in speed, lie in other
+// failure domains than the inputs, and are short of memory for results.
+
 // chooseTarget returns the best target with a free slot for j, or nil.
 func (q *queue) chooseTarget(j *job, now time.Time) (*targetState, *catalog.Target) {
 	var best *targetState
--- a/internal/stage/order.go
+++ b/internal/stage/order.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// The decision of this file answers a crest: more jobs wait than can be on time, and
+// those that are worth least for their pieces are left behind.
+
 // worthWeight is the weight of the newest job in the mean worth of its rank.
 const worthWeight = 0.05
 
