gateway: leave time for the present waits of later stages

So it is the estimate of: near the limit of its pools the later stages' usual waits are longer than half of a call, and jobs were found late only at the last stage. Change: the waits before later stages are those that their batchers report now, but at most half of the time that is left beside the calls, so that no request looks late on arrival.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -13,12 +13,16 @@
 // it, and requests that it makes look late are put last, so that they are late.
 
 // remainingTime returns the expected time from the end of stage i to the first
-// event: that of the calls that follow, each of which usually begins within half of
-// a full call.
+// event: that of the calls that follow and of the waits before them. The waits take at
+// most half of the time that is left beside all calls, since a job that is short of
+// time goes before those that make up the wait.
 func (p *plan) remainingTime(i int) time.Duration {
-	return p.longestPathAfter(i, func(service string, callTime time.Duration) time.Duration {
-		return callTime + p.fullCallTime(service)/2
-	})
+	calls := p.leastRemainingTime(i)
+	waits := p.longestPathAfter(i, func(service string, callTime time.Duration) time.Duration {
+		return callTime + max(p.fullCallTime(service)/2, p.h.Stages.WaitEstimate(service).Ahead)
+	}) - calls
+	left := p.q.softDeadline().Sub(p.h.Clock.Now()) - p.callTime(i) - calls
+	return calls + min(waits, max(0, left/2))
 }
 
 // leastRemainingTime returns the least time from the end of stage i to the first
