upstream: send larger chunks in TestEndless

Its target sends 16 MiB in chunks of 4 bytes, and the race detector makes the parsing of four million chunks slow (0.4 s without the detector). Ruled out: the client, which reads on at once and fails at the same byte. Change: chunks of 64 bytes; the bound and what is checked are the same.

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -34,7 +34,7 @@
 	{"foreign responses", "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n", ErrBroken},
 	{"foreign body", "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x", ErrBroken},
 	{"body without length", "HTTP/1.1 200 OK\r\nId: one\r\n\r\n", "x", ErrTooLarge},
-	{"body in chunks", "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n", ErrTooLarge},
+	{"body in chunks", "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n", "40\r\n" + strings.Repeat("x", 64) + "\r\n", ErrTooLarge},
 	{"body in one chunk", "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n", "x", ErrTooLarge},
 	{"chunk size", "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n", "0", ErrBroken},
 	{"body of great length", "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 99999999999\r\n\r\n", "x", ErrTooLarge},
