catalog, gateway: log what tells the causes of a late configuration apart

Cause: the log did not say how long the read took that brought a configuration, nor how old the state before it was, and the version in a request's line was the one at the request's end, not the one that decided. Change: the line of a new configuration has Took, Former and FormerReadAge; a request keeps the version of its decision.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -162,6 +162,7 @@
 			f.Clock.Sleep(ctx, retryDelay)
 			continue
 		}
+		start := f.Clock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 		update, err := f.Feed.ReadTable(callCtx, next, wait)
 		cancel()
@@ -176,27 +177,41 @@
 			continue
 		}
 		next, wait = update.Next, f.readWait()
+		source := Source{Name: "store", Took: f.Clock.Since(start), ReadAge: f.tableReadAge()}
 		f.recordTableRead()
 		if update.Table != nil {
-			f.ApplyTable(update.Table, "store")
+			f.ApplyTable(update.Table, source)
 		}
 	}
 }
 
-// ApplyTable puts t in force unless the version in force is the same or newer;
-// source is for the log.
-func (f *Follower) ApplyTable(t *Table, source string) {
+// Source tells the log how a state was read.
+type Source struct {
+	// Name is that of a host, or "store".
+	Name string
+	// Took is the duration of the read, ReadAge the time since the last one that
+	// succeeded before it.
+	Took, ReadAge time.Duration
+}
+
+// ApplyTable puts t in force unless the version in force is the same or newer.
+func (f *Follower) ApplyTable(t *Table, source Source) {
 	f.mu.Lock()
 	if f.table != nil && t.Version <= f.table.Version {
 		f.mu.Unlock()
 		return
 	}
+	former := int64(0)
+	if f.table != nil {
+		former = f.table.Version
+	}
 	t.Index()
 	f.table = t
 	f.publish()
 	f.notifyWaiters()
 	f.mu.Unlock()
-	f.Log.Info("configuration in force", zap.Int64("Version", t.Version), zap.String("Source", source),
+	f.Log.Info("configuration in force", zap.Int64("Version", t.Version), zap.String("Source", source.Name),
+		zap.Duration("Took", source.Took), zap.Int64("Former", former), zap.Duration("FormerReadAge", source.ReadAge),
 		zap.Int("Routes", len(t.Routes)), zap.Int("Workspaces", len(t.Workspaces)))
 	f.notifyChange()
 }
@@ -209,6 +224,17 @@
 	return max(minReadWait, f.ApplyTime-readMargin)
 }
 
+// tableReadAge returns the time since the last read of the configuration that
+// succeeded, or zero before the first.
+func (f *Follower) tableReadAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lastTableRead.IsZero() {
+		return 0
+	}
+	return f.Clock.Since(f.lastTableRead)
+}
+
 func (f *Follower) recordTableRead() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -109,7 +109,7 @@
 func TestTableNeverReverts(t *testing.T) {
 	f := newFollower()
 	for _, v := range []int64{3, 5, 4, 5} {
-		f.ApplyTable(&Table{Version: v}, "test")
+		f.ApplyTable(&Table{Version: v}, Source{Name: "test"})
 	}
 	if diff := cmp.Diff(int64(5), f.Snapshot().Table.Version); diff != "" {
 		t.Errorf("version (-want +got):\n%s", diff)
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -106,7 +106,7 @@
 // applyHeld applies the reply of a peer. If the peer has its state from the store,
 // this host's state is as old as the peer's from then on, and lapsed entries are kept
 // for as long as there.
-func (f *Follower) applyHeld(held *Held, source string) {
+func (f *Follower) applyHeld(held *Held, source Source) {
 	if held.Table != nil {
 		f.ApplyTable(held.Table, source)
 	}
--- a/internal/catalog/reader_test.go
+++ b/internal/catalog/reader_test.go
@@ -21,7 +21,7 @@
 	if err := (&Relay{reader}).Fetch(known, held); err != nil {
 		t.Fatal(err)
 	}
-	poller.applyHeld(held, "reader")
+	poller.applyHeld(held, Source{Name: "reader"})
 	return held
 }
 
@@ -31,7 +31,7 @@
 func TestPollReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader, poller := newFollower(), newFollower()
-		reader.ApplyTable(&Table{Version: 3}, "store")
+		reader.ApplyTable(&Table{Version: 3}, Source{Name: "store"})
 		next := Offset(10)
 		reader.ApplyTargets(TargetsUpdate{Full: true, Changes: entries(10, 0, 1), Next: next})
 		steps := map[string]func(){
@@ -146,7 +146,7 @@
 					update = TargetsUpdate{Full: true, Changes: entries(9, 0, 1), Next: 11}
 				}
 				f.ApplyTargets(update)
-				f.applyHeld(old, "peer")
+				f.applyHeld(old, Source{Name: "peer"})
 				time.Sleep(lapseGrace)
 				f.ApplyTargets(TargetsUpdate{Next: 11})
 				if diff := cmp.Diff(9, registeredCount(f)); diff != "" {
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -113,10 +113,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	held := &Held{}
+	start := f.Clock.Now()
 	if err := f.Peers.Call(ctx, h.Addr, rpcName+".Fetch", known, held); err != nil {
 		return nil, err
 	}
-	f.applyHeld(held, h.Name)
+	f.applyHeld(held, Source{Name: h.Name, Took: f.Clock.Since(start), ReadAge: f.tableReadAge()})
 	return held, nil
 }
 
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -40,7 +40,7 @@
 	}
 	if q.route != nil {
 		fields = append(fields, zap.String("Route", q.route.Name), zap.Stringer("Kind", q.route.Kind), zap.String("Service", q.service),
-			zap.Int64("Version", h.configVersion()))
+			zap.Int64("Version", q.version))
 	}
 	if q.stagesTook > 0 {
 		fields = append(fields, zap.Duration("Stages", q.stagesTook))
@@ -55,14 +55,6 @@
 	h.Log.Info("request", fields...)
 }
 
-// configVersion returns the version of the configuration in force, or zero.
-func (h *Host) configVersion() int64 {
-	if t := h.Follower.Snapshot().Table; t != nil {
-		return t.Version
-	}
-	return 0
-}
-
 // retryLater returns the refusal of a request that has not run, with the delay
 // after which the caller may retry.
 func retryLater(code result.Code, after time.Duration, format string, args ...any) *result.Error {
--- a/internal/gateway/plan_test.go
+++ b/internal/gateway/plan_test.go
@@ -50,7 +50,7 @@
 		{Service: "long"}, {Service: "short"}, {Service: "long", After: []int{1}}, {Service: "short", After: []int{2}},
 	}}
 	f := &catalog.Follower{Clock: &clock.Service{}, Log: zap.NewNop()}
-	f.ApplyTable(table, "test")
+	f.ApplyTable(table, catalog.Source{Name: "test"})
 	h := &Host{Follower: f, Stages: &stage.Client{Clock: &clock.Service{}}}
 	for _, c := range []struct {
 		name   string
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -24,9 +24,11 @@
 	method, uri, host string
 	header            http.Header
 	body              []byte
-	route             *catalog.Route
-	service           string
-	workspace         string
+	// version is that of the configuration by which the request is handled.
+	version   int64
+	route     *catalog.Route
+	service   string
+	workspace string
 	// priority is that of the workspace, or else of the route.
 	priority int
 	arrived  time.Time
@@ -95,6 +97,7 @@
 	if table == nil {
 		return retryLater(result.ConfigStale, noTableRetry, "no configuration has been read yet")
 	}
+	q.version = table.Version
 	var err error
 	if q.RequestInfo, err = h.Format.ParseRequest(r.Header); err != nil {
 		return result.NotRun(result.BadRequest, "%v", err)
