catalog, platform: repeat a read that hung at once, over a new connection

What callers saw: requests handled by the former configuration longer than allowed after a change, in the worst case that TestChangeOverSilentConnections shows. Cause: after connections went silent without a reset, a host waited several times in a row: for its read of the store (2.2 s), for each of three peers (0.3 s each, over silent connections too), in a pause, and again on an idle silent connection to the store. Each wait has a bound under that of a change, their sum had none. Hosts that poll readers waited for both readers in turn. Hosts that poll ask further readers without a wait after that.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/rpc"
 	"sort"
 	"sync"
@@ -170,6 +171,10 @@
 			return
 		}
 		dep.record(err)
+		if hung(err, wait) {
+			wait = 0
+			continue
+		}
 		if err != nil {
 			f.fetchFromPeers(ctx)
 			wait = 0
@@ -185,6 +190,13 @@
 	}
 }
 
+// hung reports whether a read that waited for a change got no response at all. Its
+// connection may have gone silent for good, so that a read at once, over a new one,
+// takes less time than asking peers over connections that may be silent too.
+func hung(err error, wait time.Duration) bool {
+	return wait > 0 && errors.Is(err, context.DeadlineExceeded)
+}
+
 // Source tells the log how a state was read.
 type Source struct {
 	// Name is that of a host, or "store".
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -77,14 +77,19 @@
 // poll waits for changes at the first of hosts that has its state from the store,
 // and reports whether there was one.
 func (f *Follower) poll(ctx context.Context, hosts []peer.Host) bool {
+	wait := f.pollWait()
 	for _, h := range hosts {
-		wait := f.pollWait()
 		held, err := f.fetch(ctx, h, wait, wait+pollMargin)
+		if hung(err, wait) {
+			// No time is left for another wait, here or at the next host.
+			wait = 0
+			held, err = f.fetch(ctx, h, wait, pollMargin)
+		}
 		if err != nil {
 			f.Log.Info("cannot poll reader host", zap.String("Peer", h.Name), journal.Error(err))
 			continue
 		}
-		if held.fresh(wait) {
+		if held.fresh(f.pollWait()) {
 			f.recordSource(h.Name)
 			return true
 		}
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -115,6 +116,10 @@
 	held := &Held{}
 	start := f.Clock.Now()
 	if err := f.Peers.Call(ctx, h.Addr, rpcName+".Fetch", known, held); err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			// The connection may have gone silent for good.
+			f.Peers.Disconnect(h.Addr)
+		}
 		return nil, err
 	}
 	f.applyHeld(held, Source{Name: h.Name, Took: f.Clock.Since(start), ReadAge: f.tableReadAge()})
--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -34,6 +34,10 @@
 			return
 		}
 		dep.record(err)
+		if hung(err, wait) {
+			wait = 0
+			continue
+		}
 		if err != nil {
 			source, ok := f.fetchFromPeers(ctx)
 			f.lastSource = source.Name
