gateway, crash: log the parts of a broken send and each crash that a host learns of

Change: 'send failed' has Begun, Digest and Parts; 'crash recorded' tells at each host by which digest and how often a request broke targets. Result: tests of crash, gateway, host and pipeline pass; no logic changed.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -25,6 +25,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/zeebo/errs"
+	"go.uber.org/zap"
 )
 
 // Bounds of a Table.
@@ -59,6 +60,7 @@
 	// Self is the name of this host.
 	Self     string
 	Clock    *clock.Service
+	Log      *zap.Logger
 	Exchange Exchange
 	Peers    *peer.Caller
 	// Limit is the number of targets that a request may break; zero means
@@ -161,7 +163,10 @@
 		}
 		return
 	}
-	t.getOrCreate(w.Digest, now).addBreak(w, t.limit())
+	b := t.getOrCreate(w.Digest, now)
+	b.addBreak(w, t.limit())
+	t.Log.Info("crash recorded", zap.String("BreakID", w.BreakID), zap.String("Digest", w.Digest), zap.String("Target", w.Target),
+		zap.Time("At", w.At), zap.Int("Breaks", len(b.breakIDs)))
 }
 
 func (b *body) clear(at time.Time) {
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -13,6 +13,7 @@
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/peer"
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 )
 
 // fixedMembers is a constant list of hosts; it discards notes.
@@ -33,7 +34,7 @@
 	members := &fixedMembers{peer.NewMembers(hosts)}
 	var tables []*Table
 	for _, h := range hosts {
-		t := &Table{Self: h.Name, Clock: &clock.Service{}, Exchange: members, Peers: &peer.Caller{Net: m.Process(h.Addr.Addr())}}
+		t := &Table{Self: h.Name, Clock: &clock.Service{}, Log: zap.NewNop(), Exchange: members, Peers: &peer.Caller{Net: m.Process(h.Addr.Addr())}}
 		s := &peer.Server{RPC: rpc.NewServer()}
 		if err := t.Register(s.RPC); err != nil {
 			tb.Fatal(err)
@@ -129,7 +130,7 @@
 // BenchmarkBegin measures the cost of the table for a request that broke no
 // target.
 func BenchmarkBegin(b *testing.B) {
-	table := &Table{Self: "h", Clock: &clock.Service{}, Exchange: &fixedMembers{peer.NewMembers([]peer.Host{{Name: "h"}})}}
+	table := &Table{Self: "h", Clock: &clock.Service{}, Log: zap.NewNop(), Exchange: &fixedMembers{peer.NewMembers([]peer.Host{{Name: "h"}})}}
 	run := Run{Digest: "d", Target: "t", AttemptID: "a", Until: time.Now().Add(time.Hour)}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -176,6 +176,16 @@
 	return q.deadline
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests may
+// have too: all but the last.
+func (q *request) sharedParts() []string {
+	var ids []string
+	for _, part := range q.Prompt[:max(0, len(q.Prompt)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // affinityKey identifies what targets may have cached of q's prompt: the last
 // part that it shares with other requests.
 func (q *request) affinityKey() string {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -48,6 +48,8 @@
 	// lease is the current send at the holder that chose its target, or nil if this
 	// host chose it.
 	lease *placement.Lease
+	// begun is set once the current send has brought its first event.
+	begun bool
 	// memory accounts for the large responses that are not streams.
 	memory *upstream.Allowance
 }
@@ -185,7 +187,7 @@
 	}
 	s.endSend(t, r, took)
 	s.h.Log.Info("send failed", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Stringer("Result", r),
-		zap.Duration("Took", took), journal.Error(err))
+		zap.Duration("Took", took), zap.Bool("Begun", s.begun), zap.String("Digest", s.q.digest), zap.Strings("Parts", s.q.sharedParts()), journal.Error(err))
 	return r
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -125,6 +125,7 @@
 // sendStream sends the request to t and relays the events to the caller.
 func (s *sender) sendStream(ctx context.Context, t *catalog.Target, rel *relayState, p *plan) streamEnd {
 	start := s.h.Clock.Now()
+	s.begun = false
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := s.startStallTimer(cancel)
@@ -200,6 +201,7 @@
 			timer.reset()
 			if first == 0 {
 				first = s.h.Clock.Since(start)
+				s.begun = true
 				p.release()
 				s.lease.Begun()
 			}
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -24,7 +24,7 @@
 	caller := providePeerCaller(n)
 	exchange := provideExchange(s, n, c, caller, d)
 	follower := provideFollower(s, c, log, feed, exchange, caller)
-	table := provideCrashTable(c, exchange, caller)
+	table := provideCrashTable(c, log, exchange, caller)
 	batcher := provideBatcher(c, log, pool, follower, exchange)
 	holder := provideLoadTables(c, log, follower)
 	server, err := providePeerServer(exchange, follower, table, batcher, holder)
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -20,6 +20,7 @@
 	"berylswitch.example/berylswitch/internal/target"
 	"berylswitch.example/berylswitch/pkg/declaration"
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 )
 
 func providePlatformClient(s *settings.Settings, n link.Network) *platform.Client {
@@ -136,8 +137,8 @@
 	return r
 }
 
-func provideCrashTable(s *settings.Settings, c *clock.Service, x *peer.Exchange, peers *peer.Caller) *crash.Table {
-	return &crash.Table{Self: s.Name, Clock: c, Exchange: x, Peers: peers}
+func provideCrashTable(s *settings.Settings, c *clock.Service, log *zap.Logger, x *peer.Exchange, peers *peer.Caller) *crash.Table {
+	return &crash.Table{Self: s.Name, Clock: c, Log: log, Exchange: x, Peers: peers}
 }
 
 func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
--- a/internal/host/wire_gen.go
+++ b/internal/host/wire_gen.go
@@ -35,7 +35,7 @@
 	retryBudget := &workspace.RetryBudget{}
 	holder := provideClaimHolder(s, c, client, exchange)
 	claimClient := claim.NewClient(c, exchange, caller, holder)
-	table := provideCrashTable(s, c, exchange, caller)
+	table := provideCrashTable(s, c, log, exchange, caller)
 	runner := &pipeline.Runner{
 		Clock:       c,
 		Dispatcher:  dispatcher,
