--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -17,6 +17,7 @@
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/stage"
 	"berylswitch.example/berylswitch/internal/upstream"
@@ -284,11 +285,16 @@
 			a.Pieces = append(a.Pieces, n)
 		}
 	}
+	for _, id := range strings.Split(h.Get("Parts"), ",") {
+		if id != "" {
+			a.Prompt = append(a.Prompt, placement.Part{ID: id, Tokens: 100})
+		}
+	}
 	return a, nil
 }
 
 func (testFormat) RequestHeader(h http.Header, s ForwardInfo) http.Header {
-	out := http.Header{"Id": h["Id"], "Target": {s.Target}, "Workspace": {s.Workspace}, "User-Agent": {""}, "Inputs": {strings.Join(s.Inputs, ",")}}
+	out := http.Header{"Id": h["Id"], "Target": {s.Target}, "Workspace": {s.Workspace}, "User-Agent": {""}, "Inputs": {strings.Join(s.Inputs, ",")}, "Parts": h["Parts"]}
 	out.Set("Left", strconv.FormatInt(s.TimeLeft.Milliseconds(), 10))
 	if s.Resumes {
 		out.Set("After", strconv.FormatInt(s.ResumeAfter, 10))
