crash, gateway: count crashes of targets by the parts of prompts

Cause: crashes were counted by a digest of the whole request, and no two requests were alike. Each was sent again at once, so that it ended up to two more targets. Class: a limit that is kept under a key which the cause of the fault doesn't have. Change: the crash of a target is an incident that suspects the shared parts of all prompts which it had not begun to answer, if it refuses connections afterwards. A first event clears the parts of its request, everywhere. A request is blocked for a part with three incidents, not counting those that another part explains. The news goes the way of the other crashes, so that a restarted host gets it from its peers. A request that ran ends with CrashedTargets, one that did not with CrashSuspect. A part that was blocked while targets crashed for another reason is tried once in 30 s. Ruled out: blocking by the whole list of parts (each request has one of its own), and by workspace or route (the sound requests share them); one suspect at a time by an arbiter (a popular part is a suspect after each crash of a target).

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -11,6 +11,9 @@
 // it does anything else with the request, and spreads a note for members that it
 // couldn't reach. One host, picked by rendezvous hashing, arbitrates the runs of
 // all suspects; if it can't be reached, each host decides on its own.
+//
+// Requests with prompts may also break targets by one part of the prompt, while no
+// two of them have the same body. A Table counts these by part; see partTable.
 package crash
 
 import (
@@ -69,6 +72,7 @@
 
 	mu     sync.Mutex
 	bodies *simplelru.LRU[string, *body]
+	parts  partTable
 	// active holds the permits of this host's runs that began before their body
 	// was a suspect, and so without an arbiter, by digest.
 	active  map[string]map[*Permit]bool
@@ -102,12 +106,67 @@
 	return MaxTargets
 }
 
-// RecordBreak records that a run of digest broke target. It is for callers that
-// check Blocked before each run and need no permit.
-func (t *Table) RecordBreak(ctx context.Context, digest, target string) {
-	w := Word{BreakID: uuid.NewString(), Digest: digest, Target: target, At: t.Clock.Now()}
+// Break is a run that broke a target.
+type Break struct {
+	Digest string
+	Target string
+	// Born is the start of the target's incarnation in Unix milliseconds.
+	Born int64
+	// Parts are the parts of the request's prompt that other requests share, if the
+	// target crashed before it began to answer; otherwise there are none.
+	Parts []string
+}
+
+// RecordBreak records b here and tells the members in the background. It is for
+// callers that check Blocked and BlockedPart before each run and need no permit.
+func (t *Table) RecordBreak(b Break) {
+	w := Word{BreakID: uuid.NewString(), Digest: b.Digest, Target: b.Target, At: t.Clock.Now()}
+	if len(b.Parts) > 0 {
+		w.Crash = &PartCrash{Incident: Incident{Target: b.Target, Born: b.Born}, Parts: b.Parts}
+	}
 	t.apply(w)
-	t.notifyMembers(ctx, w)
+	go t.tell(w)
+}
+
+// RecordBegin records that a target has begun to answer a request with the given
+// parts in its prompt.
+func (t *Table) RecordBegin(parts []string) {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	begin := t.parts.begun(parts, now)
+	t.mu.Unlock()
+	if begin == nil {
+		return
+	}
+	w := Word{At: now, Begin: begin}
+	t.apply(w)
+	go t.tell(w)
+}
+
+// BlockedPart returns the part for which a request with the given parts in its
+// prompt must not run, or the empty string.
+func (t *Table) BlockedPart(parts []string) string {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.parts.blocked(parts, now)
+}
+
+// TakeTrial reports whether a request with the blocked part may run once all the
+// same. One host allows trials for all.
+func (t *Table) TakeTrial(part string) bool {
+	if t.Exchange.Members().Holder(suspectsKey).Name != t.Self {
+		return false
+	}
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.parts.takeTrial(part, now)
+}
+
+// tell sends w to the members.
+func (t *Table) tell(w Word) {
+	t.notifyMembers(context.Background(), w)
 	t.spreadNote(w)
 }
 
@@ -157,6 +216,17 @@
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if w.Crash != nil {
+		t.parts.recordCrash(w.Crash, w.At, now)
+		t.Log.Info("prompt parts suspected", zap.String("Target", w.Target), zap.Strings("Parts", w.Crash.Parts))
+	}
+	if w.Begin != nil {
+		t.parts.recordBegin(w.Begin, w.At, now)
+		t.Log.Info("prompt parts cleared", zap.Strings("Parts", w.Begin.Parts), zap.Int("Incidents", len(w.Begin.Incidents)))
+	}
+	if w.Digest == "" {
+		return
+	}
 	if w.BreakID == "" {
 		if b := t.find(w.Digest, now); b != nil {
 			b.clear(w.At)
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/netip"
 	"net/rpc"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,6 +83,48 @@
 	})
 }
 
+// noteLog is a constant list of hosts that keeps the notes.
+type noteLog struct {
+	fixedMembers
+	mu    sync.Mutex
+	notes []peer.Note
+}
+
+func (l *noteLog) Spread(n peer.Note) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notes = append(l.notes, n)
+}
+
+// TestBlockedPartAfterRestart breaks three targets by requests with one part and
+// expects every host to block it, and so does a host that starts later, from the
+// notes that its peers keep, in any order.
+func TestBlockedPartAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tables := newTables(t, 3)
+		l := &noteLog{fixedMembers: *tables[0].Exchange.(*fixedMembers)}
+		tables[0].Exchange = l
+		for i := range maxPartCrashes {
+			tables[0].RecordBreak(Break{Digest: fmt.Sprint(i), Target: fmt.Sprint("t", i), Parts: []string{"a", "b", "c"}})
+			time.Sleep(time.Second)
+		}
+		tables[0].RecordBegin([]string{"a", "b"})
+		time.Sleep(time.Second)
+		restarted := newTables(t, 1)[0]
+		l.mu.Lock()
+		for _, n := range slices.Backward(l.notes) {
+			restarted.handleNote(n)
+		}
+		l.mu.Unlock()
+		for _, table := range append(tables, restarted) {
+			got := []string{table.BlockedPart([]string{"a", "b"}), table.BlockedPart([]string{"a", "c"})}
+			if diff := cmp.Diff([]string{"", "c"}, got); diff != "" {
+				t.Errorf("%s: blocked parts (-want +got):\n%s", table.Self, diff)
+			}
+		}
+	})
+}
+
 // TestBounds fills a table beyond its limit: the body that broke a target
 // longest ago is dropped, and a remaining one expires after bodyLifetime.
 func TestBounds(t *testing.T) {
--- a/internal/crash/service.go
+++ b/internal/crash/service.go
@@ -28,6 +28,10 @@
 	Digest  string
 	Target  string
 	At      time.Time
+	// Crash and Begin are set if the update is about parts of prompts. Digest is
+	// empty if it is about nothing else.
+	Crash *PartCrash
+	Begin *PartBegin
 }
 
 // Empty is an empty reply.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -16,6 +16,7 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/pkg/result"
+	"go.uber.org/zap"
 )
 
 // request is a caller's request while it is being served.
@@ -36,6 +37,8 @@
 	// defaultTimeout after the arrival.
 	deadline time.Time
 	digest   string
+	// onTrial allows the first send although a part of the prompt is blocked.
+	onTrial bool
 
 	// The remaining fields record the progress of the request; the log reports them.
 	target           string
@@ -119,6 +122,13 @@
 	if h.Crashes.Blocked(q.digest) {
 		return retryLater(result.CrashSuspect, 0, "earlier sends of this request crashed targets")
 	}
+	if part := h.Crashes.BlockedPart(q.sharedParts()); part != "" {
+		if !h.Crashes.TakeTrial(part) {
+			return crashSuspect(part)
+		}
+		h.Log.Info("request with a blocked prompt part on trial", zap.String("RequestID", q.ID), zap.String("Part", part))
+		q.onTrial = true
+	}
 	return nil
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/journal"
+	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/pkg/result"
@@ -48,6 +50,9 @@
 	// lease is the current send at the holder that chose its target, or nil if this
 	// host chose it.
 	lease *placement.Lease
+	// blockedPart is the part of the prompt for which the request must not be sent any
+	// more, or empty.
+	blockedPart string
 	// begun is set once the current send has brought its first event.
 	begun bool
 	// memory accounts for the large responses that are not streams.
@@ -69,6 +74,10 @@
 // nextTarget returns the target of the next send, or nil. Every send after the
 // first draws on the shared budget of repeats.
 func (s *sender) nextTarget(ctx context.Context) *catalog.Target {
+	if part := s.h.Crashes.BlockedPart(s.q.sharedParts()); part != "" && !(s.q.onTrial && s.q.sends == 0) {
+		s.blockedPart = part
+		return nil
+	}
 	if s.q.sends >= maxSends || s.possibleRuns >= max(1, s.q.route.MaxTargets) {
 		return nil
 	}
@@ -182,7 +191,7 @@
 		s.possibleRuns++
 		s.q.mayHaveRun = true
 		if ctx.Err() == nil {
-			go s.h.Crashes.RecordBreak(context.Background(), s.q.digest, t.ID)
+			s.recordBreak(t)
 		}
 	}
 	s.endSend(t, r, took)
@@ -191,6 +200,38 @@
 	return r
 }
 
+// recordBreak records that t broke off the request. The parts of its prompt may be
+// the cause only if t itself is gone and had not begun to answer.
+func (s *sender) recordBreak(t *catalog.Target) {
+	b := crash.Break{Digest: s.q.digest, Target: t.ID, Born: t.Born}
+	if parts := s.q.sharedParts(); !s.begun && len(parts) > 0 && s.h.refusesConnections(t) {
+		b.Parts = parts
+	}
+	s.h.Crashes.RecordBreak(b)
+}
+
+// crashCheckTimeout bounds the dial that finds out whether a target crashed.
+const crashCheckTimeout = 50 * time.Millisecond
+
+// refusesConnections reports whether t refuses connections, as one that crashed does,
+// but neither one that failed a request nor one that is cut off.
+func (h *Host) refusesConnections(t *catalog.Target) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	conn, err := h.Net.Dial(ctx, t.Addr)
+	if err == nil {
+		conn.Close()
+		return false
+	}
+	return link.IsRefused(err)
+}
+
+// recordBegin records the first event of the current send, or its complete response.
+func (s *sender) recordBegin() {
+	s.begun = true
+	s.h.Crashes.RecordBegin(s.q.sharedParts())
+}
+
 // recordRejection records that t did not run the request.
 func (s *sender) recordRejection(t *catalog.Target, resp *upstream.Response, took time.Duration) {
 	resp.Body.Close()
@@ -203,6 +244,10 @@
 	q := s.q
 	timeout := errors.Is(context.Cause(ctx), errTimeout)
 	switch {
+	case s.blockedPart != "" && (q.mayHaveRun || q.stagesMayHaveRun):
+		return result.Failed(result.CrashedTargets, "requests with part %s of the prompt crashed targets, %d sends", s.blockedPart, q.sends)
+	case s.blockedPart != "":
+		return crashSuspect(s.blockedPart)
 	case q.mayHaveRun && timeout, q.stagesMayHaveRun && timeout:
 		return result.Failed(result.DeadlineExceeded, "deadline exceeded after %d sends", q.sends)
 	case q.mayHaveRun:
@@ -216,6 +261,11 @@
 	}
 }
 
+// crashSuspect returns the refusal of a request with a blocked part in its prompt.
+func crashSuspect(part string) error {
+	return retryLater(result.CrashSuspect, 0, "requests with part %s of the prompt crashed targets", part)
+}
+
 // serveSingle serves a request that has a single response rather than a stream of
 // events.
 func (h *Host) serveSingle(ctx context.Context, q *request, out *callerResponse) error {
@@ -246,6 +296,7 @@
 // if there is none.
 func (s *sender) roundTrip(ctx context.Context, t *catalog.Target) *targetResponse {
 	start := s.h.Clock.Now()
+	s.begun = false
 	s.h.Balancer.Begin(t)
 	resp, info, err := s.send(ctx, t, false, 0)
 	if err != nil {
@@ -264,6 +315,7 @@
 		s.recordFailure(ctx, t, err, s.h.Clock.Since(start))
 		return nil
 	}
+	s.recordBegin()
 	s.possibleRuns++
 	s.q.mayHaveRun = true
 	s.endSend(t, resultOf(resp.Status), s.h.Clock.Since(start))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -201,7 +201,7 @@
 			timer.reset()
 			if first == 0 {
 				first = s.h.Clock.Since(start)
-				s.begun = true
+				s.recordBegin()
 				p.release()
 				s.lease.Begun()
 			}
