crash, platform: keep what is blocked in the store

Cause: what is blocked was known to the hosts' memory alone. Class: knowledge that protects targets ends with the processes that hold it. Change: Table.Run saves what is blocked, parts and digests, to a topic of the store within a second, again after a failure, and loads it at the start. An answer to a request with the part deletes it there. Names of parts are bounded. Ruled out: waiting for the archive before serving (a store that is away would keep hosts from serving what they can). Evidence: TestRestartOfAllHosts fails with the loading taken out.

--- a/cmd/berylswitch/gateway.go
+++ b/cmd/berylswitch/gateway.go
@@ -54,6 +54,7 @@
 		&platform.Feed{Store: store, Log: log},
 		&platform.Pool{Upstream: u},
 		&platform.Directory{Store: store, Self: s.PeerAddr, Log: log},
+		&platform.Archive{Store: store},
 	)
 }
 
--- /dev/null
+++ b/internal/crash/archive_test.go
@@ -0,0 +1,101 @@
+package crash
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// memoryArchive is an archive that fails while down is set.
+type memoryArchive struct {
+	mu     sync.Mutex
+	down   bool
+	values map[string][]byte
+}
+
+var errArchiveDown = errors.New("archive is down")
+
+func (a *memoryArchive) Save(_ context.Context, key string, value []byte) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return errArchiveDown
+	}
+	if value == nil {
+		delete(a.values, key)
+	} else {
+		a.values[key] = value
+	}
+	return nil
+}
+
+func (a *memoryArchive) Load(context.Context) (map[string][]byte, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return nil, errArchiveDown
+	}
+	return maps.Clone(a.values), nil
+}
+
+func (a *memoryArchive) setDown(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = down
+}
+
+// startArchived returns a table with the archive a. stop ends it as the process does.
+func startArchived(t *testing.T, a *memoryArchive) (table *Table, stop func()) {
+	t.Helper()
+	table = newTables(t, 1)[0]
+	table.Archive, table.Limit = a, maxPartCrashes
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- table.Run(ctx) }()
+	time.Sleep(10 * time.Millisecond)
+	return table, func() { cancel(); <-done }
+}
+
+// TestRestartOfAllHosts blocks a part and a body while the archive is down, ends all
+// hosts after it is back, and expects the next ones to block both. An answer to a
+// request with the part clears it for good.
+func TestRestartOfAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &memoryArchive{values: map[string][]byte{"Part/garbled": []byte("{")}}
+		first, stop := startArchived(t, a)
+		a.setDown(true)
+		for i := range maxPartCrashes {
+			first.RecordBreak(Break{Digest: "d", Target: fmt.Sprint("t", i), Parts: []string{"a", "c"}})
+			time.Sleep(time.Second)
+		}
+		a.setDown(false)
+		time.Sleep(archiveRetryInterval)
+		stop()
+		check := func(table *Table, want ...string) {
+			t.Helper()
+			got := []string{table.BlockedPart([]string{"a", "c"}), fmt.Sprint(table.Blocked("d"))}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("blocked (-want +got):\n%s", diff)
+			}
+		}
+		a.setDown(true)
+		second, stop := startArchived(t, a)
+		check(second, "", "false")
+		a.setDown(false)
+		time.Sleep(archiveRetryInterval)
+		check(second, "c", "true")
+		second.RecordBegin([]string{"c"})
+		time.Sleep(archiveRetryInterval)
+		stop()
+		third, stop := startArchived(t, a)
+		check(third, "", "true")
+		stop()
+	})
+}
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -66,6 +66,9 @@
 	Log      *zap.Logger
 	Exchange Exchange
 	Peers    *peer.Caller
+	// Archive, unless nil, keeps what is blocked beyond the life of all hosts. It is
+	// used by Run.
+	Archive Archive
 	// Limit is the number of targets that a request may break; zero means
 	// MaxTargets.
 	Limit int
@@ -73,6 +76,8 @@
 	mu     sync.Mutex
 	bodies *simplelru.LRU[string, *body]
 	parts  partTable
+	// unsaved holds the keys whose values in the archive are out of date.
+	unsaved map[string]bool
 	// active holds the permits of this host's runs that began before their body
 	// was a suspect, and so without an arbiter, by digest.
 	active  map[string]map[*Permit]bool
@@ -121,10 +126,16 @@
 // callers that check Blocked and BlockedPart before each run and need no permit.
 func (t *Table) RecordBreak(b Break) {
 	w := Word{BreakID: uuid.NewString(), Digest: b.Digest, Target: b.Target, At: t.Clock.Now()}
-	if len(b.Parts) > 0 {
-		w.Crash = &PartCrash{Incident: Incident{Target: b.Target, Born: b.Born}, Parts: b.Parts}
+	if parts := trackable(b.Parts); len(parts) > 0 {
+		w.Crash = &PartCrash{Incident: Incident{Target: b.Target, Born: b.Born}, Parts: parts}
 	}
 	t.apply(w)
+	if t.Blocked(b.Digest) {
+		t.markUnsaved(digestPrefix + b.Digest)
+	}
+	if part := t.BlockedPart(b.Parts); part != "" {
+		t.markUnsaved(partPrefix + part)
+	}
 	go t.tell(w)
 }
 
@@ -132,17 +143,36 @@
 // parts in its prompt.
 func (t *Table) RecordBegin(parts []string) {
 	now := t.Clock.Now()
-	t.mu.Lock()
-	begin := t.parts.begun(parts, now)
-	t.mu.Unlock()
+	begin, archived := t.begun(parts, now)
 	if begin == nil {
 		return
 	}
 	w := Word{At: now, Begin: begin}
 	t.apply(w)
+	for _, p := range archived {
+		t.markUnsaved(partPrefix + p)
+	}
 	go t.tell(w)
 }
 
+// begun returns the news that a request with parts is being answered, or nil if that
+// clears nothing, and which of the parts may be in the archive.
+func (t *Table) begun(parts []string, now time.Time) (begin *PartBegin, archived []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	begin = t.parts.begun(parts, now)
+	if begin == nil {
+		return nil, nil
+	}
+	counts := t.parts.suspicions(now)
+	for _, p := range begin.Parts {
+		if counts[p] >= maxPartCrashes {
+			archived = append(archived, p)
+		}
+	}
+	return begin, archived
+}
+
 // BlockedPart returns the part for which a request with the given parts in its
 // prompt must not run, or the empty string.
 func (t *Table) BlockedPart(parts []string) string {
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -24,6 +24,20 @@
 	maxIncidentParts = 64
 )
 
+// maxPartBytes bounds the names of parts, which callers choose.
+const maxPartBytes = 128
+
+// trackable returns the parts whose crashes are counted.
+func trackable(parts []string) []string {
+	var out []string
+	for _, p := range parts {
+		if len(p) <= maxPartBytes && len(out) < maxIncidentParts {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // Incident names the crash of one incarnation of a target.
 type Incident struct {
 	Target string
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -101,8 +101,8 @@
 	}
 }
 
-func provideCrashTable(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller) *crash.Table {
-	return &crash.Table{Self: x.Self.Name, Clock: c, Log: log, Exchange: x, Peers: caller, Limit: maxCrashes}
+func provideCrashTable(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, archive crash.Archive) *crash.Table {
+	return &crash.Table{Self: x.Self.Name, Clock: c, Log: log, Exchange: x, Peers: caller, Archive: archive, Limit: maxCrashes}
 }
 
 // responseMemoryShare is the part of a host's memory that large responses may take
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -40,7 +40,7 @@
 		GracePeriod: declaration.Duration(2 * time.Second), RepeatWindow: declaration.Duration(10 * time.Second),
 	}
 	c := &clock.Service{}
-	h, err := New(s, link.TCP{}, c, zap.NewNop(), &upstream.Client{Net: link.TCP{}, Clock: c}, testFormat{}, feed, &testPool{}, noDirectory{})
+	h, err := New(s, link.TCP{}, c, zap.NewNop(), &upstream.Client{Net: link.TCP{}, Clock: c}, testFormat{}, feed, &testPool{}, noDirectory{}, nil)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -151,7 +151,7 @@
 		MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
 		RepeatWindow: declaration.Duration(10 * time.Second),
 	}
-	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, feed, r.pool, noDirectory{})
+	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, feed, r.pool, noDirectory{}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -90,7 +90,7 @@
 	}
 	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr),
 		zap.String("Domain", h.Settings.Domain), zap.Int("Peers", len(h.Settings.Peers)))
-	for _, run := range []func(context.Context) error{h.Follower.Run, h.join, h.Batcher.Run, h.Stages.Watch, h.Placement.Run} {
+	for _, run := range []func(context.Context) error{h.Follower.Run, h.join, h.Batcher.Run, h.Stages.Watch, h.Placement.Run, h.Crashes.Run} {
 		g.Go(func() error { return run(partsCtx) })
 	}
 	g.Go(func() error {
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -5,6 +5,7 @@
 import (
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/stage"
@@ -15,7 +16,7 @@
 
 // New returns a host built from its settings and the parts that an adapter
 // provides.
-func New(s *settings.Gateway, n link.Network, c *clock.Service, log *zap.Logger, u *upstream.Client, f Format, feed catalog.Feed, pool stage.Pool, d Directory) (*Host, error) {
+func New(s *settings.Gateway, n link.Network, c *clock.Service, log *zap.Logger, u *upstream.Client, f Format, feed catalog.Feed, pool stage.Pool, d Directory, archive crash.Archive) (*Host, error) {
 	panic(wire.Build(
 		provideExchange,
 		provideFollower,
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -9,6 +9,7 @@
 import (
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/stage"
@@ -20,11 +21,11 @@
 
 // New returns a host built from its settings and the parts that an adapter
 // provides.
-func New(s *settings.Gateway, n link.Network, c *clock.Service, log *zap.Logger, u *upstream.Client, f Format, feed catalog.Feed, pool stage.Pool, d Directory) (*Host, error) {
+func New(s *settings.Gateway, n link.Network, c *clock.Service, log *zap.Logger, u *upstream.Client, f Format, feed catalog.Feed, pool stage.Pool, d Directory, archive crash.Archive) (*Host, error) {
 	caller := providePeerCaller(n)
 	exchange := provideExchange(s, n, c, caller, d)
 	follower := provideFollower(s, c, log, feed, exchange, caller)
-	table := provideCrashTable(c, log, exchange, caller)
+	table := provideCrashTable(c, log, exchange, caller, archive)
 	batcher := provideBatcher(c, log, pool, follower, exchange)
 	holder := provideLoadTables(c, log, follower)
 	server, err := providePeerServer(exchange, follower, table, batcher, holder)
