gateway: take no repeat from the budget for a send that never arrived

Cause: each send after the first took a repeat from the shared budget, also when the first had met a refused connection. The budget limits what arrives at targets beyond the first of each request. Change: a send takes a repeat only after one that may have arrived. Evidence: TestUnreachableTargets failed before (503 for some of ten requests with two of three targets down and no budget) and passes.

--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -51,6 +51,25 @@
 	}
 }
 
+// TestUnreachableTargets expects a send to a target that refuses connections to take
+// nothing from the budget of repeats, which limits what arrives at targets. Requests
+// once failed after their stages had run because the first target was down.
+func TestUnreachableTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFixture(t, route(catalog.Safe, nil), respondsWith("x"), respondsWith("x"), respondsWith("x"))
+		defer r.close()
+		r.host.Repeats.SetLimit(0, 0)
+		for _, down := range []int{0, 1} {
+			r.network.Kill(targetAddr(down).Addr())
+		}
+		for range 10 {
+			if got := r.post("/a/b", "Wait", "3000"); got != `200 signed t "x"` {
+				t.Errorf("got %s", got)
+			}
+		}
+	})
+}
+
 // TestTimeouts checks that a request ends at the timeout of its route, which is
 // shorter than the caller's.
 func TestTimeouts(t *testing.T) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -38,6 +38,8 @@
 	h     *Host
 	q     *request
 	tried map[string]bool
+	// arrivals is the number of sends that may have reached a target.
+	arrivals int
 	// possibleRuns is the number of targets that may have run the request.
 	possibleRuns int
 	// lastResponse is the response of a target that a further send may replace with a
@@ -71,8 +73,8 @@
 	return &sender{h: h, q: q, tried: map[string]bool{}, memory: h.ResponseMemory.NewAllowance()}
 }
 
-// nextTarget returns the target of the next send, or nil. Every send after the
-// first draws on the shared budget of repeats.
+// nextTarget returns the target of the next send, or nil. Every send after one that
+// may have arrived draws on the shared budget of repeats.
 func (s *sender) nextTarget(ctx context.Context) *catalog.Target {
 	if part := s.h.Crashes.BlockedPart(s.q.sharedParts()); part != "" && !(s.q.onTrial && s.q.sends == 0) {
 		s.blockedPart = part
@@ -86,7 +88,7 @@
 	if t == nil {
 		return nil
 	}
-	if s.q.sends > 0 && !s.h.Repeats.Take(s.q.service) {
+	if s.arrivals > 0 && !s.h.Repeats.Take(s.q.service) {
 		s.lease.End(placement.Abandoned)
 		s.h.Log.Info("repeat refused by the budget", zap.String("RequestID", s.q.ID), zap.String("Service", s.q.service), zap.Int("Sends", s.q.sends))
 		return nil
@@ -136,6 +138,9 @@
 
 // endSend records the outcome of a send to t.
 func (s *sender) endSend(t *catalog.Target, r fleet.Result, took time.Duration) {
+	if r != fleet.Unreachable {
+		s.arrivals++
+	}
 	s.h.Balancer.End(t, r, took)
 	s.lease.End(progressOf[r])
 }
