catalog: one way to read a stream, for configurations and targets

Cause: both loops made a read, logged lost and regained dependencies and repeated a read that hung, in the same lines.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/rpc"
 	"sort"
 	"sync"
@@ -10,7 +9,6 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
-	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/peer"
 	"go.uber.org/zap"
 )
@@ -61,8 +59,6 @@
 	// waiting read unaware of a change until its wait is over.
 	minReadWait = time.Second
 	readMargin  = 500 * time.Millisecond
-	// readTimeout bounds a read beyond its requested wait.
-	readTimeout = 700 * time.Millisecond
 	// targetReadInterval is the pause between two reads of the targets, so that
 	// one read collects several changes.
 	targetReadInterval = 250 * time.Millisecond
@@ -155,48 +151,34 @@
 
 // followTable reads the stream of configurations until ctx ends.
 func (f *Follower) followTable(ctx context.Context) {
-	next, wait := Start, time.Duration(0)
-	dep := &dependency{log: f.Log, name: "configuration stream"}
+	next := Start
+	reads := streamReads{log: f.Log, name: "configuration stream"}
 	for ctx.Err() == nil {
 		if f.pollsReader.Load() {
-			wait = 0
+			reads.wait = 0
 			f.Clock.Sleep(ctx, retryDelay)
 			continue
 		}
 		start := f.Clock.Now()
-		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
-		update, err := f.Feed.ReadTable(callCtx, next, wait)
-		cancel()
-		if ctx.Err() != nil {
-			return
-		}
-		dep.record(err)
-		if hung(err, wait) {
-			wait = 0
-			continue
-		}
-		if err != nil {
+		var update TableUpdate
+		switch reads.try(ctx, func(ctx context.Context) (err error) {
+			update, err = f.Feed.ReadTable(ctx, next, reads.wait)
+			return err
+		}) {
+		case readFailed:
 			f.fetchFromPeers(ctx)
-			wait = 0
 			f.Clock.Sleep(ctx, f.retryPause())
-			continue
-		}
-		next, wait = update.Next, f.readWait()
-		source := Source{Name: "store", Took: f.Clock.Since(start), ReadAge: f.tableReadAge()}
-		f.recordTableRead()
-		if update.Table != nil {
-			f.ApplyTable(update.Table, source)
+		case readDone:
+			next, reads.wait = update.Next, f.readWait()
+			source := Source{Name: "store", Took: f.Clock.Since(start), ReadAge: f.tableReadAge()}
+			f.recordTableRead()
+			if update.Table != nil {
+				f.ApplyTable(update.Table, source)
+			}
 		}
 	}
 }
 
-// hung reports whether a read that waited for a change got no response at all. Its
-// connection may have gone silent for good, so that a read at once, over a new one,
-// takes less time than asking peers over connections that may be silent too.
-func hung(err error, wait time.Duration) bool {
-	return wait > 0 && errors.Is(err, context.DeadlineExceeded)
-}
-
 // Source tells the log how a state was read.
 type Source struct {
 	// Name is that of a host, or "store".
@@ -274,29 +256,6 @@
 	}
 }
 
-// dependency logs when the reads of a stream begin to fail and when they succeed
-// again.
-type dependency struct {
-	log      *zap.Logger
-	name     string
-	failures int
-}
-
-// record records the outcome of a read.
-func (d *dependency) record(err error) {
-	switch {
-	case err != nil && d.failures == 0:
-		d.log.Warn("dependency lost", zap.String("Dependency", d.name), journal.Error(err))
-	case err == nil && d.failures > 0:
-		d.log.Info("dependency regained", zap.String("Dependency", d.name), zap.Int("Failures", d.failures))
-	}
-	if err == nil {
-		d.failures = 0
-	} else {
-		d.failures++
-	}
-}
-
 // Register adds the RPC service from which peers fetch the state of f.
 func (f *Follower) Register(s *rpc.Server) error {
 	return s.RegisterName(rpcName, &Relay{f})
--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -17,40 +17,33 @@
 
 // followTargets reads the stream of targets, or polls a reader, until ctx ends.
 func (f *Follower) followTargets(ctx context.Context) {
-	next, wait := Start, time.Duration(0)
-	dep := &dependency{log: f.Log, name: "target stream"}
+	next := Start
+	reads := streamReads{log: f.Log, name: "target stream"}
 	for ctx.Err() == nil {
 		if hosts := f.hostsToPoll(); len(hosts) > 0 && next != Start {
 			if f.poll(ctx, hosts) {
 				continue
 			}
-			next, wait = f.knownOffset(), 0
+			next, reads.wait = f.knownOffset(), 0
 		}
 		f.recordSource("")
-		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
-		update, err := f.Feed.ReadTargets(callCtx, next, wait)
-		cancel()
-		if ctx.Err() != nil {
-			return
-		}
-		dep.record(err)
-		if hung(err, wait) {
-			wait = 0
-			continue
-		}
-		if err != nil {
+		var update TargetsUpdate
+		switch reads.try(ctx, func(ctx context.Context) (err error) {
+			update, err = f.Feed.ReadTargets(ctx, next, reads.wait)
+			return err
+		}) {
+		case readFailed:
 			source, ok := f.fetchFromPeers(ctx)
 			f.lastSource = source.Name
 			f.recordReadFailure(ok)
-			wait = 0
 			f.Clock.Sleep(ctx, f.retryPause())
-			continue
+		case readDone:
+			next = update.Next
+			f.recordTargetsRead()
+			f.ApplyTargets(update)
+			reads.wait = f.targetsReadWait()
+			f.Clock.Sleep(ctx, targetReadInterval)
 		}
-		next = update.Next
-		f.recordTargetsRead()
-		f.ApplyTargets(update)
-		wait = f.targetsReadWait()
-		f.Clock.Sleep(ctx, targetReadInterval)
 	}
 }
 
