crash, gateway: files by theme, and one log line for each news of a crash

Change: the gateway's decisions on requests that crash targets are in crash.go, the recording without permits in internal/crash/record.go; news that change nothing write no line.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -111,95 +111,6 @@
 	return MaxTargets
 }
 
-// Break is a run that broke a target.
-type Break struct {
-	Digest string
-	Target string
-	// Born is the start of the target's incarnation in Unix milliseconds.
-	Born int64
-	// Parts are the parts of the request's prompt that other requests share, if the
-	// target crashed before it began to answer; otherwise there are none.
-	Parts []string
-}
-
-// RecordBreak records b here and tells the members in the background. It is for
-// callers that check Blocked and BlockedPart before each run and need no permit.
-func (t *Table) RecordBreak(b Break) {
-	w := Word{BreakID: uuid.NewString(), Digest: b.Digest, Target: b.Target, At: t.Clock.Now()}
-	if parts := trackable(b.Parts); len(parts) > 0 {
-		w.Crash = &PartCrash{Incident: Incident{Target: b.Target, Born: b.Born}, Parts: parts}
-	}
-	t.apply(w)
-	if t.Blocked(b.Digest) {
-		t.markUnsaved(digestPrefix + b.Digest)
-	}
-	if part := t.BlockedPart(b.Parts); part != "" {
-		t.markUnsaved(partPrefix + part)
-	}
-	go t.tell(w)
-}
-
-// RecordBegin records that a target has begun to answer a request with the given
-// parts in its prompt.
-func (t *Table) RecordBegin(parts []string) {
-	now := t.Clock.Now()
-	begin, archived := t.begun(parts, now)
-	if begin == nil {
-		return
-	}
-	w := Word{At: now, Begin: begin}
-	t.apply(w)
-	for _, p := range archived {
-		t.markUnsaved(partPrefix + p)
-	}
-	go t.tell(w)
-}
-
-// begun returns the news that a request with parts is being answered, or nil if that
-// clears nothing, and which of the parts may be in the archive.
-func (t *Table) begun(parts []string, now time.Time) (begin *PartBegin, archived []string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	begin = t.parts.begun(parts, now)
-	if begin == nil {
-		return nil, nil
-	}
-	counts := t.parts.suspicions(now)
-	for _, p := range begin.Parts {
-		if counts[p] >= maxPartCrashes {
-			archived = append(archived, p)
-		}
-	}
-	return begin, archived
-}
-
-// BlockedPart returns the part for which a request with the given parts in its
-// prompt must not run, or the empty string.
-func (t *Table) BlockedPart(parts []string) string {
-	now := t.Clock.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.parts.blocked(parts, now)
-}
-
-// TakeTrial reports whether a request with the blocked part may run once all the
-// same. One host allows trials for all.
-func (t *Table) TakeTrial(part string) bool {
-	if t.Exchange.Members().Holder(suspectsKey).Name != t.Self {
-		return false
-	}
-	now := t.Clock.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.parts.takeTrial(part, now)
-}
-
-// tell sends w to the members.
-func (t *Table) tell(w Word) {
-	t.notifyMembers(context.Background(), w)
-	t.spreadNote(w)
-}
-
 // Suspect reports whether a body with this digest has broken a target.
 func (t *Table) Suspect(digest string) bool { return t.breaks(digest) > 0 }
 
@@ -246,12 +157,10 @@
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w.Crash != nil {
-		t.parts.recordCrash(w.Crash, w.At, now)
+	if w.Crash != nil && t.parts.recordCrash(w.Crash, w.At, now) {
 		t.Log.Info("prompt parts suspected", zap.String("Target", w.Target), zap.Strings("Parts", w.Crash.Parts))
 	}
-	if w.Begin != nil {
-		t.parts.recordBegin(w.Begin, w.At, now)
+	if w.Begin != nil && t.parts.recordBegin(w.Begin, w.At, now) {
 		t.Log.Info("prompt parts cleared", zap.Strings("Parts", w.Begin.Parts), zap.Int("Incidents", len(w.Begin.Incidents)))
 	}
 	if w.Digest == "" {
@@ -264,7 +173,9 @@
 		return
 	}
 	b := t.getOrCreate(w.Digest, now)
-	b.addBreak(w, t.limit())
+	if !b.addBreak(w, t.limit()) {
+		return
+	}
 	t.Log.Info("crash recorded", zap.String("BreakID", w.BreakID), zap.String("Digest", w.Digest), zap.String("Target", w.Target),
 		zap.Time("At", w.At), zap.Int("Breaks", len(b.breakIDs)))
 }
@@ -274,13 +185,14 @@
 	b.clearedAt = at
 }
 
-func (b *body) addBreak(w Word, limit int) {
-	if !w.At.After(b.clearedAt) || len(b.breakIDs) >= limit {
-		return
-	}
-	if !slices.Contains(b.breakIDs, w.BreakID) {
-		b.breakIDs = append(b.breakIDs, w.BreakID)
+// addBreak adds the break w unless b has it, or limit breaks, or was cleared since. It
+// reports whether it did.
+func (b *body) addBreak(w Word, limit int) bool {
+	if !w.At.After(b.clearedAt) || len(b.breakIDs) >= limit || slices.Contains(b.breakIDs, w.BreakID) {
+		return false
 	}
+	b.breakIDs = append(b.breakIDs, w.BreakID)
+	return true
 }
 
 // Clear removes the breaks of a body that ran to completion.
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -88,31 +88,41 @@
 	suspects map[string]bool
 }
 
-// recordCrash adds the parts of c to its incident, which happened at the time at.
-func (t *partTable) recordCrash(c *PartCrash, at, now time.Time) {
+// recordCrash adds the parts of c to its incident, which happened at the time at. It
+// reports whether any of them was new.
+func (t *partTable) recordCrash(c *PartCrash, at, now time.Time) bool {
 	i := t.findOrAdd(c.Incident, at, now)
 	if at.Before(i.at) {
 		// What was known came from a later report, or from the news of an answer.
 		i.at = at
 		t.sort()
 	}
+	changed := false
 	for _, p := range c.Parts {
 		if _, known := i.suspects[p]; !known && len(i.suspects) < maxIncidentParts {
 			i.suspects[p] = true
+			changed = true
 		}
 	}
+	return changed
 }
 
-// recordBegin clears the parts of b of its incidents.
-func (t *partTable) recordBegin(b *PartBegin, at, now time.Time) {
+// recordBegin clears the parts of b of its incidents, and reports whether any of them
+// wasn't before.
+func (t *partTable) recordBegin(b *PartBegin, at, now time.Time) bool {
+	changed := false
 	for _, in := range b.Incidents {
 		i := t.findOrAdd(in, at, now)
 		for _, p := range b.Parts {
-			if _, known := i.suspects[p]; known || len(i.suspects) < maxIncidentParts {
-				i.suspects[p] = false
+			suspected, known := i.suspects[p]
+			if known && !suspected || !known && len(i.suspects) >= maxIncidentParts {
+				continue
 			}
+			i.suspects[p] = false
+			changed = true
 		}
 	}
+	return changed
 }
 
 // findOrAdd returns the incident in. It drops expired incidents, and the oldest if
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -16,7 +16,6 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/pkg/result"
-	"go.uber.org/zap"
 )
 
 // request is a caller's request while it is being served.
@@ -119,17 +118,7 @@
 	q.deadline = q.arrived.Add(q.timeout())
 	q.digest = digest(q)
 	h.Repeats.CountRequest(q.service)
-	if h.Crashes.Blocked(q.digest) {
-		return retryLater(result.CrashSuspect, 0, "earlier sends of this request crashed targets")
-	}
-	if part := h.Crashes.BlockedPart(q.sharedParts()); part != "" {
-		if !h.Crashes.TakeTrial(part) {
-			return crashSuspect(part)
-		}
-		h.Log.Info("request with a blocked prompt part on trial", zap.String("RequestID", q.ID), zap.String("Part", part))
-		q.onTrial = true
-	}
-	return nil
+	return h.refuseCrashing(q)
 }
 
 // authorize determines the workspace and priority of q from its API key.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,10 +7,8 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
-	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/journal"
-	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/pkg/result"
@@ -76,11 +74,7 @@
 // nextTarget returns the target of the next send, or nil. Every send after one that
 // may have arrived draws on the shared budget of repeats.
 func (s *sender) nextTarget(ctx context.Context) *catalog.Target {
-	if part := s.h.Crashes.BlockedPart(s.q.sharedParts()); part != "" && !(s.q.onTrial && s.q.sends == 0) {
-		s.blockedPart = part
-		return nil
-	}
-	if s.q.sends >= maxSends || s.possibleRuns >= max(1, s.q.route.MaxTargets) {
+	if s.isBlocked() || s.q.sends >= maxSends || s.possibleRuns >= max(1, s.q.route.MaxTargets) {
 		return nil
 	}
 	targets := s.h.Follower.Snapshot().ActiveTargets(s.q.service)
@@ -205,38 +199,6 @@
 	return r
 }
 
-// recordBreak records that t broke off the request. The parts of its prompt may be
-// the cause only if t itself is gone and had not begun to answer.
-func (s *sender) recordBreak(t *catalog.Target) {
-	b := crash.Break{Digest: s.q.digest, Target: t.ID, Born: t.Born}
-	if parts := s.q.sharedParts(); !s.begun && len(parts) > 0 && s.h.refusesConnections(t) {
-		b.Parts = parts
-	}
-	s.h.Crashes.RecordBreak(b)
-}
-
-// crashCheckTimeout bounds the dial that finds out whether a target crashed.
-const crashCheckTimeout = 50 * time.Millisecond
-
-// refusesConnections reports whether t refuses connections, as one that crashed does,
-// but neither one that failed a request nor one that is cut off.
-func (h *Host) refusesConnections(t *catalog.Target) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	conn, err := h.Net.Dial(ctx, t.Addr)
-	if err == nil {
-		conn.Close()
-		return false
-	}
-	return link.IsRefused(err)
-}
-
-// recordBegin records the first event of the current send, or its complete response.
-func (s *sender) recordBegin() {
-	s.begun = true
-	s.h.Crashes.RecordBegin(s.q.sharedParts())
-}
-
 // recordRejection records that t did not run the request.
 func (s *sender) recordRejection(t *catalog.Target, resp *upstream.Response, took time.Duration) {
 	resp.Body.Close()
@@ -266,11 +228,6 @@
 	}
 }
 
-// crashSuspect returns the refusal of a request with a blocked part in its prompt.
-func crashSuspect(part string) error {
-	return retryLater(result.CrashSuspect, 0, "requests with part %s of the prompt crashed targets", part)
-}
-
 // serveSingle serves a request that has a single response rather than a stream of
 // events.
 func (h *Host) serveSingle(ctx context.Context, q *request, out *callerResponse) error {
