crash: the news of parts give the same state in any order

Cause: an incident that was known from the news of an answer first kept the time of that news when the crash was reported with a later time, as clocks of hosts differ, so that hosts which got the news in another order counted fewer crashes. Change: the time of an incident is that of its first report; an answer gives none. TestPartNewsInAnyOrder applies random news in two orders.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -160,7 +160,7 @@
 	if w.Crash != nil && t.parts.recordCrash(w.Crash, w.At, now) {
 		t.Log.Info("prompt parts suspected", zap.String("Target", w.Target), zap.Strings("Parts", w.Crash.Parts))
 	}
-	if w.Begin != nil && t.parts.recordBegin(w.Begin, w.At, now) {
+	if w.Begin != nil && t.parts.recordBegin(w.Begin, now) {
 		t.Log.Info("prompt parts cleared", zap.Strings("Parts", w.Begin.Parts), zap.Int("Incidents", len(w.Begin.Incidents)))
 	}
 	if w.Digest == "" {
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -80,8 +80,9 @@
 // partIncident is an incident with the parts that it suspects.
 type partIncident struct {
 	Incident
-	// at is the time of the crash by the clock of the host that saw it, learntAt that
-	// of the news by this host's.
+	// at is the time of the first report by the clock of the host that made it; zero
+	// while only an answer is known. learntAt is the time at which this host learnt of
+	// the incident.
 	at, learntAt time.Time
 	// suspects holds each part that was reported; false if it was cleared, which may
 	// be known first.
@@ -91,9 +92,8 @@
 // recordCrash adds the parts of c to its incident, which happened at the time at. It
 // reports whether any of them was new.
 func (t *partTable) recordCrash(c *PartCrash, at, now time.Time) bool {
-	i := t.findOrAdd(c.Incident, at, now)
-	if at.Before(i.at) {
-		// What was known came from a later report, or from the news of an answer.
+	i := t.findOrAdd(c.Incident, now)
+	if i.at.IsZero() || at.Before(i.at) {
 		i.at = at
 		t.sort()
 	}
@@ -109,10 +109,10 @@
 
 // recordBegin clears the parts of b of its incidents, and reports whether any of them
 // wasn't before.
-func (t *partTable) recordBegin(b *PartBegin, at, now time.Time) bool {
+func (t *partTable) recordBegin(b *PartBegin, now time.Time) bool {
 	changed := false
 	for _, in := range b.Incidents {
-		i := t.findOrAdd(in, at, now)
+		i := t.findOrAdd(in, now)
 		for _, p := range b.Parts {
 			suspected, known := i.suspects[p]
 			if known && !suspected || !known && len(i.suspects) >= maxIncidentParts {
@@ -127,7 +127,7 @@
 
 // findOrAdd returns the incident in. It drops expired incidents, and the oldest if
 // there are too many.
-func (t *partTable) findOrAdd(in Incident, at, now time.Time) *partIncident {
+func (t *partTable) findOrAdd(in Incident, now time.Time) *partIncident {
 	t.incidents = slices.DeleteFunc(t.incidents, func(i *partIncident) bool { return i.expired(now) })
 	for _, i := range t.incidents {
 		if i.Incident == in {
@@ -137,9 +137,8 @@
 	if len(t.incidents) >= maxIncidents {
 		t.incidents = t.incidents[1:]
 	}
-	i := &partIncident{Incident: in, at: at, learntAt: now, suspects: map[string]bool{}}
+	i := &partIncident{Incident: in, learntAt: now, suspects: map[string]bool{}}
 	t.incidents = append(t.incidents, i)
-	t.sort()
 	return i
 }
 
--- a/internal/crash/parts_test.go
+++ b/internal/crash/parts_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 )
 
 // partsScript runs a script against one partTable with a clock of its own.
@@ -39,12 +41,12 @@
 		s.table.recordCrash(&PartCrash{Incident: Incident{Target: args[0]}, Parts: args[1:]}, s.now, s.now)
 	case "begin":
 		if b := s.table.begun(args, s.now); b != nil {
-			s.table.recordBegin(b, s.now, s.now)
+			s.table.recordBegin(b, s.now)
 			return fmt.Sprintf("cleared %s of %d incidents", strings.Join(b.Parts, " "), len(b.Incidents))
 		}
 		return "cleared nothing"
 	case "cleared-elsewhere":
-		s.table.recordBegin(&PartBegin{Parts: args[1:], Incidents: []Incident{{Target: args[0]}}}, s.now, s.now)
+		s.table.recordBegin(&PartBegin{Parts: args[1:], Incidents: []Incident{{Target: args[0]}}}, s.now)
 	case "blocked":
 		if p := s.table.blocked(args, s.now); p != "" {
 			return p
@@ -63,3 +65,52 @@
 	}
 	return "ok"
 }
+
+// TestPartNewsInAnyOrder applies the same news in two orders, some of them twice, and
+// expects the same requests to be blocked: hosts get the news by calls, as notes and
+// from the archive.
+func TestPartNewsInAnyOrder(t *testing.T) {
+	parts := []string{"a", "b", "c", "d"}
+	subset := rapid.SliceOfNDistinct(rapid.SampledFrom(parts), 1, len(parts), rapid.ID[string])
+	incident := rapid.Custom(func(t *rapid.T) Incident {
+		return Incident{Target: rapid.SampledFrom([]string{"t1", "t2", "t3", "t4", "t5"}).Draw(t, "target")}
+	})
+	now := time.Unix(1000, 0)
+	word := rapid.Custom(func(t *rapid.T) Word {
+		w := Word{At: now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "at")) * time.Millisecond)}
+		if rapid.Bool().Draw(t, "crash") {
+			w.Crash = &PartCrash{Incident: incident.Draw(t, "incident"), Parts: subset.Draw(t, "parts")}
+		} else {
+			w.Begin = &PartBegin{Parts: subset.Draw(t, "parts")[:1], Incidents: []Incident{incident.Draw(t, "incident")}}
+		}
+		return w
+	})
+	blocked := func(words []Word) []string {
+		var table partTable
+		for _, w := range words {
+			if w.Crash != nil {
+				table.recordCrash(w.Crash, w.At, now)
+			} else {
+				table.recordBegin(w.Begin, now)
+			}
+		}
+		var out []string
+		for set := 1; set < 1<<len(parts); set++ {
+			var of []string
+			for i, p := range parts {
+				if set&(1<<i) != 0 {
+					of = append(of, p)
+				}
+			}
+			out = append(out, fmt.Sprint(of, table.blocked(of, now)))
+		}
+		return out
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(word, 1, 20).Draw(t, "news")
+		again := append(rapid.Permutation(words).Draw(t, "order"), words[:rapid.IntRange(0, len(words)).Draw(t, "twice")]...)
+		if diff := cmp.Diff(blocked(words), blocked(again)); diff != "" {
+			t.Fatalf("blocked (-in order +in another):\n%s", diff)
+		}
+	})
+}
