gateway: recall requests with a blocked part before they crash further targets

What callers saw: requests with the part that were on their way when it was blocked crashed further targets, and what ran there was lost. Cause: a request was judged at its acceptance and before each send, not while it waited at its target. Change: news that make a part suspect end the sends with a blocked part that have brought no event. Evidence: TestRecallOfBlockedPart had six crashes before and has three.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -69,6 +69,9 @@
 	// Archive, unless nil, keeps what is blocked beyond the life of all hosts. It is
 	// used by Run.
 	Archive Archive
+	// OnPartCrash, unless nil, is called after each news that makes parts of prompts
+	// suspects. It must not block.
+	OnPartCrash func()
 	// Limit is the number of targets that a request may break; zero means
 	// MaxTargets.
 	Limit int
@@ -154,18 +157,35 @@
 
 // apply applies an update to the table.
 func (t *Table) apply(w Word) {
+	if w.Digest != "" {
+		t.applyToBody(w)
+	}
+	if t.applyToParts(w) && t.OnPartCrash != nil {
+		t.OnPartCrash()
+	}
+}
+
+// applyToParts applies what w says of parts of prompts and reports whether any of them
+// is suspected of a further crash.
+func (t *Table) applyToParts(w Word) bool {
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w.Crash != nil && t.parts.recordCrash(w.Crash, w.At, now) {
-		t.Log.Info("prompt parts suspected", zap.String("Target", w.Target), zap.Strings("Parts", w.Crash.Parts))
-	}
 	if w.Begin != nil && t.parts.recordBegin(w.Begin, now) {
 		t.Log.Info("prompt parts cleared", zap.Strings("Parts", w.Begin.Parts), zap.Int("Incidents", len(w.Begin.Incidents)))
 	}
-	if w.Digest == "" {
-		return
+	if w.Crash == nil || !t.parts.recordCrash(w.Crash, w.At, now) {
+		return false
 	}
+	t.Log.Info("prompt parts suspected", zap.String("Target", w.Target), zap.Strings("Parts", w.Crash.Parts))
+	return true
+}
+
+// applyToBody applies what w says of the body with its digest.
+func (t *Table) applyToBody(w Word) {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if w.BreakID == "" {
 		if b := t.find(w.Digest, now); b != nil {
 			b.clear(w.At)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
@@ -72,8 +74,52 @@
 	return link.IsRefused(err)
 }
 
+// errRecalled is the cause of a context that ended because a part of the prompt was
+// blocked before the target began to answer.
+var errRecalled = errors.New("a part of the prompt crashes targets")
+
+// unbegunSends holds the sends of requests with shared parts in their prompts that
+// have brought no event yet. The zero value is ready for use.
+type unbegunSends struct {
+	mu    sync.Mutex
+	sends map[*sender]context.CancelCauseFunc
+}
+
+// add adds the current send of s, which cancel ends. A request on trial is not
+// recalled.
+func (u *unbegunSends) add(s *sender, cancel context.CancelCauseFunc) {
+	if s.q.onTrial || len(s.q.sharedParts()) == 0 {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.sends == nil {
+		u.sends = map[*sender]context.CancelCauseFunc{}
+	}
+	u.sends[s] = cancel
+}
+
+func (u *unbegunSends) remove(s *sender) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.sends, s)
+}
+
+// recallBlocked ends the sends of requests with a blocked part that have brought no
+// event yet, before they crash their targets too.
+func (h *Host) recallBlocked() {
+	h.unbegun.mu.Lock()
+	defer h.unbegun.mu.Unlock()
+	for s, cancel := range h.unbegun.sends {
+		if h.Crashes.BlockedPart(s.q.sharedParts()) != "" {
+			cancel(errRecalled)
+		}
+	}
+}
+
 // recordBegin records the first event of the current send, or its complete response.
 func (s *sender) recordBegin() {
 	s.begun = true
+	s.h.unbegun.remove(s)
 	s.h.Crashes.RecordBegin(s.q.sharedParts())
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -10,12 +10,16 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
+	"github.com/google/go-cmp/cmp"
 )
 
 // crashingTargets are targets that crash when they begin to answer a request whose
 // prompt has the part "bad", and start again downTime later.
 type crashingTargets struct {
 	r *fixture
+	// prefill returns the time from the arrival of a request at target i to its first
+	// event, or to the crash.
+	prefill func(i int) time.Duration
 
 	mu       sync.Mutex
 	arrivals []time.Time // of requests with the bad part
@@ -27,7 +31,7 @@
 	downTime    = 3 * time.Second
 )
 
-// behaviour returns the behaviour of target i: three events after prefillTime.
+// behaviour returns the behaviour of target i: three events after its prefill.
 func (c *crashingTargets) behaviour(i int) behaviour {
 	return func(w http.ResponseWriter, r *http.Request) {
 		bad := strings.Contains(r.Header.Get("Parts"), "bad")
@@ -38,7 +42,7 @@
 		}
 		w.Header().Set("Signed", "t")
 		w.WriteHeader(http.StatusOK)
-		if sleep(r.Context(), prefillTime) != nil {
+		if sleep(r.Context(), c.prefill(i)) != nil {
 			return
 		}
 		if bad {
@@ -77,7 +81,7 @@
 		badEvery, soundEvery  = 500 * time.Millisecond, 100 * time.Millisecond
 	)
 	synctest.Test(t, func(t *testing.T) {
-		c := &crashingTargets{}
+		c := &crashingTargets{prefill: func(int) time.Duration { return prefillTime }}
 		var behaviours []behaviour
 		for i := range targets {
 			behaviours = append(behaviours, c.behaviour(i))
@@ -132,3 +136,32 @@
 		t.Logf("%d crashes, %d requests with the part at targets, %d late; %d of %d sound requests served", len(c.crashes), len(c.arrivals), late, begun, asked)
 	})
 }
+
+// TestRecallOfBlockedPart has a request with a crashing part at each of six targets,
+// which crash one after the other. Once the part is blocked, the others must be
+// recalled before they crash their targets too.
+func TestRecallOfBlockedPart(t *testing.T) {
+	const targets, enough = 6, 3
+	synctest.Test(t, func(t *testing.T) {
+		c := &crashingTargets{prefill: func(i int) time.Duration { return time.Duration(i+1) * 300 * time.Millisecond }}
+		var behaviours []behaviour
+		for i := range targets {
+			behaviours = append(behaviours, c.behaviour(i))
+		}
+		c.r = newFixture(t, route(catalog.Stream, nil), behaviours...)
+		defer c.r.close()
+		var wg sync.WaitGroup
+		for i := range targets {
+			wg.Go(func() {
+				if got := c.r.post(fmt.Sprint("/a/", i), "Id", fmt.Sprint("bad", i), "Wait", "8000", "Parts", fmt.Sprint("a,bad,own", i)); got != "502" {
+					t.Errorf("request %d got %s", i, got)
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		if diff := cmp.Diff([]int{targets, enough}, []int{len(c.arrivals), len(c.crashes)}); diff != "" {
+			t.Errorf("requests at targets, crashes (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -54,6 +54,8 @@
 	gracePeriod atomic.Int64
 	// openRequests is the number of requests in flight.
 	openRequests atomic.Int64
+	// unbegun holds the sends that have brought no event yet.
+	unbegun unbegunSends
 	// abortCtx is cancelled to abort the remaining requests when the process must
 	// exit.
 	abortCtx context.Context
@@ -78,6 +80,7 @@
 // flight or the grace period is nearly over.
 func (h *Host) Run(ctx context.Context) error {
 	h.Follower.OnChange = h.applySnapshot
+	h.Crashes.OnPartCrash = h.recallBlocked
 	h.gracePeriod.CompareAndSwap(0, int64(h.Settings.GracePeriod))
 	h.abortCtx, h.abort = context.WithCancelCause(context.WithoutCancel(ctx))
 	defer h.abort(nil)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -186,6 +186,9 @@
 		r = fleet.Abandoned
 		s.possibleRuns++
 		s.q.mayHaveRun = true
+		if errors.Is(context.Cause(ctx), errRecalled) {
+			s.blockedPart = s.h.Crashes.BlockedPart(s.q.sharedParts())
+		}
 	default:
 		s.possibleRuns++
 		s.q.mayHaveRun = true
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -130,6 +130,8 @@
 	defer cancel(nil)
 	timer := s.startStallTimer(cancel)
 	defer timer.stop()
+	s.h.unbegun.add(s, cancel)
+	defer s.h.unbegun.remove(s)
 	s.h.Balancer.Begin(t)
 	resp, info, err := s.send(ctx, t, rel.hasLastEventID, rel.lastEventID)
 	if err != nil {
