crash: track the last parts of very long prompts

Cause: of a prompt with more than 64 shared parts only the first 64 were tracked, so that a later one could crash targets without end; the bound of an incident was the same, so that requests beside the cause could fill it. Change: 128 parts of a request, the last ones, 512 of an incident, 128 incidents. Result: TestTrackable; not seen failing, the function changed with it.

--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -19,19 +19,21 @@
 	// which a request with a blocked part is sent on trial.
 	trialInterval = 30 * time.Second
 	// maxIncidents and maxIncidentParts bound the incidents that are kept and the
-	// parts of each.
-	maxIncidents     = 256
-	maxIncidentParts = 64
+	// parts of each, maxReportParts those of one request.
+	maxIncidents     = 128
+	maxIncidentParts = 512
+	maxReportParts   = 128
 )
 
 // maxPartBytes bounds the names of parts, which callers choose.
 const maxPartBytes = 128
 
-// trackable returns the parts whose crashes are counted.
+// trackable returns the parts whose crashes are counted: the last ones of a prompt
+// that has very many.
 func trackable(parts []string) []string {
 	var out []string
-	for _, p := range parts {
-		if len(p) <= maxPartBytes && len(out) < maxIncidentParts {
+	for _, p := range parts[max(0, len(parts)-maxReportParts):] {
+		if len(p) <= maxPartBytes {
 			out = append(out, p)
 		}
 	}
--- a/internal/crash/parts_test.go
+++ b/internal/crash/parts_test.go
@@ -114,3 +114,17 @@
 		}
 	})
 }
+
+// TestTrackable expects the last parts of a prompt with very many to be tracked, and
+// none whose name is too long to keep.
+func TestTrackable(t *testing.T) {
+	var parts []string
+	for i := range 2 * maxReportParts {
+		parts = append(parts, fmt.Sprint("p", i))
+	}
+	want := append([]string(nil), parts[maxReportParts+1:]...)
+	parts = append(parts, strings.Repeat("x", maxPartBytes+1))
+	if diff := cmp.Diff(want, trackable(parts)); diff != "" {
+		t.Errorf("tracked (-want +got):\n%s", diff)
+	}
+}
