--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -43,7 +43,9 @@
 		return catalog.TableUpdate{}, errDown
 	}
 	if from == catalog.Start {
-		return catalog.TableUpdate{Table: f.table, Next: 1}, nil
+		// Each host indexes its own copy.
+		table := *f.table
+		return catalog.TableUpdate{Table: &table, Next: 1}, nil
 	}
 	return catalog.TableUpdate{Next: 1}, sleep(ctx, wait)
 }
@@ -144,20 +146,27 @@
 		feed.targets = append(feed.targets, catalog.TargetChange{ID: id, Target: &catalog.Target{ID: id, Service: "s", Addr: targetAddr(i), Slots: 8}})
 	}
 	feed.targets = append(feed.targets, catalog.TargetChange{ID: "p0", Target: &catalog.Target{ID: "p0", Service: "p", Addr: targetAddr(99), Slots: 1}})
-	n, c := r.network.Process(hostAddr), &clock.Service{}
+	r.feed = feed
+	r.host = r.newHost(hostAddr, nil)
+	r.client = &http.Client{Transport: link.Transport(r.network.Process(netip.MustParseAddr("10.0.0.2")))}
+	return r
+}
+
+// newHost returns a host at addr that knows the peers.
+func (r *fixture) newHost(addr netip.Addr, peers []netip.AddrPort) *Host {
+	r.t.Helper()
+	n, c := r.network.Process(addr), &clock.Service{}
 	u := &upstream.Client{Net: n, Clock: c}
 	s := &settings.Gateway{
-		Name: "h", Domain: "d", CallerAddr: callerAddr, ReadyAddr: netip.AddrPortFrom(hostAddr, 81), PeerAddr: netip.AddrPortFrom(hostAddr, 82),
-		MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
+		Name: addr.String(), Domain: "d", CallerAddr: netip.AddrPortFrom(addr, callerAddr.Port()), ReadyAddr: netip.AddrPortFrom(addr, 81), PeerAddr: netip.AddrPortFrom(addr, 82),
+		Peers: peers, MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
 		RepeatWindow: declaration.Duration(10 * time.Second),
 	}
-	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, feed, r.pool, noDirectory{}, nil)
+	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, r.feed, r.pool, noDirectory{}, nil)
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
-	r.host, r.feed = h, feed
-	r.client = &http.Client{Transport: link.Transport(r.network.Process(netip.MustParseAddr("10.0.0.2")))}
-	return r
+	return h
 }
 
 // start starts the host and waits a second.
@@ -207,7 +216,17 @@
 }
 
 func (r *fixture) postContext(ctx context.Context, path string, header ...string) string {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callerAddr.String()+path, strings.NewReader("body"))
+	return r.send(ctx, callerAddr.Addr(), path, header...)
+}
+
+// postTo sends a request to the host at addr.
+func (r *fixture) postTo(addr netip.Addr, path string, header ...string) string {
+	return r.send(context.Background(), addr, path, header...)
+}
+
+func (r *fixture) send(ctx context.Context, host netip.Addr, path string, header ...string) string {
+	url := "http://" + netip.AddrPortFrom(host, callerAddr.Port()).String() + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("body"))
 	if err != nil {
 		r.t.Fatal(err)
 	}
