crash, peer: expired entries leave the archive; one call that gives up a silent connection

Cause: entries of the archive stayed in the store for good, and two callers repeated the lines that close a connection without an answer. Change: what has expired when the archive is loaded is saved again without it; peer.Caller.CallOrDisconnect serves catalog and placement. Result: TestRestartOfAllHosts, which now ends an hour later with an empty archive; tests of catalog, placement, peer, gateway and platform pass.

--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -115,11 +114,7 @@
 	defer cancel()
 	held := &Held{}
 	start := f.Clock.Now()
-	if err := f.Peers.Call(ctx, h.Addr, rpcName+".Fetch", known, held); err != nil {
-		if errors.Is(err, context.DeadlineExceeded) {
-			// The connection may have gone silent for good.
-			f.Peers.Disconnect(h.Addr)
-		}
+	if err := f.Peers.CallOrDisconnect(ctx, h.Addr, rpcName+".Fetch", known, held); err != nil {
 		return nil, err
 	}
 	f.applyHeld(held, Source{Name: h.Name, Took: f.Clock.Since(start), ReadAge: f.tableReadAge()})
--- a/internal/crash/archive.go
+++ b/internal/crash/archive.go
@@ -51,7 +51,8 @@
 	}
 }
 
-// load applies what the archive holds and reports whether it could be read.
+// load applies what the archive holds and reports whether it could be read. What has
+// expired is saved again without it.
 func (t *Table) load(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, archiveTimeout)
 	defer cancel()
@@ -69,6 +70,8 @@
 		for _, w := range words {
 			if t.Clock.Since(w.At) <= w.lifetime() {
 				t.apply(w)
+			} else {
+				t.markUnsaved(key)
 			}
 		}
 	}
--- a/internal/crash/archive_test.go
+++ b/internal/crash/archive_test.go
@@ -97,5 +97,13 @@
 		third, stop := startArchived(t, a)
 		check(third, "", "true")
 		stop()
+		time.Sleep(bodyLifetime)
+		fourth, stop := startArchived(t, a)
+		check(fourth, "", "false")
+		time.Sleep(archiveRetryInterval)
+		stop()
+		if diff := cmp.Diff(map[string][]byte{"Part/garbled": []byte("{")}, a.values); diff != "" {
+			t.Errorf("archive (-want +got):\n%s", diff)
+		}
 	})
 }
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -76,7 +76,8 @@
 // another reason.
 type partTable struct {
 	incidents []*partIncident // oldest first
-	trials    map[string]time.Time
+	// trials holds the time of each part's last trial.
+	trials map[string]time.Time
 }
 
 // partIncident is an incident with the parts that it suspects.
--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -74,6 +75,17 @@
 	}
 }
 
+// CallOrDisconnect is Call for calls that the host answers at once or by the deadline of
+// ctx. If it doesn't, the connection may have gone silent for good and is closed, so
+// that the next call opens a new one.
+func (c *Caller) CallOrDisconnect(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
+	err := c.Call(ctx, addr, method, args, reply)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.Disconnect(addr)
+	}
+	return err
+}
+
 func (c *Caller) client(ctx context.Context, addr netip.AddrPort) (*client, error) {
 	now := time.Now()
 	c.mu.Lock()
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -212,13 +211,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	err := c.Peers.Call(ctx, s.host.Addr, rpcName+".Tell", r, &Empty{})
-	if err == nil {
-		return
-	}
-	c.Log.Info("failed to report to placement holder", zap.String("Holder", s.host.Name), zap.Int("News", len(r.News)), journal.Error(err))
-	if errors.Is(err, context.DeadlineExceeded) {
-		c.Peers.Disconnect(s.host.Addr)
+	if err := c.Peers.CallOrDisconnect(ctx, s.host.Addr, rpcName+".Tell", r, &Empty{}); err != nil {
+		c.Log.Info("failed to report to placement holder", zap.String("Holder", s.host.Name), zap.Int("News", len(r.News)), journal.Error(err))
 	}
 }
 
