crash: repeat the news of a crash that got no answer

What callers saw: nothing yet; after connections among hosts went silent, the news of crashes reached no other host, so that a part would crash targets at each of them. Cause: a call without an answer left its connection in use, and the next ones hung on it too. Change: such a call closes the connection and is repeated once over a new one, within a second in all; what can't be told is logged. Evidence: TestNewsOverSilentConnections failed before (two of three hosts knew nothing 3 s after the silence) and passes.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -298,7 +298,7 @@
 
 // End releases p and must be called once; broke reports whether the connection to
 // the target broke during the run. After a break, End returns once the members
-// are notified or notifyTimeout has passed.
+// are notified or maxNotifyTime has passed.
 func (t *Table) End(ctx context.Context, p *Permit, broke bool) {
 	reported := t.releasePermit(p)
 	if broke {
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -27,7 +27,11 @@
 
 // newTables returns the tables of n hosts that can reach each other.
 func newTables(tb testing.TB, n int) []*Table {
-	m := &link.Memory{Delay: 500 * time.Microsecond}
+	return newTablesOn(tb, &link.Memory{Delay: 500 * time.Microsecond}, n)
+}
+
+// newTablesOn is newTables on the network m.
+func newTablesOn(tb testing.TB, m *link.Memory, n int) []*Table {
 	var hosts []peer.Host
 	for i := range n {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 81)
@@ -83,6 +87,33 @@
 	})
 }
 
+// TestNewsOverSilentConnections makes the connections among hosts silent without a
+// reset and expects the news of crashes just after that to reach every host once hosts
+// count as in touch again.
+func TestNewsOverSilentConnections(t *testing.T) {
+	const contactTime = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		m := &link.Memory{Delay: 500 * time.Microsecond}
+		tables := newTablesOn(t, m, 3)
+		tables[0].RecordBreak(Break{Digest: "before", Target: "t"})
+		time.Sleep(time.Second)
+		hosts := tables[0].Exchange.Members().Hosts
+		for _, h := range hosts[1:] {
+			m.Silence(hosts[0].Addr.Addr(), h.Addr.Addr())
+		}
+		for i := range maxPartCrashes {
+			tables[0].RecordBreak(Break{Digest: fmt.Sprint(i), Target: fmt.Sprint("t", i), Parts: []string{"c"}})
+			time.Sleep(commonCauseTime)
+		}
+		time.Sleep(contactTime - maxPartCrashes*commonCauseTime)
+		for _, table := range tables {
+			if diff := cmp.Diff("c", table.BlockedPart([]string{"c"})); diff != "" {
+				t.Errorf("%s: blocked part %v after connections went silent (-want +got):\n%s", table.Self, contactTime, diff)
+			}
+		}
+	})
+}
+
 // noteLog is a constant list of hosts that keeps the notes.
 type noteLog struct {
 	fixedMembers
--- a/internal/crash/service.go
+++ b/internal/crash/service.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/peer"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -16,6 +18,7 @@
 // Timeouts and bounds of calls to peers.
 const (
 	notifyTimeout         = 500 * time.Millisecond
+	maxNotifyTime         = 2 * notifyTimeout
 	maxConcurrentNotifies = 64 // members notified at the same time
 	askTimeout            = 300 * time.Millisecond
 )
@@ -61,9 +64,10 @@
 	return nil
 }
 
-// notifyMembers sends w to every other member and waits at most notifyTimeout.
+// notifyMembers sends w to every other member and waits at most maxNotifyTime. A call
+// that fails is repeated, since its connection may have gone silent for good.
 func (t *Table) notifyMembers(ctx context.Context, w Word) {
-	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxNotifyTime)
 	defer cancel()
 	var g errgroup.Group
 	g.SetLimit(maxConcurrentNotifies)
@@ -72,10 +76,23 @@
 			continue
 		}
 		g.Go(func() error {
-			return t.Peers.Call(ctx, h.Addr, rpcName+".Tell", &w, &Empty{})
+			err := t.notify(ctx, h, w)
+			if err != nil && ctx.Err() == nil {
+				err = t.notify(ctx, h, w)
+			}
+			return err
 		})
 	}
-	g.Wait()
+	if err := g.Wait(); err != nil {
+		t.Log.Info("cannot tell a member of a crash", zap.String("BreakID", w.BreakID), journal.Error(err))
+	}
+}
+
+// notify sends w to h.
+func (t *Table) notify(ctx context.Context, h peer.Host, w Word) error {
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	return t.Peers.CallOrDisconnect(ctx, h.Addr, rpcName+".Tell", &w, &Empty{})
 }
 
 // spreadNote spreads w as a note, for the hosts that notifyMembers doesn't reach.
