--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -33,4 +33,5 @@
 # Runs of many hosts, and the loads that check the objectives, are too large for the
 # race detector.
 go test -timeout 30m -run 'TurnedAway|InOutage' ${skip[@]+"${skip[@]}"} ./internal/catalog
+go test -timeout 30m -run 'ConnectionsOfMany' ${skip[@]+"${skip[@]}"} ./platform
 go test -timeout 30m -run Aim ${skip[@]+"${skip[@]}"} ./internal/experiment
