gateway: test crashing parts in plain answers, two at once, and one that stops

Cause: TestCrashingPromptPart played streams with one part for good. Change: it plays plain answers too; TestTwoCrashingPromptParts and TestPartThatStopsCrashing are new, and the targets of these tests register each start with a birth time, as the platform's do.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -21,7 +21,11 @@
 	// event, or to the crash.
 	prefill func(i int) time.Duration
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// harmless is set once the part no longer crashes targets.
+	harmless bool
+	down     map[int]bool
+	starts   int
 	arrivals []time.Time // of requests with the bad part
 	crashes  []time.Time
 }
@@ -34,12 +38,7 @@
 // behaviour returns the behaviour of target i: three events after its prefill.
 func (c *crashingTargets) behaviour(i int) behaviour {
 	return func(w http.ResponseWriter, r *http.Request) {
-		bad := strings.Contains(r.Header.Get("Parts"), "bad")
-		if bad {
-			c.mu.Lock()
-			c.arrivals = append(c.arrivals, time.Now())
-			c.mu.Unlock()
-		}
+		bad := c.arrive(r.Header.Get("Parts"))
 		w.Header().Set("Signed", "t")
 		w.WriteHeader(http.StatusOK)
 		if sleep(r.Context(), c.prefill(i)) != nil {
@@ -56,84 +55,179 @@
 	}
 }
 
+// arrive records a request with these parts and reports whether it crashes its target.
+func (c *crashingTargets) arrive(parts string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.harmless || !strings.Contains(parts, "bad") {
+		return false
+	}
+	c.arrivals = append(c.arrivals, time.Now())
+	return true
+}
+
 // crash resets the connections of target i, which then refuses new ones.
 func (c *crashingTargets) crash(i int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.down[i] {
+		return
+	}
+	if c.down == nil {
+		c.down = map[int]bool{}
+	}
+	c.down[i] = true
 	c.crashes = append(c.crashes, time.Now())
 	addr := targetAddr(i)
 	c.r.network.Kill(addr.Addr())
 	time.AfterFunc(downTime, func() {
+		c.mu.Lock()
+		delete(c.down, i)
+		c.starts++
+		offset := catalog.Offset(100 + c.starts)
+		c.mu.Unlock()
+		// The target registers again, as a new incarnation.
+		target := &catalog.Target{ID: fmt.Sprint("t", i), Service: "s", Addr: addr, Slots: 8, Born: time.Now().UnixMilli()}
+		c.r.host.Follower.ApplyTargets(catalog.TargetsUpdate{Changes: []catalog.TargetChange{{ID: target.ID, Target: target, Offset: offset}}, Next: offset + 1})
 		c.r.network.Revive(addr.Addr())
 		c.r.startTarget(i, c.behaviour(i))
 	})
 }
 
+// newCrashingTargets starts a host and n targets, which serve a route of the given
+// kind.
+func newCrashingTargets(t *testing.T, kind catalog.Kind, n int) *crashingTargets {
+	t.Helper()
+	c := &crashingTargets{prefill: func(int) time.Duration { return prefillTime }}
+	var behaviours []behaviour
+	for i := range n {
+		behaviours = append(behaviours, c.behaviour(i))
+	}
+	c.r = newFixture(t, route(kind, func(r *catalog.Route) { r.Resumable, r.MaxTargets = kind == catalog.Stream, 3 }), behaviours...)
+	return c
+}
+
+// load sends sound requests for d and, beside them, one with each of bad every 500 ms.
+// It reports which sound requests were served, by the time of sending.
+func (c *crashingTargets) load(d time.Duration, bad ...string) map[time.Time]bool {
+	const badEvery, soundEvery = 500 * time.Millisecond, 100 * time.Millisecond
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	served := map[time.Time]bool{}
+	for at := time.Duration(0); at < d; at += soundEvery {
+		sent := time.Now()
+		id := sent.Format(time.StampMilli)
+		wg.Go(func() {
+			parts := []string{"a,b", "a,c", "d,e"}[at/soundEvery%3]
+			ok := c.ask("sound"+id, parts+",own"+id)
+			mu.Lock()
+			defer mu.Unlock()
+			served[sent] = ok
+		})
+		for _, part := range bad {
+			if at%badEvery == 0 {
+				wg.Go(func() { c.ask(part+id, "a,b,"+part+",own"+id) })
+			}
+		}
+		time.Sleep(soundEvery)
+	}
+	wg.Wait()
+	return served
+}
+
+// ask sends a request and reports whether it was answered completely.
+func (c *crashingTargets) ask(id, parts string) bool {
+	id = strings.ReplaceAll(id, " ", "-")
+	got := c.r.post("/a/"+id, "Id", id, "Wait", "8000", "Parts", strings.ReplaceAll(parts, " ", "-"))
+	return strings.HasPrefix(got, "200") && !strings.Contains(got, "cut")
+}
+
 // TestCrashingPromptPart sends requests of which some have one part in common that
 // crashes targets and are otherwise all different. Few of them may reach targets once
 // that part has crashed five, and sound requests with the same other parts must be
 // served. Crashes once counted only against requests that are alike as a whole.
 func TestCrashingPromptPart(t *testing.T) {
-	const (
-		targets, maxCrashes   = 9, 5
-		maxLate               = 3
-		contactTime, duration = 3 * time.Second, 22 * time.Second
-		badEvery, soundEvery  = 500 * time.Millisecond, 100 * time.Millisecond
-	)
-	synctest.Test(t, func(t *testing.T) {
-		c := &crashingTargets{prefill: func(int) time.Duration { return prefillTime }}
-		var behaviours []behaviour
-		for i := range targets {
-			behaviours = append(behaviours, c.behaviour(i))
-		}
-		c.r = newFixture(t, route(catalog.Stream, func(r *catalog.Route) { r.Resumable, r.MaxTargets = true, 3 }), behaviours...)
-		defer c.r.close()
-		var wg sync.WaitGroup
-		var mu sync.Mutex
-		served := map[time.Duration]bool{}
-		start := time.Now()
-		for at := time.Duration(0); at < duration; at += soundEvery {
-			wg.Go(func() {
-				parts := []string{"a,b", "a,c", "d,e"}[at/soundEvery%3]
-				got := c.r.post(fmt.Sprint("/a/sound", at), "Id", fmt.Sprint("sound", at), "Wait", "8000", "Parts", parts+",own"+at.String())
-				mu.Lock()
-				defer mu.Unlock()
-				served[at] = strings.HasPrefix(got, "200") && !strings.Contains(got, "cut")
+	const maxCrashes, maxLate, contactTime = 5, 3, 3 * time.Second
+	for name, kind := range map[string]catalog.Kind{"streams": catalog.Stream, "plain answers": catalog.Safe} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCrashingTargets(t, kind, 9)
+				defer c.r.close()
+				served := c.load(22*time.Second, "bad")
+				if len(c.crashes) == 0 {
+					t.Fatal("no target crashed")
+				}
+				last := c.crashes[min(maxCrashes, len(c.crashes))-1]
+				late := 0
+				for _, at := range c.arrivals {
+					if len(c.crashes) >= maxCrashes && at.Sub(last) > contactTime {
+						late++
+					}
+				}
+				if late > maxLate {
+					t.Errorf("%d requests with the part reached targets later than %v after the fifth crash, of %d in all; %d crashes", late, contactTime, len(c.arrivals), len(c.crashes))
+				}
+				begun, asked := countServed(served, last.Add(2*contactTime))
+				if 2*begun < asked {
+					t.Errorf("%d of %d sound requests were served", begun, asked)
+				}
+				t.Logf("%d crashes, %d requests with the part at targets, %d late; %d of %d sound requests served", len(c.crashes), len(c.arrivals), late, begun, asked)
 			})
-			if at%badEvery == 0 {
-				wg.Go(func() {
-					c.r.post(fmt.Sprint("/a/bad", at), "Id", fmt.Sprint("bad", at), "Wait", "8000", "Parts", "a,b,bad,own"+at.String())
-				})
+		})
+	}
+}
+
+// countServed counts the requests sent after from, and those of them that were served.
+func countServed(served map[time.Time]bool, from time.Time) (begun, asked int) {
+	for at, ok := range served {
+		if at.After(from) {
+			asked++
+			if ok {
+				begun++
 			}
-			time.Sleep(soundEvery)
-		}
-		wg.Wait()
-		if len(c.crashes) == 0 {
-			t.Fatal("no target crashed")
 		}
-		last := c.crashes[min(maxCrashes, len(c.crashes))-1]
-		late := 0
-		for _, at := range c.arrivals {
-			if len(c.crashes) >= maxCrashes && at.Sub(last) > contactTime {
-				late++
-			}
+	}
+	return begun, asked
+}
+
+// TestTwoCrashingPromptParts has two such parts at once, in requests that share all
+// other parts with sound ones.
+func TestTwoCrashingPromptParts(t *testing.T) {
+	const settleTime = 9 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrashingTargets(t, catalog.Stream, 9)
+		defer c.r.close()
+		start := time.Now()
+		served := c.load(22*time.Second, "bad1", "bad2")
+		if n := len(c.arrivals); n > 0 && c.arrivals[n-1].Sub(start) > settleTime {
+			t.Errorf("of %d requests with the parts the last reached a target after %v", n, c.arrivals[n-1].Sub(start))
 		}
-		if late > maxLate {
-			t.Errorf("%d requests with the part reached targets later than %v after the fifth crash, of %d in all; %d crashes", late, contactTime, len(c.arrivals), len(c.crashes))
+		t.Logf("%d crashes, %d requests with the parts at targets", len(c.crashes), len(c.arrivals))
+		if begun, asked := countServed(served, start.Add(settleTime)); begun < asked {
+			t.Errorf("%d of %d sound requests were served", begun, asked)
 		}
-		asked, begun := 0, 0
-		for at, ok := range served {
-			if start.Add(at).Sub(last) > 2*contactTime {
-				asked++
-				if ok {
-					begun++
-				}
-			}
+	})
+}
+
+// TestPartThatStopsCrashing expects requests with a blocked part to be served again
+// soon after it has stopped crashing targets.
+func TestPartThatStopsCrashing(t *testing.T) {
+	const trialTime = 35 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrashingTargets(t, catalog.Stream, 9)
+		defer c.r.close()
+		c.load(5*time.Second, "bad")
+		if c.ask("blocked", "a,b,bad,own") {
+			t.Error("a request with the part was served while it crashed targets")
 		}
-		if 2*begun < asked {
-			t.Errorf("%d of %d sound requests were served", begun, asked)
+		c.mu.Lock()
+		c.harmless = true
+		c.mu.Unlock()
+		time.Sleep(trialTime)
+		c.ask("trial", "a,b,bad,own1")
+		if !c.ask("after the trial", "a,b,bad,own2") {
+			t.Error("a request with the part was not served after it stopped crashing targets")
 		}
-		t.Logf("%d crashes, %d requests with the part at targets, %d late; %d of %d sound requests served", len(c.crashes), len(c.arrivals), late, begun, asked)
 	})
 }
 
