backpressure, platform: decode and log what targets say of themselves

Callers saw nothing yet; targets that name a limit got more than it. The logs could not tell whether the limit was heard, by which host and when, nor who sent requests to such a target.

A Table at each host logs each change of a limit and each send to a limited target. Nothing decides by it yet.

--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -6,6 +6,7 @@
 	"net/rpc"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/crash"
@@ -71,8 +72,12 @@
 		ApplyTime: time.Duration(s.ApplyTime)}
 }
 
-func provideBatcher(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower, x *peer.Exchange) *stage.Batcher {
-	return &stage.Batcher{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot}
+func provideBatcher(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower, x *peer.Exchange, signals *backpressure.Table) *stage.Batcher {
+	return &stage.Batcher{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot, Backpressure: signals}
+}
+
+func provideBackpressure(c *clock.Service, log *zap.Logger) *backpressure.Table {
+	return &backpressure.Table{Clock: c, Log: log}
 }
 
 func provideStageClient(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, batcher *stage.Batcher) *stage.Client {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/link"
@@ -68,21 +69,28 @@
 
 // testPool answers each call after 100 ms with one result per piece.
 type testPool struct {
+	// signal, unless nil, returns what a target says of itself. It is set before the
+	// first call.
+	signal func(t *catalog.Target) backpressure.Signal
+
 	mu    sync.Mutex
 	calls []string
 	freed []string
 }
 
-func (p *testPool) Call(ctx context.Context, _ *catalog.Target, pieces []stage.Piece) ([]stage.PieceResult, error) {
+func (p *testPool) Call(ctx context.Context, t *catalog.Target, pieces []stage.Piece) (stage.Reply, error) {
+	var out stage.Reply
+	if p.signal != nil {
+		out.Signal = p.signal(t)
+	}
 	if err := sleep(ctx, 100*time.Millisecond); err != nil {
-		return nil, err
+		return stage.Reply{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []stage.PieceResult
 	for _, piece := range pieces {
 		p.calls = append(p.calls, fmt.Sprintf("stage %d piece %d of %v", piece.Stage, piece.Number, piece.Inputs))
-		out = append(out, stage.PieceResult{Handle: fmt.Sprintf("h%d.%d", piece.Stage, piece.Number)})
+		out.Results = append(out.Results, stage.PieceResult{Handle: fmt.Sprintf("h%d.%d", piece.Stage, piece.Number)})
 	}
 	return out, nil
 }
@@ -322,7 +330,14 @@
 }
 
 func (testFormat) ParseResponse(_ int, h http.Header) ResponseInfo {
-	return ResponseInfo{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", InputsGone: h.Get("Not-Run") == "inputs"}
+	s := backpressure.Signal{Leaving: h.Get("Leaving") != ""}
+	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		s.Limited, s.Limit = true, limit
+	}
+	if pause, err := time.ParseDuration(h.Get("Pause")); err == nil {
+		s.Pause = pause
+	}
+	return ResponseInfo{Signal: s, ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", InputsGone: h.Get("Not-Run") == "inputs"}
 }
 
 func (testFormat) ResponseHeader(h http.Header) http.Header {
--- a/internal/gateway/format.go
+++ b/internal/gateway/format.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/placement"
 )
 
@@ -61,6 +62,8 @@
 	NotRun bool
 	// InputsGone is set if the request did not run because an input was missing.
 	InputsGone bool
+	// Signal is what the target says of itself.
+	Signal backpressure.Signal
 }
 
 // Format reads and writes the headers of requests and responses.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/crash"
@@ -27,20 +28,21 @@
 // Host is one gateway process. Exported fields must be set before Run; New sets
 // them from settings.
 type Host struct {
-	Settings   *settings.Gateway
-	Net        link.Network
-	Clock      *clock.Service
-	Log        *zap.Logger
-	Format     Format
-	Follower   *catalog.Follower
-	Exchange   *peer.Exchange
-	PeerCaller *peer.Caller
-	PeerServer *peer.Server
-	Batcher    *stage.Batcher
-	Stages     *stage.Client
-	Balancer   *fleet.Balancer
-	Placement  *placement.Client
-	Upstream   *upstream.Client
+	Settings     *settings.Gateway
+	Net          link.Network
+	Clock        *clock.Service
+	Log          *zap.Logger
+	Format       Format
+	Follower     *catalog.Follower
+	Exchange     *peer.Exchange
+	PeerCaller   *peer.Caller
+	PeerServer   *peer.Server
+	Backpressure *backpressure.Table
+	Batcher      *stage.Batcher
+	Stages       *stage.Client
+	Balancer     *fleet.Balancer
+	Placement    *placement.Client
+	Upstream     *upstream.Client
 	// ResponseMemory bounds the memory of large responses that are not streams.
 	ResponseMemory *upstream.MemoryBudget
 	Repeats        *workspace.RepeatBudget
@@ -167,6 +169,7 @@
 // applySnapshot applies a new snapshot of the catalog.
 func (h *Host) applySnapshot(s *catalog.Snapshot) {
 	h.Balancer.Prune(s)
+	h.Backpressure.Prune(s)
 	if s.Table != nil {
 		h.callerServer.setLimits(s.Table.Limits)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -159,6 +159,8 @@
 		Resumes:     resumes,
 		ResumeAfter: after,
 	})
+	sentAt := s.h.Clock.Now()
+	s.h.Backpressure.LogSend(t, q.ID)
 	resp, err := s.h.Upstream.Do(ctx, t.Addr, &upstream.Request{
 		Method:  q.method,
 		URI:     q.uri,
@@ -171,7 +173,9 @@
 	if err != nil {
 		return nil, ResponseInfo{}, err
 	}
-	return resp, s.h.Format.ParseResponse(resp.Status, resp.Header), nil
+	info := s.h.Format.ParseResponse(resp.Status, resp.Header)
+	s.h.Backpressure.Observe(t, sentAt, info.Signal)
+	return resp, info, nil
 }
 
 // recordFailure records a send without a usable response and returns its outcome.
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -20,6 +20,7 @@
 	panic(wire.Build(
 		provideExchange,
 		provideFollower,
+		provideBackpressure,
 		provideBatcher,
 		provideStageClient,
 		provideBalancer,
@@ -31,6 +32,6 @@
 		provideResponseMemory,
 		provideMetrics,
 		providePeerServer,
-		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Format", "Follower", "Exchange", "PeerCaller", "PeerServer", "Batcher", "Stages", "Balancer", "Placement", "Upstream", "ResponseMemory", "Repeats", "Crashes", "Metrics"),
+		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Format", "Follower", "Exchange", "PeerCaller", "PeerServer", "Backpressure", "Batcher", "Stages", "Balancer", "Placement", "Upstream", "ResponseMemory", "Repeats", "Crashes", "Metrics"),
 	))
 }
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -26,7 +26,8 @@
 	exchange := provideExchange(s, n, c, caller, d)
 	follower := provideFollower(s, c, log, feed, exchange, caller)
 	table := provideCrashTable(c, log, exchange, caller, archive)
-	batcher := provideBatcher(c, log, pool, follower, exchange)
+	backpressureTable := provideBackpressure(c, log)
+	batcher := provideBatcher(c, log, pool, follower, exchange, backpressureTable)
 	holder := provideLoadTables(c, log, follower)
 	server, err := providePeerServer(exchange, follower, table, batcher, holder)
 	if err != nil {
@@ -48,6 +49,7 @@
 		Exchange:       exchange,
 		PeerCaller:     caller,
 		PeerServer:     server,
+		Backpressure:   backpressureTable,
 		Batcher:        batcher,
 		Stages:         client,
 		Balancer:       balancer,
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
 	"github.com/zeebo/errs"
@@ -47,6 +48,8 @@
 	Log     *zap.Logger
 	Pool    Pool
 	Catalog func() *catalog.Snapshot
+	// Backpressure takes what targets say of themselves.
+	Backpressure *backpressure.Table
 
 	once     sync.Once
 	commands chan func()
--- a/internal/stage/batcher_test.go
+++ b/internal/stage/batcher_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
 	"github.com/google/go-cmp/cmp"
@@ -21,6 +22,8 @@
 	fail func(t *catalog.Target, pieces []Piece) error
 	// fault, unless nil, returns the fault of a piece.
 	fault func(t *catalog.Target, p Piece) PieceFault
+	// signal, unless nil, returns what a target says of itself.
+	signal func(t *catalog.Target) backpressure.Signal
 
 	mu       sync.Mutex
 	calls    []string
@@ -33,19 +36,19 @@
 	testPieceTime = 10 * time.Millisecond
 )
 
-func (p *fakePool) Call(ctx context.Context, t *catalog.Target, pieces []Piece) ([]PieceResult, error) {
+func (p *fakePool) Call(ctx context.Context, t *catalog.Target, pieces []Piece) (Reply, error) {
 	p.mu.Lock()
 	p.calls = append(p.calls, fmt.Sprintf("%s %d", t.ID, len(pieces)))
 	p.mu.Unlock()
 	if p.fail != nil {
 		if err := p.fail(t, pieces); err != nil {
-			return nil, err
+			return p.reply(t, nil), err
 		}
 	}
 	select {
 	case <-time.After(testCallTime + time.Duration(len(pieces))*testPieceTime):
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return Reply{}, ctx.Err()
 	}
 	out := make([]PieceResult, len(pieces))
 	p.mu.Lock()
@@ -59,7 +62,16 @@
 			out[i].Handle = fmt.Sprintf("%s/%s/%d/%d", t.ID, piece.RequestID, piece.Stage, piece.Number)
 		}
 	}
-	return out, nil
+	return p.reply(t, out), nil
+}
+
+// reply returns a reply of t with its signal.
+func (p *fakePool) reply(t *catalog.Target, results []PieceResult) Reply {
+	r := Reply{Results: results}
+	if p.signal != nil {
+		r.Signal = p.signal(t)
+	}
+	return r
 }
 
 func (p *fakePool) Free(_ context.Context, _ netip.AddrPort, handles []string) error {
@@ -69,6 +81,10 @@
 	return nil
 }
 
+func newBackpressure() *backpressure.Table {
+	return &backpressure.Table{Clock: &clock.Service{}, Log: zap.NewNop()}
+}
+
 // newBatcher starts a batcher for one service with the given number of targets.
 func newBatcher(t *testing.T, pool *fakePool, targets int, p catalog.Pool) *Batcher {
 	t.Helper()
@@ -80,7 +96,7 @@
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
 		s.Targets["s"] = append(s.Targets["s"], &catalog.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Addr: addr, Domain: fmt.Sprintf("d%d", i), Slots: 1})
 	}
-	b := &Batcher{Clock: &clock.Service{}, Log: zap.NewNop(), Pool: pool, Catalog: func() *catalog.Snapshot { return s }}
+	b := &Batcher{Clock: &clock.Service{}, Log: zap.NewNop(), Pool: pool, Catalog: func() *catalog.Snapshot { return s }, Backpressure: newBackpressure()}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- b.Run(ctx) }()
@@ -359,7 +375,7 @@
 		j := domainJob(fmt.Sprint(i), fmt.Sprintf("d%d", i%4), time.Second)
 		q.jobs = append(q.jobs, &job{Job: j, due: now.Add(time.Hour - time.Duration(i)), waiting: []int{0, 1}, missing: 2})
 	}
-	return &Batcher{Clock: &clock.Service{}, Log: zap.NewNop(), Catalog: func() *catalog.Snapshot { return s }}, q
+	return &Batcher{Clock: &clock.Service{}, Log: zap.NewNop(), Catalog: func() *catalog.Snapshot { return s }, Backpressure: newBackpressure()}, q
 }
 
 // TestBusyTargets expects jobs not to be ordered while no target is free, since
--- a/internal/stage/calls.go
+++ b/internal/stage/calls.go
@@ -22,12 +22,14 @@
 		p.job.sent = true
 		p.job.queued = now.Sub(p.job.arrived)
 	}
+	b.Backpressure.LogSend(t, c.parts[0].job.RequestID)
 	timeout := q.timeout(s, c.expected)
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, timeout)
 		defer cancel()
-		results, err := b.Pool.Call(ctx, t, c.pieces(now))
-		b.do(func() { b.finishCall(q, s, t, c, results, err) })
+		reply, err := b.Pool.Call(ctx, t, c.pieces(now))
+		b.Backpressure.Observe(t, now, reply.Signal)
+		b.do(func() { b.finishCall(q, s, t, c, reply.Results, err) })
 	}()
 }
 
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 )
 
@@ -147,11 +148,20 @@
 	Fault  PieceFault
 }
 
+// Reply is a target's reply to a call.
+type Reply struct {
+	// Results are in the order of the pieces.
+	Results []PieceResult
+	// Signal is what the target says of itself.
+	Signal backpressure.Signal
+}
+
 // Pool calls the targets of stage pools.
 type Pool interface {
 	// Call runs pieces in one call. An error means that no result arrived; if it
-	// wraps ErrRejected, the target did not start the call.
-	Call(ctx context.Context, t *catalog.Target, pieces []Piece) ([]PieceResult, error)
+	// wraps ErrRejected, the target did not start the call. The reply's signal is also
+	// valid with an error.
+	Call(ctx context.Context, t *catalog.Target, pieces []Piece) (Reply, error)
 	// Free frees results at the target that produced them.
 	Free(ctx context.Context, addr netip.AddrPort, handles []string) error
 }
