gateway: a test that fails: targets that name a limit, asked by several hosts

Five hosts send plain requests, requests with prompts and stage calls to targets that name a limit.

The fixture starts several hosts in one place for this test and for TestHarmedLinks.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -73,12 +73,14 @@
 	// first call.
 	signal func(t *catalog.Target) backpressure.Signal
 
-	mu    sync.Mutex
-	calls []string
-	freed []string
+	mu      sync.Mutex
+	calls   []string
+	freed   []string
+	arrived []time.Time // calls of either kind
 }
 
 func (p *testPool) Call(ctx context.Context, t *catalog.Target, pieces []stage.Piece) (stage.Reply, error) {
+	p.recordArrival()
 	var out stage.Reply
 	if p.signal != nil {
 		out.Signal = p.signal(t)
@@ -96,12 +98,19 @@
 }
 
 func (p *testPool) Free(_ context.Context, _ netip.AddrPort, handles []string) error {
+	p.recordArrival()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.freed = append(p.freed, handles...)
 	return nil
 }
 
+func (p *testPool) recordArrival() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.arrived = append(p.arrived, time.Now())
+}
+
 type noDirectory struct{}
 
 // behaviour is the handler of a test target.
@@ -117,6 +126,7 @@
 	client  *http.Client
 	stop    context.CancelFunc
 	done    chan error
+	hosts   []*runningHost // started by startHosts
 
 	mu       sync.Mutex
 	received []string // target and ID of each request that reached a target
@@ -185,6 +195,54 @@
 	time.Sleep(time.Second)
 }
 
+// startHosts starts n hosts that know each other, waits until they have joined and
+// returns their addresses.
+func (r *fixture) startHosts(n int) []netip.Addr {
+	r.hosts = make([]*runningHost, n)
+	for i := range n {
+		addr := hostAddr
+		if i > 0 {
+			addr = netip.AddrFrom4([4]byte{10, 0, 1, byte(i)})
+		}
+		r.hosts[i] = &runningHost{addr: addr}
+	}
+	var addrs []netip.Addr
+	for _, h := range r.hosts {
+		addrs = append(addrs, h.addr)
+		r.run(h)
+		r.t.Cleanup(func() { r.stopHost(h) })
+	}
+	time.Sleep(2 * time.Second)
+	return addrs
+}
+
+// runningHost is one host of several.
+type runningHost struct {
+	addr netip.Addr
+	stop context.CancelFunc
+	done chan error
+}
+
+// run starts a new process of h.
+func (r *fixture) run(h *runningHost) {
+	var peers []netip.AddrPort
+	for _, other := range r.hosts {
+		peers = append(peers, netip.AddrPortFrom(other.addr, 82))
+	}
+	host := r.newHost(h.addr, peers)
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop, h.done = stop, make(chan error, 1)
+	go func() { h.done <- host.Run(ctx) }()
+}
+
+// stopHost stops h and waits until it has ended.
+func (r *fixture) stopHost(h *runningHost) {
+	h.stop()
+	if err := <-h.done; err != nil {
+		r.t.Error(err)
+	}
+}
+
 // close stops the host and waits until it has ended.
 func (r *fixture) close() {
 	r.client.CloseIdleConnections()
--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/backpressure"
+	"berylswitch.example/berylswitch/internal/catalog"
+)
+
+// The stated target: limitGrace after a target named its limit, it gets in no
+// limitWindow more than limitFactor times what that allows, and limitSlack more.
+const (
+	limitGrace  = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// limitedTarget is a target that names a limit while it is on.
+type limitedTarget struct {
+	limit float64
+
+	mu      sync.Mutex
+	named   time.Time // when the limit was first named
+	ended   bool
+	arrived []time.Time
+}
+
+// signal records an arrival and returns the limit to name.
+func (l *limitedTarget) signal() backpressure.Signal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.arrived = append(l.arrived, now)
+	if l.ended {
+		return backpressure.Signal{}
+	}
+	if l.named.IsZero() {
+		l.named = now
+	}
+	return backpressure.Signal{Limited: true, Limit: l.limit}
+}
+
+// serve answers with an event or a body and names the limit.
+func (l *limitedTarget) serve(w http.ResponseWriter, r *http.Request) {
+	if s := l.signal(); s.Limited {
+		w.Header().Set("Limit", fmt.Sprint(s.Limit))
+	}
+	w.Header().Set("Signed", "t")
+	if sleep(r.Context(), 20*time.Millisecond) == nil {
+		fmt.Fprint(w, "id: 1\ndata: x\n\n")
+	}
+}
+
+// end ends the limit.
+func (l *limitedTarget) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+}
+
+// since returns the number of arrivals from at on.
+func (l *limitedTarget) since(at time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, a := range l.arrived {
+		if !a.Before(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// check fails if any window has more arrivals than the target allows.
+func (l *limitedTarget) check(t *testing.T) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.named.IsZero() {
+		t.Error("target got no request")
+	}
+	allowed := int(limitFactor*l.limit*limitWindow.Seconds()) + limitSlack
+	for i, from := range l.arrived {
+		n := 0
+		for _, at := range l.arrived[i:] {
+			if at.Sub(from) < limitWindow {
+				n++
+			}
+		}
+		if from.Sub(l.named) >= limitGrace && n > allowed {
+			t.Errorf("target with a limit of %v a second got %d requests in the %v from %v after it named it, want at most %d", l.limit, n, limitWindow, from.Sub(l.named), allowed)
+			return
+		}
+	}
+}
+
+// callAll sends rate requests a second to random hosts for d and waits for the
+// responses. It returns how many had each status.
+func (r *fixture) callAll(addrs []netip.Addr, random *rand.Rand, rate int, d time.Duration, path string, header ...string) map[string]int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	statuses := map[string]int{}
+	for i := range int(d.Seconds() * float64(rate)) {
+		host := addrs[random.IntN(len(addrs))]
+		wg.Go(func() {
+			id := fmt.Sprint(path, time.Now().UnixNano(), "-", i)
+			got := r.postTo(host, path, append([]string{"Id", id, "Wait", "1500"}, header...)...)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[got[:min(3, len(got))]]++
+		})
+		time.Sleep(time.Second / time.Duration(rate))
+	}
+	wg.Wait()
+	return statuses
+}
+
+// TestLimitOverAllHosts has several hosts send to targets that name a limit: the sum
+// of their requests, or calls with pieces, must keep to it, and what other targets can
+// serve must be served.
+func TestLimitOverAllHosts(t *testing.T) {
+	const hosts, rate, duration = 5, 40, 14 * time.Second
+	for _, c := range []struct {
+		name   string
+		kind   catalog.Kind
+		header []string
+	}{
+		{"plain", catalog.Unsafe, nil},
+		{"prompts", catalog.Stream, []string{"Parts", "a,b,c"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				slow, slower, sound := &limitedTarget{limit: 3}, &limitedTarget{limit: 0.8}, &limitedTarget{ended: true}
+				r := prepareFixture(t, route(c.kind, nil), slow.serve, slower.serve, sound.serve)
+				addrs := r.startHosts(hosts)
+				random := rand.New(rand.NewPCG(1, 0))
+				statuses := r.callAll(addrs, random, rate, duration, "/a/b", c.header...)
+				if n := int(rate * duration.Seconds()); statuses["200"] < n*99/100 {
+					t.Errorf("statuses %v of %d requests", statuses, n)
+				}
+				slow.check(t)
+				slower.check(t)
+				slow.end()
+				r.callAll(addrs, random, rate, 4*time.Second, "/a/b", c.header...)
+				if n := slow.since(time.Now().Add(-2 * time.Second)); n < int(2*slow.limit)*2 {
+					t.Errorf("%d requests in 2s after the limit had ended", n)
+				}
+			})
+		})
+	}
+	t.Run("pieces", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			slow := &limitedTarget{limit: 2}
+			routes := route(catalog.Stream, func(r *catalog.Route) { r.Stages = []catalog.Stage{{Service: "p"}} })
+			r := prepareFixture(t, routes, respondsWith("id: 1\ndata: x\n\n"))
+			r.pool.signal = func(*catalog.Target) backpressure.Signal { return slow.signal() }
+			addrs := r.startHosts(hosts)
+			r.callAll(addrs, rand.New(rand.NewPCG(1, 0)), rate, duration, "/a/b", "Pieces", "2")
+			slow.arrived = r.pool.arrived
+			slow.check(t)
+		})
+	})
+}
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -84,26 +83,7 @@
 		behaviours[i] = c.run
 	}
 	c.fixture = prepareFixture(t, routes, behaviours...)
-	peers := []netip.AddrPort{netip.AddrPortFrom(hostAddr, 82)}
-	c.addrs = []netip.Addr{hostAddr}
-	for i := 1; i < linkHosts; i++ {
-		addr := netip.AddrFrom4([4]byte{10, 0, 1, byte(i)})
-		c.addrs = append(c.addrs, addr)
-		peers = append(peers, netip.AddrPortFrom(addr, 82))
-	}
-	for _, addr := range c.addrs {
-		h := c.newHost(addr, peers)
-		ctx, stop := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- h.Run(ctx) }()
-		t.Cleanup(func() {
-			stop()
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		})
-	}
-	time.Sleep(2 * time.Second)
+	c.addrs = c.startHosts(linkHosts)
 	return c
 }
 
