--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -93,16 +93,21 @@
 }
 
 func providePlacement(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, tables *placement.Holder) *placement.Client {
-	return &placement.Client{Self: x.Self.Name, Clock: c, Log: log, Members: x, Peers: caller, Holder: tables}
+	return &placement.Client{Self: x.Self.Name, Clock: c, Log: log, Holders: &peer.Picker{Clock: c, Members: x.Members}, Peers: caller, Holder: tables}
 }
 
+// hostLifetime is how long a host counts as sharing the budget of repeats after it was
+// last seen alive.
+const hostLifetime = time.Minute
+
 func provideRepeatBudget(s *settings.Gateway, c *clock.Service, x *peer.Exchange) *workspace.RepeatBudget {
+	hosts := &peer.RecentMax{Clock: c, Lifetime: hostLifetime, Count: func() int { return max(len(x.Members().Hosts), len(s.Peers)) }}
 	return &workspace.RepeatBudget{
 		Clock:  c,
 		Window: time.Duration(s.RepeatWindow),
 		Ratio:  s.RepeatRatio,
 		Slack:  s.RepeatSlack,
-		Hosts:  func() int { return max(len(x.Members().Hosts), len(s.Peers)) },
+		Hosts:  hosts.Value,
 	}
 }
 
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -29,24 +29,19 @@
 	maxHolders = 2
 )
 
-// Members provides the hosts among which the holder of a service is picked.
-type Members interface {
-	Members() *peer.Members
-}
-
 // Client asks the holders of services for targets and reports the progress of
 // requests to them. Exported fields are set before Run.
 type Client struct {
-	Self    string
-	Clock   *clock.Service
-	Log     *zap.Logger
-	Members Members
+	Self  string
+	Clock *clock.Service
+	Log   *zap.Logger
+	// Holders picks the holder of a service.
+	Holders *peer.Picker
 	Peers   *peer.Caller
 	Holder  *Holder
 
-	mu        sync.Mutex
-	skipUntil map[string]time.Time
-	sessions  map[string]*holderSession
+	mu       sync.Mutex
+	sessions map[string]*holderSession
 }
 
 // holderSession is a holder that has requests of this host, with these requests and
@@ -75,7 +70,7 @@
 func (c *Client) Choose(ctx context.Context, w Work) *Lease {
 	w.ID, w.Host = uuid.NewString(), c.Self
 	for range maxHolders {
-		host := c.holderOf(w.Service)
+		host := c.Holders.Holder(w.Service)
 		choice, err := c.ask(ctx, host, &w)
 		if err == nil {
 			if choice.Target == "" {
@@ -90,7 +85,7 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		c.skip(host)
+		c.Holders.Skip(host, skipTime)
 	}
 	return nil
 }
@@ -108,31 +103,6 @@
 	return *choice, nil
 }
 
-// holderOf returns the host that has the load table of service.
-func (c *Client) holderOf(service string) peer.Host {
-	now := c.Clock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	members := c.Members.Members()
-	for name, until := range c.skipUntil {
-		if !until.After(now) {
-			delete(c.skipUntil, name)
-			continue
-		}
-		members = members.Without(name)
-	}
-	return members.Strong().Holder(service)
-}
-
-func (c *Client) skip(host peer.Host) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.skipUntil == nil {
-		c.skipUntil = map[string]time.Time{}
-	}
-	c.skipUntil[host.Name] = c.Clock.Now().Add(skipTime)
-}
-
 func (c *Client) addLease(l *Lease) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/placement/client_test.go
+++ b/internal/placement/client_test.go
@@ -54,7 +54,7 @@
 		t.Fatal(err)
 	}
 	go s.Serve(l)
-	client := &Client{Self: h.Name, Clock: c, Log: zap.NewNop(), Members: cl, Peers: &peer.Caller{Net: cl.network.Process(h.Addr.Addr())}, Holder: holder}
+	client := &Client{Self: h.Name, Clock: c, Log: zap.NewNop(), Holders: &peer.Picker{Clock: c, Members: cl.Members}, Peers: &peer.Caller{Net: cl.network.Process(h.Addr.Addr())}, Holder: holder}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- client.Run(ctx) }()
--- a/internal/workspace/repeats.go
+++ b/internal/workspace/repeats.go
@@ -10,11 +10,6 @@
 // repeatBuckets is the number of buckets in the sliding window of a RepeatBudget.
 const repeatBuckets = 10
 
-// hostLifetime is how long a host counts as sharing the budget after it was last
-// seen alive: hosts that are partitioned from each other must not spend each
-// other's part.
-const hostLifetime = time.Minute
-
 // usableShare is the largest part of the budget that is spent. It is below one
 // because the windows of the hosts are not aligned.
 const usableShare = 0.7
@@ -29,15 +24,14 @@
 	Window time.Duration
 	Ratio  float64
 	Slack  float64
-	// Hosts returns the number of hosts that are believed to be alive.
+	// Hosts returns the number of hosts that share the budget. Hosts that are
+	// partitioned from each other must not spend each other's part.
 	Hosts func() int
 
 	mu sync.Mutex // also guards Ratio and Slack after the first call
 	// origin is the time from which buckets are counted.
-	origin     time.Time
-	services   map[string]*repeatCounts
-	maxHosts   int // largest number of hosts within hostLifetime, last seen at maxHostsAt
-	maxHostsAt time.Time
+	origin   time.Time
+	services map[string]*repeatCounts
 }
 
 // repeatCounts counts the requests and repeats of one service by bucket.
@@ -72,7 +66,7 @@
 		requests += c.requests[i]
 		repeats += c.repeats[i]
 	}
-	limit := usableShare * (b.Ratio*float64(requests) + b.Slack/float64(b.recentMaxHosts()))
+	limit := usableShare * (b.Ratio*float64(requests) + b.Slack/float64(max(1, b.Hosts())))
 	if float64(repeats+1) > limit {
 		return false
 	}
@@ -80,16 +74,6 @@
 	return true
 }
 
-// recentMaxHosts returns the largest recent number of hosts. The caller holds
-// b.mu.
-func (b *RepeatBudget) recentMaxHosts() int {
-	n, now := max(1, b.Hosts()), b.Clock.Now()
-	if n >= b.maxHosts || now.Sub(b.maxHostsAt) > hostLifetime {
-		b.maxHosts, b.maxHostsAt = n, now
-	}
-	return b.maxHosts
-}
-
 // counts returns the counts of service, advanced to the current bucket. The
 // caller holds b.mu.
 func (b *RepeatBudget) counts(service string) *repeatCounts {
