backpressure: one limit for all hosts, in turns that a holder gives

What callers saw: nothing. Targets that had named a limit got up to one and a half times what that allows and more, from all hosts alike.

The class: a bound on a sum, decided by each host alone.

Each host has an equal share of every limit and lends it, by a lease of 1.5 s, to one host at a time: the holder of the service, which gives turns to the requests of all hosts at the rate lent to it. Two holders, after a kill or in a partition, never have more than the limit between them; a share goes on only when the old holder has returned it or can't use it any more. The load table, the batcher and the hosts' own choices all ask the holder. Limits spread by notes, ordered by version. What no target takes is refused at once with the time of the next turn.

--- /dev/null
+++ b/internal/backpressure/holder.go
@@ -0,0 +1,250 @@
+package backpressure
+
+import (
+	"net/rpc"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/clock"
+	"go.uber.org/zap"
+)
+
+// rpcName is the name of the holder's RPC service.
+const rpcName = "Quota"
+
+const (
+	// leaseTime is how long a host's share of the limits is a holder's after each
+	// renewal.
+	leaseTime = 1500 * time.Millisecond
+	// maxWait is the longest time that a request may wait for its turn.
+	maxWait = 2 * time.Second
+)
+
+// Holder decides when requests of all hosts may go to targets that have named a
+// limit. Each host has an equal share of every limit and leases it to one holder at a
+// time, so that the holders of a service, however many hosts believe they are, never
+// let more requests go than the limit. Exported fields are set before Register.
+type Holder struct {
+	Clock *clock.Service
+	Log   *zap.Logger
+	Table *Table
+	// Hosts returns the number of hosts that share the limits.
+	Hosts func() int
+
+	mu       sync.Mutex
+	services map[string]*serviceQuotas
+}
+
+// serviceQuotas is the state of the targets of one service.
+type serviceQuotas struct {
+	// leases holds the leases of hosts by name.
+	leases map[string]lease
+	// logged is the number of leases that a log line has told.
+	logged int
+	quotas map[quotaKey]*quota
+}
+
+// quotaKey is an incarnation of a target.
+type quotaKey struct {
+	target string
+	born   int64
+}
+
+// lease is a host's share of the limits of a service.
+type lease struct {
+	until time.Time
+	// hosts is the number of hosts that share the limits as the host knows it.
+	hosts int
+}
+
+// Renewal leases a host's share of the limits of a service to a holder, or returns it.
+type Renewal struct {
+	Host, Service string
+	// Hosts is the number of hosts that share the limits as the host knows it.
+	Hosts int
+	// Limits are the limits in force as the host knows them.
+	Limits []Update
+	// Return ends the lease.
+	Return bool
+}
+
+// Ask asks for a turn at one of some targets.
+type Ask struct {
+	Service string
+	// Targets are in the order of preference.
+	Targets []Candidate
+	// MaxWait is the longest time that the request can wait.
+	MaxWait time.Duration
+}
+
+// Candidate is an incarnation of a target.
+type Candidate struct {
+	ID   string
+	Born int64
+}
+
+// Grant is the reply to Ask.
+type Grant struct {
+	// Target is the ID of the target to which the request may go after Wait, or empty.
+	Target string
+	// Wait is, without a target, the time until a request may go.
+	Wait time.Duration
+}
+
+// Service is the RPC service of a Holder.
+type Service struct{ holder *Holder }
+
+// Empty is an empty reply.
+type Empty struct{}
+
+// Renew renews or ends a host's lease.
+func (s *Service) Renew(r *Renewal, _ *Empty) error {
+	s.holder.renew(r)
+	return nil
+}
+
+// Take replies with the target to which a request may go.
+func (s *Service) Take(a *Ask, reply *Grant) error {
+	*reply = s.holder.take(a)
+	return nil
+}
+
+// Register adds the holder's RPC service to s.
+func (h *Holder) Register(s *rpc.Server) error { return s.RegisterName(rpcName, &Service{h}) }
+
+func (h *Holder) renew(r *Renewal) {
+	for _, u := range r.Limits {
+		h.Table.Apply(u)
+	}
+	now := h.Clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.service(r.Service)
+	// What the leases so far have earned is earned before they change.
+	s.setRates(h, now)
+	if r.Return {
+		delete(s.leases, r.Host)
+	} else {
+		s.leases[r.Host] = lease{until: now.Add(leaseTime), hosts: r.Hosts}
+	}
+	s.setRates(h, now)
+	if len(s.leases) != s.logged {
+		s.logged = len(s.leases)
+		h.Log.Info("shares of limits leased to this host", zap.String("Service", r.Service), zap.Int("Shares", s.logged), zap.Float64("Share", s.share(h.Hosts())))
+	}
+}
+
+// take returns the first of the targets without a wait, or else the one with the
+// shortest.
+func (h *Holder) take(a *Ask) Grant {
+	now := h.Clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.service(a.Service)
+	s.setRates(h, now)
+	best := Grant{Wait: noTurn}
+	var bestKey quotaKey
+	for _, c := range a.Targets {
+		key := quotaKey{c.ID, c.Born}
+		wait := s.wait(h, key, now)
+		if best.Target == "" || wait < best.Wait {
+			best, bestKey = Grant{Target: c.ID, Wait: wait}, key
+		}
+		if wait == 0 {
+			break
+		}
+	}
+	if best.Wait > min(a.MaxWait, maxWait) {
+		return Grant{Wait: best.Wait}
+	}
+	s.take(bestKey, now)
+	return best
+}
+
+// Wait returns the time until a request may go to t: zero without a limit.
+func (h *Holder) Wait(t *catalog.Target) time.Duration {
+	if !h.Table.Limited(t) {
+		return 0
+	}
+	now := h.Clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.service(t.Service)
+	s.setRates(h, now)
+	return s.wait(h, quotaKey{t.ID, t.Born}, now)
+}
+
+// MayWait reports whether a request that can wait for d may wait for its turn.
+func MayWait(wait, d time.Duration) bool { return wait <= min(d, maxWait) }
+
+// Take lets one request go to t after Wait.
+func (h *Holder) Take(t *catalog.Target) {
+	now := h.Clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.service(t.Service).take(quotaKey{t.ID, t.Born}, now)
+}
+
+// service returns the state of a service; h.mu is held.
+func (h *Holder) service(name string) *serviceQuotas {
+	if h.services == nil {
+		h.services = map[string]*serviceQuotas{}
+	}
+	s := h.services[name]
+	if s == nil {
+		s = &serviceQuotas{leases: map[string]lease{}, quotas: map[quotaKey]*quota{}}
+		h.services[name] = s
+	}
+	return s
+}
+
+// setRates ends leases, and adapts the rates to the leases and limits in force. Quotas
+// of targets without a limit are removed.
+func (s *serviceQuotas) setRates(h *Holder, now time.Time) {
+	for host, l := range s.leases {
+		if !l.until.After(now) {
+			delete(s.leases, host)
+		}
+	}
+	share := s.share(h.Hosts())
+	for key, q := range s.quotas {
+		limit, limited := h.Table.limit(key.target, key.born)
+		if !limited {
+			delete(s.quotas, key)
+			continue
+		}
+		q.setRate(limit, share, now)
+	}
+}
+
+// share returns the part of each limit that is leased to this host. hosts is the
+// number of hosts as this host knows it; another one may know of more.
+func (s *serviceQuotas) share(hosts int) float64 {
+	for _, l := range s.leases {
+		hosts = max(hosts, l.hosts)
+	}
+	return min(1, float64(len(s.leases))/float64(max(1, hosts)))
+}
+
+// wait returns the time until a request may go to a target.
+func (s *serviceQuotas) wait(h *Holder, key quotaKey, now time.Time) time.Duration {
+	limit, limited := h.Table.limit(key.target, key.born)
+	if !limited {
+		return 0
+	}
+	q := s.quotas[key]
+	if q == nil {
+		q = &quota{at: now}
+		q.setRate(limit, s.share(h.Hosts()), now)
+		s.quotas[key] = q
+	}
+	return q.wait(now)
+}
+
+// take lets one request go to a target; without a limit there is nothing to count.
+func (s *serviceQuotas) take(key quotaKey, now time.Time) {
+	if q := s.quotas[key]; q != nil {
+		q.take(now)
+	}
+}
--- /dev/null
+++ b/internal/backpressure/holder_test.go
@@ -0,0 +1,132 @@
+package backpressure
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"github.com/cockroachdb/datadriven"
+	"go.uber.org/zap"
+)
+
+// holderScript runs a script against the holder of service s in virtual time.
+//
+//	hosts N
+//	limit TARGET RATE|none [version=N]
+//	lease HOST ... [hosts=N]
+//	return HOST
+//	take [targets=(TARGET,...)] [wait=D]
+//	flood TARGET for=D [step=D]
+//	sleep D
+type holderScript struct {
+	holder  *Holder
+	hosts   int
+	version int64
+}
+
+func TestHolder(t *testing.T) {
+	datadriven.Walk(t, "testdata/holder", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &holderScript{hosts: 1}
+			c := &clock.Service{}
+			s.holder = &Holder{Clock: c, Log: zap.NewNop(), Table: &Table{Clock: c, Log: zap.NewNop()}, Hosts: func() int { return s.hosts }}
+			datadriven.RunTest(t, path, s.run)
+		})
+	})
+}
+
+func (s *holderScript) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "hosts":
+		fmt.Sscan(d.CmdArgs[0].Key, &s.hosts)
+	case "limit":
+		s.limit(t, d)
+	case "lease", "return":
+		hosts := 0
+		d.MaybeScanArgs(t, "hosts", &hosts)
+		for _, a := range d.CmdArgs {
+			if a.Key != "hosts" {
+				s.holder.renew(&Renewal{Host: a.Key, Service: "s", Hosts: hosts, Return: d.Cmd == "return"})
+			}
+		}
+	case "take":
+		return s.take(t, d)
+	case "flood":
+		return s.flood(t, d)
+	case "sleep":
+		time.Sleep(duration(t, d, d.CmdArgs[0].Key))
+	default:
+		d.Fatalf(t, "unknown command")
+	}
+	return "ok\n"
+}
+
+func duration(t *testing.T, d *datadriven.TestData, v string) time.Duration {
+	x, err := time.ParseDuration(v)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return x
+}
+
+func (s *holderScript) limit(t *testing.T, d *datadriven.TestData) {
+	s.version++
+	u := Update{Target: d.CmdArgs[0].Key, Service: "s", Born: 1, Version: s.version}
+	if rate := d.CmdArgs[1].Key; rate != "none" {
+		u.Limited = true
+		if _, err := fmt.Sscan(rate, &u.Limit); err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+	}
+	s.holder.Table.Apply(u)
+}
+
+// take asks for a turn at targets, by default at target a.
+func (s *holderScript) take(t *testing.T, d *datadriven.TestData) string {
+	a := &Ask{Service: "s", Targets: []Candidate{{"a", 1}}}
+	for _, arg := range d.CmdArgs {
+		switch arg.Key {
+		case "targets":
+			a.Targets = nil
+			for _, id := range arg.Vals {
+				a.Targets = append(a.Targets, Candidate{id, 1})
+			}
+		case "wait":
+			a.MaxWait = duration(t, d, arg.Vals[0])
+		default:
+			d.Fatalf(t, "unknown argument %s", arg.Key)
+		}
+	}
+	g := s.holder.take(a)
+	if g.Target == "" {
+		return fmt.Sprintf("none for %v\n", g.Wait.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s after %v\n", g.Target, g.Wait.Round(time.Millisecond))
+}
+
+// flood asks again and again for a turn at a target, and renews the leases that the
+// script has made. It tells how many turns there were in each second.
+func (s *holderScript) flood(t *testing.T, d *datadriven.TestData) string {
+	var total, step string
+	d.ScanArgs(t, "for", &total)
+	d.ScanArgs(t, "step", &step)
+	var leases []string
+	for host := range s.holder.service("s").leases {
+		leases = append(leases, host)
+	}
+	start := time.Now()
+	counts := make([]int, int(duration(t, d, total).Seconds()))
+	for time.Since(start) < duration(t, d, total) {
+		for _, host := range leases {
+			s.holder.renew(&Renewal{Host: host, Service: "s"})
+		}
+		if g := s.holder.take(&Ask{Service: "s", Targets: []Candidate{{d.CmdArgs[0].Key, 1}}}); g.Target != "" {
+			counts[int(time.Since(start).Seconds())]++
+		}
+		time.Sleep(duration(t, d, step))
+	}
+	return strings.Trim(fmt.Sprint(counts), "[]") + "\n"
+}
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -72,12 +72,34 @@
 		ApplyTime: time.Duration(s.ApplyTime)}
 }
 
-func provideBatcher(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower, x *peer.Exchange, signals *backpressure.Table) *stage.Batcher {
-	return &stage.Batcher{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot, Backpressure: signals}
+func provideBatcher(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower, x *peer.Exchange, signals *backpressure.Table, quotas *backpressure.Holder) *stage.Batcher {
+	return &stage.Batcher{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot, Backpressure: signals, Quotas: quotas}
 }
 
-func provideBackpressure(c *clock.Service, log *zap.Logger) *backpressure.Table {
-	return &backpressure.Table{Clock: c, Log: log}
+func provideBackpressure(c *clock.Service, log *zap.Logger, x *peer.Exchange) *backpressure.Table {
+	b := &backpressure.Table{Clock: c, Log: log, Exchange: x}
+	b.Listen()
+	return b
+}
+
+// limitLifetime is how long a host counts as sharing the limits of targets after it
+// was last seen alive.
+const limitLifetime = 10 * time.Minute
+
+func provideQuotas(s *settings.Gateway, c *clock.Service, log *zap.Logger, x *peer.Exchange, b *backpressure.Table) *backpressure.Holder {
+	hosts := &peer.RecentMax{Clock: c, Lifetime: limitLifetime, Count: hostCount(s, x)}
+	return &backpressure.Holder{Clock: c, Log: log, Table: b, Hosts: hosts.Value}
+}
+
+func provideQuotaClient(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, b *backpressure.Table, quotas *backpressure.Holder) *backpressure.Client {
+	return &backpressure.Client{Self: x.Self.Name, Clock: c, Log: log, Table: b, Holders: &peer.Picker{Clock: c, Members: x.Members}, Peers: caller,
+		Holder: quotas, Hosts: quotas.Hosts}
+}
+
+// hostCount returns a function that returns the number of hosts that are believed
+// alive, at least that of the settings.
+func hostCount(s *settings.Gateway, x *peer.Exchange) func() int {
+	return func() int { return max(len(x.Members().Hosts), len(s.Peers)) }
 }
 
 func provideStageClient(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, batcher *stage.Batcher) *stage.Client {
@@ -88,8 +110,8 @@
 	return &fleet.Balancer{Clock: c, Log: log, Domain: s.Domain}
 }
 
-func provideLoadTables(c *clock.Service, log *zap.Logger, f *catalog.Follower) *placement.Holder {
-	return &placement.Holder{Clock: c, Log: log, Catalog: f.Snapshot}
+func provideLoadTables(c *clock.Service, log *zap.Logger, f *catalog.Follower, quotas *backpressure.Holder) *placement.Holder {
+	return &placement.Holder{Clock: c, Log: log, Catalog: f.Snapshot, Quotas: quotas}
 }
 
 func providePlacement(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, tables *placement.Holder) *placement.Client {
@@ -101,7 +123,7 @@
 const hostLifetime = time.Minute
 
 func provideRepeatBudget(s *settings.Gateway, c *clock.Service, x *peer.Exchange) *workspace.RepeatBudget {
-	hosts := &peer.RecentMax{Clock: c, Lifetime: hostLifetime, Count: func() int { return max(len(x.Members().Hosts), len(s.Peers)) }}
+	hosts := &peer.RecentMax{Clock: c, Lifetime: hostLifetime, Count: hostCount(s, x)}
 	return &workspace.RepeatBudget{
 		Clock:  c,
 		Window: time.Duration(s.RepeatWindow),
@@ -128,9 +150,9 @@
 func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
 
 // providePeerServer registers the RPC services that peers call.
-func providePeerServer(x *peer.Exchange, f *catalog.Follower, t *crash.Table, batcher *stage.Batcher, tables *placement.Holder) (*peer.Server, error) {
+func providePeerServer(x *peer.Exchange, f *catalog.Follower, t *crash.Table, batcher *stage.Batcher, tables *placement.Holder, quotas *backpressure.Holder) (*peer.Server, error) {
 	s := &peer.Server{RPC: rpc.NewServer()}
-	for _, register := range []func(*rpc.Server) error{x.Register, f.Register, t.Register, batcher.Register, tables.Register} {
+	for _, register := range []func(*rpc.Server) error{x.Register, f.Register, t.Register, batcher.Register, tables.Register, quotas.Register} {
 		if err := register(s.RPC); err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/fleet"
+	"berylswitch.example/berylswitch/internal/placement"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+)
+
+// The decisions of this file answer targets that differ in load, cache and speed, and
+// targets in need, which limit the requests of all hosts together.
+
+// chooseTarget returns the target of the next send, or nil, and waits for its turn
+// there. The holder of the service chooses for requests with a prompt; if it gives no
+// target, this host chooses.
+func (s *sender) chooseTarget(ctx context.Context) *catalog.Target {
+	s.lease, s.noTurnFor = nil, 0
+	targets := s.h.Follower.Snapshot().ActiveTargets(s.q.service)
+	if len(s.q.Prompt) > 0 {
+		if t := s.chooseAtHolder(ctx, targets); t != nil {
+			return t
+		}
+		metrics.GetOrRegisterCounter("Placement.OwnChoices", s.h.Metrics).Inc(1)
+	}
+	return s.chooseHere(ctx, targets)
+}
+
+// chooseAtHolder asks the holder of the service for a target.
+func (s *sender) chooseAtHolder(ctx context.Context, targets []*catalog.Target) *catalog.Target {
+	except := s.h.Balancer.Paused(targets)
+	for id := range s.tried {
+		except = append(except, id)
+	}
+	start := s.h.Clock.Now()
+	l := s.h.Placement.Choose(ctx, placement.Work{RequestID: s.q.ID, Service: s.q.service, Parts: s.q.Prompt, Except: except, Domain: s.inputsDomain,
+		MaxWait: s.maxWait()})
+	if l == nil {
+		return nil
+	}
+	s.h.histogram("Placement.Took").Update(int64(s.h.Clock.Since(start)))
+	s.h.Log.Info("target chosen", zap.String("RequestID", s.q.ID), zap.String("Target", l.Choice.Target), zap.Duration("Expected", l.Choice.Expected),
+		zap.Int("Reading", l.Choice.Reading), zap.Int("Cached", l.Choice.Cached), zap.Int("Except", len(except)), zap.Duration("Took", s.h.Clock.Since(start)))
+	t := findTarget(targets, l.Choice.Target)
+	if t == nil || !s.waitForTurn(ctx, t, l.Choice.Wait) {
+		l.End(placement.Abandoned)
+		return nil
+	}
+	s.lease = l
+	return t
+}
+
+// chooseHere returns the best target by what this host knows. One that limits the
+// requests of all hosts needs a turn; while it has none, another target is chosen.
+func (s *sender) chooseHere(ctx context.Context, targets []*catalog.Target) *catalog.Target {
+	best := s.balance(targets)
+	if best == nil || !s.h.Backpressure.Limited(best) {
+		return best
+	}
+	var limited, unlimited []*catalog.Target
+	for _, t := range targets {
+		switch {
+		case !s.h.Backpressure.Limited(t):
+			unlimited = append(unlimited, t)
+		case !s.tried[t.ID] && t != best:
+			limited = append(limited, t)
+		}
+	}
+	limited = slices.Insert(limited, 0, best)
+	other := s.balance(unlimited)
+	wait := s.maxWait()
+	if other != nil {
+		wait = 0
+	}
+	grant := s.h.Quotas.Take(ctx, s.q.service, limited, wait)
+	if grant.Target == "" {
+		return s.withoutTurn(other, grant.Wait)
+	}
+	t := findTarget(limited, grant.Target)
+	if t == nil || !s.waitForTurn(ctx, t, grant.Wait) {
+		return nil
+	}
+	return t
+}
+
+// balance returns the best of targets that were not tried, or nil.
+func (s *sender) balance(targets []*catalog.Target) *catalog.Target {
+	return s.h.Balancer.Choose(targets, fleet.Request{AffinityKey: s.q.affinityKey(), Except: s.tried, Domain: s.inputsDomain})
+}
+
+// withoutTurn returns other, the best target without a limit, or nil; then no target
+// takes the request before wait has passed.
+func (s *sender) withoutTurn(other *catalog.Target, wait time.Duration) *catalog.Target {
+	if other == nil {
+		s.noTurnFor = min(wait, maxTurnRetry)
+		metrics.GetOrRegisterCounter("Limits.Refused", s.h.Metrics).Inc(1)
+		s.h.Log.Info("no turn at a limited target", zap.String("RequestID", s.q.ID), zap.String("Service", s.q.service), zap.Duration("Wait", wait))
+	}
+	return other
+}
+
+// maxTurnRetry is the longest retry delay for callers whose requests got no turn at a
+// target.
+const maxTurnRetry = 2 * time.Second
+
+// maxWait returns the time that the request can wait for its turn at a target and
+// still be answered.
+func (s *sender) maxWait() time.Duration {
+	return s.q.usefulUntil().Sub(s.h.Clock.Now()) / maxWaitDivisor
+}
+
+// maxWaitDivisor is the divisor of the time left that gives the longest wait.
+const maxWaitDivisor = 2
+
+// waitForTurn waits for the turn of the request at t, and reports whether it has come
+// before the request ended.
+func (s *sender) waitForTurn(ctx context.Context, t *catalog.Target, wait time.Duration) bool {
+	if wait == 0 {
+		return true
+	}
+	s.h.histogram("Limits.Wait").Update(int64(wait))
+	s.h.Log.Info("waiting for a turn at a limited target", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Duration("Wait", wait))
+	return s.h.Clock.Sleep(ctx, wait) == nil
+}
+
+// findTarget returns the target with that ID, or nil.
+func findTarget(targets []*catalog.Target, id string) *catalog.Target {
+	for _, t := range targets {
+		if t.ID == id {
+			return t
+		}
+	}
+	return nil
+}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -38,11 +38,13 @@
 	PeerCaller   *peer.Caller
 	PeerServer   *peer.Server
 	Backpressure *backpressure.Table
-	Batcher      *stage.Batcher
-	Stages       *stage.Client
-	Balancer     *fleet.Balancer
-	Placement    *placement.Client
-	Upstream     *upstream.Client
+	// Quotas asks for turns at targets that have named a limit.
+	Quotas    *backpressure.Client
+	Batcher   *stage.Batcher
+	Stages    *stage.Client
+	Balancer  *fleet.Balancer
+	Placement *placement.Client
+	Upstream  *upstream.Client
 	// ResponseMemory bounds the memory of large responses that are not streams.
 	ResponseMemory *upstream.MemoryBudget
 	Repeats        *workspace.RepeatBudget
@@ -95,7 +97,7 @@
 	}
 	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr),
 		zap.String("Domain", h.Settings.Domain), zap.Int("Peers", len(h.Settings.Peers)))
-	for _, run := range []func(context.Context) error{h.Follower.Run, h.join, h.Batcher.Run, h.Stages.Watch, h.Placement.Run, h.Crashes.Run} {
+	for _, run := range []func(context.Context) error{h.Follower.Run, h.join, h.Batcher.Run, h.Stages.Watch, h.Placement.Run, h.Quotas.Run, h.Crashes.Run} {
 		g.Go(func() error { return run(partsCtx) })
 	}
 	g.Go(func() error {
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -169,3 +170,96 @@
 		})
 	})
 }
+
+// limitFaults harms the hosts of r, one fault after another, and returns what it did.
+type limitFaults struct {
+	*fixture
+	random *rand.Rand
+}
+
+// inject harms some hosts for d.
+func (f *limitFaults) inject(d time.Duration) string {
+	h := f.hosts[f.random.IntN(len(f.hosts))]
+	switch f.random.IntN(4) {
+	case 0:
+		f.network.Kill(h.addr)
+		f.stopHost(h)
+		f.run(h)
+		return fmt.Sprintf("%v killed and started", h.addr)
+	case 1:
+		f.stopHost(h)
+		f.run(h)
+		return fmt.Sprintf("%v stopped and started", h.addr)
+	case 2:
+		var others []netip.Addr
+		for _, other := range f.hosts {
+			if other != h {
+				others = append(others, other.addr)
+			}
+		}
+		f.network.Partition([]netip.Addr{h.addr}, others)
+		time.Sleep(d)
+		f.network.HealPartition([]netip.Addr{h.addr}, others)
+		return fmt.Sprintf("%v alone for %v", h.addr, d)
+	default:
+		sides := [2][]netip.Addr{}
+		for i, other := range f.hosts {
+			sides[i%2] = append(sides[i%2], other.addr)
+		}
+		f.network.Partition(sides[0], sides[1])
+		time.Sleep(d)
+		f.network.HealPartition(sides[0], sides[1])
+		return fmt.Sprintf("%v and %v apart for %v", sides[0], sides[1], d)
+	}
+}
+
+var limitSeeds = flag.Uint("limitseeds", 3, "seeds of TestLimitWhileHostsFail")
+
+// TestLimitWhileHostsFail has hosts killed, stopped, started and cut off from each
+// other while all targets of a service name limits, one after the other.
+func TestLimitWhileHostsFail(t *testing.T) {
+	const hosts, rate, duration = 6, 40, 30 * time.Second
+	for seed := range uint64(*limitSeeds) {
+		for _, c := range []struct {
+			name   string
+			kind   catalog.Kind
+			header []string
+		}{
+			{"plain", catalog.Unsafe, nil},
+			{"prompts", catalog.Stream, []string{"Parts", "a,b,c"}},
+		} {
+			t.Run(fmt.Sprint(c.name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(seed, 0))
+					targets := []*limitedTarget{{limit: 2}, {limit: 6}, {limit: 0.5}}
+					r := prepareFixture(t, route(c.kind, nil), targets[0].serve, targets[1].serve, targets[2].serve)
+					addrs := r.startHosts(hosts)
+					f := &limitFaults{r, random}
+					var done []string
+					end := time.Now().Add(duration)
+					faults := make(chan struct{})
+					go func() {
+						defer close(faults)
+						for time.Now().Before(end) {
+							time.Sleep(time.Duration(500+random.IntN(4000)) * time.Millisecond)
+							at := time.Since(end) + duration
+							done = append(done, fmt.Sprint(at, " ", f.inject(time.Duration(1+random.IntN(6))*time.Second)))
+						}
+					}()
+					statuses := r.callAll(addrs, rand.New(rand.NewPCG(seed, 1)), rate, duration, "/a/b", c.header...)
+					<-faults
+					for _, target := range targets {
+						target.check(t)
+					}
+					if t.Failed() {
+						t.Log(statuses, done)
+					}
+					// Half of the limits, since hosts that were cut off keep their shares.
+					if least := int(duration.Seconds() * 8.5 / 2); statuses["200"] < least {
+						t.Errorf("statuses %v, want at least %d served; faults %v", statuses, least, done)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -12,7 +12,6 @@
 	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/pkg/result"
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 )
 
@@ -50,6 +49,8 @@
 	// lease is the current send at the holder that chose its target, or nil if this
 	// host chose it.
 	lease *placement.Lease
+	// noTurnFor is the time until a request may go to a target, if none may now.
+	noTurnFor time.Duration
 	// blockedPart is the part of the prompt for which the request must not be sent any
 	// more, or empty.
 	blockedPart string
@@ -77,8 +78,7 @@
 	if s.isBlocked() || s.q.sends >= maxSends || s.possibleRuns >= max(1, s.q.route.MaxTargets) {
 		return nil
 	}
-	targets := s.h.Follower.Snapshot().ActiveTargets(s.q.service)
-	t := s.chooseTarget(ctx, targets)
+	t := s.chooseTarget(ctx)
 	if t == nil {
 		return nil
 	}
@@ -93,43 +93,6 @@
 	return t
 }
 
-// chooseTarget returns the best of targets. The holder of the service chooses for
-// requests with a prompt; if it gives no target, this host makes a local choice.
-func (s *sender) chooseTarget(ctx context.Context, targets []*catalog.Target) *catalog.Target {
-	s.lease = nil
-	if len(s.q.Prompt) > 0 {
-		if t := s.chooseAtHolder(ctx, targets); t != nil {
-			return t
-		}
-		metrics.GetOrRegisterCounter("Placement.OwnChoices", s.h.Metrics).Inc(1)
-	}
-	return s.h.Balancer.Choose(targets, fleet.Request{AffinityKey: s.q.affinityKey(), Except: s.tried, Domain: s.inputsDomain})
-}
-
-// chooseAtHolder asks the holder of the service for a target.
-func (s *sender) chooseAtHolder(ctx context.Context, targets []*catalog.Target) *catalog.Target {
-	except := s.h.Balancer.Paused(targets)
-	for id := range s.tried {
-		except = append(except, id)
-	}
-	start := s.h.Clock.Now()
-	l := s.h.Placement.Choose(ctx, placement.Work{RequestID: s.q.ID, Service: s.q.service, Parts: s.q.Prompt, Except: except, Domain: s.inputsDomain})
-	if l == nil {
-		return nil
-	}
-	s.h.histogram("Placement.Took").Update(int64(s.h.Clock.Since(start)))
-	s.h.Log.Info("target chosen", zap.String("RequestID", s.q.ID), zap.String("Target", l.Choice.Target), zap.Duration("Expected", l.Choice.Expected),
-		zap.Int("Reading", l.Choice.Reading), zap.Int("Cached", l.Choice.Cached), zap.Int("Except", len(except)), zap.Duration("Took", s.h.Clock.Since(start)))
-	for _, t := range targets {
-		if t.ID == l.Choice.Target {
-			s.lease = l
-			return t
-		}
-	}
-	l.End(placement.Abandoned)
-	return nil
-}
-
 // endSend records the outcome of a send to t.
 func (s *sender) endSend(t *catalog.Target, r fleet.Result, took time.Duration) {
 	if r != fleet.Unreachable {
@@ -228,6 +191,8 @@
 		return result.Failed(result.AnswerBroken, "no target gave a complete response in %d sends", q.sends)
 	case q.stagesMayHaveRun:
 		return result.Failed(result.StageFailed, "stages ran, but no target accepted the request in %d sends", q.sends)
+	case s.noTurnFor > 0:
+		return retryLater(result.Overloaded, s.noTurnFor, "targets for service %s take no request for %v", q.service, s.noTurnFor)
 	case q.sends == 0:
 		return retryLater(result.NoTarget, noTargetRetry, "no usable target for service %s", q.service)
 	default:
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -26,16 +26,18 @@
 	exchange := provideExchange(s, n, c, caller, d)
 	follower := provideFollower(s, c, log, feed, exchange, caller)
 	table := provideCrashTable(c, log, exchange, caller, archive)
-	backpressureTable := provideBackpressure(c, log)
-	batcher := provideBatcher(c, log, pool, follower, exchange, backpressureTable)
-	holder := provideLoadTables(c, log, follower)
-	server, err := providePeerServer(exchange, follower, table, batcher, holder)
+	backpressureTable := provideBackpressure(c, log, exchange)
+	holder := provideQuotas(s, c, log, exchange, backpressureTable)
+	batcher := provideBatcher(c, log, pool, follower, exchange, backpressureTable, holder)
+	placementHolder := provideLoadTables(c, log, follower, holder)
+	server, err := providePeerServer(exchange, follower, table, batcher, placementHolder, holder)
 	if err != nil {
 		return nil, err
 	}
-	client := provideStageClient(c, log, exchange, caller, batcher)
+	client := provideQuotaClient(c, log, exchange, caller, backpressureTable, holder)
+	stageClient := provideStageClient(c, log, exchange, caller, batcher)
 	balancer := provideBalancer(s, c, log)
-	placementClient := providePlacement(c, log, exchange, caller, holder)
+	placementClient := providePlacement(c, log, exchange, caller, placementHolder)
 	memoryBudget := provideResponseMemory(s)
 	repeatBudget := provideRepeatBudget(s, c, exchange)
 	registry := provideMetrics()
@@ -50,8 +52,9 @@
 		PeerCaller:     caller,
 		PeerServer:     server,
 		Backpressure:   backpressureTable,
+		Quotas:         client,
 		Batcher:        batcher,
-		Stages:         client,
+		Stages:         stageClient,
 		Balancer:       balancer,
 		Placement:      placementClient,
 		Upstream:       u,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -127,6 +127,8 @@
 	LeavingNote NoteKind = "Leaving"
 	// CrashNote carries the digest of a request and the target that crashed.
 	CrashNote NoteKind = "Crash"
+	// LimitNote carries what a target has said of itself.
+	LimitNote NoteKind = "Limit"
 	// LoadNote carries a host's outstanding counts by target.
 	LoadNote NoteKind = "Load"
 )
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -23,6 +23,8 @@
 	Clock   *clock.Service
 	Log     *zap.Logger
 	Catalog func() *catalog.Snapshot
+	// Quotas holds the turns at targets that have named a limit.
+	Quotas Quotas
 
 	mu     sync.Mutex
 	tables map[string]*LoadTable
@@ -61,7 +63,7 @@
 	}
 	lt := h.tables[w.Service]
 	if lt == nil {
-		lt = NewLoadTable()
+		lt = NewLoadTable(h.Quotas)
 		h.tables[w.Service] = lt
 	}
 	if now.Sub(h.lastPruned[w.Service]) > pruneInterval {
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/peer"
 )
@@ -54,6 +55,14 @@
 	maxCachedParts     = 4096
 )
 
+// Quotas holds the turns of requests at targets that limit them.
+type Quotas interface {
+	// Wait returns the time until a request may go to t; it is zero without a limit.
+	Wait(t *catalog.Target) time.Duration
+	// Take lets one request go to t after Wait.
+	Take(t *catalog.Target)
+}
+
 // LoadTable is the state that the holder of a service keeps of its targets and
 // their requests. It is not safe for concurrent use.
 type LoadTable struct {
@@ -64,6 +73,7 @@
 	lastMessage  map[string]time.Time
 	// meanPace is the mean pace of all targets in seconds per token.
 	meanPace float64
+	quotas   Quotas
 }
 
 // targetState is the state kept of one incarnation of a target.
@@ -97,8 +107,9 @@
 }
 
 // NewLoadTable returns an empty load table.
-func NewLoadTable() *LoadTable {
+func NewLoadTable(quotas Quotas) *LoadTable {
 	return &LoadTable{
+		quotas:       quotas,
 		targets:      map[string]*targetState{},
 		requests:     map[string]*openRequest{},
 		hostRequests: map[string]map[string]*openRequest{},
@@ -117,21 +128,27 @@
 		except[id] = true
 	}
 	var best *catalog.Target
+	var bestWait time.Duration
 	least := math.Inf(1)
 	for _, t := range targets {
 		if except[t.ID] {
 			continue
 		}
-		if cost := lt.cost(w, t, now); cost < least {
-			best, least = t, cost
+		wait := lt.quotas.Wait(t)
+		if !backpressure.MayWait(wait, w.MaxWait) {
+			continue
+		}
+		if cost := lt.cost(w, t, now) + wait.Seconds(); cost < least {
+			best, bestWait, least = t, wait, cost
 		}
 	}
 	if best == nil {
 		return Choice{}
 	}
+	lt.quotas.Take(best)
 	s := lt.targetState(best)
 	ownTokens, cached := s.work(w, now)
-	c := Choice{Target: best.ID, Reading: int(s.pendingTokens), Cached: cached, Expected: seconds(lt.pace(s, now) * (s.pendingTokens + ownTokens))}
+	c := Choice{Target: best.ID, Wait: bestWait, Reading: int(s.pendingTokens), Cached: cached, Expected: seconds(lt.pace(s, now) * (s.pendingTokens + ownTokens))}
 	lt.addRequest(w, s, ownTokens, now)
 	return c
 }
--- a/internal/placement/loadtable_test.go
+++ b/internal/placement/loadtable_test.go
@@ -6,10 +6,18 @@
 	"testing"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/clock"
 	"github.com/cockroachdb/datadriven"
+	"go.uber.org/zap"
 )
 
+func newQuotas() *backpressure.Holder {
+	c := &clock.Service{}
+	return &backpressure.Holder{Clock: c, Log: zap.NewNop(), Table: &backpressure.Table{Clock: c, Log: zap.NewNop()}, Hosts: func() int { return 1 }}
+}
+
 // loadTableScript runs a script against one load table with a clock of its own.
 //
 //	targets NAME[=DOMAIN] ...
@@ -25,7 +33,7 @@
 
 func TestLoadTable(t *testing.T) {
 	datadriven.Walk(t, "testdata/loadtable", func(t *testing.T, path string) {
-		s := &loadTableScript{table: NewLoadTable(), now: time.Unix(1000, 0)}
+		s := &loadTableScript{table: NewLoadTable(newQuotas()), now: time.Unix(1000, 0)}
 		datadriven.RunTest(t, path, s.run)
 	})
 }
@@ -108,7 +116,7 @@
 // TestLoadTablePrunes expects a load table to keep nothing of requests that have
 // ended and targets that are gone.
 func TestLoadTablePrunes(t *testing.T) {
-	lt, now := NewLoadTable(), time.Unix(1000, 0)
+	lt, now := NewLoadTable(newQuotas()), time.Unix(1000, 0)
 	targets := []*catalog.Target{{ID: "a", Slots: 4}, {ID: "b", Slots: 4}}
 	for i := range 1000 {
 		id := fmt.Sprint(i)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -32,6 +32,8 @@
 	Except []string
 	// Domain is the failure domain of large inputs, or empty if it doesn't matter.
 	Domain string
+	// MaxWait is the longest time that the request can wait for its turn at a target.
+	MaxWait time.Duration
 }
 
 // affinityKey returns the ID of the last part of the prompt that other requests
@@ -49,6 +51,8 @@
 	Target string
 	// Expected is the predicted time to the first event.
 	Expected time.Duration
+	// Wait is the time until the request may go to the target.
+	Wait time.Duration
 	// Reading is the work pending ahead of the request, in tokens. Cached is the
 	// number of its tokens that the target is assumed to have cached.
 	Reading, Cached int
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -48,8 +48,10 @@
 	Log     *zap.Logger
 	Pool    Pool
 	Catalog func() *catalog.Snapshot
-	// Backpressure takes what targets say of themselves.
+	// Backpressure takes what targets say of themselves. Quotas holds the turns at
+	// targets that have named a limit.
 	Backpressure *backpressure.Table
+	Quotas       *backpressure.Holder
 
 	once     sync.Once
 	commands chan func()
--- a/internal/stage/batcher_test.go
+++ b/internal/stage/batcher_test.go
@@ -85,6 +85,10 @@
 	return &backpressure.Table{Clock: &clock.Service{}, Log: zap.NewNop()}
 }
 
+func newQuotas() *backpressure.Holder {
+	return &backpressure.Holder{Clock: &clock.Service{}, Log: zap.NewNop(), Table: newBackpressure(), Hosts: func() int { return 1 }}
+}
+
 // newBatcher starts a batcher for one service with the given number of targets.
 func newBatcher(t *testing.T, pool *fakePool, targets int, p catalog.Pool) *Batcher {
 	t.Helper()
@@ -96,7 +100,7 @@
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
 		s.Targets["s"] = append(s.Targets["s"], &catalog.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Addr: addr, Domain: fmt.Sprintf("d%d", i), Slots: 1})
 	}
-	b := &Batcher{Clock: &clock.Service{}, Log: zap.NewNop(), Pool: pool, Catalog: func() *catalog.Snapshot { return s }, Backpressure: newBackpressure()}
+	b := &Batcher{Clock: &clock.Service{}, Log: zap.NewNop(), Pool: pool, Catalog: func() *catalog.Snapshot { return s }, Backpressure: newBackpressure(), Quotas: newQuotas()}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- b.Run(ctx) }()
@@ -375,7 +379,7 @@
 		j := domainJob(fmt.Sprint(i), fmt.Sprintf("d%d", i%4), time.Second)
 		q.jobs = append(q.jobs, &job{Job: j, due: now.Add(time.Hour - time.Duration(i)), waiting: []int{0, 1}, missing: 2})
 	}
-	return &Batcher{Clock: &clock.Service{}, Log: zap.NewNop(), Catalog: func() *catalog.Snapshot { return s }, Backpressure: newBackpressure()}, q
+	return &Batcher{Clock: &clock.Service{}, Log: zap.NewNop(), Catalog: func() *catalog.Snapshot { return s }, Backpressure: newBackpressure(), Quotas: newQuotas()}, q
 }
 
 // TestBusyTargets expects jobs not to be ordered while no target is free, since
--- a/internal/stage/calls.go
+++ b/internal/stage/calls.go
@@ -22,6 +22,7 @@
 		p.job.sent = true
 		p.job.queued = now.Sub(p.job.arrived)
 	}
+	b.Quotas.Take(t)
 	b.Backpressure.LogSend(t, c.parts[0].job.RequestID)
 	timeout := q.timeout(s, c.expected)
 	go func() {
--- a/internal/stage/choose.go
+++ b/internal/stage/choose.go
@@ -17,7 +17,7 @@
 	local := q.shouldWaitForDomain(j, now)
 	for _, t := range q.targets {
 		s := q.targetState(t.ID)
-		if !q.hasFreeSlot(s, now) || local && t.Domain != j.Domain {
+		if !q.mayCall(s, t, now) || local && t.Domain != j.Domain {
 			continue
 		}
 		if s.pace > slowFactor*fastest && now.Sub(s.lastUsed) < slowProbeInterval {
@@ -60,14 +60,15 @@
 	return j.deferred || !tooLate(j, q.callTimeAtOrder+q.callTimeAtOrder/time.Duration(inDomain), now)
 }
 
-func (q *queue) hasFreeSlot(s *targetState, now time.Time) bool {
-	return s.calls < max(1, q.pool.Slots) && !s.pausedUntil.After(now)
+// mayCall reports whether a call may go to t now.
+func (q *queue) mayCall(s *targetState, t *catalog.Target, now time.Time) bool {
+	return s.calls < max(1, q.pool.Slots) && !s.pausedUntil.After(now) && q.quotas.Wait(t) == 0
 }
 
-// anyFreeSlot reports whether any target has a free slot.
-func (q *queue) anyFreeSlot(now time.Time) bool {
+// mayCallAny reports whether a call may go to any target now.
+func (q *queue) mayCallAny(now time.Time) bool {
 	for _, t := range q.targets {
-		if q.hasFreeSlot(q.targetState(t.ID), now) {
+		if q.mayCall(q.targetState(t.ID), t, now) {
 			return true
 		}
 	}
--- a/internal/stage/malformed_test.go
+++ b/internal/stage/malformed_test.go
@@ -69,7 +69,7 @@
 func TestSubmitAtStop(t *testing.T) {
 	for range 50 {
 		synctest.Test(t, func(t *testing.T) {
-			b := &Batcher{Self: "h", Clock: &clock.Service{}, Log: zap.NewNop(), Pool: &fakePool{}, Catalog: newBatcher(t, &fakePool{}, 1, testPool()).Catalog, Backpressure: newBackpressure()}
+			b := &Batcher{Self: "h", Clock: &clock.Service{}, Log: zap.NewNop(), Pool: &fakePool{}, Catalog: newBatcher(t, &fakePool{}, 1, testPool()).Catalog, Backpressure: newBackpressure(), Quotas: newQuotas()}
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error, 1)
 			go func() { done <- b.Run(ctx) }()
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 )
 
@@ -47,6 +48,7 @@
 	targets      []*catalog.Target
 	jobs         []*job
 	targetStates map[string]*targetState
+	quotas       *backpressure.Holder
 	// callTimeAtOrder is the result of callTime when the jobs were last ordered.
 	callTimeAtOrder time.Duration
 
@@ -74,7 +76,7 @@
 func (b *Batcher) queue(service string) *queue {
 	q := b.queues[service]
 	if q == nil {
-		q = &queue{service: service, targetStates: map[string]*targetState{}}
+		q = &queue{service: service, quotas: b.Quotas, targetStates: map[string]*targetState{}}
 		b.queues[service] = q
 	}
 	return q
@@ -180,7 +182,7 @@
 		return
 	}
 	now := b.Clock.Now()
-	if !q.anyFreeSlot(now) {
+	if !q.mayCallAny(now) {
 		return
 	}
 	q.order(now)
