placement: large prompts go where only the number of requests is limited

Cause: the choice counts the time of the request itself. The targets without a limit took nine of ten prompts at a crest and prefilled all the time (Reading up to 52,000 tokens, streams with pauses over 0.5 s), while each request at a limited target, whatever its size, used up one of its turns. Ruled out: turns left unused (the limited targets got what they allow in each two seconds), stages (0.7 s as before).

While any target of a service is limited, a request pays at a limited target for one turn, at the others for its own prefill.

--- a/internal/backpressure/holder.go
+++ b/internal/backpressure/holder.go
@@ -162,6 +162,9 @@
 	return best
 }
 
+// Limited reports whether t limits the number of its requests.
+func (h *Holder) Limited(t *catalog.Target) bool { return h.Table.Limited(t) }
+
 // Wait returns the time until a request may go to t: zero without a limit.
 func (h *Holder) Wait(t *catalog.Target) time.Duration {
 	if !h.Table.Limited(t) {
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/backpressure"
@@ -30,6 +31,11 @@
 	// a multiple of the time to prefill them, since that delays other
 	// requests too.
 	uncachedPenalty = 2
+	// scarcityWeight is the weight of what a request takes from others, relative to its
+	// own time, while some targets limit the number of requests.
+	scarcityWeight = 2
+	// meanTokensWeight is the weight of the newest request in the mean work.
+	meanTokensWeight = 0.02
 	// hashPenalty is the largest share of its cost that is added for a target late
 	// in the order of rendezvous hashing. It decides among similar targets.
 	hashPenalty = 0.15
@@ -57,6 +63,8 @@
 
 // Quotas holds the turns of requests at targets that limit them.
 type Quotas interface {
+	// Limited reports whether t limits the number of its requests.
+	Limited(t *catalog.Target) bool
 	// Wait returns the time until a request may go to t; it is zero without a limit.
 	Wait(t *catalog.Target) time.Duration
 	// Take lets one request go to t after Wait.
@@ -73,7 +81,9 @@
 	lastMessage  map[string]time.Time
 	// meanPace is the mean pace of all targets in seconds per token.
 	meanPace float64
-	quotas   Quotas
+	// meanTokens is the mean work of requests in tokens.
+	meanTokens float64
+	quotas     Quotas
 }
 
 // targetState is the state kept of one incarnation of a target.
@@ -115,6 +125,7 @@
 		hostRequests: map[string]map[string]*openRequest{},
 		lastMessage:  map[string]time.Time{},
 		meanPace:     initialPace,
+		meanTokens:   baseTokens,
 	}
 }
 
@@ -127,6 +138,7 @@
 	for _, id := range w.Except {
 		except[id] = true
 	}
+	anyLimited := slices.ContainsFunc(targets, lt.quotas.Limited)
 	var best *catalog.Target
 	var bestWait time.Duration
 	least := math.Inf(1)
@@ -138,7 +150,11 @@
 		if !backpressure.MayWait(wait, w.MaxWait) {
 			continue
 		}
-		if cost := lt.cost(w, t, now) + wait.Seconds(); cost < least {
+		cost := lt.cost(w, t, now) + wait.Seconds()
+		if anyLimited {
+			cost += lt.scarcityCost(w, t, now)
+		}
+		if cost < least {
 			best, bestWait, least = t, wait, cost
 		}
 	}
@@ -156,6 +172,7 @@
 // addRequest counts w at s.
 func (lt *LoadTable) addRequest(w *Work, s *targetState, ownTokens float64, now time.Time) {
 	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens}
+	lt.meanTokens += meanTokensWeight * (ownTokens - lt.meanTokens)
 	lt.requests[w.ID], s.requests[w.ID] = r, r
 	if lt.hostRequests[w.Host] == nil {
 		lt.hostRequests[w.Host] = map[string]*openRequest{}
@@ -219,6 +236,17 @@
 	return cost * (1 + hashPenalty*rank)
 }
 
+// scarcityCost returns what w takes from other requests, in seconds, while some
+// targets limit the number of requests: at these one request of any size, at the
+// others its prefill. The largest prompts should go where only their number counts.
+func (lt *LoadTable) scarcityCost(w *Work, t *catalog.Target, now time.Time) float64 {
+	tokens := lt.meanTokens
+	if !lt.quotas.Limited(t) {
+		tokens, _ = lt.targetState(t).work(w, now)
+	}
+	return scarcityWeight * lt.meanPace * tokens
+}
+
 // pace returns the predicted time per token of s, in seconds: the recent pace, but
 // not less than the requests that still wait there imply.
 func (lt *LoadTable) pace(s *targetState, now time.Time) float64 {
--- a/internal/placement/loadtable_test.go
+++ b/internal/placement/loadtable_test.go
@@ -18,22 +18,37 @@
 	return &backpressure.Holder{Clock: c, Log: zap.NewNop(), Table: &backpressure.Table{Clock: c, Log: zap.NewNop()}, Hosts: func() int { return 1 }}
 }
 
+// fakeQuotas holds the waits at the targets that name limits.
+type fakeQuotas map[string]time.Duration
+
+func (q fakeQuotas) Limited(t *catalog.Target) bool {
+	_, ok := q[t.ID]
+	return ok
+}
+
+func (q fakeQuotas) Wait(t *catalog.Target) time.Duration { return q[t.ID] }
+
+func (q fakeQuotas) Take(*catalog.Target) {}
+
 // loadTableScript runs a script against one load table with a clock of its own.
 //
 //	targets NAME[=DOMAIN] ...
-//	ask ID [host=H] [parts=(ID:TOKENS,...)] [domain=D] [except=NAME]
+//	ask ID [host=H] [parts=(ID:TOKENS,...)] [domain=D] [except=NAME] [maxwait=D]
 //	begun|answered|failed|rejected|abandoned ID [host=H]
 //	heartbeat HOST [waiting=(ID,...)] [begun=(ID,...)]
+//	limited [NAME=WAIT ...]
 //	wait D
 type loadTableScript struct {
 	table   *LoadTable
+	quotas  fakeQuotas
 	now     time.Time
 	targets []*catalog.Target
 }
 
 func TestLoadTable(t *testing.T) {
 	datadriven.Walk(t, "testdata/loadtable", func(t *testing.T, path string) {
-		s := &loadTableScript{table: NewLoadTable(newQuotas()), now: time.Unix(1000, 0)}
+		quotas := fakeQuotas{}
+		s := &loadTableScript{table: NewLoadTable(quotas), quotas: quotas, now: time.Unix(1000, 0)}
 		datadriven.RunTest(t, path, s.run)
 	})
 }
@@ -57,6 +72,15 @@
 	case "begun", "answered", "failed", "rejected", "abandoned":
 		progress := map[string]Progress{"begun": Begun, "answered": Answered, "failed": Failed, "rejected": Rejected, "abandoned": Abandoned}
 		s.table.Apply(&Report{Host: host, News: []News{{ID: d.CmdArgs[0].Key, Progress: progress[d.Cmd]}}}, s.now)
+	case "limited":
+		clear(s.quotas)
+		for _, a := range d.CmdArgs {
+			wait, err := time.ParseDuration(a.Vals[0])
+			if err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			s.quotas[a.Key] = wait
+		}
 	case "heartbeat":
 		return s.heartbeat(t, d)
 	case "wait":
@@ -97,6 +121,11 @@
 		switch a.Key {
 		case "except":
 			w.Except = a.Vals
+		case "maxwait":
+			var err error
+			if w.MaxWait, err = time.ParseDuration(a.Vals[0]); err != nil {
+				d.Fatalf(t, "%v", err)
+			}
 		case "parts":
 			for _, v := range a.Vals {
 				id, tokens, _ := strings.Cut(v, ":")
@@ -110,6 +139,9 @@
 	if c.Target == "" {
 		return "none\n"
 	}
+	if c.Wait > 0 {
+		return fmt.Sprintf("%s after %v\n", c.Target, c.Wait)
+	}
 	return fmt.Sprintf("%s: expected %v, reading %d, cached %d\n", c.Target, c.Expected.Round(time.Millisecond), c.Reading, c.Cached)
 }
 
