stage: calls that free results need a turn at a limited target too

Found by looking for the same cause elsewhere: a pool's target that names a limit got a call to free results for each call with pieces, and only these were counted (32 requests in 4 s, 29 allowed, TestLimitOverAllHosts/pieces with a limit of 4; with a limit of 2 the slack had hidden it). They now wait for a turn, and are left to expire if that takes longer.

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -159,7 +159,7 @@
 	}
 	t.Run("pieces", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			slow := &limitedTarget{limit: 2}
+			slow := &limitedTarget{limit: 4}
 			routes := route(catalog.Stream, func(r *catalog.Route) { r.Stages = []catalog.Stage{{Service: "p"}} })
 			r := prepareFixture(t, routes, respondsWith("id: 1\ndata: x\n\n"))
 			r.pool.signal = func(*catalog.Target) backpressure.Signal { return slow.signal() }
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -28,6 +28,8 @@
 	// freeDelay is the time over which results to free at a target are collected
 	// for one call.
 	freeDelay = 4 * time.Millisecond
+	// maxDeferred bounds the results that wait for a turn to be freed at one target.
+	maxDeferred = 4096
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
 	// answerLifetime is how long an answer to another host is kept. It exceeds the time
--- a/internal/stage/free.go
+++ b/internal/stage/free.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"berylswitch.example/berylswitch/internal/journal"
 	"go.uber.org/zap"
@@ -25,14 +26,33 @@
 	}
 }
 
+// deferFree frees the results queued for a target after wait, unless they expire on
+// their own before.
+func (b *Batcher) deferFree(q *queue, s *targetState, wait time.Duration) {
+	if wait > q.resultLifetime() || len(s.toFree) > maxDeferred {
+		b.Log.Info("results are left to expire", zap.String("Target", s.toFree[0].Target), zap.Int("Results", len(s.toFree)), zap.Duration("Wait", wait))
+		s.toFree = nil
+		return
+	}
+	b.Clock.AfterFunc(wait, func() { b.do(func() { b.flushFree(q, s) }) })
+}
+
 // flushFree frees the results queued for a target. Their memory counts as used
-// until the target has answered.
+// until the target has answered. At a target that limits the number of requests the
+// call needs a turn, like any other.
 func (b *Batcher) flushFree(q *queue, s *targetState) {
-	results := s.toFree
-	s.toFree = nil
-	if len(results) == 0 || b.ctx.Err() != nil {
+	if len(s.toFree) == 0 || b.ctx.Err() != nil {
 		return
 	}
+	if t := q.target(s.toFree[0].Target); t != nil {
+		if wait := b.Quotas.Wait(t); wait > 0 {
+			b.deferFree(q, s, wait)
+			return
+		}
+		b.Quotas.Take(t)
+	}
+	results := s.toFree
+	s.toFree = nil
 	handles := make([]string, len(results))
 	for i, r := range results {
 		handles[i] = r.Handle
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -91,6 +91,16 @@
 	return s
 }
 
+// target returns the target with that ID, or nil.
+func (q *queue) target(id string) *catalog.Target {
+	for _, t := range q.targets {
+		if t.ID == id {
+			return t
+		}
+	}
+	return nil
+}
+
 // refresh takes the pool and targets from snapshot s.
 func (q *queue) refresh(s *catalog.Snapshot) {
 	q.targets, q.pool = nil, nil
