backpressure: a target that says it leaves gets nothing more

Cause, of the same class: what a target says in its responses was not read; hosts learned of leaving by its entry alone, which some targets never change.

Such a target is left out of the hosts' own choices, of the load table's (by the exceptions of each request) and of the batchers' calls, until its next incarnation, and the other hosts hear of it by a note.

--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -154,7 +154,7 @@
 	}
 	if s.Leaving && !st.Leaving {
 		st.Leaving = true
-		b.Log.Info("target says that it leaves", zap.String("Target", t.ID), zap.String("Service", t.Service))
+		st.Version++
 	}
 	b.recordChange(st, &old, "response")
 	if st.needsSpreading(&old, now) {
@@ -182,7 +182,7 @@
 // was old before the last response.
 func (st *targetState) needsSpreading(old *Update, now time.Time) bool {
 	switch {
-	case st.Limited != old.Limited:
+	case st.Limited != old.Limited, st.Leaving != old.Leaving:
 		return true
 	case !st.Limited:
 		return false
@@ -210,6 +210,9 @@
 
 // recordChange logs what has changed since old and from where it came; b.mu is held.
 func (b *Table) recordChange(st *targetState, old *Update, source string) {
+	if st.Leaving && !(old.Leaving && old.Born == st.Born) {
+		b.Log.Info("target says that it leaves", zap.String("Target", st.Target), zap.String("Service", st.Service), zap.String("Source", source))
+	}
 	if st.Limited == old.Limited && st.Limit == old.Limit {
 		return
 	}
@@ -231,6 +234,19 @@
 	return st.Limit, st.Limited
 }
 
+// Usable returns those of targets that do not leave by their own word.
+func (b *Table) Usable(targets []*catalog.Target) []*catalog.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*catalog.Target
+	for _, t := range targets {
+		if st := b.targets[t.ID]; st == nil || st.Born != t.Born || !st.Leaving {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // Limited reports whether t has named a limit that is in force.
 func (b *Table) Limited(t *catalog.Target) bool {
 	_, limited := b.limit(t.ID, t.Born)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -20,9 +20,10 @@
 // target, this host chooses.
 func (s *sender) chooseTarget(ctx context.Context) *catalog.Target {
 	s.lease, s.noTurnFor = nil, 0
-	targets := s.h.Follower.Snapshot().ActiveTargets(s.q.service)
+	active := s.h.Follower.Snapshot().ActiveTargets(s.q.service)
+	targets := s.h.Backpressure.Usable(active)
 	if len(s.q.Prompt) > 0 {
-		if t := s.chooseAtHolder(ctx, targets); t != nil {
+		if t := s.chooseAtHolder(ctx, active, targets); t != nil {
 			return t
 		}
 		metrics.GetOrRegisterCounter("Placement.OwnChoices", s.h.Metrics).Inc(1)
@@ -30,12 +31,18 @@
 	return s.chooseHere(ctx, targets)
 }
 
-// chooseAtHolder asks the holder of the service for a target.
-func (s *sender) chooseAtHolder(ctx context.Context, targets []*catalog.Target) *catalog.Target {
+// chooseAtHolder asks the holder of the service for one of targets; active are all
+// targets that the holder may know.
+func (s *sender) chooseAtHolder(ctx context.Context, active, targets []*catalog.Target) *catalog.Target {
 	except := s.h.Balancer.Paused(targets)
 	for id := range s.tried {
 		except = append(except, id)
 	}
+	for _, t := range active {
+		if !slices.Contains(targets, t) {
+			except = append(except, t.ID)
+		}
+	}
 	start := s.h.Clock.Now()
 	l := s.h.Placement.Choose(ctx, placement.Work{RequestID: s.q.ID, Service: s.q.service, Parts: s.q.Prompt, Except: except, Domain: s.inputsDomain,
 		MaxWait: s.maxWait()})
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -24,6 +24,16 @@
 	limitSlack  = 5
 )
 
+// limitCases are the ways in which a host chooses the target of a request.
+var limitCases = []struct {
+	name   string
+	kind   catalog.Kind
+	header []string
+}{
+	{"plain", catalog.Unsafe, nil},
+	{"prompts", catalog.Stream, []string{"Parts", "a,b,c"}},
+}
+
 // limitedTarget is a target that names a limit while it is on.
 type limitedTarget struct {
 	limit float64
@@ -129,14 +139,7 @@
 // serve must be served.
 func TestLimitOverAllHosts(t *testing.T) {
 	const hosts, rate, duration = 5, 40, 14 * time.Second
-	for _, c := range []struct {
-		name   string
-		kind   catalog.Kind
-		header []string
-	}{
-		{"plain", catalog.Unsafe, nil},
-		{"prompts", catalog.Stream, []string{"Parts", "a,b,c"}},
-	} {
+	for _, c := range limitCases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				slow, slower, sound := &limitedTarget{limit: 3}, &limitedTarget{limit: 0.8}, &limitedTarget{ended: true}
@@ -220,14 +223,7 @@
 func TestLimitWhileHostsFail(t *testing.T) {
 	const hosts, rate, duration = 6, 40, 30 * time.Second
 	for seed := range uint64(*limitSeeds) {
-		for _, c := range []struct {
-			name   string
-			kind   catalog.Kind
-			header []string
-		}{
-			{"plain", catalog.Unsafe, nil},
-			{"prompts", catalog.Stream, []string{"Parts", "a,b,c"}},
-		} {
+		for _, c := range limitCases {
 			t.Run(fmt.Sprint(c.name, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					random := rand.New(rand.NewPCG(seed, 0))
@@ -263,3 +259,37 @@
 		}
 	}
 }
+
+// TestLeavingTarget has targets say in their responses that they leave, while their
+// entries in the catalog don't: they must get no request later than drainTime after
+// that from any host, whole or with a prompt.
+func TestLeavingTarget(t *testing.T) {
+	const drainTime = 2 * time.Second
+	for _, c := range limitCases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				leaving, sound := &limitedTarget{ended: true}, &limitedTarget{ended: true}
+				var left time.Time
+				r := prepareFixture(t, route(c.kind, nil), func(w http.ResponseWriter, r *http.Request) {
+					if time.Now().After(left) {
+						w.Header().Set("Leaving", "1")
+					}
+					leaving.serve(w, r)
+				}, sound.serve)
+				addrs := r.startHosts(5)
+				random := rand.New(rand.NewPCG(1, 0))
+				left = time.Now().Add(2 * time.Second)
+				statuses := r.callAll(addrs, random, 40, 8*time.Second, "/a/b", c.header...)
+				if statuses["200"] != 320 {
+					t.Errorf("statuses %v", statuses)
+				}
+				if n := leaving.since(left.Add(drainTime)); n > 0 {
+					t.Errorf("%d requests reached the target later than %v after it began to leave", n, drainTime)
+				}
+				if n := leaving.since(time.Time{}); n == 0 {
+					t.Error("the target got no request before")
+				}
+			})
+		})
+	}
+}
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -101,8 +101,9 @@
 	return nil
 }
 
-// refresh takes the pool and targets from snapshot s.
-func (q *queue) refresh(s *catalog.Snapshot) {
+// refresh takes the pool and targets from snapshot s, but for targets that leave by
+// their own word.
+func (q *queue) refresh(s *catalog.Snapshot, signals *backpressure.Table) {
 	q.targets, q.pool = nil, nil
 	if s.Table == nil {
 		return
@@ -110,7 +111,7 @@
 	if svc := s.Table.Services[q.service]; svc != nil {
 		q.pool = svc.Pool
 	}
-	q.targets = s.ActiveTargets(q.service)
+	q.targets = signals.Usable(s.ActiveTargets(q.service))
 }
 
 // expected returns the expected time of a call of the given number of pieces at a
@@ -187,7 +188,7 @@
 	if len(q.jobs) == 0 {
 		return
 	}
-	q.refresh(b.Catalog())
+	q.refresh(b.Catalog(), b.Backpressure)
 	if q.pool == nil || len(q.targets) == 0 {
 		return
 	}
