backpressure: a target that asks for a pause gets none from this host

The pause holds for the host that was told, at its own choices, at the load table's and at the batcher's calls, also those that free results. If all targets pause, callers are told at once when the first pause ends.

--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -55,6 +55,8 @@
 	// spreadLimit the limit in it.
 	spreadAt    time.Time
 	spreadLimit float64
+	// pausedUntil is the time until which the target wants nothing from this host.
+	pausedUntil time.Time
 }
 
 // Update tells other hosts what a target has said.
@@ -150,6 +152,7 @@
 	old := st.Update
 	st.observeLimit(s, sentAt, now)
 	if s.Pause > 0 {
+		st.pausedUntil = now.Add(s.Pause)
 		b.Log.Info("target asks for a pause", zap.String("Target", t.ID), zap.String("Service", t.Service), zap.Duration("Pause", s.Pause))
 	}
 	if s.Leaving && !st.Leaving {
@@ -247,6 +250,18 @@
 	return out
 }
 
+// PauseLeft returns the time for which t wants nothing more from this host.
+func (b *Table) PauseLeft(t *catalog.Target) time.Duration {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	st := b.targets[t.ID]
+	if st == nil || st.Born != t.Born {
+		return 0
+	}
+	return max(0, st.pausedUntil.Sub(now))
+}
+
 // Limited reports whether t has named a limit that is in force.
 func (b *Table) Limited(t *catalog.Target) bool {
 	_, limited := b.limit(t.ID, t.Born)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -21,7 +21,7 @@
 func (s *sender) chooseTarget(ctx context.Context) *catalog.Target {
 	s.lease, s.noTurnFor = nil, 0
 	active := s.h.Follower.Snapshot().ActiveTargets(s.q.service)
-	targets := s.h.Backpressure.Usable(active)
+	targets := s.unpaused(s.h.Backpressure.Usable(active))
 	if len(s.q.Prompt) > 0 {
 		if t := s.chooseAtHolder(ctx, active, targets); t != nil {
 			return t
@@ -31,6 +31,27 @@
 	return s.chooseHere(ctx, targets)
 }
 
+// unpaused returns those of targets that don't ask this host for a pause. If there are
+// none, the request gets no turn before the first pause has ended.
+func (s *sender) unpaused(targets []*catalog.Target) []*catalog.Target {
+	var out []*catalog.Target
+	shortest := time.Duration(0)
+	for _, t := range targets {
+		left := s.h.Backpressure.PauseLeft(t)
+		if left == 0 {
+			out = append(out, t)
+			continue
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	if len(out) == 0 && shortest > 0 {
+		s.withoutTurn(nil, shortest)
+	}
+	return out
+}
+
 // chooseAtHolder asks the holder of the service for one of targets; active are all
 // targets that the holder may know.
 func (s *sender) chooseAtHolder(ctx context.Context, active, targets []*catalog.Target) *catalog.Target {
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -293,3 +293,41 @@
 		})
 	}
 }
+
+// TestPausedTarget has a target reject all requests for a while and ask each host for a
+// pause of several seconds: half a second after that, it must get at most two requests
+// from the host within the pause. With no other target callers are told when to come
+// back.
+func TestPausedTarget(t *testing.T) {
+	const pause, grace, most = 4 * time.Second, 500 * time.Millisecond, 2
+	for _, c := range limitCases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				var rejected, late int
+				var firstRejected time.Time
+				r := prepareFixture(t, route(c.kind, nil), func(w http.ResponseWriter, _ *http.Request) {
+					mu.Lock()
+					defer mu.Unlock()
+					rejected++
+					if firstRejected.IsZero() {
+						firstRejected = time.Now()
+					}
+					if at := time.Since(firstRejected); at > grace && at < pause {
+						late++
+					}
+					w.Header().Set("Pause", (pause - time.Since(firstRejected)).String())
+					rejects(w, nil)
+				})
+				addrs := r.startHosts(1)
+				statuses := r.callAll(addrs, rand.New(rand.NewPCG(1, 0)), 40, pause, "/a/b", c.header...)
+				if rejected == 0 || late > most {
+					t.Errorf("%d requests, %d of them within the pause, want at most %d", rejected, late, most)
+				}
+				if statuses["503"] != 160 {
+					t.Errorf("statuses %v", statuses)
+				}
+			})
+		})
+	}
+}
--- a/internal/stage/batcher_test.go
+++ b/internal/stage/batcher_test.go
@@ -368,7 +368,7 @@
 // 20 targets that are all in use.
 func newCrowdedQueue(pool *catalog.Pool) (*Batcher, *queue) {
 	now := time.Now()
-	q := &queue{service: "s", pool: pool, targetStates: map[string]*targetState{}}
+	q := &queue{service: "s", signals: newBackpressure(), quotas: newQuotas(), pool: pool, targetStates: map[string]*targetState{}}
 	s := &catalog.Snapshot{Table: &catalog.Table{Services: map[string]*catalog.Service{"s": {Name: "s", Pool: pool}}}, Targets: map[string][]*catalog.Target{}}
 	for i := range 20 {
 		t := &catalog.Target{ID: fmt.Sprint(i), Service: "s", Domain: fmt.Sprintf("d%d", i%4)}
--- a/internal/stage/choose.go
+++ b/internal/stage/choose.go
@@ -62,7 +62,7 @@
 
 // mayCall reports whether a call may go to t now.
 func (q *queue) mayCall(s *targetState, t *catalog.Target, now time.Time) bool {
-	return s.calls < max(1, q.pool.Slots) && !s.pausedUntil.After(now) && q.quotas.Wait(t) == 0
+	return s.calls < max(1, q.pool.Slots) && !s.pausedUntil.After(now) && q.signals.PauseLeft(t) == 0 && q.quotas.Wait(t) == 0
 }
 
 // mayCallAny reports whether a call may go to any target now.
--- a/internal/stage/estimate.go
+++ b/internal/stage/estimate.go
@@ -64,7 +64,7 @@
 				b.upcoming[service] = map[string]upcomingPieces{}
 			}
 			b.upcoming[service][r.Host] = upcomingPieces{pieces, now}
-			b.queue(service).refresh(b.Catalog(), b.Backpressure)
+			b.queue(service).refresh(b.Catalog())
 		}
 		for service, q := range b.queues {
 			out[service] = b.waitEstimate(q, now)
--- a/internal/stage/free.go
+++ b/internal/stage/free.go
@@ -38,14 +38,14 @@
 }
 
 // flushFree frees the results queued for a target. Their memory counts as used
-// until the target has answered. At a target that limits the number of requests the
-// call needs a turn, like any other.
+// until the target has answered. At a target that asks for a pause or limits the
+// number of requests the call has to wait, like any other.
 func (b *Batcher) flushFree(q *queue, s *targetState) {
 	if len(s.toFree) == 0 || b.ctx.Err() != nil {
 		return
 	}
 	if t := q.target(s.toFree[0].Target); t != nil {
-		if wait := b.Quotas.Wait(t); wait > 0 {
+		if wait := max(b.Backpressure.PauseLeft(t), b.Quotas.Wait(t)); wait > 0 {
 			b.deferFree(q, s, wait)
 			return
 		}
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -48,6 +48,7 @@
 	targets      []*catalog.Target
 	jobs         []*job
 	targetStates map[string]*targetState
+	signals      *backpressure.Table
 	quotas       *backpressure.Holder
 	// callTimeAtOrder is the result of callTime when the jobs were last ordered.
 	callTimeAtOrder time.Duration
@@ -76,7 +77,7 @@
 func (b *Batcher) queue(service string) *queue {
 	q := b.queues[service]
 	if q == nil {
-		q = &queue{service: service, quotas: b.Quotas, targetStates: map[string]*targetState{}}
+		q = &queue{service: service, signals: b.Backpressure, quotas: b.Quotas, targetStates: map[string]*targetState{}}
 		b.queues[service] = q
 	}
 	return q
@@ -103,7 +104,7 @@
 
 // refresh takes the pool and targets from snapshot s, but for targets that leave by
 // their own word.
-func (q *queue) refresh(s *catalog.Snapshot, signals *backpressure.Table) {
+func (q *queue) refresh(s *catalog.Snapshot) {
 	q.targets, q.pool = nil, nil
 	if s.Table == nil {
 		return
@@ -111,7 +112,7 @@
 	if svc := s.Table.Services[q.service]; svc != nil {
 		q.pool = svc.Pool
 	}
-	q.targets = signals.Usable(s.ActiveTargets(q.service))
+	q.targets = q.signals.Usable(s.ActiveTargets(q.service))
 }
 
 // expected returns the expected time of a call of the given number of pieces at a
@@ -188,7 +189,7 @@
 	if len(q.jobs) == 0 {
 		return
 	}
-	q.refresh(b.Catalog(), b.Backpressure)
+	q.refresh(b.Catalog())
 	if q.pool == nil || len(q.targets) == 0 {
 		return
 	}
--- a/internal/stage/signal_test.go
+++ b/internal/stage/signal_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
@@ -33,3 +35,33 @@
 		}
 	})
 }
+
+// TestPausedPoolTarget expects a target that rejects a call and asks for a pause to get
+// no call before its end, while another one serves.
+func TestPausedPoolTarget(t *testing.T) {
+	const pause = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		pool := &fakePool{
+			signal: func(target *catalog.Target) backpressure.Signal {
+				if target.ID == "t0" {
+					return backpressure.Signal{Pause: pause}
+				}
+				return backpressure.Signal{}
+			},
+			fail: func(target *catalog.Target, _ []Piece) error {
+				if target.ID == "t0" {
+					return ErrRejected
+				}
+				return nil
+			},
+		}
+		b := newBatcher(t, pool, 2, testPool())
+		start := time.Now()
+		for time.Since(start) < pause {
+			submitInTurn(t, b, 1)
+		}
+		if n := len(pool.calls) - strings.Count(strings.Join(pool.calls, ","), "t1"); n != 1 {
+			t.Errorf("%d calls to the paused target: %v", n, pool.calls)
+		}
+	})
+}
