crash: no trial of a blocked prompt part among a minority of hosts

Found by looking for the class of the limits elsewhere: a bound on what all hosts do together, decided by each group of hosts that can't reach the others. One host allows one request in 30 s with a blocked part for all; hosts cut off from each other had one such host each, and each trial may crash a target.

Trials are allowed among more than half of the hosts known lately. The retry budget, the limits of targets and the trials share one count of hosts now, over 10 minutes; it was one minute for the retry budget.

TestTrialAmongMinority, which failed before with one and two of five hosts.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -69,6 +69,9 @@
 	// Archive, unless nil, keeps what is blocked beyond the life of all hosts. It is
 	// used by Run.
 	Archive Archive
+	// Hosts, unless nil, returns the number of hosts of the system, those included
+	// that are cut off.
+	Hosts func() int
 	// OnPartCrash, unless nil, is called after each news that makes parts of prompts
 	// suspects. It must not block.
 	OnPartCrash func()
--- a/internal/crash/parts_test.go
+++ b/internal/crash/parts_test.go
@@ -6,8 +6,11 @@
 	"testing"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/peer"
 	"github.com/cockroachdb/datadriven"
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 )
 
@@ -128,3 +131,24 @@
 		t.Errorf("tracked (-want +got):\n%s", diff)
 	}
 }
+
+// TestTrialAmongMinority has hosts cut off from each other: on each side one host
+// believes that it allows trials for all, and each trial may crash a target.
+func TestTrialAmongMinority(t *testing.T) {
+	const hosts = 5
+	for members := 1; members <= hosts; members++ {
+		var list []peer.Host
+		for i := range members {
+			list = append(list, peer.Host{Name: fmt.Sprint("h", i)})
+		}
+		m := peer.NewMembers(list)
+		table := &Table{Self: m.Holder(suspectsKey).Name, Clock: &clock.Service{}, Log: zap.NewNop(), Exchange: &fixedMembers{m}, Hosts: func() int { return hosts }}
+		for _, target := range []string{"a", "b", "c"} {
+			at := time.Now().Add(-time.Hour)
+			table.parts.recordCrash(&PartCrash{Incident: Incident{Target: target}, Parts: []string{"x"}}, at, at)
+		}
+		if got, want := table.TakeTrial("x"), 2*members > hosts; got != want {
+			t.Errorf("trial among %d of %d hosts: %v, want %v", members, hosts, got, want)
+		}
+	}
+}
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 )
 
 // The methods of this file are for callers that check Blocked and BlockedPart before
@@ -82,9 +83,15 @@
 }
 
 // TakeTrial reports whether a request with the blocked part may run once all the
-// same. One host allows trials for all.
+// same. One host allows trials for all, and of hosts that are cut off from each other
+// those in the majority.
 func (t *Table) TakeTrial(part string) bool {
-	if t.Exchange.Members().Holder(suspectsKey).Name != t.Self {
+	members := t.Exchange.Members()
+	if members.Holder(suspectsKey).Name != t.Self {
+		return false
+	}
+	if t.Hosts != nil && 2*len(members.Hosts) <= t.Hosts() {
+		t.Log.Info("no trial of a blocked prompt part among a minority of hosts", zap.String("Part", part), zap.Int("Members", len(members.Hosts)), zap.Int("Hosts", t.Hosts()))
 		return false
 	}
 	now := t.Clock.Now()
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -82,24 +82,21 @@
 	return b
 }
 
-// limitLifetime is how long a host counts as sharing the limits of targets after it
-// was last seen alive.
-const limitLifetime = 10 * time.Minute
+// hostLifetime is how long a host counts as one that shares what all hosts may use
+// together, after it was last seen alive.
+const hostLifetime = 10 * time.Minute
 
-func provideQuotas(s *settings.Gateway, c *clock.Service, log *zap.Logger, x *peer.Exchange, b *backpressure.Table) *backpressure.Holder {
-	hosts := &peer.RecentMax{Clock: c, Lifetime: limitLifetime, Count: hostCount(s, x)}
-	return &backpressure.Holder{Clock: c, Log: log, Table: b, Hosts: hosts.Value}
+func provideHostCount(s *settings.Gateway, c *clock.Service, x *peer.Exchange) *peer.RecentMax {
+	return &peer.RecentMax{Clock: c, Lifetime: hostLifetime, Count: func() int { return max(len(x.Members().Hosts), len(s.Peers)) }}
 }
 
-func provideQuotaClient(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, b *backpressure.Table, quotas *backpressure.Holder) *backpressure.Client {
-	return &backpressure.Client{Self: x.Self.Name, Clock: c, Log: log, Table: b, Holders: &peer.Picker{Clock: c, Members: x.Members}, Peers: caller,
-		Holder: quotas, Hosts: quotas.Hosts}
+func provideQuotas(c *clock.Service, log *zap.Logger, hosts *peer.RecentMax, b *backpressure.Table) *backpressure.Holder {
+	return &backpressure.Holder{Clock: c, Log: log, Table: b, Hosts: hosts.Value}
 }
 
-// hostCount returns a function that returns the number of hosts that are believed
-// alive, at least that of the settings.
-func hostCount(s *settings.Gateway, x *peer.Exchange) func() int {
-	return func() int { return max(len(x.Members().Hosts), len(s.Peers)) }
+func provideQuotaClient(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, hosts *peer.RecentMax, b *backpressure.Table, quotas *backpressure.Holder) *backpressure.Client {
+	return &backpressure.Client{Self: x.Self.Name, Clock: c, Log: log, Table: b, Holders: &peer.Picker{Clock: c, Members: x.Members}, Peers: caller,
+		Holder: quotas, Hosts: hosts.Value}
 }
 
 func provideStageClient(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, batcher *stage.Batcher) *stage.Client {
@@ -118,12 +115,7 @@
 	return &placement.Client{Self: x.Self.Name, Clock: c, Log: log, Holders: &peer.Picker{Clock: c, Members: x.Members}, Peers: caller, Holder: tables}
 }
 
-// hostLifetime is how long a host counts as sharing the budget of repeats after it was
-// last seen alive.
-const hostLifetime = time.Minute
-
-func provideRepeatBudget(s *settings.Gateway, c *clock.Service, x *peer.Exchange) *workspace.RepeatBudget {
-	hosts := &peer.RecentMax{Clock: c, Lifetime: hostLifetime, Count: hostCount(s, x)}
+func provideRepeatBudget(s *settings.Gateway, c *clock.Service, hosts *peer.RecentMax) *workspace.RepeatBudget {
 	return &workspace.RepeatBudget{
 		Clock:  c,
 		Window: time.Duration(s.RepeatWindow),
@@ -133,8 +125,8 @@
 	}
 }
 
-func provideCrashTable(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, archive crash.Archive) *crash.Table {
-	return &crash.Table{Self: x.Self.Name, Clock: c, Log: log, Exchange: x, Peers: caller, Archive: archive, Limit: maxCrashes}
+func provideCrashTable(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, hosts *peer.RecentMax, archive crash.Archive) *crash.Table {
+	return &crash.Table{Self: x.Self.Name, Clock: c, Log: log, Exchange: x, Peers: caller, Hosts: hosts.Value, Archive: archive, Limit: maxCrashes}
 }
 
 // responseMemoryShare is the part of a host's memory that large responses may take
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -19,6 +19,7 @@
 func New(s *settings.Gateway, n link.Network, c *clock.Service, log *zap.Logger, u *upstream.Client, f Format, feed catalog.Feed, pool stage.Pool, d Directory, archive crash.Archive) (*Host, error) {
 	panic(wire.Build(
 		provideExchange,
+		provideHostCount,
 		provideFollower,
 		provideBackpressure,
 		provideQuotas,
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -25,21 +25,22 @@
 	caller := providePeerCaller(n)
 	exchange := provideExchange(s, n, c, caller, d)
 	follower := provideFollower(s, c, log, feed, exchange, caller)
-	table := provideCrashTable(c, log, exchange, caller, archive)
+	recentMax := provideHostCount(s, c, exchange)
+	table := provideCrashTable(c, log, exchange, caller, recentMax, archive)
 	backpressureTable := provideBackpressure(c, log, exchange)
-	holder := provideQuotas(s, c, log, exchange, backpressureTable)
+	holder := provideQuotas(c, log, recentMax, backpressureTable)
 	batcher := provideBatcher(c, log, pool, follower, exchange, backpressureTable, holder)
 	placementHolder := provideLoadTables(c, log, follower, holder)
 	server, err := providePeerServer(exchange, follower, table, batcher, placementHolder, holder)
 	if err != nil {
 		return nil, err
 	}
-	client := provideQuotaClient(c, log, exchange, caller, backpressureTable, holder)
+	client := provideQuotaClient(c, log, exchange, caller, recentMax, backpressureTable, holder)
 	stageClient := provideStageClient(c, log, exchange, caller, batcher)
 	balancer := provideBalancer(s, c, log)
 	placementClient := providePlacement(c, log, exchange, caller, placementHolder)
 	memoryBudget := provideResponseMemory(s)
-	repeatBudget := provideRepeatBudget(s, c, exchange)
+	repeatBudget := provideRepeatBudget(s, c, recentMax)
 	registry := provideMetrics()
 	host := &Host{
 		Settings:       s,
