--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -183,7 +183,7 @@
 // inject harms some hosts for d.
 func (f *limitFaults) inject(d time.Duration) string {
 	h := f.hosts[f.random.IntN(len(f.hosts))]
-	switch f.random.IntN(4) {
+	switch f.random.IntN(6) {
 	case 0:
 		f.network.Kill(h.addr)
 		f.stopHost(h)
@@ -204,6 +204,17 @@
 		time.Sleep(d)
 		f.network.HealPartition([]netip.Addr{h.addr}, others)
 		return fmt.Sprintf("%v alone for %v", h.addr, d)
+	case 3:
+		for _, other := range f.hosts {
+			f.network.Silence(h.addr, other.addr)
+		}
+		return fmt.Sprintf("connections of %v silent", h.addr)
+	case 4:
+		joined := &runningHost{addr: netip.AddrFrom4([4]byte{10, 0, 2, byte(len(f.hosts))})}
+		f.hosts = append(f.hosts, joined)
+		f.run(joined)
+		f.t.Cleanup(func() { f.stopHost(joined) })
+		return fmt.Sprintf("%v started", joined.addr)
 	default:
 		sides := [2][]netip.Addr{}
 		for i, other := range f.hosts {
