fleet, placement: a target that rejects again and again is asked less and less

Cause: a rejection paused a target for 60 ms, however often it had rejected, so that first sends went back to it. The pause follows the recent rate of rejections now: 87 ms after one, half a second after four in a row, at most 1.06 s; one answer shortens it. One type for both places that choose.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/peer"
@@ -25,8 +26,6 @@
 	pauseAfter = 2
 	firstPause = 500 * time.Millisecond
 	maxPause   = 4 * time.Second
-	// rejectPause is how long a target is paused after it rejected a request.
-	rejectPause = 60 * time.Millisecond
 	// failurePenalty weighs the failure rate against time: the cost of a target
 	// that fails all requests is multiplied by 1 + failurePenalty.
 	failurePenalty = 8
@@ -85,6 +84,7 @@
 	// after failures.
 	pausedUntil time.Time
 	pauses      int
+	rejections  backpressure.Rejections
 }
 
 // Request is what the choice of a target needs to know of a request.
@@ -221,6 +221,7 @@
 	now := b.Clock.Now()
 	switch r {
 	case Answered:
+		s.rejections.Record(false, now)
 		s.failures, s.pauses = 0, 0
 		s.failureRate -= failureWeight * s.failureRate
 		if s.meanTime == 0 {
@@ -237,7 +238,7 @@
 	case Unreachable:
 		b.pause(t, s, now)
 	case Rejected:
-		if until := now.Add(rejectPause); until.After(s.pausedUntil) {
+		if until := now.Add(s.rejections.Record(true, now)); until.After(s.pausedUntil) {
 			s.pausedUntil = until
 		}
 	}
@@ -245,7 +246,7 @@
 
 // pause pauses t, longer after each consecutive pause.
 func (b *Balancer) pause(t *catalog.Target, s *targetState, now time.Time) {
-	if s.pausedUntil.After(now.Add(rejectPause)) {
+	if s.pausedUntil.After(now.Add(firstPause / 2)) {
 		return
 	}
 	d := min(maxPause, firstPause<<min(s.pauses, 8))
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -342,3 +342,39 @@
 		})
 	}
 }
+
+// TestSheddingTarget has one of two targets turn away nine of ten requests: sends must
+// go where they are taken, and no request may fail for want of repeats.
+func TestSheddingTarget(t *testing.T) {
+	const rate, duration = 40, 8 * time.Second
+	const repeatRatio = 0.2 // that of the fixture's budget
+	for _, c := range limitCases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sound := &limitedTarget{ended: true}
+				var mu sync.Mutex
+				asked, rejected := 0, 0
+				r := prepareFixture(t, route(c.kind, nil), func(w http.ResponseWriter, r *http.Request) {
+					mu.Lock()
+					asked++
+					shed := asked%10 != 0
+					if shed {
+						rejected++
+					}
+					mu.Unlock()
+					if shed {
+						rejects(w, r)
+						return
+					}
+					sound.serve(w, r)
+				}, sound.serve)
+				addrs := r.startHosts(3)
+				statuses := r.callAll(addrs, rand.New(rand.NewPCG(1, 0)), rate, duration, "/a/b", c.header...)
+				n := int(rate * duration.Seconds())
+				if statuses["200"] != n || float64(rejected) > repeatRatio*float64(n) {
+					t.Errorf("%d of %d requests were rejected once or more, statuses %v", rejected, n, statuses)
+				}
+			})
+		})
+	}
+}
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -47,8 +47,6 @@
 	failureWeight    = 0.3
 	failurePenalty   = 8
 	failureDecayTime = 2 * time.Second
-	// rejectPause is how long a target is avoided after it rejected a request.
-	rejectPause = 60 * time.Millisecond
 	// hostTimeout is the time without a message from a host after which its
 	// requests no longer count.
 	hostTimeout = 1500 * time.Millisecond
@@ -100,6 +98,7 @@
 	failureRateAt time.Time
 	// pausedUntil is the time until which the target is avoided.
 	pausedUntil time.Time
+	rejections  backpressure.Rejections
 	// cachedParts maps the ID of a prompt part to the time of the last request that
 	// had it.
 	cachedParts map[string]time.Time
@@ -304,6 +303,9 @@
 
 func (lt *LoadTable) applyUpdate(n News, r *openRequest, now time.Time) {
 	s := r.target
+	if n.Progress == Begun || n.Progress == Answered && !r.hasFirstEvent {
+		s.rejections.Record(false, now)
+	}
 	switch n.Progress {
 	case Begun:
 		lt.recordFirstEvent(r, now)
@@ -314,7 +316,7 @@
 	case Failed:
 		s.updateFailureRate(1, now)
 	case Rejected:
-		s.pausedUntil = now.Add(rejectPause)
+		s.pausedUntil = now.Add(s.rejections.Record(true, now))
 	case Abandoned:
 		if !r.hasFirstEvent && now.Sub(r.startedAt).Seconds() > lt.pace(s, now)*(r.tokensAhead+r.ownTokens) {
 			lt.samplePace(r, now)
