--- a/cmd/berylswitch/gateway.go
+++ b/cmd/berylswitch/gateway.go
@@ -21,13 +21,20 @@
 // gatewayCommand runs a host on the users' platform until SIGINT or SIGTERM.
 type gatewayCommand struct {
 	Check    bool   `long:"check" description:"check the settings and exit"`
-	Settings string `long:"settings" env:"BERYLSWITCH_SETTINGS" required:"yes" description:"the settings file, JSON with comments"`
+	Settings string `long:"settings" description:"the settings file, JSON with comments; by default the one that the platform names"`
 
 	ctx context.Context
 }
 
 // Execute runs the command.
 func (c *gatewayCommand) Execute([]string) error {
+	if c.Settings == "" {
+		path, err := platform.SettingsPath()
+		if err != nil {
+			return err
+		}
+		c.Settings = path
+	}
 	s, err := settings.LoadGateway(c.Settings)
 	if err != nil || c.Check {
 		return err
