placement, backpressure, catalog: split by job, one way to find a target

The load table's choice stands apart from what it learns; updates among hosts and messages to holders stand apart from the state they change. No decision changes: the scripts of testdata/loadtable and testdata/holder give the same output.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -204,6 +204,26 @@
 	Targets map[string][]*Target
 }
 
+// Has reports whether a target with that ID is registered for any service.
+func (s *Snapshot) Has(id string) bool {
+	for _, targets := range s.Targets {
+		if FindTarget(targets, id) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// FindTarget returns the one of targets with that ID, or nil.
+func FindTarget(targets []*Target, id string) *Target {
+	for _, t := range targets {
+		if t.ID == id {
+			return t
+		}
+	}
+	return nil
+}
+
 // ActiveTargets returns the targets of service that take new work.
 func (s *Snapshot) ActiveTargets(service string) []*Target {
 	var out []*Target
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -257,16 +257,10 @@
 
 // Prune removes the state of targets that are not in s and have no open requests.
 func (b *Balancer) Prune(s *catalog.Snapshot) {
-	known := map[string]bool{}
-	for _, targets := range s.Targets {
-		for _, t := range targets {
-			known[t.ID] = true
-		}
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, st := range b.targetStates {
-		if !known[id] && st.openRequests == 0 {
+		if !s.Has(id) && st.openRequests == 0 {
 			delete(b.targetStates, id)
 		}
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -73,7 +73,7 @@
 	s.h.histogram("Placement.Took").Update(int64(s.h.Clock.Since(start)))
 	s.h.Log.Info("target chosen", zap.String("RequestID", s.q.ID), zap.String("Target", l.Choice.Target), zap.Duration("Expected", l.Choice.Expected),
 		zap.Int("Reading", l.Choice.Reading), zap.Int("Cached", l.Choice.Cached), zap.Int("Except", len(except)), zap.Duration("Took", s.h.Clock.Since(start)))
-	t := findTarget(targets, l.Choice.Target)
+	t := catalog.FindTarget(targets, l.Choice.Target)
 	if t == nil || !s.waitForTurn(ctx, t, l.Choice.Wait) {
 		l.End(placement.Abandoned)
 		return nil
@@ -108,7 +108,7 @@
 	if grant.Target == "" {
 		return s.withoutTurn(other, grant.Wait)
 	}
-	t := findTarget(limited, grant.Target)
+	t := catalog.FindTarget(limited, grant.Target)
 	if t == nil || !s.waitForTurn(ctx, t, grant.Wait) {
 		return nil
 	}
@@ -154,13 +154,3 @@
 	s.h.Log.Info("waiting for a turn at a limited target", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Duration("Wait", wait))
 	return s.h.Clock.Sleep(ctx, wait) == nil
 }
-
-// findTarget returns the target with that ID, or nil.
-func findTarget(targets []*catalog.Target, id string) *catalog.Target {
-	for _, t := range targets {
-		if t.ID == id {
-			return t
-		}
-	}
-	return nil
-}
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -2,18 +2,14 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
-	"berylswitch.example/berylswitch/internal/peer"
 )
 
-// Weights, times and bounds of the choice.
+// Weights, times and bounds of what is learned.
 const (
-	// baseTokens is the work of a request besides its prompt, in tokens.
-	baseTokens = 2000
 	// initialPace is the pace before the first sample, in seconds per token.
 	initialPace = 30e-6
 	// paceWeight is the weight of the newest sample in a target's pace,
@@ -22,30 +18,11 @@
 	paceWeight     = 0.3
 	meanPaceWeight = 0.02
 	maxPaceFactor  = 30
-	// paceDecayTime is the time constant with which a target's pace returns to the
-	// mean.
-	paceDecayTime = 4 * time.Second
-	// crossDomainPenalty is added for a target in another domain than large inputs.
-	crossDomainPenalty = 80 * time.Millisecond
-	// uncachedPenalty is added for a target that has not cached shared tokens, as
-	// a multiple of the time to prefill them, since that delays other
-	// requests too.
-	uncachedPenalty = 2
-	// scarcityWeight is the weight of what a request takes from others, relative to its
-	// own time, while some targets limit the number of requests.
-	scarcityWeight = 2
 	// meanTokensWeight is the weight of the newest request in the mean work.
 	meanTokensWeight = 0.02
-	// hashPenalty is the largest share of its cost that is added for a target late
-	// in the order of rendezvous hashing. It decides among similar targets.
-	hashPenalty = 0.15
-	// fullPenalty is added for a target without a free slot.
-	fullPenalty = 500 * time.Millisecond
 	// failureWeight is the weight of the newest outcome in the failure rate,
-	// failureDecayTime the time constant with which that rate decays. The cost of a
-	// target that fails all requests is multiplied by 1 + failurePenalty.
+	// failureDecayTime the time constant with which that rate decays.
 	failureWeight    = 0.3
-	failurePenalty   = 8
 	failureDecayTime = 2 * time.Second
 	// hostTimeout is the time without a message from a host after which its
 	// requests no longer count.
@@ -53,10 +30,8 @@
 	// listDelay is the longest time that a host's list of its requests takes to
 	// arrive. A request that was counted within it may be missing from the list.
 	listDelay = reportTimeout
-	// cachedPartLifetime is how long a target is assumed to cache a part of a
-	// prompt; maxCachedParts bounds the parts recorded for one target.
-	cachedPartLifetime = time.Minute
-	maxCachedParts     = 4096
+	// maxCachedParts bounds the parts of prompts recorded for one target.
+	maxCachedParts = 4096
 )
 
 // Quotas holds the turns of requests at targets that limit them.
@@ -128,46 +103,6 @@
 	}
 }
 
-// Choose returns the target with the least cost for w, which is the predicted time
-// to the first event with penalties, and counts w there.
-func (lt *LoadTable) Choose(w *Work, targets []*catalog.Target, now time.Time) Choice {
-	lt.lastMessage[w.Host] = now
-	lt.removeSilentHosts(now)
-	except := map[string]bool{}
-	for _, id := range w.Except {
-		except[id] = true
-	}
-	anyLimited := slices.ContainsFunc(targets, lt.quotas.Limited)
-	var best *catalog.Target
-	var bestWait time.Duration
-	least := math.Inf(1)
-	for _, t := range targets {
-		if except[t.ID] {
-			continue
-		}
-		wait := lt.quotas.Wait(t)
-		if !backpressure.MayWait(wait, w.MaxWait) {
-			continue
-		}
-		cost := lt.cost(w, t, now) + wait.Seconds()
-		if anyLimited {
-			cost += lt.scarcityCost(w, t, now)
-		}
-		if cost < least {
-			best, bestWait, least = t, wait, cost
-		}
-	}
-	if best == nil {
-		return Choice{}
-	}
-	lt.quotas.Take(best)
-	s := lt.targetState(best)
-	ownTokens, cached := s.work(w, now)
-	c := Choice{Target: best.ID, Wait: bestWait, Reading: int(s.pendingTokens), Cached: cached, Expected: seconds(lt.pace(s, now) * (s.pendingTokens + ownTokens))}
-	lt.addRequest(w, s, ownTokens, now)
-	return c
-}
-
 // addRequest counts w at s.
 func (lt *LoadTable) addRequest(w *Work, s *targetState, ownTokens float64, now time.Time) {
 	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens}
@@ -185,82 +120,6 @@
 	}
 }
 
-// sharedParts returns the parts that other requests may share.
-func (w *Work) sharedParts() []Part {
-	if len(w.Parts) == 0 {
-		return nil
-	}
-	return w.Parts[:len(w.Parts)-1]
-}
-
-// work returns the work of w at s in tokens and the number of tokens cached there.
-// All parts after the first uncached one have to be prefilled too.
-func (s *targetState) work(w *Work, now time.Time) (ownTokens float64, cached int) {
-	ownTokens = baseTokens
-	prefixCached := true
-	for i, p := range w.Parts {
-		at, ok := s.cachedParts[p.ID]
-		prefixCached = prefixCached && ok && now.Sub(at) < cachedPartLifetime && i < len(w.Parts)-1
-		if prefixCached {
-			cached += p.Tokens
-		} else {
-			ownTokens += float64(p.Tokens)
-		}
-	}
-	return ownTokens, cached
-}
-
-// cost returns the predicted time to the first event of w at t, in seconds, with
-// penalties.
-func (lt *LoadTable) cost(w *Work, t *catalog.Target, now time.Time) float64 {
-	s := lt.targetState(t)
-	if s.pausedUntil.After(now) {
-		return math.MaxFloat64
-	}
-	ownTokens, cached := s.work(w, now)
-	cost := lt.pace(s, now) * (s.pendingTokens + ownTokens)
-	shared := 0
-	for _, p := range w.sharedParts() {
-		shared += p.Tokens
-	}
-	cost += uncachedPenalty * lt.meanPace * float64(shared-cached)
-	if w.Domain != "" && t.Domain != w.Domain {
-		cost += crossDomainPenalty.Seconds()
-	}
-	if len(s.requests) >= max(1, t.Slots) {
-		cost += fullPenalty.Seconds()
-	}
-	cost *= 1 + failurePenalty*s.failureRate*math.Exp(-now.Sub(s.failureRateAt).Seconds()/failureDecayTime.Seconds())
-	rank := 1 - float64(peer.Weight(t.ID, w.affinityKey()))/math.MaxUint64
-	return cost * (1 + hashPenalty*rank)
-}
-
-// scarcityCost returns what w takes from other requests, in seconds, while some
-// targets limit the number of requests: at these one request of any size, at the
-// others its prefill. The largest prompts should go where only their number counts.
-func (lt *LoadTable) scarcityCost(w *Work, t *catalog.Target, now time.Time) float64 {
-	tokens := lt.meanTokens
-	if !lt.quotas.Limited(t) {
-		tokens, _ = lt.targetState(t).work(w, now)
-	}
-	return scarcityWeight * lt.meanPace * tokens
-}
-
-// pace returns the predicted time per token of s, in seconds: the recent pace, but
-// not less than the requests that still wait there imply.
-func (lt *LoadTable) pace(s *targetState, now time.Time) float64 {
-	pace := lt.meanPace
-	if s.pace > 0 {
-		pace += (s.pace - lt.meanPace) * math.Exp(-now.Sub(s.paceAt).Seconds()/paceDecayTime.Seconds())
-	}
-	for _, r := range s.requests {
-		if !r.hasFirstEvent {
-			pace = math.Max(pace, now.Sub(r.startedAt).Seconds()/(r.tokensAhead+r.ownTokens))
-		}
-	}
-	return math.Min(pace, maxPaceFactor*lt.meanPace)
-}
-
 // Apply applies the updates in a host's report and returns how many requests the
 // host's list corrected.
 func (lt *LoadTable) Apply(report *Report, now time.Time) (corrected int) {
--- a/internal/stage/free.go
+++ b/internal/stage/free.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/journal"
 	"go.uber.org/zap"
 )
@@ -44,7 +45,7 @@
 	if len(s.toFree) == 0 || b.ctx.Err() != nil {
 		return
 	}
-	if t := q.target(s.toFree[0].Target); t != nil {
+	if t := catalog.FindTarget(q.targets, s.toFree[0].Target); t != nil {
 		if wait := max(b.Backpressure.PauseLeft(t), b.Quotas.Wait(t)); wait > 0 {
 			b.deferFree(q, s, wait)
 			return
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -92,16 +92,6 @@
 	return s
 }
 
-// target returns the target with that ID, or nil.
-func (q *queue) target(id string) *catalog.Target {
-	for _, t := range q.targets {
-		if t.ID == id {
-			return t
-		}
-	}
-	return nil
-}
-
 // refresh takes the pool and targets from snapshot s, but for targets that leave by
 // their own word.
 func (q *queue) refresh(s *catalog.Snapshot) {
