backpressure: updates about a target give the same belief in any order

Found by TestUpdatesInAnyOrder, which failed: of two updates with the same version, one of which says that the target leaves, the later one could undo that, and a host would have gone on sending.

--- a/internal/backpressure/update.go
+++ b/internal/backpressure/update.go
@@ -41,17 +41,23 @@
 	Leaving bool
 }
 
-// newer reports whether u replaces old. Of two updates with the same version the
-// lower limit wins.
-func (u *Update) newer(old *Update) bool {
-	switch {
-	case u.Born != old.Born:
-		return u.Born > old.Born
-	case u.Version != old.Version:
-		return u.Version > old.Version
-	default:
-		return u.Limited && (!old.Limited || u.Limit < old.Limit)
+// merge returns what holds after the updates a and b about one target, in whatever
+// order they arrive. The later incarnation counts, and the later version of its limit;
+// of two limits with the same version the lower one wins. An incarnation that leaves
+// does not come back.
+func merge(a, b Update) Update {
+	if a.Born != b.Born {
+		if a.Born > b.Born {
+			return a
+		}
+		return b
+	}
+	out := a
+	if b.Version > a.Version || b.Version == a.Version && b.Limited && (!a.Limited || b.Limit < a.Limit) {
+		out = b
 	}
+	out.Leaving = a.Leaving || b.Leaving
+	return out
 }
 
 // valid reports whether an update of another host can be used.
@@ -87,14 +93,13 @@
 	if u.Born == st.Born && u.Version == st.Version && u.Limited {
 		st.spreadAt, st.spreadLimit = now, u.Limit
 	}
-	if !u.newer(&st.Update) {
+	old := st.Update
+	st.Update = merge(old, u)
+	if st.Update == old {
 		return
 	}
-	old := st.Update
-	st.Update = u
-	st.Leaving = u.Leaving || old.Leaving && old.Born == u.Born
-	st.spreadAt, st.spreadLimit = now, u.Limit
-	if u.Limited {
+	st.spreadAt, st.spreadLimit = now, st.Limit
+	if st.Limited {
 		st.limitedAt = now
 	}
 	b.recordChange(st, &old, "peer")
