peer: what hosts tell each other survives connections that go silent

Callers saw nothing yet; limits of targets and leaving spread by notes, which were lost here. Cause: after a push or a heartbeat without a reply the exchange went on using the connection, which had gone silent for good while new ones work.

A call without a reply closes its connection, and a push is sent once more. TestSilentConnections (2, 3 and 12 hosts) failed before: no host got the note within 2 s.

--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -87,16 +88,22 @@
 	return reply, nil
 }
 
-// sendPush sends msg to h. Errors are ignored: the digests of later heartbeats
-// reveal what was lost.
+// sendPush sends msg to h, and once more if there is no reply, since the connection
+// may have gone silent for good. Further errors are ignored: the digests of later
+// heartbeats reveal what was lost.
 func (x *Exchange) sendPush(h Host, msg Push) {
-	x.call(h, beatTimeout, pushMethod, msg, &PushReply{})
+	err := x.call(h, beatTimeout, pushMethod, msg, &PushReply{})
+	if errors.Is(err, context.DeadlineExceeded) {
+		x.call(h, beatTimeout, pushMethod, msg, &PushReply{})
+	}
 }
 
+// call calls a method of h that it answers at once. Without a reply it closes the
+// connection.
 func (x *Exchange) call(h Host, timeout time.Duration, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(x.ctx, timeout)
 	defer cancel()
-	return x.Caller.Call(ctx, h.Addr, method, args, reply)
+	return x.Caller.CallOrDisconnect(ctx, h.Addr, method, args, reply)
 }
 
 // sync exchanges the whole state with h in the background.
