backpressure: versions of updates follow the clock

Found while reading the diff: a host that had started late counted its versions from one, so that its word that a limit had ended lost against older updates of the others; they would have kept to the limit until each had an answer of its own. Versions are now the time in milliseconds, or one more than the latest one seen. TestHostThatStartedLate failed before.

--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -63,7 +63,7 @@
 	}
 	if s.Leaving && !st.Leaving {
 		st.Leaving = true
-		st.Version++
+		st.advanceVersion(now)
 	}
 	b.recordChange(st, &old, "response")
 	if st.needsSpreading(&old, now) {
@@ -78,15 +78,21 @@
 	switch {
 	case s.Limited:
 		if !st.Limited || st.Limit != s.Limit {
-			st.Version++
+			st.advanceVersion(now)
 		}
 		st.Limited, st.Limit, st.limitedAt = true, s.Limit, now
 	case st.Limited && sentAt.After(st.limitedAt):
 		st.Limited, st.Limit = false, 0
-		st.Version++
+		st.advanceVersion(now)
 	}
 }
 
+// advanceVersion makes the version later than that of all updates that this host has
+// seen, and than those of others that it has not seen as far as clocks agree.
+func (st *targetState) advanceVersion(now time.Time) {
+	st.Version = max(st.Version+1, now.UnixMilli())
+}
+
 // recordChange logs what has changed since old and from where it came; b.mu is held.
 func (b *Table) recordChange(st *targetState, old *Update, source string) {
 	if st.Leaving && !(old.Leaving && old.Born == st.Born) {
--- a/internal/backpressure/update_test.go
+++ b/internal/backpressure/update_test.go
@@ -1,9 +1,14 @@
 package backpressure
 
 import (
+	"encoding/json"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
+	"berylswitch.example/berylswitch/internal/peer"
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
@@ -58,3 +63,43 @@
 
 // zero keeps the compiler from dividing by a constant.
 var zero = 0.0
+
+// notes is an Exchange that delivers nothing and keeps what was spread.
+type notes chan Update
+
+func (n notes) OnNote(peer.NoteKind, func(peer.Note)) {}
+
+func (n notes) Spread(note peer.Note) {
+	var u Update
+	if err := json.Unmarshal(note.Data, &u); err != nil {
+		panic(err)
+	}
+	n <- u
+}
+
+// TestHostThatStartedLate has a host that has heard of one change alone tell others,
+// which have heard of more, that a limit has ended.
+func TestHostThatStartedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		spread := make(notes, 100)
+		target := &catalog.Target{ID: "a", Service: "s", Born: 1}
+		newTable := func() *Table {
+			return &Table{Clock: &clock.Service{}, Log: zap.NewNop(), Exchange: spread}
+		}
+		observe := func(table *Table, s Signal) Update {
+			time.Sleep(time.Second)
+			table.Observe(target, time.Now().Add(-time.Millisecond), s)
+			return <-spread
+		}
+		old, late := newTable(), newTable()
+		for limit := range 5 {
+			observe(old, Signal{Limited: true, Limit: float64(limit)})
+		}
+		observe(late, Signal{Limited: true, Limit: 4})
+		ended := observe(late, Signal{})
+		old.Apply(ended)
+		if old.Limited(target) {
+			t.Errorf("the limit is in force after %+v", ended)
+		}
+	})
+}
