crash: a host that has lost its peers reads the archive again

What callers could see: hosts cut off from each other, but not from the store, each learned by themselves which part of prompts crashes targets, at the cost of up to three more targets each. Cause: the archive was read at the start alone.

While a host reaches at most half of the hosts, it reads the archive once a second. TestHostsThatShareOnlyTheArchive, which failed before.

--- a/internal/crash/archive.go
+++ b/internal/crash/archive.go
@@ -32,7 +32,9 @@
 	partPrefix   = "Part/"
 )
 
-// Run loads the archive and saves to it what is blocked until ctx ends.
+// Run loads the archive and saves to it what is blocked until ctx ends. While this
+// host can't reach most others, it loads the archive again and again, since their news
+// can reach it only there.
 func (t *Table) Run(ctx context.Context) error {
 	if t.Archive == nil {
 		<-ctx.Done()
@@ -45,7 +47,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticks:
-			loaded = loaded || t.load(ctx)
+			if !loaded || t.amongMinority() {
+				loaded = t.load(ctx)
+			}
 			t.saveAll(ctx)
 		}
 	}
--- a/internal/crash/archive_test.go
+++ b/internal/crash/archive_test.go
@@ -63,6 +63,33 @@
 	return table, func() { cancel(); <-done }
 }
 
+// TestHostsThatShareOnlyTheArchive has a part crash targets at a host that can't reach
+// the others, and expects another such host to block the part soon.
+func TestHostsThatShareOnlyTheArchive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &memoryArchive{values: map[string][]byte{}}
+		var tables []*Table
+		for range 2 {
+			table := newTables(t, 1)[0]
+			table.Archive, table.Limit, table.Hosts = a, maxPartCrashes, func() int { return 3 }
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- table.Run(ctx) }()
+			t.Cleanup(func() { cancel(); <-done })
+			tables = append(tables, table)
+		}
+		time.Sleep(time.Second)
+		for i := range maxPartCrashes {
+			tables[0].RecordBreak(Break{Digest: "d", Target: fmt.Sprint("t", i), Parts: []string{"a"}})
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * archiveRetryInterval)
+		if got := tables[1].BlockedPart([]string{"a"}); got != "a" {
+			t.Errorf("blocked part %q, want a", got)
+		}
+	})
+}
+
 // TestRestartOfAllHosts blocks a part and a body while the archive is down, ends all
 // hosts after it is back, and expects the next ones to block both. An answer to a
 // request with the part clears it for good.
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -86,12 +86,11 @@
 // same. One host allows trials for all, and of hosts that are cut off from each other
 // those in the majority.
 func (t *Table) TakeTrial(part string) bool {
-	members := t.Exchange.Members()
-	if members.Holder(suspectsKey).Name != t.Self {
+	if t.Exchange.Members().Holder(suspectsKey).Name != t.Self {
 		return false
 	}
-	if t.Hosts != nil && 2*len(members.Hosts) <= t.Hosts() {
-		t.Log.Info("no trial of a blocked prompt part among a minority of hosts", zap.String("Part", part), zap.Int("Members", len(members.Hosts)), zap.Int("Hosts", t.Hosts()))
+	if t.amongMinority() {
+		t.Log.Info("no trial of a blocked prompt part among a minority of hosts", zap.String("Part", part), zap.Int("Hosts", t.Hosts()))
 		return false
 	}
 	now := t.Clock.Now()
@@ -100,6 +99,11 @@
 	return t.parts.takeTrial(part, now)
 }
 
+// amongMinority reports whether this host can't reach most of the hosts.
+func (t *Table) amongMinority() bool {
+	return t.Hosts != nil && 2*len(t.Exchange.Members().Hosts) <= t.Hosts()
+}
+
 // tell sends w to the members.
 func (t *Table) tell(w Word) {
 	t.notifyMembers(context.Background(), w)
