--- a/internal/backpressure/holder.go
+++ b/internal/backpressure/holder.go
@@ -15,6 +15,8 @@
 	leaseTime = 1500 * time.Millisecond
 	// maxWait is the longest time that a request may wait for its turn.
 	maxWait = 2 * time.Second
+	// shareInterval is the time between two looks at what leases have ended.
+	shareInterval = 50 * time.Millisecond
 )
 
 // Holder decides when requests of all hosts may go to targets that have named a
@@ -39,6 +41,10 @@
 	// logged is the number of leases that a log line has told.
 	logged int
 	quotas map[quotaKey]*quota
+	// share is the part of each limit that is leased to this host, as of the last look
+	// at the leases at sharedAt.
+	share    float64
+	sharedAt time.Time
 }
 
 // quotaKey is an incarnation of a target.
@@ -62,17 +68,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(r.Service)
-	// What the leases so far have earned is earned before they change.
-	s.setRates(h, now)
+	former := s.leases[r.Host]
 	if r.Return {
 		delete(s.leases, r.Host)
 	} else {
 		s.leases[r.Host] = lease{until: now.Add(leaseTime), hosts: r.Hosts}
 	}
-	s.setRates(h, now)
+	if r.Return || !former.until.After(now) || former.hosts != r.Hosts {
+		s.updateShare(h, now)
+	}
 	if len(s.leases) != s.logged {
 		s.logged = len(s.leases)
-		h.Log.Info("shares of limits leased to this host", zap.String("Service", r.Service), zap.Int("Shares", s.logged), zap.Float64("Share", s.share(h.Hosts())))
+		h.Log.Info("shares of limits leased to this host", zap.String("Service", r.Service), zap.Int("Shares", s.logged), zap.Float64("Share", s.share))
 	}
 }
 
@@ -83,7 +90,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(a.Service)
-	s.setRates(h, now)
+	s.refreshShare(h, now)
 	best := Grant{Wait: noTurn}
 	var bestKey quotaKey
 	for _, c := range a.Targets {
@@ -115,7 +122,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(t.Service)
-	s.setRates(h, now)
+	s.refreshShare(h, now)
 	return s.wait(h, quotaKey{t.ID, t.Born}, now)
 }
 
@@ -143,28 +150,35 @@
 	return s
 }
 
-// setRates ends leases, and adapts the rates to the leases and limits in force. Quotas
-// of targets without a limit are removed.
-func (s *serviceQuotas) setRates(h *Holder, now time.Time) {
+// refreshShare calls updateShare once in shareInterval.
+func (s *serviceQuotas) refreshShare(h *Holder, now time.Time) {
+	if now.Sub(s.sharedAt) >= shareInterval {
+		s.updateShare(h, now)
+	}
+}
+
+// updateShare ends leases, and adapts the rates to the leases and limits in force.
+// Quotas of targets without a limit are removed.
+func (s *serviceQuotas) updateShare(h *Holder, now time.Time) {
 	for host, l := range s.leases {
 		if !l.until.After(now) {
 			delete(s.leases, host)
 		}
 	}
-	share := s.share(h.Hosts())
+	s.share, s.sharedAt = s.leasedShare(h.Hosts()), now
 	for key, q := range s.quotas {
 		limit, limited := h.Table.limit(key.target, key.born)
 		if !limited {
 			delete(s.quotas, key)
 			continue
 		}
-		q.setRate(limit, share, now)
+		q.setRate(limit, s.share, now)
 	}
 }
 
-// share returns the part of each limit that is leased to this host. hosts is the
+// leasedShare returns the part of each limit that is leased to this host. hosts is the
 // number of hosts as this host knows it; another one may know of more.
-func (s *serviceQuotas) share(hosts int) float64 {
+func (s *serviceQuotas) leasedShare(hosts int) float64 {
 	for _, l := range s.leases {
 		hosts = max(hosts, l.hosts)
 	}
@@ -180,9 +194,9 @@
 	q := s.quotas[key]
 	if q == nil {
 		q = &quota{at: now}
-		q.setRate(limit, s.share(h.Hosts()), now)
 		s.quotas[key] = q
 	}
+	q.setRate(limit, s.share, now)
 	return q.wait(now)
 }
 
--- a/internal/backpressure/holder_test.go
+++ b/internal/backpressure/holder_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
 	"github.com/cockroachdb/datadriven"
 	"go.uber.org/zap"
@@ -130,3 +131,26 @@
 	}
 	return strings.Trim(fmt.Sprint(counts), "[]") + "\n"
 }
+
+// BenchmarkWait measures the wait at one target while 520 hosts lease their shares of
+// the limits of 900 targets.
+func BenchmarkWait(b *testing.B) {
+	const hosts, targets = 520, 900
+	c := &clock.Service{}
+	h := &Holder{Clock: c, Log: zap.NewNop(), Table: &Table{Clock: c, Log: zap.NewNop()}, Hosts: func() int { return hosts }}
+	var list []*catalog.Target
+	for i := range targets {
+		t := &catalog.Target{ID: fmt.Sprint("t", i), Service: "s", Born: 1}
+		h.Table.Apply(Update{Target: t.ID, Service: "s", Born: 1, Version: 1, Limited: true, Limit: 2})
+		list = append(list, t)
+	}
+	for i := range hosts {
+		h.renew(&Renewal{Host: fmt.Sprint("h", i), Service: "s"})
+	}
+	for i := 0; b.Loop(); i++ {
+		if i%targets == 0 {
+			h.renew(&Renewal{Host: "h0", Service: "s"})
+		}
+		h.Wait(list[i%targets])
+	}
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -209,7 +209,7 @@
 	var addrs []netip.Addr
 	for _, h := range r.hosts {
 		addrs = append(addrs, h.addr)
-		r.run(h)
+		r.startHost(h)
 		r.t.Cleanup(func() { r.stopHost(h) })
 	}
 	time.Sleep(2 * time.Second)
@@ -223,8 +223,8 @@
 	done chan error
 }
 
-// run starts a new process of h.
-func (r *fixture) run(h *runningHost) {
+// startHost starts a new process of h.
+func (r *fixture) startHost(h *runningHost) {
 	var peers []netip.AddrPort
 	for _, other := range r.hosts {
 		peers = append(peers, netip.AddrPortFrom(other.addr, 82))
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -174,24 +174,24 @@
 	})
 }
 
-// limitFaults harms the hosts of r, one fault after another, and returns what it did.
+// limitFaults harms the hosts of a fixture, one fault after another.
 type limitFaults struct {
 	*fixture
 	random *rand.Rand
 }
 
-// inject harms some hosts for d.
+// inject harms some hosts, for d where a fault lasts, and returns what it did.
 func (f *limitFaults) inject(d time.Duration) string {
 	h := f.hosts[f.random.IntN(len(f.hosts))]
 	switch f.random.IntN(6) {
 	case 0:
 		f.network.Kill(h.addr)
 		f.stopHost(h)
-		f.run(h)
+		f.startHost(h)
 		return fmt.Sprintf("%v killed and started", h.addr)
 	case 1:
 		f.stopHost(h)
-		f.run(h)
+		f.startHost(h)
 		return fmt.Sprintf("%v stopped and started", h.addr)
 	case 2:
 		var others []netip.Addr
@@ -212,7 +212,7 @@
 	case 4:
 		joined := &runningHost{addr: netip.AddrFrom4([4]byte{10, 0, 2, byte(len(f.hosts))})}
 		f.hosts = append(f.hosts, joined)
-		f.run(joined)
+		f.startHost(joined)
 		f.t.Cleanup(func() { f.stopHost(joined) })
 		return fmt.Sprintf("%v started", joined.addr)
 	default:
