--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -59,6 +59,7 @@
 	wait time.Duration
 }
 
+// Error returns the message, which names the service.
 func (e *lateError) Error() string { return "stage of service " + e.service + " would end too late" }
 
 // errInputGone means that an input of a stage was lost.
--- a/internal/stage/order.go
+++ b/internal/stage/order.go
@@ -45,13 +45,16 @@
 // jobHeap is a heap with the job of the least worth per piece on top.
 type jobHeap []*job
 
+// Len returns the number of jobs.
 func (h jobHeap) Len() int { return len(h) }
 
 // Less reports whether job i has less worth per piece than job k.
 func (h jobHeap) Less(i, k int) bool { return h[i].worthPerPiece() < h[k].worthPerPiece() }
 
+// Swap swaps jobs i and k.
 func (h jobHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
 
+// Push adds a *job.
 func (h *jobHeap) Push(x any) { *h = append(*h, x.(*job)) }
 
 // Pop removes and returns the last job.
