--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -105,6 +106,13 @@
 	return nil
 }
 
+// arrivals returns the times of all calls.
+func (p *testPool) arrivals() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.arrived)
+}
+
 func (p *testPool) recordArrival() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -168,12 +168,12 @@
 			r.pool.signal = func(*catalog.Target) backpressure.Signal { return slow.signal() }
 			addrs := r.startHosts(hosts)
 			r.callAll(addrs, rand.New(rand.NewPCG(1, 0)), rate, duration, "/a/b", "Pieces", "2")
-			slow.arrived = r.pool.arrived
-			slow.check(t)
+			calls := &limitedTarget{limit: slow.limit, named: slow.named, arrived: r.pool.arrivals()}
+			calls.check(t)
 			slow.end()
 			r.callAll(addrs, rand.New(rand.NewPCG(2, 0)), rate, 6*time.Second, "/a/b", "Pieces", "2")
-			slow.arrived = r.pool.arrived
-			if n := slow.since(time.Now().Add(-2 * time.Second)); n < int(2*slow.limit)*3/2 {
+			calls.arrived = r.pool.arrivals()
+			if n := calls.since(time.Now().Add(-2 * time.Second)); n < int(2*slow.limit)*3/2 {
 				t.Errorf("%d calls in 2s after the limit had ended", n)
 			}
 		})
