--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -42,6 +42,7 @@
 	"reload":   runReload,
 	"answers":  runAnswers,
 	"innocent": runInnocent,
+	"silence":  runSilence,
 }
 
 func main() {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -178,6 +178,9 @@
 type streamPlan struct {
 	first, pause time.Duration
 	events       int
+	// After putBackAfter events, unless zero, there is none for putBackTime.
+	putBackAfter int
+	putBackTime  time.Duration
 }
 
 // stream answers with a stream of events in chunks and reports whether it could. begun,
@@ -202,6 +205,9 @@
 			return false
 		}
 		time.Sleep(p.pause)
+		if i == p.putBackAfter {
+			time.Sleep(p.putBackTime)
+		}
 	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
