command: signals are caught from the first call of main until the exit

Cause: the goroutine that reloads settings ended with the context that SIGTERM ends, and its deferred signal.Stop gave SIGHUP back its default action. Evidence: the process state is "signal: hangup", the log ends with "draining" and has neither "settings reloaded" nor "stopping"; without SIGHUP the host ends after its requests with status 0. Ruled out by the same lines: that the new settings end the drain, and an error or panic while reloading.

The same cause elsewhere: before the goroutine ran, while settings are read, and in `berylswitch serve`, which never caught SIGHUP. So signals are caught by the first call of main and never given back, but by commands that serve nobody. A shutdown keeps the grace period with which it began, as SIGKILL is timed by it.

--- a/cmd/berylswitch/gateway.go
+++ b/cmd/berylswitch/gateway.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
@@ -23,9 +21,11 @@
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Settings string `long:"settings" description:"the settings file, JSON with comments; by default the one that the platform names"`
 
-	ctx context.Context
+	signals command.Signals
 }
 
+func (*gatewayCommand) isServer() {}
+
 // Execute runs the command.
 func (c *gatewayCommand) Execute([]string) error {
 	if c.Settings == "" {
@@ -47,8 +47,9 @@
 	if err != nil {
 		return err
 	}
-	go reload(c.ctx, c.Settings, h)
-	return h.Run(c.ctx)
+	r := &reloader{File: c.Settings, ModTime: modTime(c.Settings), Hangups: c.signals.Reload, Host: h}
+	go r.run()
+	return h.Run(c.signals.Stop)
 }
 
 // newGateway returns a host with the components of the platform adapter.
@@ -69,31 +70,40 @@
 // settings file; the platform need not send a signal.
 const settingsPollInterval = 2 * time.Second
 
-// reload rereads the settings on SIGHUP and when their file has changed.
-func reload(ctx context.Context, file string, h *gateway.Host) {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
-	ticks := h.Clock.Subscribe(ctx, settingsPollInterval)
-	last := modTime(file)
+// reloader reads the settings again on SIGHUP and when their file has changed.
+type reloader struct {
+	File string
+	// ModTime is the modification time of the file that was read last.
+	ModTime time.Time
+	Hangups <-chan os.Signal
+	Host    *gateway.Host
+}
+
+// run reloads the settings until the process exits: a host that drains may still be
+// told of changes.
+func (r *reloader) run() {
+	ticks := r.Host.Clock.Subscribe(context.Background(), settingsPollInterval)
 	for {
 		select {
-		case <-ctx.Done():
-			return
 		case <-ticks:
-			if modTime(file).Equal(last) {
+			if modTime(r.File).Equal(r.ModTime) {
 				continue
 			}
-		case <-hups:
-		}
-		last = modTime(file)
-		s, err := settings.LoadGateway(file)
-		if err != nil {
-			h.Log.Error("settings not reloaded, the previous ones stay in force", journal.Error(err))
-			continue
+		case <-r.Hangups:
 		}
-		h.Reload(s)
+		r.reload()
+	}
+}
+
+// reload applies the settings in the file, unless they are invalid.
+func (r *reloader) reload() {
+	r.ModTime = modTime(r.File)
+	s, err := settings.LoadGateway(r.File)
+	if err != nil {
+		r.Host.Log.Error("settings not reloaded, the previous ones stay in force", journal.Error(err))
+		return
 	}
+	r.Host.Reload(s)
 }
 
 // modTime returns the modification time of the file, or zero if it is unknown.
--- a/cmd/berylswitch/main.go
+++ b/cmd/berylswitch/main.go
@@ -3,13 +3,11 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
+	"berylswitch.example/berylswitch/internal/command"
 	"github.com/jessevdk/go-flags"
 )
 
@@ -20,15 +18,15 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	signals := command.CatchSignals()
+	ctx := signals.Stop
 	p := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	p.Name = "berylswitch"
 	commands := []subcommand{
 		{"config", "Check, publish and show the declared document", newConfigCommand(ctx)},
 		{"call", "Send a request and print its answer", &callCommand{ctx: ctx}},
-		{"serve", "Run a host", &serveCommand{ctx: ctx}},
-		{"gateway", "Run a host on the users' platform", &gatewayCommand{ctx: ctx}},
+		{"serve", "Run a host", &serveCommand{signals: signals}},
+		{"gateway", "Run a host on the users' platform", &gatewayCommand{signals: signals}},
 		{"explain", "Show the timeline of one request from the logs of hosts", &explainCommand{}},
 		{"report", "Show service-level burn and cost by stage", &reportCommand{ctx: ctx}},
 		{"try", "Run stand-ins and two hosts in this process and send requests", &tryCommand{ctx: ctx}},
@@ -38,9 +36,28 @@
 			panic(err)
 		}
 	}
+	p.CommandHandler = execute
 	os.Exit(exitCode(p.Parse))
 }
 
+// server is implemented by the subcommands that serve callers until they are told to
+// stop.
+type server interface {
+	flags.Commander
+	isServer()
+}
+
+// execute runs the chosen subcommand.
+func execute(c flags.Commander, args []string) error {
+	if c == nil {
+		return nil
+	}
+	if _, ok := c.(server); !ok {
+		command.ReleaseSignals()
+	}
+	return c.Execute(args)
+}
+
 // exitUsage is the exit code for an invalid command line.
 const exitUsage = 2
 
--- a/cmd/berylswitch/process_test.go
+++ b/cmd/berylswitch/process_test.go
@@ -39,7 +39,10 @@
 //	ports NAME...                      sets variables to unused addresses
 //	expand FILE                        expands $NAME in the file
 //	start NAME PROGRAM ARG...          starts a process; its output goes to NAME.out
-//	signal NAME KILL|STOP|CONT|TERM
+//	signal NAME KILL|STOP|CONT|TERM|HUP|INT
+//	hold FILE                          lets processes that read the file wait
+//	reading FILE                       waits until a process reads the held file
+//	release FILE                       lets it read on
 //	exited NAME CODE                   waits for a process to exit with CODE
 //	publish LOG FILE                   appends the section in FILE to the log
 //	get ADDR PATH TEXT                 expects 200 and TEXT in the body
@@ -58,7 +61,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/process",
 		Setup: func(env *testscript.Env) error {
-			s := &processScript{processes: map[string]*os.Process{}, exitCodes: map[string]chan int{}, streams: map[string]*streamedRequest{}}
+			s := &processScript{processes: map[string]*os.Process{}, exitCodes: map[string]chan int{}, streams: map[string]*streamedRequest{}, held: map[string]*heldFile{}}
 			env.Values[scriptKey{}] = s
 			env.Defer(s.killAll)
 			return nil
@@ -69,6 +72,7 @@
 			"post": scriptCommand(doPost), "stream": scriptCommand(doStream), "streamed": scriptCommand(doStreamed),
 			"streaming": scriptCommand(doStreaming), "runs": scriptCommand(doRuns), "await": scriptCommand(doAwait),
 			"status": scriptCommand(doStatus), "key": scriptCommand(doKey), "output": scriptCommand(doOutput), "lines": scriptCommand(doLines),
+			"hold": scriptCommand(doHold), "reading": scriptCommand(doReading), "release": scriptCommand(doRelease),
 		},
 	})
 }
@@ -80,6 +84,7 @@
 	processes map[string]*os.Process
 	exitCodes map[string]chan int // receives the exit code
 	streams   map[string]*streamedRequest
+	held      map[string]*heldFile // by name of the file
 }
 
 // killAll kills the processes that the script left running.
@@ -208,7 +213,7 @@
 	return err == nil && info.Mode().IsRegular()
 }
 
-var signals = map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM}
+var signals = map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP, "INT": syscall.SIGINT}
 
 func doSignal(_ *testscript.TestScript, s *processScript, args []string) error {
 	p := s.processes[args[0]]
--- a/cmd/berylswitch/serve.go
+++ b/cmd/berylswitch/serve.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"context"
+	"os"
 
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/command"
@@ -18,9 +18,11 @@
 		Settings string `positional-arg-name:"SETTINGS" required:"yes"`
 	} `positional-args:"yes"`
 
-	ctx context.Context
+	signals command.Signals
 }
 
+func (*serveCommand) isServer() {}
+
 // Execute runs the command.
 func (c *serveCommand) Execute([]string) error {
 	s, err := settings.Load(c.Args.Settings)
@@ -37,5 +39,13 @@
 	if err != nil {
 		return err
 	}
-	return h.Run(c.ctx)
+	go logHangups(c.signals.Reload, h.Log)
+	return h.Run(c.signals.Stop)
+}
+
+// logHangups logs each SIGHUP until the process exits.
+func logHangups(hangups <-chan os.Signal, log *zap.Logger) {
+	for range hangups {
+		log.Warn("SIGHUP ignored, settings are read at the start")
+	}
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -177,8 +177,9 @@
 	}
 }
 
-// Reload applies new settings. The limits on repeats and the grace period take
-// effect at once; addresses, the store and the waiting time of catalog reads take
+// Reload applies new settings, also while the host drains. The limits on repeats and
+// the grace period take effect at once, except that a shutdown keeps the grace period
+// with which it began; addresses, the store and the waiting time of catalog reads take
 // effect at the next start.
 func (h *Host) Reload(s *settings.Gateway) {
 	h.Repeats.SetLimit(s.RepeatRatio, s.RepeatSlack)
