command: a host whose log has no reader any more serves on

A host ended, with all its requests, at the first line that it logged after the reader of its standard output had gone (a log collector that is restarted).

Cause: a write to a broken pipe on standard output raises SIGPIPE, whose default action ends the process; only writes to other files return an error. The signal is ignored in programs that serve, so that the write fails like any other and the line is lost. Commands that serve nobody still end with their reader.

--- a/cmd/berylswitch/process_signal_test.go
+++ b/cmd/berylswitch/process_signal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"syscall"
 
@@ -46,3 +47,27 @@
 	}
 	return held.pipe.Close()
 }
+
+// doStartPiped is doStart with a pipe for the output, which unread closes.
+func doStartPiped(ts *testscript.TestScript, s *processScript, args []string) error {
+	r, w, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	out, err := os.Create(ts.MkAbs(args[0] + ".out"))
+	if err != nil {
+		return err
+	}
+	s.outputs[args[0]] = r
+	go func() {
+		defer out.Close()
+		io.Copy(out, r)
+	}()
+	return s.startProcess(ts, args, w)
+}
+
+// doUnread closes the reading end of a process's output.
+func doUnread(_ *testscript.TestScript, s *processScript, args []string) error {
+	return s.outputs[args[0]].Close()
+}
--- a/cmd/berylswitch/process_test.go
+++ b/cmd/berylswitch/process_test.go
@@ -39,6 +39,8 @@
 //	ports NAME...                      sets variables to unused addresses
 //	expand FILE                        expands $NAME in the file
 //	start NAME PROGRAM ARG...          starts a process; its output goes to NAME.out
+//	startpiped NAME PROGRAM ARG...     is start with a pipe for the output
+//	unread NAME                        closes the reading end of that pipe
 //	signal NAME KILL|STOP|CONT|TERM|HUP|INT
 //	hold FILE                          lets processes that read the file wait
 //	reading FILE                       waits until a process reads the held file
@@ -61,7 +63,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/process",
 		Setup: func(env *testscript.Env) error {
-			s := &processScript{processes: map[string]*os.Process{}, exitCodes: map[string]chan int{}, streams: map[string]*streamedRequest{}, held: map[string]*heldFile{}}
+			s := &processScript{processes: map[string]*os.Process{}, exitCodes: map[string]chan int{}, streams: map[string]*streamedRequest{}, held: map[string]*heldFile{}, outputs: map[string]*os.File{}}
 			env.Values[scriptKey{}] = s
 			env.Defer(s.killAll)
 			return nil
@@ -73,6 +75,7 @@
 			"streaming": scriptCommand(doStreaming), "runs": scriptCommand(doRuns), "await": scriptCommand(doAwait),
 			"status": scriptCommand(doStatus), "key": scriptCommand(doKey), "output": scriptCommand(doOutput), "lines": scriptCommand(doLines),
 			"hold": scriptCommand(doHold), "reading": scriptCommand(doReading), "release": scriptCommand(doRelease),
+			"startpiped": scriptCommand(doStartPiped), "unread": scriptCommand(doUnread),
 		},
 	})
 }
@@ -85,6 +88,7 @@
 	exitCodes map[string]chan int // receives the exit code
 	streams   map[string]*streamedRequest
 	held      map[string]*heldFile // by name of the file
+	outputs   map[string]*os.File  // the pipes from processes, by name of the process
 }
 
 // killAll kills the processes that the script left running.
@@ -177,12 +181,17 @@
 }
 
 func doStart(ts *testscript.TestScript, s *processScript, args []string) error {
-	name, program := args[0], args[1]
-	out, err := os.OpenFile(ts.MkAbs(name+".out"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	out, err := os.OpenFile(ts.MkAbs(args[0]+".out"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
 	defer out.Close()
+	return s.startProcess(ts, args, out)
+}
+
+// startProcess starts a process, named by the first of args, whose output goes to out.
+func (s *processScript) startProcess(ts *testscript.TestScript, args []string, out *os.File) error {
+	name, program := args[0], args[1]
 	cmd := exec.Command(programPath(ts, program), args[2:]...)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = ts.MkAbs("."), out, out
 	cmd.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"))
--- a/internal/command/signals.go
+++ b/internal/command/signals.go
@@ -16,16 +16,17 @@
 }
 
 // CatchSignals catches the signals of a server until the process exits. It must be
-// the first call of main: by its default action SIGHUP ends the process with all its
-// requests.
+// the first call of main: by their default actions SIGHUP, and SIGPIPE after a write
+// to a standard output that nobody reads, end the process with all its requests.
 func CatchSignals() Signals {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	// The signals stay caught, so that a second one doesn't cut the shutdown short.
 	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	return Signals{Stop: ctx, Reload: hangups}
 }
 
-// ReleaseSignals gives SIGHUP back its default action, for a command that serves
-// nobody and ends with its terminal.
-func ReleaseSignals() { signal.Reset(syscall.SIGHUP) }
+// ReleaseSignals gives SIGHUP and SIGPIPE back their default actions, for a command
+// that serves nobody and ends with its terminal or with the reader of its output.
+func ReleaseSignals() { signal.Reset(syscall.SIGHUP, syscall.SIGPIPE) }
