gateway: settings that change while they are read at the start are read again

The platform may change the settings file without a signal. A host took the modification time to compare with after it had read the file, so that a change in between was never seen, until the next one. Found by reading, while the start of the process was looked through for lost signals. The time is now taken before the file is read, as a reload does.

Test: settings-at-start.txtar failed on (no "settings reloaded" in 6 s), passes now.

--- a/cmd/berylswitch/gateway.go
+++ b/cmd/berylswitch/gateway.go
@@ -35,6 +35,8 @@
 		}
 		c.Settings = path
 	}
+	// The file may change while it is read; reload then reads it again.
+	modified := modTime(c.Settings)
 	s, err := settings.LoadGateway(c.Settings)
 	if err != nil || c.Check {
 		return err
@@ -47,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	r := &reloader{File: c.Settings, ModTime: modTime(c.Settings), Hangups: c.signals.Reload, Host: h}
+	r := &reloader{File: c.Settings, ModTime: modified, Hangups: c.signals.Reload, Host: h}
 	go r.run()
 	return h.Run(c.signals.Stop)
 }
