crash: a request is suspected once a crash, and cleared by its answers

Cause: whole requests were counted by sends that broke, not by targets that crashed, any broken response counted, and nothing ever cleared the count. Evidence: the crash of i-llm-2 at 21:27:22.1605 to .1608 brought one digest to Breaks 1, 2, 3; the digest of the other kind had one break at 23.161 and two more at 24.161, though its parts were cleared by answers at 23.708. Ruled out: that the shared first part is blocked (no refusal names it).

Parts of prompts had what requests lacked, so both are now suspects in one table: an incident (a target's incarnation that refuses connections after a break) counts once, a complete response clears the request, a part explains the crash, a trial frees what was blocked by mistake. Sends that break together share one attempt to connect. Of the two kinds of suspects, the archive keeps both as before.

TestRestartOfAllHosts asks for the request together with its parts, as hosts do, and for the lifetime of incidents (10 min) in place of an hour.

--- a/internal/crash/archive.go
+++ b/internal/crash/archive.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/journal"
@@ -13,7 +12,8 @@
 // Archive keeps values by key beyond the life of all hosts, which may end at the
 // same time.
 type Archive interface {
-	// Save stores value under key; a nil value deletes the key.
+	// Save stores value under key; a nil value deletes the key. Keys are the names of
+	// suspects, values JSON lists of Word.
 	Save(ctx context.Context, key string, value []byte) error
 	// Load returns all values.
 	Load(ctx context.Context) (map[string][]byte, error)
@@ -25,13 +25,6 @@
 	archiveRetryInterval = time.Second
 )
 
-// The keys of an archive are these prefixes and a digest or a part; the values are
-// JSON lists of Word.
-const (
-	digestPrefix = "Digest/"
-	partPrefix   = "Part/"
-)
-
 // Run loads the archive and saves to it what is blocked until ctx ends. While this
 // host can't reach most others, it loads the archive again and again, since their news
 // can reach it only there.
@@ -72,7 +65,7 @@
 			continue
 		}
 		for _, w := range words {
-			if t.Clock.Since(w.At) <= w.lifetime() {
+			if t.Clock.Since(w.At) <= incidentLifetime {
 				t.apply(w)
 			} else {
 				t.markUnsaved(key)
@@ -83,14 +76,6 @@
 	return true
 }
 
-// lifetime returns how long w counts.
-func (w *Word) lifetime() time.Duration {
-	if w.Digest != "" {
-		return bodyLifetime
-	}
-	return incidentLifetime
-}
-
 // markUnsaved makes Run save the state of key.
 func (t *Table) markUnsaved(key string) {
 	if t.Archive == nil {
@@ -141,17 +126,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var words []Word
-	if part, ok := strings.CutPrefix(key, partPrefix); ok {
-		for _, i := range t.parts.against(part, now) {
-			words = append(words, Word{Target: i.Target, At: i.at, Crash: &PartCrash{Incident: i.Incident, Parts: []string{part}}})
-		}
-		return words
-	}
-	digest, _ := strings.CutPrefix(key, digestPrefix)
-	if b := t.find(digest, now); b != nil {
-		for _, id := range b.breakIDs {
-			words = append(words, Word{BreakID: id, Digest: digest, At: b.lastBreakAt})
-		}
+	suspect := suspectOf(key)
+	for _, i := range t.suspects.against(suspect, now) {
+		words = append(words, Word{Target: i.Target, At: i.at, Crash: &Crash{Incident: i.Incident, Suspects: []Suspect{suspect}}})
 	}
 	return words
 }
--- a/internal/crash/archive_test.go
+++ b/internal/crash/archive_test.go
@@ -55,7 +55,7 @@
 func startArchived(t *testing.T, a *memoryArchive) (table *Table, stop func()) {
 	t.Helper()
 	table = newTables(t, 1)[0]
-	table.Archive, table.Limit = a, maxPartCrashes
+	table.Archive = a
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- table.Run(ctx) }()
@@ -71,7 +71,7 @@
 		var tables []*Table
 		for range 2 {
 			table := newTables(t, 1)[0]
-			table.Archive, table.Limit, table.Hosts = a, maxPartCrashes, func() int { return 3 }
+			table.Archive, table.Hosts = a, func() int { return 3 }
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error, 1)
 			go func() { done <- table.Run(ctx) }()
@@ -79,13 +79,13 @@
 			tables = append(tables, table)
 		}
 		time.Sleep(time.Second)
-		for i := range maxPartCrashes {
-			tables[0].RecordBreak(Break{Digest: "d", Target: fmt.Sprint("t", i), Parts: []string{"a"}})
+		for i := range maxCrashes {
+			tables[0].RecordCrash(Incident{Target: fmt.Sprint("t", i)}, suspectsOf([]string{"a", fmt.Sprint("#", i)}))
 			time.Sleep(time.Second)
 		}
 		time.Sleep(2 * archiveRetryInterval)
-		if got := tables[1].BlockedPart([]string{"a"}); got != "a" {
-			t.Errorf("blocked part %q, want a", got)
+		if diff := cmp.Diff(Suspect{Part: "a"}, tables[1].BlockedSuspect(suspectsOf([]string{"a"}))); diff != "" {
+			t.Errorf("blocked (-want +got):\n%s", diff)
 		}
 	})
 }
@@ -98,8 +98,8 @@
 		a := &memoryArchive{values: map[string][]byte{"Part/garbled": []byte("{")}}
 		first, stop := startArchived(t, a)
 		a.setDown(true)
-		for i := range maxPartCrashes {
-			first.RecordBreak(Break{Digest: "d", Target: fmt.Sprint("t", i), Parts: []string{"a", "c"}})
+		for i := range maxCrashes {
+			first.RecordCrash(Incident{Target: fmt.Sprint("t", i)}, suspectsOf([]string{"a", "c", "#d"}))
 			time.Sleep(time.Second)
 		}
 		a.setDown(false)
@@ -107,26 +107,29 @@
 		stop()
 		check := func(table *Table, want ...string) {
 			t.Helper()
-			got := []string{table.BlockedPart([]string{"a", "c"}), fmt.Sprint(table.Blocked("d"))}
+			got := []string{
+				scriptName(table.BlockedSuspect(suspectsOf([]string{"a", "c", "#other"}))),
+				scriptName(table.BlockedSuspect(suspectsOf([]string{"a", "c", "#d"}))),
+			}
 			if diff := cmp.Diff(want, got); diff != "" {
 				t.Errorf("blocked (-want +got):\n%s", diff)
 			}
 		}
 		a.setDown(true)
 		second, stop := startArchived(t, a)
-		check(second, "", "false")
+		check(second, "", "")
 		a.setDown(false)
 		time.Sleep(archiveRetryInterval)
-		check(second, "c", "true")
-		second.RecordBegin([]string{"c"})
+		check(second, "c", "#d")
+		second.RecordAnswer(suspectsOf([]string{"c"}))
 		time.Sleep(archiveRetryInterval)
 		stop()
 		third, stop := startArchived(t, a)
-		check(third, "", "true")
+		check(third, "", "#d")
 		stop()
-		time.Sleep(bodyLifetime)
+		time.Sleep(incidentLifetime)
 		fourth, stop := startArchived(t, a)
-		check(fourth, "", "false")
+		check(fourth, "", "")
 		time.Sleep(archiveRetryInterval)
 		stop()
 		if diff := cmp.Diff(map[string][]byte{"Part/garbled": []byte("{")}, a.values); diff != "" {
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -12,8 +12,9 @@
 // couldn't reach. One host, picked by rendezvous hashing, arbitrates the runs of
 // all suspects; if it can't be reached, each host decides on its own.
 //
-// Requests with prompts may also break targets by one part of the prompt, while no
-// two of them have the same body. A Table counts these by part; see partTable.
+// That is for callers that ask for permission before each run. For those that can't
+// wait for it, a Table also records the crashes of targets with all that may have caused
+// each, a request or a part of its prompt; see suspectTable.
 package crash
 
 import (
@@ -72,16 +73,13 @@
 	// Hosts, unless nil, returns the number of hosts of the system, those included
 	// that are cut off.
 	Hosts func() int
-	// OnPartCrash, unless nil, is called after each news that makes parts of prompts
-	// suspects. It must not block.
-	OnPartCrash func()
-	// Limit is the number of targets that a request may break; zero means
-	// MaxTargets.
-	Limit int
+	// OnCrash, unless nil, is called after each news that brings suspects. It must not
+	// block.
+	OnCrash func()
 
-	mu     sync.Mutex
-	bodies *simplelru.LRU[string, *body]
-	parts  partTable
+	mu       sync.Mutex
+	bodies   *simplelru.LRU[string, *body]
+	suspects suspectTable
 	// unsaved holds the keys whose values in the archive are out of date.
 	unsaved map[string]bool
 	// active holds the permits of this host's runs that began before their body
@@ -92,8 +90,7 @@
 
 // body is the record of one digest.
 type body struct {
-	// breakIDs holds the IDs of the breaks, oldest first, at most the table's
-	// limit.
+	// breakIDs holds the IDs of the breaks, oldest first, at most MaxTargets.
 	breakIDs    []string
 	lastBreakAt time.Time
 	// clearedAt is the time of the last run to completion; earlier breaks don't
@@ -108,14 +105,7 @@
 }
 
 // Blocked reports whether a body with this digest must not run again.
-func (t *Table) Blocked(digest string) bool { return t.breaks(digest) >= t.limit() }
-
-func (t *Table) limit() int {
-	if t.Limit > 0 {
-		return t.Limit
-	}
-	return MaxTargets
-}
+func (t *Table) Blocked(digest string) bool { return t.breaks(digest) >= MaxTargets }
 
 // Suspect reports whether a body with this digest has broken a target.
 func (t *Table) Suspect(digest string) bool { return t.breaks(digest) > 0 }
@@ -163,24 +153,25 @@
 	if w.Digest != "" {
 		t.applyToBody(w)
 	}
-	if t.applyToParts(w) && t.OnPartCrash != nil {
-		t.OnPartCrash()
+	if t.applyToSuspects(w) && t.OnCrash != nil {
+		t.OnCrash()
 	}
 }
 
-// applyToParts applies what w says of parts of prompts and reports whether any of them
-// is suspected of a further crash.
-func (t *Table) applyToParts(w Word) bool {
+// applyToSuspects applies what w says of suspects and reports whether any of them is
+// suspected of a further crash.
+func (t *Table) applyToSuspects(w Word) bool {
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w.Begin != nil && t.parts.recordBegin(w.Begin, now) {
-		t.Log.Info("prompt parts cleared", zap.Strings("Parts", w.Begin.Parts), zap.Int("Incidents", len(w.Begin.Incidents)))
+	if w.Clearing != nil && t.suspects.recordClearing(w.Clearing, now) {
+		t.Log.Info("suspects cleared", zap.Stringers("Suspects", w.Clearing.Suspects), zap.Int("Incidents", len(w.Clearing.Incidents)))
 	}
-	if w.Crash == nil || !t.parts.recordCrash(w.Crash, w.At, now) {
+	if w.Crash == nil || !t.suspects.recordCrash(w.Crash, w.At, now) {
 		return false
 	}
-	t.Log.Info("prompt parts suspected", zap.String("Target", w.Target), zap.Strings("Parts", w.Crash.Parts))
+	t.Log.Info("crash recorded", zap.String("Target", w.Target), zap.Int64("Born", w.Crash.Incident.Born), zap.Time("At", w.At),
+		zap.Stringers("Suspects", w.Crash.Suspects))
 	return true
 }
 
@@ -196,10 +187,10 @@
 		return
 	}
 	b := t.getOrCreate(w.Digest, now)
-	if !b.addBreak(w, t.limit()) {
+	if !b.addBreak(w) {
 		return
 	}
-	t.Log.Info("crash recorded", zap.String("BreakID", w.BreakID), zap.String("Digest", w.Digest), zap.String("Target", w.Target),
+	t.Log.Info("break recorded", zap.String("BreakID", w.BreakID), zap.String("Digest", w.Digest), zap.String("Target", w.Target),
 		zap.Time("At", w.At), zap.Int("Breaks", len(b.breakIDs)))
 }
 
@@ -208,10 +199,10 @@
 	b.clearedAt = at
 }
 
-// addBreak adds the break w unless b has it, or limit breaks, or was cleared since. It
+// addBreak adds the break w unless b has it, or MaxTargets breaks, or was cleared since. It
 // reports whether it did.
-func (b *body) addBreak(w Word, limit int) bool {
-	if !w.At.After(b.clearedAt) || len(b.breakIDs) >= limit || slices.Contains(b.breakIDs, w.BreakID) {
+func (b *body) addBreak(w Word) bool {
+	if !w.At.After(b.clearedAt) || len(b.breakIDs) >= MaxTargets || slices.Contains(b.breakIDs, w.BreakID) {
 		return false
 	}
 	b.breakIDs = append(b.breakIDs, w.BreakID)
@@ -293,7 +284,7 @@
 	switch {
 	case breaks == 0:
 		return p, nil
-	case breaks >= t.limit():
+	case breaks >= MaxTargets:
 		return nil, ErrBlocked
 	}
 	return p, t.arbitrate(ctx, run)
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -95,19 +95,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := &link.Memory{Delay: 500 * time.Microsecond}
 		tables := newTablesOn(t, m, 3)
-		tables[0].RecordBreak(Break{Digest: "before", Target: "t"})
+		tables[0].RecordCrash(Incident{Target: "t"}, suspectsOf([]string{"#before"}))
 		time.Sleep(time.Second)
 		hosts := tables[0].Exchange.Members().Hosts
 		for _, h := range hosts[1:] {
 			m.Silence(hosts[0].Addr.Addr(), h.Addr.Addr())
 		}
-		for i := range maxPartCrashes {
-			tables[0].RecordBreak(Break{Digest: fmt.Sprint(i), Target: fmt.Sprint("t", i), Parts: []string{"c"}})
+		for i := range maxCrashes {
+			tables[0].RecordCrash(Incident{Target: fmt.Sprint("t", i)}, suspectsOf([]string{"c", fmt.Sprint("#", i)}))
 			time.Sleep(commonCauseTime)
 		}
-		time.Sleep(contactTime - maxPartCrashes*commonCauseTime)
+		time.Sleep(contactTime - maxCrashes*commonCauseTime)
 		for _, table := range tables {
-			if diff := cmp.Diff("c", table.BlockedPart([]string{"c"})); diff != "" {
+			if diff := cmp.Diff(Suspect{Part: "c"}, table.BlockedSuspect(suspectsOf([]string{"c"}))); diff != "" {
 				t.Errorf("%s: blocked part %v after connections went silent (-want +got):\n%s", table.Self, contactTime, diff)
 			}
 		}
@@ -135,11 +135,11 @@
 		tables := newTables(t, 3)
 		l := &noteLog{fixedMembers: *tables[0].Exchange.(*fixedMembers)}
 		tables[0].Exchange = l
-		for i := range maxPartCrashes {
-			tables[0].RecordBreak(Break{Digest: fmt.Sprint(i), Target: fmt.Sprint("t", i), Parts: []string{"a", "b", "c"}})
+		for i := range maxCrashes {
+			tables[0].RecordCrash(Incident{Target: fmt.Sprint("t", i)}, suspectsOf([]string{"a", "b", "c", fmt.Sprint("#", i)}))
 			time.Sleep(time.Second)
 		}
-		tables[0].RecordBegin([]string{"a", "b"})
+		tables[0].RecordAnswer(suspectsOf([]string{"a", "b"}))
 		time.Sleep(time.Second)
 		restarted := newTables(t, 1)[0]
 		l.mu.Lock()
@@ -148,8 +148,8 @@
 		}
 		l.mu.Unlock()
 		for _, table := range append(tables, restarted) {
-			got := []string{table.BlockedPart([]string{"a", "b"}), table.BlockedPart([]string{"a", "c"})}
-			if diff := cmp.Diff([]string{"", "c"}, got); diff != "" {
+			got := []Suspect{table.BlockedSuspect(suspectsOf([]string{"a", "b"})), table.BlockedSuspect(suspectsOf([]string{"a", "c"}))}
+			if diff := cmp.Diff([]Suspect{{}, {Part: "c"}}, got); diff != "" {
 				t.Errorf("%s: blocked parts (-want +got):\n%s", table.Self, diff)
 			}
 		}
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -2,101 +2,102 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 )
 
-// The methods of this file are for callers that check Blocked and BlockedPart before
-// each run and need no permit.
+// The methods of this file are for callers that check BlockedSuspect before each run
+// and need no permit.
 
-// Break is a run that broke a target.
-type Break struct {
-	Digest string
-	Target string
-	// Born is the start of the target's incarnation in Unix milliseconds.
-	Born int64
-	// Parts are the parts of the request's prompt that other requests share, if the
-	// target crashed before it began to answer; otherwise there are none.
-	Parts []string
-}
-
-// RecordBreak records b here and tells the members in the background. It is for
-// callers that check Blocked and BlockedPart before each run and need no permit.
-func (t *Table) RecordBreak(b Break) {
-	w := Word{BreakID: uuid.NewString(), Digest: b.Digest, Target: b.Target, At: t.Clock.Now()}
-	if parts := trackable(b.Parts); len(parts) > 0 {
-		w.Crash = &PartCrash{Incident: Incident{Target: b.Target, Born: b.Born}, Parts: parts}
-	}
+// RecordCrash records here that a target crashed while it ran a request that brings
+// suspects, and tells the members in the background.
+func (t *Table) RecordCrash(i Incident, suspects []Suspect) {
+	w := Word{Target: i.Target, At: t.Clock.Now(), Crash: &Crash{Incident: i, Suspects: trackable(suspects)}}
 	t.apply(w)
-	if t.Blocked(b.Digest) {
-		t.markUnsaved(digestPrefix + b.Digest)
-	}
-	if part := t.BlockedPart(b.Parts); part != "" {
-		t.markUnsaved(partPrefix + part)
+	for _, s := range t.toArchive(suspects) {
+		t.markUnsaved(s.String())
 	}
 	go t.tell(w)
 }
 
-// RecordBegin records that a target has begun to answer a request with the given
-// parts in its prompt.
-func (t *Table) RecordBegin(parts []string) {
+// toArchive returns what of suspects is blocked and must be so after a restart of all
+// hosts: the request itself, and the part that is the likeliest cause.
+func (t *Table) toArchive(suspects []Suspect) []Suspect {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Suspect
+	isPart := func(s Suspect) bool { return s.Part != "" }
+	parts := slices.DeleteFunc(slices.Clone(suspects), func(s Suspect) bool { return !isPart(s) })
+	requests := slices.DeleteFunc(slices.Clone(suspects), isPart)
+	for _, candidates := range [][]Suspect{parts, requests} {
+		if s := t.suspects.blocked(candidates, suspects, now); s != (Suspect{}) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// RecordAnswer records that a target has answered after the point at which each of
+// suspects would have crashed it.
+func (t *Table) RecordAnswer(suspects []Suspect) {
 	now := t.Clock.Now()
-	begin, archived := t.begun(parts, now)
-	if begin == nil {
+	clearing, archived := t.clearing(suspects, now)
+	if clearing == nil {
 		return
 	}
-	w := Word{At: now, Begin: begin}
+	w := Word{At: now, Clearing: clearing}
 	t.apply(w)
-	for _, p := range archived {
-		t.markUnsaved(partPrefix + p)
+	for _, s := range archived {
+		t.markUnsaved(s.String())
 	}
 	go t.tell(w)
 }
 
-// begun returns the news that a request with parts is being answered, or nil if that
-// clears nothing, and which of the parts may be in the archive.
-func (t *Table) begun(parts []string, now time.Time) (begin *PartBegin, archived []string) {
+// clearing returns the news that suspects are cleared, or nil if that clears nothing,
+// and which of them may be in the archive.
+func (t *Table) clearing(suspects []Suspect, now time.Time) (c *Clearing, archived []Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	begin = t.parts.begun(parts, now)
-	if begin == nil {
+	c = t.suspects.clearing(suspects, now)
+	if c == nil {
 		return nil, nil
 	}
-	counts := t.parts.suspicions(now)
-	for _, p := range begin.Parts {
-		if counts[p] >= maxPartCrashes {
-			archived = append(archived, p)
+	counts := t.suspects.counts(now)
+	for _, s := range c.Suspects {
+		if counts[s] >= maxCrashes {
+			archived = append(archived, s)
 		}
 	}
-	return begin, archived
+	return c, archived
 }
 
-// BlockedPart returns the part for which a request with the given parts in its
-// prompt must not run, or the empty string.
-func (t *Table) BlockedPart(parts []string) string {
+// BlockedSuspect returns the suspect for which a request that brings the given ones
+// must not run, or the zero Suspect.
+func (t *Table) BlockedSuspect(suspects []Suspect) Suspect {
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.parts.blocked(parts, now)
+	return t.suspects.blocked(suspects, suspects, now)
 }
 
-// TakeTrial reports whether a request with the blocked part may run once all the
+// TakeTrial reports whether a request with the blocked suspect s may run once all the
 // same. One host allows trials for all, and of hosts that are cut off from each other
 // those in the majority.
-func (t *Table) TakeTrial(part string) bool {
+func (t *Table) TakeTrial(s Suspect) bool {
 	if t.Exchange.Members().Holder(suspectsKey).Name != t.Self {
 		return false
 	}
 	if t.amongMinority() {
-		t.Log.Info("no trial of a blocked prompt part among a minority of hosts", zap.String("Part", part), zap.Int("Hosts", t.Hosts()))
+		t.Log.Info("no trial of a blocked suspect among a minority of hosts", zap.Stringer("Suspect", s), zap.Int("Hosts", t.Hosts()))
 		return false
 	}
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.parts.takeTrial(part, now)
+	return t.suspects.takeTrial(s, now)
 }
 
 // amongMinority reports whether this host can't reach most of the hosts.
--- a/internal/crash/service.go
+++ b/internal/crash/service.go
@@ -31,10 +31,9 @@
 	Digest  string
 	Target  string
 	At      time.Time
-	// Crash and Begin are set if the update is about parts of prompts. Digest is
-	// empty if it is about nothing else.
-	Crash *PartCrash
-	Begin *PartBegin
+	// Crash and Clearing are set if the update is about suspects. Digest is empty then.
+	Crash    *Crash
+	Clearing *Clearing
 }
 
 // Empty is an empty reply.
@@ -84,7 +83,7 @@
 		})
 	}
 	if err := g.Wait(); err != nil {
-		t.Log.Info("cannot tell a member of a crash", zap.String("BreakID", w.BreakID), journal.Error(err))
+		t.Log.Info("cannot tell a member of a crash", zap.String("Target", w.Target), journal.Error(err))
 	}
 }
 
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -22,9 +22,6 @@
 	"go.uber.org/zap"
 )
 
-// maxCrashes is the number of targets that a request may crash.
-const maxCrashes = 3
-
 // Directory discovers hosts of the system when no peer is known.
 type Directory interface {
 	Hosts(ctx context.Context) ([]netip.AddrPort, error)
@@ -126,7 +123,7 @@
 }
 
 func provideCrashTable(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, hosts *peer.RecentMax, archive crash.Archive) *crash.Table {
-	return &crash.Table{Self: x.Self.Name, Clock: c, Log: log, Exchange: x, Peers: caller, Hosts: hosts.Value, Archive: archive, Limit: maxCrashes}
+	return &crash.Table{Self: x.Self.Name, Clock: c, Log: log, Exchange: x, Peers: caller, Hosts: hosts.Value, Archive: archive}
 }
 
 // responseMemoryShare is the part of a host's memory that large responses may take
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -14,19 +14,21 @@
 )
 
 // crashingTargets are targets that crash when they begin to answer a request whose
-// prompt has the part "bad", and start again downTime later.
+// prompt has the part "bad" or whose path ends in "bad", and start again downTime later.
 type crashingTargets struct {
 	r *fixture
 	// prefill returns the time from the arrival of a request at target i to its first
 	// event, or to the crash.
 	prefill func(i int) time.Duration
+	// eventPause is the time before each event but the first.
+	eventPause time.Duration
 
 	mu sync.Mutex
 	// harmless is set once the part no longer crashes targets.
 	harmless bool
 	down     map[int]bool
 	starts   int
-	arrivals []time.Time // of requests with the bad part
+	arrivals []time.Time // of bad requests
 	crashes  []time.Time
 }
 
@@ -38,7 +40,7 @@
 // behaviour returns the behaviour of target i: three events after its prefill.
 func (c *crashingTargets) behaviour(i int) behaviour {
 	return func(w http.ResponseWriter, r *http.Request) {
-		bad := c.arrive(r.Header.Get("Parts"))
+		bad := c.arrive(r)
 		w.Header().Set("Signed", "t")
 		w.WriteHeader(http.StatusOK)
 		if sleep(r.Context(), c.prefill(i)) != nil {
@@ -49,17 +51,20 @@
 			panic(http.ErrAbortHandler)
 		}
 		for event := range 3 {
+			if event > 0 && sleep(r.Context(), c.eventPause) != nil {
+				return
+			}
 			fmt.Fprintf(w, "id: %d\ndata: x\n\n", event+1)
 			http.NewResponseController(w).Flush()
 		}
 	}
 }
 
-// arrive records a request with these parts and reports whether it crashes its target.
-func (c *crashingTargets) arrive(parts string) bool {
+// arrive records a request and reports whether it crashes its target.
+func (c *crashingTargets) arrive(r *http.Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.harmless || !strings.Contains(parts, "bad") {
+	if c.harmless || !strings.Contains(r.Header.Get("Parts"), "bad") && !strings.HasSuffix(r.URL.Path, "/bad") {
 		return false
 	}
 	c.arrivals = append(c.arrivals, time.Now())
@@ -138,7 +143,12 @@
 // ask sends a request and reports whether it was answered completely.
 func (c *crashingTargets) ask(id, parts string) bool {
 	id = strings.ReplaceAll(id, " ", "-")
-	got := c.r.post("/a/"+id, "Id", id, "Wait", "8000", "Parts", strings.ReplaceAll(parts, " ", "-"))
+	return c.askPath("/a/"+id, id, strings.ReplaceAll(parts, " ", "-"))
+}
+
+// askPath is ask for a path that other requests may have too.
+func (c *crashingTargets) askPath(path, id, parts string) bool {
+	got := c.r.post(path, "Id", id, "Wait", "8000", "Parts", parts)
 	return strings.HasPrefix(got, "200") && !strings.Contains(got, "cut")
 }
 
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -23,6 +23,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 )
 
 // Host is one gateway process. Exported fields must be set before Run; New sets
@@ -60,6 +61,8 @@
 	openRequests atomic.Int64
 	// unbegun holds the sends that have brought no event yet.
 	unbegun unbegunSends
+	// crashChecks joins the attempts to find out whether a target crashed, by address.
+	crashChecks singleflight.Group
 	// abortCtx is cancelled to abort the remaining requests when the process must
 	// exit.
 	abortCtx context.Context
@@ -84,7 +87,7 @@
 // flight or the grace period is nearly over.
 func (h *Host) Run(ctx context.Context) error {
 	h.Follower.OnChange = h.applySnapshot
-	h.Crashes.OnPartCrash = h.recallBlocked
+	h.Crashes.OnCrash = h.recallBlocked
 	h.gracePeriod.CompareAndSwap(0, int64(h.Settings.GracePeriod))
 	h.abortCtx, h.abort = context.WithCancelCause(context.WithoutCancel(ctx))
 	defer h.abort(nil)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -15,6 +15,7 @@
 	"crypto/sha256"
 
 	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
@@ -36,6 +37,9 @@
 	// defaultTimeout after the arrival.
 	deadline time.Time
 	digest   string
+	// suspects is what may crash targets: the shared parts of the prompt, then the
+	// request itself.
+	suspects []crash.Suspect
 	// onTrial allows the first send although a part of the prompt is blocked.
 	onTrial bool
 
@@ -117,6 +121,7 @@
 	q.service = pickBackend(q.route.Backends)
 	q.deadline = q.arrived.Add(q.timeout())
 	q.digest = digest(q)
+	q.findSuspects()
 	h.Repeats.CountRequest(q.service)
 	return h.refuseCrashing(q)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/placement"
@@ -51,9 +52,8 @@
 	lease *placement.Lease
 	// noTurnFor is the time until a request may go to a target, if none may now.
 	noTurnFor time.Duration
-	// blockedPart is the part of the prompt for which the request must not be sent any
-	// more, or empty.
-	blockedPart string
+	// blockedSuspect is that for which the request must not be sent any more, or zero.
+	blockedSuspect crash.Suspect
 	// begun is set once the current send has brought its first event.
 	begun bool
 	// memory accounts for the large responses that are not streams.
@@ -154,13 +154,13 @@
 		s.possibleRuns++
 		s.q.mayHaveRun = true
 		if errors.Is(context.Cause(ctx), errRecalled) {
-			s.blockedPart = s.h.Crashes.BlockedPart(s.q.sharedParts())
+			s.blockedSuspect = s.h.Crashes.BlockedSuspect(s.q.suspects)
 		}
 	default:
 		s.possibleRuns++
 		s.q.mayHaveRun = true
 		if ctx.Err() == nil {
-			s.recordBreak(t)
+			s.recordBreak(t, err)
 		}
 	}
 	s.endSend(t, r, took)
@@ -181,10 +181,10 @@
 	q := s.q
 	timeout := errors.Is(context.Cause(ctx), errTimeout)
 	switch {
-	case s.blockedPart != "" && (q.mayHaveRun || q.stagesMayHaveRun):
-		return result.Failed(result.CrashedTargets, "requests with part %s of the prompt crashed targets, %d sends", s.blockedPart, q.sends)
-	case s.blockedPart != "":
-		return crashSuspect(s.blockedPart)
+	case s.blockedSuspect != crash.Suspect{} && (q.mayHaveRun || q.stagesMayHaveRun):
+		return result.Failed(result.CrashedTargets, "requests with %v crashed targets, %d sends", s.blockedSuspect, q.sends)
+	case s.blockedSuspect != crash.Suspect{}:
+		return crashSuspect(s.blockedSuspect)
 	case q.mayHaveRun && timeout, q.stagesMayHaveRun && timeout:
 		return result.Failed(result.DeadlineExceeded, "deadline exceeded after %d sends", q.sends)
 	case q.mayHaveRun:
@@ -249,7 +249,7 @@
 		s.recordFailure(ctx, t, err, s.h.Clock.Since(start))
 		return nil
 	}
-	s.recordBegin()
+	s.recordAnswer()
 	s.possibleRuns++
 	s.q.mayHaveRun = true
 	s.endSend(t, resultOf(resp.Status), s.h.Clock.Since(start))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -168,6 +168,7 @@
 		s.recordFailure(ctx, t, err, s.h.Clock.Since(start))
 		return streamBroken
 	}
+	s.h.Crashes.RecordAnswer(s.q.suspectSelf())
 	s.possibleRuns++
 	s.q.mayHaveRun = true
 	s.endSend(t, resultOf(resp.Status), s.h.Clock.Since(start))
@@ -188,6 +189,7 @@
 	for {
 		ev, err := events.next()
 		if err == io.EOF {
+			s.recordAnswer()
 			s.endSend(t, fleet.Answered, max(first, s.h.Clock.Since(start)/2))
 			return s.finishStream(resp, rel)
 		}
