crash: three trials of what is blocked, at doubled times

A blocked request was sent on trial each 30 s as long as such requests came: with one part, or one request, that crashes targets for half an hour, 58 reached targets later than 3 s after the fifth crash, where BUDGET allows three.

A trial that crashed its target now doubles the time to the next, and there are three at most. They are counted by their incidents, which all hosts know and the archive keeps, so that neither another host nor a restart begins anew. Incidents last an hour (10 min before), since what still crashes targets would otherwise be free again after ten minutes; whole requests had been blocked that long before.

--- a/internal/crash/suspects.go
+++ b/internal/crash/suspects.go
@@ -14,10 +14,12 @@
 	// as one: what ends them together is no request.
 	commonCauseTime = 250 * time.Millisecond
 	// incidentLifetime is how long a crash counts against its suspects.
-	incidentLifetime = 10 * time.Minute
+	incidentLifetime = time.Hour
 	// trialInterval is the time without an incident, and since the last trial, after
-	// which a blocked request is sent on trial.
-	trialInterval = 30 * time.Second
+	// which a blocked request is sent on trial. It doubles with each trial that crashed
+	// its target; maxFailedTrials are allowed.
+	trialInterval   = 30 * time.Second
+	maxFailedTrials = 3
 	// maxIncidents and maxIncidentSuspects bound the incidents that are kept and the
 	// suspects of each, maxReportParts the parts of one request.
 	maxIncidents        = 128
@@ -296,13 +298,15 @@
 
 // takeTrial reports whether a request with the blocked suspect s may be sent on trial.
 func (t *suspectTable) takeTrial(s Suspect, now time.Time) bool {
+	own := t.against(s, now)
+	failed := failedTrials(own)
 	last := t.trials[s]
-	for _, i := range t.against(s, now) {
+	for _, i := range own {
 		if i.learntAt.After(last) {
 			last = i.learntAt
 		}
 	}
-	if now.Sub(last) < trialInterval {
+	if failed >= maxFailedTrials || now.Sub(last) < trialInterval<<failed {
 		return false
 	}
 	for s, at := range t.trials {
@@ -316,3 +320,20 @@
 	t.trials[s] = now
 	return true
 }
+
+// failedTrials returns how many of a suspect's incidents, oldest first, trials must have
+// caused: nothing else is sent once the suspect is blocked. Incidents, unlike the times
+// of trials, are known to all hosts and survive their restart.
+func failedTrials(own []*incident) int {
+	if len(own) < maxCrashes {
+		return 0
+	}
+	blockedAt := own[maxCrashes-1].at
+	n := 0
+	for _, i := range own[maxCrashes:] {
+		if i.at.Sub(blockedAt) >= trialInterval {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/gateway/alike_test.go
+++ b/internal/gateway/alike_test.go
@@ -160,3 +160,38 @@
 		}
 	})
 }
+
+// TestTrialsOfWhatStillCrashes sends requests with a part, or one request, that crash
+// targets for half an hour. Few may reach targets once they are blocked: trials once
+// came each 30 s without an end.
+func TestTrialsOfWhatStillCrashes(t *testing.T) {
+	const maxCounted, maxLate, contactTime = 5, 3, 3 * time.Second
+	const length, badEvery = 30 * time.Minute, 5 * time.Second
+	for name, bad := range map[string]func(i int) (path, parts string){
+		"a part":    func(i int) (string, string) { return fmt.Sprint("/a/d", i), fmt.Sprint("a,bad,own", i) },
+		"a request": func(i int) (string, string) { return "/a/bad", fmt.Sprint("a,b,own", i) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCrashingTargets(t, catalog.Stream, 5)
+				defer c.r.close()
+				for i := range int(length / badEvery) {
+					path, parts := bad(i)
+					c.askPath(path, fmt.Sprint("bad", i), parts)
+					time.Sleep(badEvery)
+				}
+				last := c.crashes[min(maxCounted, len(c.crashes))-1]
+				late := 0
+				for _, at := range c.arrivals {
+					if at.Sub(last) > contactTime {
+						late++
+					}
+				}
+				if late > maxLate {
+					t.Errorf("%d requests reached targets later than %v after the fifth crash, of %d in all", late, contactTime, len(c.arrivals))
+				}
+				t.Logf("%d crashes, %d requests at targets, %d late", len(c.crashes), len(c.arrivals), late)
+			})
+		})
+	}
+}
