gateway: a target that returns a request for a gone input is not short of capacity

When results of a stage target were lost, the requests that needed them were returned by sound engines (409, not run), and each such return counted as a rejection: the engines were paused for 60 ms up to a second, and prompts went elsewhere.

The send now ends as "returned", which says nothing of the target; the log line names the result.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,9 +55,12 @@
 	Rejected
 	// Abandoned means that the caller or the deadline ended the request.
 	Abandoned
+	// Returned means that the target did not run the request for a reason that says
+	// nothing of the target, such as an input that was gone.
+	Returned
 )
 
-var resultNames = [...]string{"answered", "failed", "unreachable", "rejected", "abandoned"}
+var resultNames = [...]string{"answered", "failed", "unreachable", "rejected", "abandoned", "returned"}
 
 // String returns the name of r for logs.
 func (r Result) String() string { return resultNames[r] }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -109,6 +109,7 @@
 	fleet.Unreachable: placement.Failed,
 	fleet.Rejected:    placement.Rejected,
 	fleet.Abandoned:   placement.Abandoned,
+	fleet.Returned:    placement.Abandoned,
 }
 
 // send sends the request to t and returns the response with its body unread.
@@ -169,11 +170,15 @@
 	return r
 }
 
-// recordRejection records that t did not run the request.
-func (s *sender) recordRejection(t *catalog.Target, resp *upstream.Response, took time.Duration) {
+// recordRejection records that t did not run the request, and why.
+func (s *sender) recordRejection(t *catalog.Target, resp *upstream.Response, info ResponseInfo, took time.Duration) {
 	resp.Body.Close()
-	s.endSend(t, fleet.Rejected, took)
-	s.h.Log.Info("send rejected", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Int("Status", resp.Status), zap.Duration("Took", took))
+	r := fleet.Rejected
+	if info.InputsGone {
+		r = fleet.Returned
+	}
+	s.endSend(t, r, took)
+	s.h.Log.Info("send rejected", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Int("Status", resp.Status), zap.Stringer("Result", r), zap.Duration("Took", took))
 }
 
 // finalError returns the error of a request that can't be sent any more.
@@ -238,7 +243,7 @@
 		return nil
 	}
 	if info.NotRun {
-		s.recordRejection(t, resp, s.h.Clock.Since(start))
+		s.recordRejection(t, resp, info, s.h.Clock.Since(start))
 		return nil
 	}
 	body, err := resp.ReadAll(maxResponseBytes, s.memory)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -142,10 +142,10 @@
 	}
 	switch {
 	case info.InputsGone:
-		s.recordRejection(t, resp, s.h.Clock.Since(start))
+		s.recordRejection(t, resp, info, s.h.Clock.Since(start))
 		return streamInputsGone
 	case info.NotRun:
-		s.recordRejection(t, resp, s.h.Clock.Since(start))
+		s.recordRejection(t, resp, info, s.h.Clock.Since(start))
 		return streamNotRun
 	case resp.Status != http.StatusOK:
 		return s.readEventless(ctx, t, resp, info, start, rel)
