crash: one crash counts once against a body, under several copies too

In the product's own interface each copy of a body that one crash of a target broke counted as a break, so that two copies of a sound body were enough to end both with CrashedTargets and to refuse the body for an hour.

A break now carries the time at which its run began. Two runs of a body that were under way at a target at the same time, and both broke, count once: what ended one ended the other, and a body that is itself the cause crashed the target once. A run after the target's restart began after the break and counts by itself. Hosts' clocks must agree to within the time of a restart, as for clearing.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -90,8 +90,8 @@
 
 // body is the record of one digest.
 type body struct {
-	// breakIDs holds the IDs of the breaks, oldest first, at most MaxTargets.
-	breakIDs    []string
+	// breaks holds the updates that count, oldest first, at most MaxTargets.
+	breaks      []Word
 	lastBreakAt time.Time
 	// clearedAt is the time of the last run to completion; earlier breaks don't
 	// count.
@@ -115,7 +115,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if b := t.find(digest, now); b != nil {
-		return len(b.breakIDs)
+		return len(b.breaks)
 	}
 	return 0
 }
@@ -191,24 +191,34 @@
 		return
 	}
 	t.Log.Info("break recorded", zap.String("BreakID", w.BreakID), zap.String("Digest", w.Digest), zap.String("Target", w.Target),
-		zap.Time("At", w.At), zap.Int("Breaks", len(b.breakIDs)))
+		zap.Time("At", w.At), zap.Int("Breaks", len(b.breaks)))
 }
 
 func (b *body) clear(at time.Time) {
-	b.breakIDs = nil
+	b.breaks = nil
 	b.clearedAt = at
 }
 
-// addBreak adds the break w unless b has it, or MaxTargets breaks, or was cleared since. It
-// reports whether it did.
+// addBreak adds the break w unless the body has it, or MaxTargets breaks, or was cleared
+// since. It reports whether it did.
 func (b *body) addBreak(w Word) bool {
-	if !w.At.After(b.clearedAt) || len(b.breakIDs) >= MaxTargets || slices.Contains(b.breakIDs, w.BreakID) {
+	if !w.At.After(b.clearedAt) || len(b.breaks) >= MaxTargets || slices.ContainsFunc(b.breaks, w.sameCrash) {
 		return false
 	}
-	b.breakIDs = append(b.breakIDs, w.BreakID)
+	b.breaks = append(b.breaks, w)
 	return true
 }
 
+// sameCrash reports whether w and other are one break, or the breaks of two runs of a
+// body that were under way at a target at the same time. What ended one of these ended
+// the other, and the body, if it is the cause, crashed the target once.
+func (w Word) sameCrash(other Word) bool {
+	if w.BreakID == other.BreakID {
+		return true
+	}
+	return w.Target == other.Target && w.BeganAt.Before(other.At) && other.BeganAt.Before(w.At)
+}
+
 // Clear removes the breaks of a body that ran to completion.
 func (t *Table) Clear(digest string) {
 	if !t.Suspect(digest) {
@@ -222,6 +232,8 @@
 // Permit is the permission to run a body once at one target.
 type Permit struct {
 	run Run
+	// beganAt is the time of the permission.
+	beganAt time.Time
 	// reported reports whether the run was reported to an arbiter. It is guarded
 	// by the table's mu.
 	reported bool
@@ -233,10 +245,10 @@
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := &Permit{run: run}
-	if b := t.find(run.Digest, now); b != nil && len(b.breakIDs) > 0 {
+	p := &Permit{run: run, beganAt: now}
+	if b := t.find(run.Digest, now); b != nil && len(b.breaks) > 0 {
 		p.reported = true
-		return p, len(b.breakIDs)
+		return p, len(b.breaks)
 	}
 	if t.active == nil {
 		t.active = map[string]map[*Permit]bool{}
@@ -287,7 +299,9 @@
 	case breaks >= MaxTargets:
 		return nil, ErrBlocked
 	}
-	return p, t.arbitrate(ctx, run)
+	err := t.arbitrate(ctx, run)
+	p.beganAt = t.Clock.Now()
+	return p, err
 }
 
 // End releases p and must be called once; broke reports whether the connection to
@@ -296,7 +310,7 @@
 func (t *Table) End(ctx context.Context, p *Permit, broke bool) {
 	reported := t.releasePermit(p)
 	if broke {
-		w := Word{BreakID: uuid.NewString(), Digest: p.run.Digest, Target: p.run.Target, At: t.Clock.Now()}
+		w := Word{BreakID: uuid.NewString(), Digest: p.run.Digest, Target: p.run.Target, BeganAt: p.beganAt, At: t.Clock.Now()}
 		t.apply(w)
 		t.reportRuns(ctx, w.Digest)
 		t.notifyMembers(context.WithoutCancel(ctx), w)
--- a/internal/crash/service.go
+++ b/internal/crash/service.go
@@ -30,6 +30,8 @@
 	BreakID string
 	Digest  string
 	Target  string
+	// BeganAt is the time at which the run that broke began, At that of the event.
+	BeganAt time.Time
 	At      time.Time
 	// Crash and Clearing are set if the update is about suspects. Digest is empty then.
 	Crash    *Crash
