stage: a job on its last attempt shares no call

Jobs whose pieces shared calls with a job that makes each call fail (a piece that ends its target) failed with it: after two failures their pieces were put into one call once more, and each call that fails counts against all jobs in it. Found by looking for counts that blame one request for another's doing; no caller has reported it.

A job that has used up all failures but the last is now called alone, so that its last attempt shows whether the fault is its own. Jobs that failed once still share calls: calls that fail for their targets' sake are not made dearer.

TestJobBesideAFailingOne fails before: jobs a and b "failed" beside bad, completed now.

--- a/internal/stage/batcher_test.go
+++ b/internal/stage/batcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -213,6 +214,29 @@
 	})
 }
 
+// TestJobBesideAFailingOne has each call fail that holds pieces of one job, as a piece
+// that ends its target does. Jobs whose pieces shared its calls must be completed: they
+// failed with it.
+func TestJobBesideAFailingOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := &fakePool{fail: func(_ *catalog.Target, pieces []Piece) error {
+			if slices.ContainsFunc(pieces, func(p Piece) bool { return p.RequestID == "bad" }) {
+				return Error.New("reset")
+			}
+			return nil
+		}}
+		b := newBatcher(t, pool, 3, testPool())
+		jobs := []Job{testJob("first1", 2), testJob("first2", 2), testJob("first3", 2), testJob("a", 2), testJob("bad", 2), testJob("b", 2)}
+		var got []Fault
+		for _, o := range submitAll(t, b, jobs...) {
+			got = append(got, o.Fault)
+		}
+		if diff := cmp.Diff([]Fault{None, None, None, None, Failed, None}, got); diff != "" {
+			t.Errorf("outcomes (-want +got):\n%s\ncalls %v", diff, pool.calls)
+		}
+	})
+}
+
 // TestCancelFrees expects the results of a cancelled job to be freed.
 func TestCancelFrees(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/stage/calls.go
+++ b/internal/stage/calls.go
@@ -97,7 +97,7 @@
 	if counts {
 		j.failures++
 	}
-	if j.failures > maxFailures*max(1, j.Pieces) {
+	if j.failures > j.maxFailures() {
 		b.endJob(j, Failed)
 		return
 	}
--- a/internal/stage/choose.go
+++ b/internal/stage/choose.go
@@ -116,17 +116,22 @@
 }
 
 // formCall forms a call at t from the pieces of j and of other jobs that fit.
-// Among the others, jobs that need not move large inputs to t come first.
+// Among the others, jobs that need not move large inputs to t come first. A job on its
+// last attempt shares no call: its former ones may have failed because of a job beside
+// it, or that one because of it.
 func (q *queue) formCall(j *job, s *targetState, t *catalog.Target, now time.Time) *call {
 	c := &call{}
 	bytes := c.add(j, q.piecesForNewCall(j, s, now))
+	if j.onLastAttempt() && len(c.parts) > 0 {
+		return c
+	}
 	for _, wantNear := range []bool{true, false} {
 		for _, other := range q.jobs {
 			if len(c.parts) >= q.pool.Batch {
 				break
 			}
 			near := other.Domain == t.Domain || other.Domain == "" || other.MoveBytes < largeMoveBytes
-			if other == j || len(other.waiting) == 0 || near != wantNear || !wantNear && q.shouldWaitForDomain(other, now) {
+			if other == j || len(other.waiting) == 0 || other.onLastAttempt() || near != wantNear || !wantNear && q.shouldWaitForDomain(other, now) {
 				continue
 			}
 			bytes += c.add(other, q.fittingPieces(other, s, len(c.parts), bytes, now))
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -9,8 +9,8 @@
 
 // Bounds and weights for forming calls.
 const (
-	// maxFailures is the number of failures per piece above which a job ends.
-	maxFailures = 2
+	// maxPieceFailures is the number of failures per piece above which a job ends.
+	maxPieceFailures = 2
 	// largeMoveBytes is the input size from which a job waits for a target in its
 	// own domain.
 	largeMoveBytes = 256 << 10
@@ -123,6 +123,12 @@
 	return q.pool.ResultLife
 }
 
+// maxFailures is the number of failures of its pieces above which j ends.
+func (j *job) maxFailures() int { return maxPieceFailures * max(1, j.Pieces) }
+
+// onLastAttempt reports whether another failure of all its pieces ends j.
+func (j *job) onLastAttempt() bool { return j.failures >= j.maxFailures() }
+
 // removeJob removes j from the queue.
 func (q *queue) removeJob(j *job) {
 	for i, other := range q.jobs {
