fleet: failures of one cause count once, and the rate decays

After something broke many sends to a target at the same moment, as a reset of its connections does, each of them counted as a failure, and only answers lowered the rate: the target looked up to eight times as dear, so that this host hardly used it until the others had several times the work that they can do at once. A count that blamed a target for what happened beside it, with no way back; found while the cause of the crash table's fault was sought in other counts.

Failures within 20 ms of one that counted count with it, and the rate decays with a time constant of 5 s, like the load table's.

TestBreakOfManySends fails before: 0 of 200 requests to the target, 50 wanted. TestPauses now lets time pass between its failures and asks for the pauses by name.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -21,6 +22,12 @@
 	// failureWeight the weight of the newest outcome in its failure rate.
 	meanTimeWeight = 0.2
 	failureWeight  = 0.2
+	// failureDecayTime is the time constant with which the failure rate decays: a
+	// target that is hardly used has no other way back.
+	failureDecayTime = 5 * time.Second
+	// sameCauseTime is the time within which failures of a target count as one: what
+	// resets its connections breaks all sends at once.
+	sameCauseTime = 20 * time.Millisecond
 	// pauseAfter is the number of consecutive failures after which a target is
 	// paused for firstPause. Each further pause is twice as long, up to maxPause.
 	pauseAfter = 2
@@ -81,8 +88,12 @@
 	born         int64
 	openRequests int
 	meanTime     time.Duration
-	failureRate  float64
-	failures     int
+	// failureRate is that at failureRateAt; it decays since.
+	failureRate   float64
+	failureRateAt time.Time
+	failures      int
+	// failedAt is the time of the last failure that counted.
+	failedAt time.Time
 	// pausedUntil is the end of the last pause; pauses counts consecutive pauses
 	// after failures.
 	pausedUntil time.Time
@@ -152,7 +163,7 @@
 // penalties.
 func (b *Balancer) cost(t *catalog.Target, req Request) float64 {
 	s := b.targetState(t)
-	cost := float64(max(minMeanTime, s.meanTime)) * (1 + failurePenalty*s.failureRate)
+	cost := float64(max(minMeanTime, s.meanTime)) * (1 + failurePenalty*s.failureRateNow(b.Clock.Now()))
 	cost *= float64(s.openRequests+max(1, t.Slots)) / float64(max(1, t.Slots))
 	if t.Domain != b.inputDomain(req) {
 		cost *= crossDomainPenalty
@@ -226,14 +237,18 @@
 	case Answered:
 		s.rejections.Record(false, now)
 		s.failures, s.pauses = 0, 0
-		s.failureRate -= failureWeight * s.failureRate
+		s.updateFailureRate(0, now)
 		if s.meanTime == 0 {
 			s.meanTime = took
 		} else {
 			s.meanTime += time.Duration(meanTimeWeight * float64(took-s.meanTime))
 		}
 	case Failed:
-		s.failureRate += failureWeight * (1 - s.failureRate)
+		if now.Sub(s.failedAt) < sameCauseTime {
+			return
+		}
+		s.failedAt = now
+		s.updateFailureRate(1, now)
 		s.failures++
 		if s.failures >= pauseAfter {
 			b.pause(t, s, now)
@@ -247,6 +262,17 @@
 	}
 }
 
+// failureRateNow returns the decayed failure rate.
+func (s *targetState) failureRateNow(now time.Time) float64 {
+	return s.failureRate * math.Exp(-now.Sub(s.failureRateAt).Seconds()/failureDecayTime.Seconds())
+}
+
+// updateFailureRate adds a failure (1) or a success (0) to the failure rate.
+func (s *targetState) updateFailureRate(x float64, now time.Time) {
+	rate := s.failureRateNow(now)
+	s.failureRate, s.failureRateAt = rate+failureWeight*(x-rate), now
+}
+
 // pause pauses t, longer after each consecutive pause.
 func (b *Balancer) pause(t *catalog.Target, s *targetState, now time.Time) {
 	if s.pausedUntil.After(now.Add(firstPause / 2)) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -62,9 +62,13 @@
 			t.Errorf("chose %s", got.ID)
 		}
 		for range pauseAfter {
+			time.Sleep(sameCauseTime)
 			b.Begin(targets[1])
 			b.End(targets[1], Failed, time.Millisecond)
 		}
+		if diff := cmp.Diff([]string{"t0", "t1"}, b.Paused(targets)); diff != "" {
+			t.Errorf("paused (-want +got):\n%s", diff)
+		}
 		if got := b.Choose(targets, Request{}); got == nil {
 			t.Error("no target chosen, though both are only paused")
 		}
@@ -77,6 +81,43 @@
 	})
 }
 
+// TestBreakOfManySends breaks ten sends to one of two targets at the same moment, as a
+// reset of connections does. That is one failure: the target was hardly used any more,
+// until the other one had several times the work that it can do at once.
+func TestBreakOfManySends(t *testing.T) {
+	const broken, requests, least = 10, 200, 50
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer()
+		targets := newTargets(2, 1)
+		for _, target := range targets {
+			b.Begin(target)
+			b.End(target, Answered, 50*time.Millisecond)
+		}
+		for range broken {
+			b.Begin(targets[0])
+		}
+		for range broken {
+			b.End(targets[0], Failed, 50*time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(maxPause)
+		got := 0
+		for range requests {
+			target := b.Choose(targets, Request{})
+			if target == targets[0] {
+				got++
+			}
+			b.Begin(target)
+			time.AfterFunc(50*time.Millisecond, func() { b.End(target, Answered, 50*time.Millisecond) })
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		if got < least {
+			t.Errorf("the target got %d of %d requests, want %d", got, requests, least)
+		}
+	})
+}
+
 // TestNewIncarnation expects nothing of an earlier incarnation of a target to
 // count.
 func TestNewIncarnation(t *testing.T) {
