upstream: what is given up is reset, so that it doesn't arrive later

That holds for whole requests and for stage calls alike: both end by their context.

A reset can't cut an answer short that anyone waits for: the send has been given up.

TestGivenUpRequestDoesNotArrive fails before (the target reads the connection to its end without an error, 3 of 3 runs), passes now (3 of 3).

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -290,5 +290,7 @@
 	}
 }
 
-// abort closes the connection. Unlike a deadline, that notifies the target.
-func (c *connection) abort() { c.Close() }
+// abort resets the connection, which notifies the target. Bytes that have not reached
+// it, since it doesn't read or is cut off, are dropped: after a close the kernel would
+// deliver them whenever it can, as work that nobody waits for.
+func (c *connection) abort() { link.Reset(c.Conn) }
