gateway: a silent target keeps its stream while no other would take it

When the time is up the host now looks for a target that was not tried, takes requests, has no limit and is not paused, and for room in the budget; only with both does it end the send. Otherwise it looks again each 200 ms, so that a stream whose target is gone moves as soon as another one is there, and until its deadline stays where it is. The timer has a file of its own.

--- /dev/null
+++ b/internal/gateway/stall.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/crash"
+)
+
+// The decisions of this file answer targets that fall silent: one that is gone or hangs,
+// and one that pauses a stream and goes on later.
+
+// Timeouts of streams.
+const (
+	// A resumable stream continues at another target after stallPauseFactor times
+	// the pause that the route allows between events without an event, but not
+	// before minStallTimeout.
+	minStallTimeout  = 1200 * time.Millisecond
+	stallPauseFactor = 3
+	// firstEventTimeout is the time without a first event after which a resumable
+	// stream is sent to another target.
+	firstEventTimeout = 3 * time.Second
+	// stallCheckInterval is the time between two looks for another target while there
+	// is none.
+	stallCheckInterval = 200 * time.Millisecond
+)
+
+// errStalled is the cause of a context that ended because the target sent no
+// events in time.
+var errStalled = errors.New("target stopped sending events")
+
+// stallTimer cancels the send of a resumable stream when the target sends no events in
+// time and the stream can go on at another target.
+type stallTimer struct {
+	h       *Host
+	cancel  context.CancelCauseFunc
+	limit   time.Duration
+	canMove func() bool
+
+	mu        sync.Mutex
+	stopTimer func() bool
+	stopped   bool
+}
+
+// startStallTimer starts the timer. It has no effect on streams that can't
+// continue at another target.
+func (s *sender) startStallTimer(cancel context.CancelCauseFunc) *stallTimer {
+	t := &stallTimer{h: s.h, cancel: cancel, canMove: s.otherTargets()}
+	if s.q.route.Repeatable() && s.q.sends < max(1, s.q.route.MaxTargets) {
+		t.limit = max(minStallTimeout, stallPauseFactor*s.q.route.EventPause)
+		t.arm(firstEventTimeout)
+	}
+	return t
+}
+
+// arm starts the timer anew unless it has been stopped.
+func (t *stallTimer) arm(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
+	if t.stopTimer != nil {
+		t.stopTimer()
+	}
+	t.stopTimer = t.h.Clock.AfterFunc(d, t.expire)
+}
+
+// expire ends the send, or looks again later: silence alone ends nothing.
+func (t *stallTimer) expire() {
+	if t.canMove() {
+		t.cancel(errStalled)
+		return
+	}
+	t.arm(stallCheckInterval)
+}
+
+// reset restarts the timer after an event.
+func (t *stallTimer) reset() {
+	if t.limit > 0 {
+		t.arm(t.limit)
+	}
+}
+
+func (t *stallTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	if t.stopTimer != nil {
+		t.stopTimer()
+	}
+}
+
+// otherTargets returns a function that reports whether the request may be sent to
+// another target than those tried so far, and one is likely to take it. It may be
+// called by any goroutine.
+func (s *sender) otherTargets() func() bool {
+	h, service, suspects, tried := s.h, s.q.service, s.q.suspects, maps.Clone(s.tried)
+	return func() bool {
+		if !h.Repeats.Allows(service) || h.Crashes.BlockedSuspect(suspects) != (crash.Suspect{}) {
+			return false
+		}
+		usable := h.Backpressure.Usable(h.Follower.Snapshot().ActiveTargets(service))
+		paused := h.Balancer.Paused(usable)
+		for _, t := range usable {
+			if !tried[t.ID] && !slices.Contains(paused, t.ID) && h.Backpressure.PauseLeft(t) == 0 && !h.Backpressure.Limited(t) {
+				return true
+			}
+		}
+		return false
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -14,22 +13,6 @@
 	"go.uber.org/zap"
 )
 
-// Timeouts of streams.
-const (
-	// A resumable stream continues at another target after stallPauseFactor times
-	// the pause that the route allows between events without an event, but not
-	// before minStallTimeout.
-	minStallTimeout  = 1200 * time.Millisecond
-	stallPauseFactor = 3
-	// firstEventTimeout is the time without a first event after which a resumable
-	// stream is sent to another target.
-	firstEventTimeout = 3 * time.Second
-)
-
-// errStalled is the cause of a context that ended because the target sent no
-// events in time.
-var errStalled = errors.New("target stopped sending events")
-
 // relayState is the state of the response to one stream request across all its
 // sends.
 type relayState struct {
@@ -250,40 +233,3 @@
 	header.Del("Content-Length")
 	return header
 }
-
-// stallTimer cancels the send of a resumable stream when the target sends no
-// events in time.
-type stallTimer struct {
-	h         *Host
-	cancel    context.CancelCauseFunc
-	limit     time.Duration
-	stopTimer func() bool
-}
-
-// startStallTimer starts the timer. It has no effect on streams that can't
-// continue at another target.
-func (s *sender) startStallTimer(cancel context.CancelCauseFunc) *stallTimer {
-	t := &stallTimer{h: s.h, cancel: cancel}
-	if s.q.route.Repeatable() && s.q.sends < max(1, s.q.route.MaxTargets) {
-		t.limit = max(minStallTimeout, stallPauseFactor*s.q.route.EventPause)
-		t.arm(firstEventTimeout)
-	}
-	return t
-}
-
-func (t *stallTimer) arm(d time.Duration) {
-	t.stopTimer = t.h.Clock.AfterFunc(d, func() { t.cancel(errStalled) })
-}
-
-// reset restarts the timer after an event.
-func (t *stallTimer) reset() {
-	if t.limit > 0 && t.stopTimer() {
-		t.arm(t.limit)
-	}
-}
-
-func (t *stallTimer) stop() {
-	if t.stopTimer != nil {
-		t.stopTimer()
-	}
-}
--- a/internal/workspace/repeats.go
+++ b/internal/workspace/repeats.go
@@ -61,17 +61,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counts(service)
+	if !b.allows(c) {
+		return false
+	}
+	c.repeats[c.bucket%repeatBuckets]++
+	return true
+}
+
+// Allows reports whether Take would allow a repeat now.
+func (b *RepeatBudget) Allows(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.counts(service))
+}
+
+// allows reports whether the budget has room for a repeat beside those in c. The
+// caller holds b.mu.
+func (b *RepeatBudget) allows(c *repeatCounts) bool {
 	requests, repeats := 0, 0
 	for i := range repeatBuckets {
 		requests += c.requests[i]
 		repeats += c.repeats[i]
 	}
 	limit := usableShare * (b.Ratio*float64(requests) + b.Slack/float64(max(1, b.Hosts())))
-	if float64(repeats+1) > limit {
-		return false
-	}
-	c.repeats[c.bucket%repeatBuckets]++
-	return true
+	return float64(repeats+1) <= limit
 }
 
 // counts returns the counts of service, advanced to the current bucket. The
