link: listeners go on after errors that pass

One error of the listener for peers, as with too many descriptors, ended the whole host with all its requests; one of the listener for callers ended accepting for good while readiness went on (the review had read the second in the code; the first was found by the test for it). TLS certificates that can't be loaded for a moment did the same on the product's own links among hosts.

Listeners now try again each 50 ms until they are closed, and log the first error and the way back. A host isn't ready while its listener for callers has failed within half a second: by then a connection has come or none waits.

TestAcceptErrors fails before: Run ends with "accept tcp: too many open files".

--- a/internal/gateway/caller_server.go
+++ b/internal/gateway/caller_server.go
@@ -28,7 +28,7 @@
 // while it runs, so new limits start a new server, and the old one drains.
 type callerServer struct {
 	host     *Host
-	listener net.Listener
+	listener *link.RetryListener
 	done     chan struct{}
 
 	mu      sync.Mutex
@@ -46,7 +46,7 @@
 }
 
 // start starts serving l.
-func (s *callerServer) start(h *Host, l net.Listener) {
+func (s *callerServer) start(h *Host, l *link.RetryListener) {
 	s.host, s.listener = h, l
 	s.done, s.quiet = make(chan struct{}), make(chan struct{})
 	s.shutdownCtx, s.cancelShutdown = context.WithCancel(context.Background())
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -141,12 +141,12 @@
 
 // listen opens the host's listeners and serves them in goroutines of g.
 func (h *Host) listen(g *errgroup.Group) ([]*http.Server, error) {
-	callers, err := h.Net.Listen(h.Settings.CallerAddr)
+	callers, err := h.listenOn(h.Settings.CallerAddr)
 	if err != nil {
 		return nil, err
 	}
 	h.callerServer.start(h, callers)
-	peers, err := h.Net.Listen(h.Settings.PeerAddr)
+	peers, err := h.listenOn(h.Settings.PeerAddr)
 	if err != nil {
 		return nil, err
 	}
@@ -171,6 +171,15 @@
 	return servers, nil
 }
 
+// listenOn opens a listener that goes on after errors that pass.
+func (h *Host) listenOn(addr netip.AddrPort) (*link.RetryListener, error) {
+	l, err := h.Net.Listen(addr)
+	if err != nil {
+		return nil, err
+	}
+	return &link.RetryListener{Listener: l, Clock: h.Clock, Log: h.Log}, nil
+}
+
 // applySnapshot applies a new snapshot of the catalog.
 func (h *Host) applySnapshot(s *catalog.Snapshot) {
 	h.Balancer.Prune(s)
@@ -193,7 +202,9 @@
 }
 
 // ready reports whether the load balancer should send new connections.
-func (h *Host) ready() bool { return !h.draining.Load() && h.Follower.Ready() }
+func (h *Host) ready() bool {
+	return !h.draining.Load() && h.Follower.Ready() && !h.callerServer.listener.Failing()
+}
 
 // drain performs a graceful shutdown.
 func (h *Host) drain(ctx context.Context) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -111,7 +111,8 @@
 		callers.Close()
 		return err
 	}
-	h.callerListener, h.peerListener = callers, peers
+	h.callerListener = &link.RetryListener{Listener: callers, Clock: h.Clock, Log: h.Log}
+	h.peerListener = &link.RetryListener{Listener: peers, Clock: h.Clock, Log: h.Log}
 	return nil
 }
 
