gateway: a turn at a target that takes no requests any more is lost

When its turn comes a request now looks whether the target is in use, stays and asks for no pause; otherwise the turn is lost, and the request chooses again.

TestPauseWhileRequestsWait fails before: 7 requests within the pause, plain and with prompts, where two are allowed.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -16,9 +16,20 @@
 // targets in need, which limit the requests of all hosts together.
 
 // chooseTarget returns the target of the next send, or nil, and waits for its turn
-// there. The holder of the service chooses for requests with a prompt; if it gives no
-// target, this host chooses.
+// there. If the target takes no requests any more when the turn comes, it chooses again.
 func (s *sender) chooseTarget(ctx context.Context) *catalog.Target {
+	for {
+		s.turnLost = false
+		t := s.chooseOnce(ctx)
+		if t != nil || !s.turnLost || ctx.Err() != nil {
+			return t
+		}
+	}
+}
+
+// chooseOnce chooses a target and waits for its turn there. The holder of the service
+// chooses for requests with a prompt; if it gives no target, this host chooses.
+func (s *sender) chooseOnce(ctx context.Context) *catalog.Target {
 	s.lease, s.noTurnFor = nil, 0
 	active := s.h.Follower.Snapshot().ActiveTargets(s.q.service)
 	targets := s.unpaused(s.h.Backpressure.Usable(active))
@@ -26,6 +37,9 @@
 		if t := s.chooseAtHolder(ctx, active, targets); t != nil {
 			return t
 		}
+		if s.turnLost {
+			return nil
+		}
 		metrics.GetOrRegisterCounter("Placement.OwnChoices", s.h.Metrics).Inc(1)
 	}
 	return s.chooseHere(ctx, targets)
@@ -145,12 +159,28 @@
 const maxWaitDivisor = 2
 
 // waitForTurn waits for the turn of the request at t, and reports whether it has come
-// before the request ended.
+// before the request ended and t still takes requests then. Otherwise the turn is lost,
+// and another target may be chosen.
 func (s *sender) waitForTurn(ctx context.Context, t *catalog.Target, wait time.Duration) bool {
 	if wait == 0 {
 		return true
 	}
 	s.h.histogram("Limits.Wait").Update(int64(wait))
 	s.h.Log.Info("waiting for a turn at a limited target", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Duration("Wait", wait))
-	return s.h.Clock.Sleep(ctx, wait) == nil
+	if s.h.Clock.Sleep(ctx, wait) != nil {
+		return false
+	}
+	if s.h.takesRequests(t) {
+		return true
+	}
+	s.turnLost = true
+	s.h.Log.Info("turn lost, the target takes no requests any more", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID))
+	return false
+}
+
+// takesRequests reports whether t is still in use, has not said that it leaves, and asks
+// for no pause.
+func (h *Host) takesRequests(t *catalog.Target) bool {
+	active := h.Follower.Snapshot().ActiveTargets(t.Service)
+	return catalog.FindTarget(h.Backpressure.Usable(active), t.ID) != nil && h.Backpressure.PauseLeft(t) == 0
 }
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -349,6 +349,47 @@
 	}
 }
 
+// TestPauseWhileRequestsWait has a target with a limit ask for a pause while requests
+// wait for their turns there: half a second later at most two may still come within the
+// pause. Turns were used though the target had asked for a pause meanwhile.
+func TestPauseWhileRequestsWait(t *testing.T) {
+	const limit, from, pause, grace, most = 5, 2 * time.Second, 4 * time.Second, 500 * time.Millisecond, 2
+	for _, c := range limitCases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				var start, paused time.Time
+				late := 0
+				r := prepareFixture(t, route(c.kind, nil), func(w http.ResponseWriter, _ *http.Request) {
+					mu.Lock()
+					defer mu.Unlock()
+					w.Header().Set("Limit", fmt.Sprint(limit))
+					w.Header().Set("Signed", "t")
+					if time.Since(start) < from {
+						fmt.Fprint(w, "id: 1\ndata: x\n\n")
+						return
+					}
+					if paused.IsZero() {
+						paused = time.Now()
+					}
+					if at := time.Since(paused); at > grace && at < pause {
+						late++
+					}
+					w.Header().Set("Pause", (pause - time.Since(paused)).String())
+					rejects(w, nil)
+				})
+				addrs := r.startHosts(1)
+				start = time.Now()
+				header := append([]string{"Wait", "8000"}, c.header...)
+				r.callAll(addrs, rand.New(rand.NewPCG(1, 0)), 20, from+pause, "/a/b", header...)
+				if paused.IsZero() || late > most {
+					t.Errorf("%d requests within the pause, want at most %d", late, most)
+				}
+			})
+		})
+	}
+}
+
 // TestSheddingTarget has one of two targets turn away nine of ten requests: sends must
 // go where they are taken, and no request may fail for want of repeats.
 func TestSheddingTarget(t *testing.T) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -52,6 +52,9 @@
 	lease *placement.Lease
 	// noTurnFor is the time until a request may go to a target, if none may now.
 	noTurnFor time.Duration
+	// turnLost is set if the chosen target took no requests any more when the turn of
+	// the request there had come.
+	turnLost bool
 	// blockedSuspect is that for which the request must not be sent any more, or zero.
 	blockedSuspect crash.Suspect
 	// begun is set once the current send has brought its first event.
