--- a/internal/gateway/alike_test.go
+++ b/internal/gateway/alike_test.go
@@ -75,7 +75,7 @@
 				if len(c.crashes) == 0 {
 					t.Fatal("no target crashed")
 				}
-				settled := c.crashes[min(maxCounted, len(c.crashes))-1].Add(settleTime)
+				settled := c.lastOf(maxCounted).Add(settleTime)
 				began, asked := countServed(served, settled)
 				if 2*began < asked {
 					t.Errorf("%d of %d sound requests were served later than %v after the fifth crash", began, asked, settleTime)
@@ -105,17 +105,11 @@
 				if len(c.crashes) < maxCounted {
 					t.Fatalf("%d crashes", len(c.crashes))
 				}
-				last := c.crashes[maxCounted-1]
-				late := 0
-				for _, at := range c.arrivals {
-					if at.Sub(last) > contactTime {
-						late++
-					}
-				}
+				late := c.late(maxCounted, contactTime)
 				if late > maxLate {
 					t.Errorf("%d copies reached targets later than %v after the third crash, of %d in all", late, contactTime, len(c.arrivals))
 				}
-				began, asked := countServed(served, last.Add(2*contactTime))
+				began, asked := countServed(served, c.lastOf(maxCounted).Add(2*contactTime))
 				if 2*began < asked {
 					t.Errorf("%d of %d sound requests were served", began, asked)
 				}
@@ -180,13 +174,10 @@
 					c.askPath(path, fmt.Sprint("bad", i), parts)
 					time.Sleep(badEvery)
 				}
-				last := c.crashes[min(maxCounted, len(c.crashes))-1]
-				late := 0
-				for _, at := range c.arrivals {
-					if at.Sub(last) > contactTime {
-						late++
-					}
+				if len(c.crashes) < maxCounted {
+					t.Fatalf("%d crashes", len(c.crashes))
 				}
+				late := c.late(maxCounted, contactTime)
 				if late > maxLate {
 					t.Errorf("%d requests reached targets later than %v after the fifth crash, of %d in all", late, contactTime, len(c.arrivals))
 				}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -99,6 +99,24 @@
 	})
 }
 
+// lastOf returns the time of crash n, or of the last one if there were fewer.
+func (c *crashingTargets) lastOf(n int) time.Time { return c.crashes[min(n, len(c.crashes))-1] }
+
+// late returns how many bad requests reached targets later than d after crash n, if
+// there were so many.
+func (c *crashingTargets) late(n int, d time.Duration) int {
+	if len(c.crashes) < n {
+		return 0
+	}
+	late := 0
+	for _, at := range c.arrivals {
+		if at.Sub(c.lastOf(n)) > d {
+			late++
+		}
+	}
+	return late
+}
+
 // newCrashingTargets starts a host and n targets, which serve a route of the given
 // kind.
 func newCrashingTargets(t *testing.T, kind catalog.Kind, n int) *crashingTargets {
@@ -167,17 +185,11 @@
 				if len(c.crashes) == 0 {
 					t.Fatal("no target crashed")
 				}
-				last := c.crashes[min(maxCrashes, len(c.crashes))-1]
-				late := 0
-				for _, at := range c.arrivals {
-					if len(c.crashes) >= maxCrashes && at.Sub(last) > contactTime {
-						late++
-					}
-				}
+				late := c.late(maxCrashes, contactTime)
 				if late > maxLate {
 					t.Errorf("%d requests with the part reached targets later than %v after the fifth crash, of %d in all; %d crashes", late, contactTime, len(c.arrivals), len(c.crashes))
 				}
-				begun, asked := countServed(served, last.Add(2*contactTime))
+				begun, asked := countServed(served, c.lastOf(maxCrashes).Add(2*contactTime))
 				if 2*begun < asked {
 					t.Errorf("%d of %d sound requests were served", begun, asked)
 				}
