--- a/internal/gateway/alike_test.go
+++ b/internal/gateway/alike_test.go
@@ -12,8 +12,8 @@
 	"berylswitch.example/berylswitch/internal/catalog"
 )
 
-// alikeLoad is a load of sound requests that are alike, two of each, with own parts of
-// their prompts, and of others that crash targets.
+// alikeLoad is a load of sound requests, each like one of two but for the last part of
+// its prompt, and of bad requests, which crash targets.
 type alikeLoad struct {
 	length time.Duration
 	// badFrom is when bad requests begin to come, one each badEvery.
@@ -29,16 +29,14 @@
 func (l *alikeLoad) run(c *crashingTargets) map[time.Time]bool {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	if l.bad != nil {
-		wg.Go(func() {
-			time.Sleep(l.badFrom)
-			for i := range int((l.length - l.badFrom) / l.badEvery) {
-				path, parts := l.bad(i)
-				wg.Go(func() { c.askPath(path, fmt.Sprint("bad", i), parts) })
-				time.Sleep(l.badEvery)
-			}
-		})
-	}
+	wg.Go(func() {
+		time.Sleep(l.badFrom)
+		for i := range int((l.length - l.badFrom) / l.badEvery) {
+			path, parts := l.bad(i)
+			wg.Go(func() { c.askPath(path, fmt.Sprint("bad", i), parts) })
+			time.Sleep(l.badEvery)
+		}
+	})
 	var mu sync.Mutex
 	served := map[time.Time]bool{}
 	var sound sync.WaitGroup
