gateway: after a long silence any other target will do for a stream

After 3 s of silence any other target will do that is usable and asks for no pause; before that the rule stays as it was.

TestSilentTarget, "other target paused, it hangs", fails before (4.006 s, 3 to 4 s wanted).

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -27,6 +27,9 @@
 	// stallCheckInterval is the time between two looks for another target while there
 	// is none.
 	stallCheckInterval = 200 * time.Millisecond
+	// goneTime is the silence after which a target that may not take the stream will do:
+	// the present one is hardly alive.
+	goneTime = 3 * time.Second
 )
 
 // errStalled is the cause of a context that ended because the target sent no
@@ -36,20 +39,21 @@
 // stallTimer cancels the send of a resumable stream when the target sends no events in
 // time and the stream can go on at another target.
 type stallTimer struct {
-	h       *Host
-	cancel  context.CancelCauseFunc
-	limit   time.Duration
-	canMove func() bool
+	h      *Host
+	cancel context.CancelCauseFunc
+	limit  time.Duration
+	others otherTargets
 
-	mu        sync.Mutex
-	stopTimer func() bool
-	stopped   bool
+	mu          sync.Mutex
+	silentSince time.Time
+	stopTimer   func() bool
+	stopped     bool
 }
 
 // startStallTimer starts the timer. It has no effect on streams that can't
 // continue at another target.
 func (s *sender) startStallTimer(cancel context.CancelCauseFunc) *stallTimer {
-	t := &stallTimer{h: s.h, cancel: cancel, canMove: s.otherTargets()}
+	t := &stallTimer{h: s.h, cancel: cancel, others: otherTargets{s.h, s.q.service, s.q.suspects, maps.Clone(s.tried)}, silentSince: s.h.Clock.Now()}
 	if s.q.route.Repeatable() && s.q.sends < max(1, s.q.route.MaxTargets) {
 		t.limit = max(minStallTimeout, stallPauseFactor*s.q.route.EventPause)
 		t.arm(firstEventTimeout)
@@ -72,7 +76,10 @@
 
 // expire ends the send, or looks again later: silence alone ends nothing.
 func (t *stallTimer) expire() {
-	if t.canMove() {
+	t.mu.Lock()
+	gone := t.h.Clock.Since(t.silentSince) >= goneTime
+	t.mu.Unlock()
+	if t.others.exist(gone) {
 		t.cancel(errStalled)
 		return
 	}
@@ -81,9 +88,13 @@
 
 // reset restarts the timer after an event.
 func (t *stallTimer) reset() {
-	if t.limit > 0 {
-		t.arm(t.limit)
+	if t.limit == 0 {
+		return
 	}
+	t.mu.Lock()
+	t.silentSince = t.h.Clock.Now()
+	t.mu.Unlock()
+	t.arm(t.limit)
 }
 
 func (t *stallTimer) stop() {
@@ -95,22 +106,31 @@
 	}
 }
 
-// otherTargets returns a function that reports whether the request may be sent to
-// another target than those tried so far, and one is likely to take it. It may be
-// called by any goroutine.
-func (s *sender) otherTargets() func() bool {
-	h, service, suspects, tried := s.h, s.q.service, s.q.suspects, maps.Clone(s.tried)
-	return func() bool {
-		if !h.Repeats.Allows(service) || h.Crashes.BlockedSuspect(suspects) != (crash.Suspect{}) {
-			return false
+// otherTargets is what must be known to find out whether a request may be sent to another
+// target than those tried so far. It may be used by any goroutine.
+type otherTargets struct {
+	h        *Host
+	service  string
+	suspects []crash.Suspect
+	tried    map[string]bool
+}
+
+// exist reports whether there is such a target, and room in the budget of repeats. Unless
+// uncertain is set, the target must be one that is not paused and has no limit, so that
+// it will hardly refuse.
+func (o *otherTargets) exist(uncertain bool) bool {
+	if !o.h.Repeats.Allows(o.service) || o.h.Crashes.BlockedSuspect(o.suspects) != (crash.Suspect{}) {
+		return false
+	}
+	usable := o.h.Backpressure.Usable(o.h.Follower.Snapshot().ActiveTargets(o.service))
+	paused := o.h.Balancer.Paused(usable)
+	for _, t := range usable {
+		if o.tried[t.ID] || o.h.Backpressure.PauseLeft(t) > 0 {
+			continue
 		}
-		usable := h.Backpressure.Usable(h.Follower.Snapshot().ActiveTargets(service))
-		paused := h.Balancer.Paused(usable)
-		for _, t := range usable {
-			if !tried[t.ID] && !slices.Contains(paused, t.ID) && h.Backpressure.PauseLeft(t) == 0 && !h.Backpressure.Limited(t) {
-				return true
-			}
+		if uncertain || !slices.Contains(paused, t.ID) && !o.h.Backpressure.Limited(t) {
+			return true
 		}
-		return false
 	}
+	return false
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -32,9 +32,19 @@
 	}
 }
 
+// pauseSecond has the second target paused for longer than goneTime: pauses grow.
+func pauseSecond(h *Host) {
+	t1 := h.Follower.Snapshot().ActiveTargets("s")[1]
+	for range 5 {
+		time.Sleep(5 * time.Second)
+		h.Balancer.Begin(t1)
+		h.Balancer.End(t1, fleet.Unreachable, 0)
+	}
+}
+
 // TestSilentTarget guards against cutting a stream for its target's silence alone: a
 // resumable stream moves to another target soon, but stays where none would take it, and
-// is complete if its target goes on.
+// is complete if its target goes on. After a long silence any other target will do.
 func TestSilentTarget(t *testing.T) {
 	const pause, hang, moved = 2500 * time.Millisecond, 20 * time.Second, 2 * time.Second
 	whole := fmt.Sprintf("200 signed t %q", wholeStream)
@@ -50,15 +60,8 @@
 		{"another target", []behaviour{fallsSilentFor(hang), fallsSilentFor(0)}, nil, whole, minStallTimeout, moved},
 		{"no other target", []behaviour{fallsSilentFor(pause)}, nil, whole, pause, pause + time.Second},
 		{"no other target, it hangs", []behaviour{fallsSilentFor(hang)}, nil, cut, 7 * time.Second, 9 * time.Second},
-		{"other target paused", []behaviour{fallsSilentFor(pause), fallsSilentFor(pause)}, func(h *Host) {
-			// Pauses grow longer; the last one ends after the silence.
-			t1 := h.Follower.Snapshot().ActiveTargets("s")[1]
-			for range 5 {
-				time.Sleep(5 * time.Second)
-				h.Balancer.Begin(t1)
-				h.Balancer.End(t1, fleet.Unreachable, 0)
-			}
-		}, whole, pause, pause + time.Second},
+		{"other target paused", []behaviour{fallsSilentFor(pause), fallsSilentFor(pause)}, pauseSecond, whole, pause, pause + time.Second},
+		{"other target paused, it hangs", []behaviour{fallsSilentFor(hang), fallsSilentFor(0)}, pauseSecond, whole, goneTime, goneTime + time.Second},
 		{"budget of repeats empty", []behaviour{fallsSilentFor(pause), fallsSilentFor(pause)}, func(h *Host) { h.Repeats.SetLimit(0, 0) }, whole, pause, pause + time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
