catalog: the first read of an empty operators' topic counts

Cause: hosts start before the operators write the first record, so that their first full read ends at offset zero, which was taken for no read at all. What is known is now told by the set of evacuations, not by the position.

--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -41,13 +41,14 @@
 func (f *Follower) applyEvacuations(update TableUpdate, source Source) {
 	f.mu.Lock()
 	former, position := f.evacuations, f.tablePosition
-	if update.Next <= position || position == 0 && !update.Full {
+	first := former == nil
+	if first && !update.Full || !first && update.Next <= position {
 		f.mu.Unlock()
 		return
 	}
 	next := nextEvacuations(former, position, update)
 	f.evacuations, f.tablePosition = next, update.Next
-	changed := position == 0 || !maps.Equal(former, next)
+	changed := first || !maps.Equal(former, next)
 	if changed {
 		f.evacuationsChanged = update.Next
 		f.publish()
