gateway: tests of barred services, paused streams and the count of stopped sends

Three mutations passed the tests: stages that run though no target of the service is left, a paused stream that is ended for a target outside its home regions, and a stopped send that counts as one of the request. Each has a test that fails with the mutation.

--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -114,6 +115,9 @@
 			if n := metrics.GetOrRegisterCounter(stoppedCounter, r.host.Metrics).Count(); n != 1 {
 				t.Errorf("%d sends stopped", n)
 			}
+			if n := metrics.GetOrRegisterCounter("Sends."+kind.String(), r.host.Metrics).Count(); n != 1 {
+				t.Errorf("%v: %d sends counted", kind, n)
+			}
 		})
 	}
 }
@@ -245,6 +249,44 @@
 	})
 }
 
+// TestNoStageForBarredService expects a request to be refused before any of its stages
+// runs if every target that it goes to afterwards is evacuated: it could only end with
+// 502 then.
+func TestNoStageForBarredService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newDomainFixture(t, route(catalog.Stream, func(r *catalog.Route) {
+			r.Aim = 5 * time.Second
+			r.Stages = []catalog.Stage{{Service: "p", ResultBytes: 10}}
+		}), events("t", -1))
+		defer r.close()
+		r.evacuate("d0")
+		if got := r.post("/a/b", "Wait", "5000", "Pieces", "2"); got != "503" || len(r.pool.arrivals()) > 0 {
+			t.Errorf("%s, %d calls to the pool", got, len(r.pool.arrivals()))
+		}
+	})
+}
+
+// TestPausedStreamInHomeRegion expects a resumable stream that pauses to be left alone
+// while the only other target is outside its home regions: it can't go on there.
+func TestPausedStreamInHomeRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 5 * time.Second
+		pauses := func(w http.ResponseWriter, req *http.Request) {
+			w.Header().Set("Signed", "t")
+			io.WriteString(w, "id: 0\n\n")
+			http.NewResponseController(w).Flush()
+			if sleep(req.Context(), pause) == nil {
+				io.WriteString(w, "id: 1\n\n")
+			}
+		}
+		r := newDomainFixture(t, route(catalog.Stream, func(r *catalog.Route) { r.Resumable, r.Regions = true, []string{"north"} }), pauses, events("t", -1))
+		defer r.close()
+		if got := r.post("/a/b", "Wait", "9000"); got != fmt.Sprintf("200 signed t %q", "id: 0\n\nid: 1\n\n") || r.arrivalsAt(1) != 0 {
+			t.Errorf("%s, sends %v", got, r.received)
+		}
+	})
+}
+
 // TestHomeRegions expects requests and pieces to stay in the home regions of their route
 // and workspace, and a refusal if these leave no target: both bind, and a region that no
 // failure domain is in binds as well.
