backpressure: limit the requests of all hosts to cold targets

A target that is cold after a start crashes if it gets many requests, and nothing limited them.

Cold targets take part in the limits by leased shares. The effective rate is the lower of the named limit and the cold rate, with a burst of one request, short waits, turns that end soon after their time, and leases that count only once the former holder's turns are used up. Hosts tell the holder what they know of cold targets with each question and renewal. Without a cold rate or a cold factor nothing changes.

--- a/internal/backpressure/client.go
+++ b/internal/backpressure/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -25,6 +26,14 @@
 	skipTime = 3 * time.Second
 )
 
+// Caller calls other hosts.
+type Caller interface {
+	Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error
+	// CallOrDisconnect is like Call but gives the connection up if there is no reply in
+	// time.
+	CallOrDisconnect(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error
+}
+
 // Client leases this host's share of the limits to the holders of services, and asks
 // them for the turns of requests. Exported fields are set before Run.
 type Client struct {
@@ -34,12 +43,14 @@
 	Table *Table
 	// Holders picks the holder of a service.
 	Holders *peer.Picker
-	Peers   *peer.Caller
+	Peers   Caller
 	// Holder is that of this host.
 	Holder *Holder
 	// Hosts returns the number of hosts that share the limits.
 	Hosts func() int
 
+	startedAt time.Time
+
 	mu     sync.Mutex
 	leases map[string]*heldLease
 }
@@ -56,20 +67,30 @@
 
 // Run renews the leases until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	c.Table.notifyLimits(func(service string) { go c.renew(ctx, service) })
+	c.startedAt = c.Clock.Now()
+	c.Table.notifyLimits(func(service string) { go c.renewTwice(ctx, service) })
 	ticks := c.Clock.Subscribe(ctx, renewInterval)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticks:
-			for service := range c.Table.limits() {
+			for service := range c.Table.limitedServices() {
 				go c.renew(ctx, service)
 			}
 		}
 	}
 }
 
+// renewTwice renews the lease of service now, and once more as soon as that makes it
+// count for cold targets.
+func (c *Client) renewTwice(ctx context.Context, service string) {
+	c.renew(ctx, service)
+	if c.Clock.Sleep(ctx, coldLeaseDelay) == nil {
+		c.renew(ctx, service)
+	}
+}
+
 // lease returns the lease of service.
 func (c *Client) lease(service string) *heldLease {
 	c.mu.Lock()
@@ -115,7 +136,8 @@
 }
 
 func (c *Client) renewal(service string, ends bool) *Renewal {
-	return &Renewal{Host: c.Self, Service: service, Hosts: c.Hosts(), Limits: c.Table.limits()[service], Return: ends}
+	return &Renewal{Host: c.Self, Service: service, Hosts: c.Hosts(), Limits: c.Table.limits()[service], Cold: c.Table.serviceNotices(service),
+		Fresh: c.Clock.Since(c.startedAt) < leaseTime+renewTimeout, Return: ends}
 }
 
 // call sends r to holder.
@@ -132,7 +154,7 @@
 // Take asks for a turn at one of targets, which are in the order of preference. The
 // request may wait for at most maxWait. Without a reply there is none.
 func (c *Client) Take(ctx context.Context, service string, targets []*catalog.Target, maxWait time.Duration) Grant {
-	ask := &Ask{Service: service, MaxWait: maxWait}
+	ask := &Ask{Service: service, MaxWait: maxWait, Cold: c.Table.targetNotices(targets)}
 	for _, t := range targets {
 		ask.Targets = append(ask.Targets, Candidate{t.ID, t.Born})
 	}
--- a/internal/backpressure/holder.go
+++ b/internal/backpressure/holder.go
@@ -36,6 +36,7 @@
 
 // serviceQuotas is the state of the targets of one service.
 type serviceQuotas struct {
+	name string
 	// leases holds the leases of hosts by name.
 	leases map[string]lease
 	// logged is the number of leases that a log line has told.
@@ -45,6 +46,8 @@
 	// at the leases at sharedAt.
 	share    float64
 	sharedAt time.Time
+	// coldShare is the part for cold targets.
+	coldShare float64
 }
 
 // quotaKey is an incarnation of a target.
@@ -57,13 +60,19 @@
 type lease struct {
 	until time.Time
 	// hosts is the number of hosts that share the limits as the host knows it.
-	hosts int
+	hosts     int
+	renewedAt time.Time
+	// coldFrom is the time from which the lease counts for cold targets, once a renewal
+	// has come since: confirmed.
+	coldFrom  time.Time
+	confirmed bool
 }
 
 func (h *Holder) renew(r *Renewal) {
 	for _, u := range r.Limits {
 		h.Table.Apply(u)
 	}
+	h.Table.applyNotices(r.Cold)
 	now := h.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -72,7 +81,7 @@
 	if r.Return {
 		delete(s.leases, r.Host)
 	} else {
-		s.leases[r.Host] = lease{until: now.Add(leaseTime), hosts: r.Hosts}
+		s.leases[r.Host] = former.renewed(r, now)
 	}
 	if r.Return || !former.until.After(now) || former.hosts != r.Hosts {
 		s.updateShare(h, now)
@@ -83,37 +92,61 @@
 	}
 }
 
+// renewed returns l after the renewal r. Renewals that waited while this host was frozen
+// are handled all at once, when the share may have gone to another holder; they confirm
+// nothing.
+func (l lease) renewed(r *Renewal, now time.Time) lease {
+	l.until, l.hosts = now.Add(leaseTime), r.Hosts
+	if now.Sub(l.renewedAt) > coldLeaseTime {
+		l.confirmed, l.coldFrom = false, now.Add(coldLeaseDelay)
+		if r.Fresh {
+			l.coldFrom = l.coldFrom.Add(leaseTime)
+		}
+	}
+	l.renewedAt = now
+	l.confirmed = l.confirmed || !now.Before(l.coldFrom)
+	return l
+}
+
+// countsForCold reports whether l counts for cold targets.
+func (l lease) countsForCold(now time.Time) bool {
+	return l.confirmed && now.Sub(l.renewedAt) < coldLeaseTime
+}
+
 // take returns the first of the targets without a wait, or else the one with the
 // shortest.
 func (h *Holder) take(a *Ask) Grant {
+	h.Table.applyNotices(a.Cold)
 	now := h.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(a.Service)
 	s.refreshShare(h, now)
-	best := Grant{Wait: noTurn}
+	best, shortest := Grant{}, noTurn
 	var bestKey quotaKey
 	for _, c := range a.Targets {
 		key := quotaKey{c.ID, c.Born}
-		wait := s.wait(h, key, now)
-		if best.Target == "" || wait < best.Wait {
+		wait, tooLong := s.wait(h, key, now)
+		shortest = min(shortest, wait)
+		if !tooLong && wait <= min(a.MaxWait, maxWait) && (best.Target == "" || wait < best.Wait) {
 			best, bestKey = Grant{Target: c.ID, Wait: wait}, key
 		}
 		if wait == 0 {
 			break
 		}
 	}
-	if best.Wait > min(a.MaxWait, maxWait) {
-		return Grant{Wait: best.Wait}
+	if best.Target == "" {
+		return Grant{Wait: shortest}
 	}
-	s.take(bestKey, now)
+	best.Cold = s.take(h, bestKey, now)
 	return best
 }
 
-// Limited reports whether t limits the number of its requests.
+// Limited reports whether t limits the number of its requests or is cold.
 func (h *Holder) Limited(t *catalog.Target) bool { return h.Table.Limited(t) }
 
-// Wait returns the time until a request may go to t: zero without a limit.
+// Wait returns the time until a request may go to t: zero without a limit, and very
+// long if no turn is given out now.
 func (h *Holder) Wait(t *catalog.Target) time.Duration {
 	if !h.Table.Limited(t) {
 		return 0
@@ -123,18 +156,23 @@
 	defer h.mu.Unlock()
 	s := h.service(t.Service)
 	s.refreshShare(h, now)
-	return s.wait(h, quotaKey{t.ID, t.Born}, now)
+	wait, tooLong := s.wait(h, quotaKey{t.ID, t.Born}, now)
+	if tooLong {
+		return noTurn
+	}
+	return wait
 }
 
 // MayWait reports whether a request that can wait for d may wait for its turn.
 func MayWait(wait, d time.Duration) bool { return wait <= min(d, maxWait) }
 
-// Take lets one request go to t after Wait.
-func (h *Holder) Take(t *catalog.Target) {
+// Take lets one request go to t after Wait. It reports whether the turn keeps to the
+// rate of a cold target.
+func (h *Holder) Take(t *catalog.Target) (cold bool) {
 	now := h.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.service(t.Service).take(quotaKey{t.ID, t.Born}, now)
+	return h.service(t.Service).take(h, quotaKey{t.ID, t.Born}, now)
 }
 
 // service returns the state of a service; h.mu is held.
@@ -144,7 +182,7 @@
 	}
 	s := h.services[name]
 	if s == nil {
-		s = &serviceQuotas{leases: map[string]lease{}, quotas: map[quotaKey]*quota{}}
+		s = &serviceQuotas{name: name, leases: map[string]lease{}, quotas: map[quotaKey]*quota{}}
 		h.services[name] = s
 	}
 	return s
@@ -165,44 +203,72 @@
 			delete(s.leases, host)
 		}
 	}
-	s.share, s.sharedAt = s.leasedShare(h.Hosts()), now
+	s.sharedAt = now
+	s.share, s.coldShare = s.leasedShares(h.Hosts(), now)
 	for key, q := range s.quotas {
-		limit, limited := h.Table.limit(key.target, key.born)
-		if !limited {
+		a, limited := h.Table.allowance(s.name, key)
+		if !limited || a.born != key.born {
 			delete(s.quotas, key)
 			continue
 		}
-		q.setRate(limit, s.share, now)
+		q.setRate(a, s.shareOf(a), now)
 	}
 }
 
-// leasedShare returns the part of each limit that is leased to this host. hosts is the
-// number of hosts as this host knows it; another one may know of more.
-func (s *serviceQuotas) leasedShare(hosts int) float64 {
+// leasedShares returns the part of each limit that is leased to this host, and the part
+// for cold targets. hosts is the number of hosts as this host knows it; another one may
+// know of more.
+func (s *serviceQuotas) leasedShares(hosts int, now time.Time) (share, coldShare float64) {
+	cold := 0
 	for _, l := range s.leases {
 		hosts = max(hosts, l.hosts)
+		if l.countsForCold(now) {
+			cold++
+		}
 	}
-	return min(1, float64(len(s.leases))/float64(max(1, hosts)))
+	share = min(1, float64(len(s.leases))/float64(max(1, hosts)))
+	coldShare = min(1, float64(cold)/float64(max(1, hosts)))
+	if coldShare < minColdShare {
+		coldShare = 0
+	}
+	return share, coldShare
+}
+
+// shareOf returns the share of this host in a.
+func (s *serviceQuotas) shareOf(a allowance) float64 {
+	if a.cold {
+		return s.coldShare
+	}
+	return s.share
 }
 
-// wait returns the time until a request may go to a target.
-func (s *serviceQuotas) wait(h *Holder, key quotaKey, now time.Time) time.Duration {
-	limit, limited := h.Table.limit(key.target, key.born)
+// wait returns the time until a request may go to a target. No turn may be given out if
+// that is too long.
+func (s *serviceQuotas) wait(h *Holder, key quotaKey, now time.Time) (wait time.Duration, tooLong bool) {
+	a, limited := h.Table.allowance(s.name, key)
 	if !limited {
-		return 0
+		return 0, false
 	}
+	key.born = a.born
 	q := s.quotas[key]
 	if q == nil {
 		q = &quota{at: now}
 		s.quotas[key] = q
 	}
-	q.setRate(limit, s.share, now)
-	return q.wait(now)
+	q.setRate(a, s.shareOf(a), now)
+	wait = q.wait(now)
+	return wait, q.tooLong(wait)
 }
 
-// take lets one request go to a target; without a limit there is nothing to count.
-func (s *serviceQuotas) take(key quotaKey, now time.Time) {
-	if q := s.quotas[key]; q != nil {
-		q.take(now)
+// take lets one request go to a target; without a limit there is nothing to count. It
+// reports whether the target is cold.
+func (s *serviceQuotas) take(h *Holder, key quotaKey, now time.Time) (cold bool) {
+	a, _ := h.Table.allowance(s.name, key)
+	key.born = a.born
+	q := s.quotas[key]
+	if q == nil {
+		return false
 	}
+	q.take(now)
+	return q.cold
 }
--- a/internal/backpressure/holder_test.go
+++ b/internal/backpressure/holder_test.go
@@ -22,18 +22,29 @@
 //	take [targets=(TARGET,...)] [wait=D]
 //	flood TARGET for=D [step=D]
 //	sleep D
+//	cold rate=N time=D factor=N [slack=N]
+//	entry TARGET born=N seq=N [left=D]
+//	respond TARGET left=D
+//	putback DOMAIN
+//	notice TARGET born=N seq=N left=D
+//	left TARGET
+//
+// The arguments born and fresh of take and lease are the incarnation of the targets,
+// and whether the hosts have just started.
 type holderScript struct {
-	holder  *Holder
-	hosts   int
-	version int64
+	holder   *Holder
+	hosts    int
+	version  int64
+	snapshot *catalog.Snapshot
 }
 
 func TestHolder(t *testing.T) {
 	datadriven.Walk(t, "testdata/holder", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
-			s := &holderScript{hosts: 1}
+			s := &holderScript{hosts: 1, snapshot: &catalog.Snapshot{Targets: map[string][]*catalog.Target{}}}
 			c := &clock.Service{}
-			s.holder = &Holder{Clock: c, Log: zap.NewNop(), Table: &Table{Clock: c, Log: zap.NewNop()}, Hosts: func() int { return s.hosts }}
+			table := &Table{Clock: c, Log: zap.NewNop(), Catalog: func() *catalog.Snapshot { return s.snapshot }}
+			s.holder = &Holder{Clock: c, Log: zap.NewNop(), Table: table, Hosts: func() int { return s.hosts }}
 			datadriven.RunTest(t, path, s.run)
 		})
 	})
@@ -49,8 +60,8 @@
 		hosts := 0
 		d.MaybeScanArgs(t, "hosts", &hosts)
 		for _, a := range d.CmdArgs {
-			if a.Key != "hosts" {
-				s.holder.renew(&Renewal{Host: a.Key, Service: "s", Hosts: hosts, Return: d.Cmd == "return"})
+			if a.Key != "hosts" && a.Key != "fresh" {
+				s.holder.renew(&Renewal{Host: a.Key, Service: "s", Hosts: hosts, Fresh: d.HasArg("fresh"), Return: d.Cmd == "return"})
 			}
 		}
 	case "take":
@@ -59,12 +70,57 @@
 		return s.flood(t, d)
 	case "sleep":
 		time.Sleep(duration(t, d, d.CmdArgs[0].Key))
+	default:
+		return s.runCold(t, d)
+	}
+	return "ok\n"
+}
+
+// runCold runs the commands about cold targets.
+func (s *holderScript) runCold(t *testing.T, d *datadriven.TestData) string {
+	id, left := d.CmdArgs[0].Key, time.Duration(0)
+	target := &catalog.Target{ID: id, Service: "s", Domain: "d", Born: 1}
+	d.MaybeScanArgs(t, "born", &target.Born)
+	d.MaybeScanArgs(t, "seq", &target.Sequence)
+	if d.HasArg("left") {
+		var v string
+		d.ScanArgs(t, "left", &v)
+		left = duration(t, d, v)
+	}
+	switch d.Cmd {
+	case "cold":
+		s.cold(t, d)
+	case "entry":
+		target.Cold = catalog.Cold{Known: d.HasArg("left"), Left: left}
+		s.holder.Table.ObserveEntry(target)
+		s.snapshot.Targets["s"] = append(s.snapshot.Targets["s"], target)
+	case "respond":
+		s.holder.Table.Observe(target, time.Now(), Signal{Cold: left})
+	case "putback":
+		s.holder.Table.MarkDomainCold(s.snapshot, id)
+	case "notice":
+		s.holder.Table.applyNotices([]ColdNotice{{Target: id, Service: "s", Born: target.Born, Sequence: target.Sequence, Left: left}})
+	case "left":
+		return fmt.Sprintln(s.holder.Table.ColdLeft(target))
 	default:
 		d.Fatalf(t, "unknown command")
 	}
 	return "ok\n"
 }
 
+// cold sets the cold rate and time of the service, and the bounds.
+func (s *holderScript) cold(t *testing.T, d *datadriven.TestData) {
+	service, bounds := &catalog.Service{Name: "s"}, ColdBounds{}
+	var coldTime string
+	d.ScanArgs(t, "rate", &service.ColdRate)
+	d.ScanArgs(t, "time", &coldTime)
+	service.ColdTime = duration(t, d, coldTime)
+	d.ScanArgs(t, "factor", &bounds.Factor)
+	d.MaybeScanArgs(t, "slack", &bounds.Slack)
+	s.snapshot.Table = &catalog.Table{Services: map[string]*catalog.Service{"s": service}}
+	s.holder.Table.SetColdBounds(bounds)
+}
+
 func duration(t *testing.T, d *datadriven.TestData, v string) time.Duration {
 	x, err := time.ParseDuration(v)
 	if err != nil {
@@ -97,10 +153,17 @@
 			}
 		case "wait":
 			a.MaxWait = duration(t, d, arg.Vals[0])
+		case "born":
+			// Applied below, to all targets.
 		default:
 			d.Fatalf(t, "unknown argument %s", arg.Key)
 		}
 	}
+	if d.HasArg("born") {
+		for i := range a.Targets {
+			d.ScanArgs(t, "born", &a.Targets[i].Born)
+		}
+	}
 	g := s.holder.take(a)
 	if g.Target == "" {
 		return fmt.Sprintf("none for %v\n", g.Wait.Round(time.Millisecond))
--- a/internal/backpressure/quota.go
+++ b/internal/backpressure/quota.go
@@ -25,21 +25,35 @@
 	// requests wait for their turn.
 	tokens float64
 	at     time.Time
+	// cold is set while the target is cold.
+	cold bool
 }
 
-// setRate changes the rate from now on, given the limit of the target and the share of
-// it that is leased to this host.
-func (q *quota) setRate(limit, share float64, now time.Time) {
+// setRate changes the rate from now on, given what the target takes from all hosts and
+// the share of it that is leased to this host.
+func (q *quota) setRate(a allowance, share float64, now time.Time) {
 	q.advance(now)
-	q.rate = max(limit, trialRate) * share
+	if a.cold && !q.cold {
+		// What was earned, and the turns that were given, belong to another rate. Hosts
+		// don't use these turns any more.
+		q.tokens = 0
+	}
+	q.rate, q.cold = a.rate*share, a.cold
+}
+
+// burst returns the number of requests that may go at once.
+func (q *quota) burst() float64 {
+	if q.cold {
+		return coldBurst
+	}
+	return 1 + q.rate*burstTime.Seconds()
 }
 
 // advance adds the tokens earned until now.
 func (q *quota) advance(now time.Time) {
 	elapsed := max(0, now.Sub(q.at))
 	q.at = now
-	most := 1 + q.rate*burstTime.Seconds()
-	q.tokens = min(most, q.tokens+q.rate*elapsed.Seconds())
+	q.tokens = min(q.burst(), q.tokens+q.rate*elapsed.Seconds())
 }
 
 // wait returns the time until the next request may go, or noTurn.
@@ -55,6 +69,14 @@
 	}
 }
 
+// tooLong reports whether wait is longer than for a turn that may be given out.
+func (q *quota) tooLong(wait time.Duration) bool {
+	if !q.cold {
+		return false
+	}
+	return wait > maxColdWait && wait.Seconds()*q.rate > coldBurst
+}
+
 // noTurn is the wait at a target to which no request may go.
 const noTurn = time.Hour
 
--- a/internal/backpressure/service.go
+++ b/internal/backpressure/service.go
@@ -15,6 +15,11 @@
 	Hosts int
 	// Limits are the limits in force as the host knows them.
 	Limits []Update
+	// Cold are the cold targets as the host knows them.
+	Cold []ColdNotice
+	// Fresh is set while a process that ended just before may still have leased the
+	// share of the same host.
+	Fresh bool
 	// Return ends the lease.
 	Return bool
 }
@@ -26,6 +31,8 @@
 	Targets []Candidate
 	// MaxWait is the longest time that the request can wait.
 	MaxWait time.Duration
+	// Cold are the cold ones among the service's targets as the host knows them.
+	Cold []ColdNotice
 }
 
 // Candidate is an incarnation of a target.
@@ -40,6 +47,8 @@
 	Target string
 	// Wait is, without a target, the time until a request may go.
 	Wait time.Duration
+	// Cold is set if the turn keeps to the rate of a cold target.
+	Cold bool
 }
 
 // Service is the RPC service of a Holder.
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -16,9 +16,14 @@
 	Log   *zap.Logger
 	// Exchange, unless nil, spreads limits among the hosts.
 	Exchange Exchange
+	// Catalog, unless nil, returns the services, which may limit their cold targets.
+	Catalog func() *catalog.Snapshot
+	// Cold bounds the requests to cold targets; SetColdBounds changes it later.
+	Cold ColdBounds
 
 	mu      sync.Mutex
 	targets map[string]*targetState
+	cold    map[string]*coldState
 	// onLimit is set by notifyLimits.
 	onLimit func(service string)
 }
@@ -38,7 +43,7 @@
 }
 
 // notifyLimits makes f, which must not block, the function that is called with the
-// service of a target that has named a limit after none.
+// service of a target that has named a limit after none, or has become cold.
 func (b *Table) notifyLimits(f func(service string)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -57,6 +62,9 @@
 	st := b.state(t)
 	old := st.Update
 	st.observeLimit(s, sentAt, now)
+	if s.Cold > 0 {
+		b.extendCold(t, s.Cold, now)
+	}
 	if s.Pause > 0 {
 		st.pausedUntil = now.Add(s.Pause)
 		b.Log.Info("target asks for a pause", zap.String("Target", t.ID), zap.String("Service", t.Service), zap.Duration("Pause", s.Pause))
@@ -108,17 +116,6 @@
 	}
 }
 
-// limit returns the limit of the incarnation of a target, if it has named one.
-func (b *Table) limit(id string, born int64) (limit float64, limited bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	st := b.targets[id]
-	if st == nil || st.Born != born {
-		return 0, false
-	}
-	return st.Limit, st.Limited
-}
-
 // Usable returns those of targets that do not leave by their own word.
 func (b *Table) Usable(targets []*catalog.Target) []*catalog.Target {
 	b.mu.Lock()
@@ -144,12 +141,26 @@
 	return max(0, st.pausedUntil.Sub(now))
 }
 
-// Limited reports whether t has named a limit that is in force.
+// Limited reports whether t has named a limit that is in force, or is cold.
 func (b *Table) Limited(t *catalog.Target) bool {
-	_, limited := b.limit(t.ID, t.Born)
+	_, limited := b.allowance(t.Service, quotaKey{t.ID, t.Born})
 	return limited
 }
 
+// limitedServices returns the services that have limited or cold targets.
+func (b *Table) limitedServices() map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]bool{}
+	for _, st := range b.targets {
+		if st.Limited {
+			out[st.Service] = true
+		}
+	}
+	b.coldServices(out)
+	return out
+}
+
 // limits returns the limits in force by service.
 func (b *Table) limits() map[string][]Update {
 	b.mu.Lock()
@@ -163,8 +174,11 @@
 	return out
 }
 
-// LogSend logs a send to a target that has named a limit.
+// LogSend logs a send to a target that has named a limit or is cold.
 func (b *Table) LogSend(t *catalog.Target, requestID string) {
+	if left := b.ColdLeft(t); left > 0 {
+		b.Log.Info("send to a cold target", zap.String("RequestID", requestID), zap.String("Target", t.ID), zap.Duration("Left", left))
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if st := b.state(t); st.Limited {
@@ -200,4 +214,5 @@
 			delete(b.targets, id)
 		}
 	}
+	b.pruneCold(s)
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -102,6 +102,10 @@
 	Name string
 	// Pool is set for services whose targets run pieces of stages.
 	Pool *Pool
+	// ColdTime is how long a target is cold after its start. While cold, it takes
+	// ColdRate requests a second from all hosts together; zero means no limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Pool describes the capacity and speed of each target of a stage pool.
@@ -186,6 +190,23 @@
 	Born int64
 	// Sequence increases with each entry that an incarnation writes.
 	Sequence int64
+	// Cold is the remaining cold time, which every entry may renew. A snapshot may
+	// hold an older one: Follower.OnEntry gets that of each entry.
+	Cold Cold
+}
+
+// Cold is what an entry says of the remaining cold time of its target. The zero value
+// means that it says nothing.
+type Cold struct {
+	Known bool
+	// Left is counted from the read of the entry.
+	Left time.Duration
+}
+
+// after returns what is left of c after d.
+func (c Cold) after(d time.Duration) Cold {
+	c.Left = max(0, c.Left-max(0, d))
+	return c
 }
 
 // writtenBefore reports whether the same target wrote t before u.
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -94,6 +94,9 @@
 	ApplyTime time.Duration
 	// OnChange, unless nil, is called after each new snapshot.
 	OnChange func(*Snapshot)
+	// OnEntry, unless nil, is called with the target of each new entry before a
+	// snapshot holds it. It must not block or call the Follower, except for Snapshot.
+	OnEntry func(*Target)
 
 	snapshot atomic.Pointer[Snapshot]
 	// pollsReader is set while this host gets changes from a reader host instead
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -155,7 +155,7 @@
 	held.Whole = known.Next < f.tombstonesFrom
 	for id, e := range f.targets {
 		if !e.lapsed && (held.Whole || e.offset >= known.Next) {
-			held.Targets = append(held.Targets, TargetChange{ID: id, Target: e.target, Offset: e.offset})
+			held.Targets = append(held.Targets, TargetChange{ID: id, Target: e.atPeer(now), Offset: e.offset})
 		}
 	}
 	if !held.Whole {
--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -11,6 +11,8 @@
 type targetEntry struct {
 	target *Target
 	offset Offset
+	// coldAt is the time from which the remaining cold time of target counts.
+	coldAt time.Time
 	// lapsed is set if the entry lapsed during an outage of the store.
 	lapsed bool
 }
@@ -165,7 +167,8 @@
 		return f.removeOrLapse(c.ID, r, now)
 	}
 	if r == nil {
-		f.targets[c.ID] = &targetEntry{target: c.Target, offset: c.Offset}
+		f.targets[c.ID] = &targetEntry{target: c.Target, offset: c.Offset, coldAt: now}
+		f.notifyEntry(c.Target)
 		f.logTarget("target registered", c.Target)
 		return true
 	}
@@ -174,6 +177,13 @@
 	}
 	old := *r
 	r.target, r.offset, r.lapsed = c.Target, c.Offset, false
+	if old.target.writtenBefore(c.Target) {
+		r.coldAt = now
+		f.notifyEntry(c.Target)
+	} else {
+		// The same entry, read again: its cold time runs on from the first read.
+		r.target = withCold(c.Target, old.target.Cold)
+	}
 	if sameButSequence(old.target, c.Target) && !old.lapsed {
 		return false
 	}
@@ -181,13 +191,37 @@
 	return true
 }
 
-// sameButSequence reports whether a and b differ in their sequences at most.
+// sameButSequence reports whether a and b differ in their sequences and remaining cold
+// times at most. Entries renew both, which must not make a new snapshot each time.
 func sameButSequence(a, b *Target) bool {
 	c := *b
-	c.Sequence = a.Sequence
+	c.Sequence, c.Cold = a.Sequence, a.Cold
 	return *a == c
 }
 
+// withCold returns t with the remaining cold time c.
+func withCold(t *Target, c Cold) *Target {
+	if t.Cold == c {
+		return t
+	}
+	out := *t
+	out.Cold = c
+	return &out
+}
+
+// atPeer returns the target of e as it is sent to a peer at now, whose own time starts
+// when the entry arrives.
+func (e *targetEntry) atPeer(now time.Time) *Target {
+	return withCold(e.target, e.target.Cold.after(now.Sub(e.coldAt)))
+}
+
+// notifyEntry passes the target of a new entry on; f.mu is held.
+func (f *Follower) notifyEntry(t *Target) {
+	if f.OnEntry != nil {
+		f.OnEntry(t)
+	}
+}
+
 // removeOrLapse removes the entry, or marks it as lapsed if the store had an
 // outage recently, and reports whether the snapshot changes; f.mu is held.
 func (f *Follower) removeOrLapse(id string, r *targetEntry, now time.Time) bool {
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -73,12 +73,18 @@
 	return &stage.Batcher{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot, Backpressure: signals, Quotas: quotas}
 }
 
-func provideBackpressure(c *clock.Service, log *zap.Logger, x *peer.Exchange) *backpressure.Table {
-	b := &backpressure.Table{Clock: c, Log: log, Exchange: x}
+func provideBackpressure(s *settings.Gateway, c *clock.Service, log *zap.Logger, x *peer.Exchange, f *catalog.Follower) *backpressure.Table {
+	b := &backpressure.Table{Clock: c, Log: log, Exchange: x, Catalog: f.Snapshot, Cold: coldBounds(s)}
+	f.OnEntry = b.ObserveEntry
 	b.Listen()
 	return b
 }
 
+// coldBounds returns the bounds on the requests to cold targets.
+func coldBounds(s *settings.Gateway) backpressure.ColdBounds {
+	return backpressure.ColdBounds{Factor: s.ColdFactor, Slack: s.ColdSlack}
+}
+
 // hostLifetime is how long a host counts as one that shares what all hosts may use
 // together, after it was last seen alive.
 const hostLifetime = 10 * time.Minute
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/placement"
@@ -31,9 +32,10 @@
 // chooses for requests with a prompt; if it gives no target, this host chooses.
 func (s *sender) chooseOnce(ctx context.Context) *catalog.Target {
 	s.lease, s.noTurnFor = nil, 0
+	s.turn = backpressure.Turn{AskedAt: s.h.Clock.Now()}
 	active := s.h.Follower.Snapshot().ActiveTargets(s.q.service)
 	targets := s.unpaused(s.h.Backpressure.Usable(active))
-	if len(s.q.Prompt) > 0 {
+	if len(s.q.Prompt) > 0 && !s.choosesHere {
 		if t := s.chooseAtHolder(ctx, active, targets); t != nil {
 			return t
 		}
@@ -88,7 +90,14 @@
 	s.h.Log.Info("target chosen", zap.String("RequestID", s.q.ID), zap.String("Target", l.Choice.Target), zap.Duration("Expected", l.Choice.Expected),
 		zap.Int("Reading", l.Choice.Reading), zap.Int("Cached", l.Choice.Cached), zap.Int("Except", len(except)), zap.Duration("Took", s.h.Clock.Since(start)))
 	t := catalog.FindTarget(targets, l.Choice.Target)
-	if t == nil || !s.waitForTurn(ctx, t, l.Choice.Wait) {
+	s.turn.Wait, s.turn.Cold = l.Choice.Wait, l.Choice.Cold
+	if t != nil && !s.turn.Cold && s.h.Backpressure.ColdLeft(t) > 0 {
+		// The holder doesn't know that the target is cold. It is told with the question
+		// for a turn there.
+		s.choosesHere = true
+		t = nil
+	}
+	if t == nil || !s.waitForTurn(ctx, t) {
 		l.End(placement.Abandoned)
 		return nil
 	}
@@ -118,12 +127,18 @@
 	if other != nil {
 		wait = 0
 	}
+	s.turn = backpressure.Turn{AskedAt: s.h.Clock.Now()}
 	grant := s.h.Quotas.Take(ctx, s.q.service, limited, wait)
 	if grant.Target == "" {
 		return s.withoutTurn(other, grant.Wait)
 	}
 	t := catalog.FindTarget(limited, grant.Target)
-	if t == nil || !s.waitForTurn(ctx, t, grant.Wait) {
+	s.turn.Wait, s.turn.Cold = grant.Wait, grant.Cold
+	if t != nil && !s.turn.Cold && s.h.Backpressure.ColdLeft(t) > 0 {
+		// A holder of the former version, or one with other settings.
+		return s.withoutTurn(other, overloadedRetry)
+	}
+	if t == nil || !s.waitForTurn(ctx, t) {
 		return nil
 	}
 	return t
@@ -161,9 +176,10 @@
 // waitForTurn waits for the turn of the request at t, and reports whether it has come
 // before the request ended and t still takes requests then. Otherwise the turn is lost,
 // and another target may be chosen.
-func (s *sender) waitForTurn(ctx context.Context, t *catalog.Target, wait time.Duration) bool {
+func (s *sender) waitForTurn(ctx context.Context, t *catalog.Target) bool {
+	wait := s.turn.Wait
 	if wait == 0 {
-		return true
+		return s.turnHolds(t)
 	}
 	s.h.histogram("Limits.Wait").Update(int64(wait))
 	s.h.Log.Info("waiting for a turn at a limited target", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Duration("Wait", wait))
@@ -171,13 +187,26 @@
 		return false
 	}
 	if s.h.takesRequests(t) {
-		return true
+		return s.turnHolds(t)
 	}
 	s.turnLost = true
 	s.h.Log.Info("turn lost, the target takes no requests any more", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID))
 	return false
 }
 
+// turnHolds reports whether the request may go to t now. If t has become cold since the
+// turn was given, or if the turn is too late for a cold target, it is lost.
+func (s *sender) turnHolds(t *catalog.Target) bool {
+	if s.h.Backpressure.TurnHolds(t, s.turn) {
+		return true
+	}
+	s.turnLost = true
+	metrics.GetOrRegisterCounter("Cold.TurnsLost", s.h.Metrics).Inc(1)
+	s.h.Log.Info("turn lost at a cold target", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.Bool("GivenWhileCold", s.turn.Cold),
+		zap.Duration("Late", s.h.Clock.Since(s.turn.AskedAt)-s.turn.Wait), zap.Duration("ColdLeft", s.h.Backpressure.ColdLeft(t)))
+	return false
+}
+
 // takesRequests reports whether t is still in use, has not said that it leaves, and asks
 // for no pause.
 func (h *Host) takesRequests(t *catalog.Target) bool {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -36,6 +36,35 @@
 	table   *catalog.Table
 	targets []catalog.TargetChange
 	down    atomic.Bool
+
+	mu sync.Mutex
+	// later holds the changes of targets that were written since the start.
+	later []catalog.TargetChange
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+// write writes a change of a target, which waiting reads return at once.
+func (f *testFeed) write(c catalog.TargetChange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.Offset = catalog.Offset(1 + len(f.later))
+	f.later = append(f.later, c)
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
+}
+
+// laterThan returns the changes from an offset on, the next offset, and a channel that
+// is closed at the next change.
+func (f *testFeed) laterThan(from catalog.Offset) ([]catalog.TargetChange, catalog.Offset, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return slices.Clone(f.later[from-1:]), catalog.Offset(1 + len(f.later)), f.changed
 }
 
 var errDown = errors.New("down")
@@ -54,9 +83,22 @@
 
 func (f *testFeed) ReadTargets(ctx context.Context, from catalog.Offset, wait time.Duration) (catalog.TargetsUpdate, error) {
 	if from == catalog.Start {
-		return catalog.TargetsUpdate{Full: true, Changes: f.targets, Next: 1}, nil
+		later, next, _ := f.laterThan(1)
+		return catalog.TargetsUpdate{Full: true, Changes: append(slices.Clone(f.targets), later...), Next: next}, nil
+	}
+	later, next, changed := f.laterThan(from)
+	if len(later) > 0 {
+		return catalog.TargetsUpdate{Changes: later, Next: next}, nil
+	}
+	select {
+	case <-changed:
+		later, next, _ = f.laterThan(from)
+		return catalog.TargetsUpdate{Changes: later, Next: next}, nil
+	case <-time.After(wait):
+		return catalog.TargetsUpdate{Next: next}, nil
+	case <-ctx.Done():
+		return catalog.TargetsUpdate{Next: next}, ctx.Err()
 	}
-	return catalog.TargetsUpdate{Next: 1}, sleep(ctx, wait)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
@@ -186,7 +228,7 @@
 	s := &settings.Gateway{
 		Name: addr.String(), Domain: "d", CallerAddr: netip.AddrPortFrom(addr, callerAddr.Port()), ReadyAddr: netip.AddrPortFrom(addr, 81), PeerAddr: netip.AddrPortFrom(addr, 82),
 		Peers: peers, MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
-		RepeatWindow: declaration.Duration(10 * time.Second),
+		RepeatWindow: declaration.Duration(10 * time.Second), ColdFactor: coldFactor, ColdSlack: coldSlack,
 	}
 	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, r.feed, r.pool, noDirectory{}, nil)
 	if err != nil {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -189,15 +189,17 @@
 	}
 }
 
-// Reload applies new settings, also while the host drains. The limits on repeats and
-// the grace period take effect at once, except that a shutdown keeps the grace period
+// Reload applies new settings, also while the host drains. The limits on repeats and on
+// requests to cold targets and the grace period take effect at once, except that a shutdown keeps the grace period
 // with which it began; addresses, the store and the waiting time of catalog reads take
 // effect at the next start.
 func (h *Host) Reload(s *settings.Gateway) {
 	h.Repeats.SetLimit(s.RepeatRatio, s.RepeatSlack)
+	h.Backpressure.SetColdBounds(coldBounds(s))
 	h.gracePeriod.Store(int64(s.GracePeriod))
 	h.Log.Info("settings reloaded", zap.Duration("GracePeriod", time.Duration(s.GracePeriod)),
 		zap.Float64("RepeatRatio", s.RepeatRatio), zap.Float64("RepeatSlack", s.RepeatSlack),
+		zap.Float64("ColdFactor", s.ColdFactor), zap.Float64("ColdSlack", s.ColdSlack),
 		zap.Bool("RestartNeeded", s.StoreAddr != h.Settings.StoreAddr || s.CallerAddr != h.Settings.CallerAddr || s.PeerAddr != h.Settings.PeerAddr))
 }
 
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -28,6 +28,7 @@
 func (h *Host) metricsHandler() http.Handler {
 	return singleRouteHandler("/metrics", func(_ *restful.Request, resp *restful.Response) {
 		metrics.GetOrRegisterGauge("Requests.Open", h.Metrics).Update(h.openRequests.Load())
+		metrics.GetOrRegisterGauge("Cold.Targets", h.Metrics).Update(int64(h.Backpressure.ColdTargets()))
 		resp.AddHeader("Content-Type", "application/json")
 		resp.WriteHeader(http.StatusOK)
 		metrics.WriteJSONOnce(h.Metrics, resp)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/fleet"
@@ -55,6 +56,10 @@
 	// turnLost is set if the chosen target took no requests any more when the turn of
 	// the request there had come.
 	turnLost bool
+	// turn is that of the current send.
+	turn backpressure.Turn
+	// choosesHere is set once the holder has chosen a cold target as if it was warm.
+	choosesHere bool
 	// blockedSuspect is that for which the request must not be sent any more, or zero.
 	blockedSuspect crash.Suspect
 	// begun is set once the current send has brought its first event.
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -27,7 +27,7 @@
 	follower := provideFollower(s, c, log, feed, exchange, caller)
 	recentMax := provideHostCount(s, c, exchange)
 	table := provideCrashTable(c, log, exchange, caller, recentMax, archive)
-	backpressureTable := provideBackpressure(c, log, exchange)
+	backpressureTable := provideBackpressure(s, c, log, exchange, follower)
 	holder := provideQuotas(c, log, recentMax, backpressureTable)
 	batcher := provideBatcher(c, log, pool, follower, exchange, backpressureTable, holder)
 	placementHolder := provideLoadTables(c, log, follower, holder)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -49,10 +49,10 @@
 	if best == nil {
 		return Choice{}
 	}
-	lt.quotas.Take(best)
+	cold := lt.quotas.Take(best)
 	s := lt.targetState(best)
 	ownTokens, cached := s.work(w, now)
-	c := Choice{Target: best.ID, Wait: wait, Reading: int(s.pendingTokens), Cached: cached, Expected: seconds(lt.pace(s, now) * (s.pendingTokens + ownTokens))}
+	c := Choice{Target: best.ID, Wait: wait, Cold: cold, Reading: int(s.pendingTokens), Cached: cached, Expected: seconds(lt.pace(s, now) * (s.pendingTokens + ownTokens))}
 	lt.addRequest(w, s, ownTokens, now)
 	return c
 }
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -36,12 +36,13 @@
 
 // Quotas holds the turns of requests at targets that limit them.
 type Quotas interface {
-	// Limited reports whether t limits the number of its requests.
+	// Limited reports whether t limits the number of its requests or is cold.
 	Limited(t *catalog.Target) bool
 	// Wait returns the time until a request may go to t; it is zero without a limit.
 	Wait(t *catalog.Target) time.Duration
-	// Take lets one request go to t after Wait.
-	Take(t *catalog.Target)
+	// Take lets one request go to t after Wait. It reports whether the turn keeps to
+	// the rate of a cold target.
+	Take(t *catalog.Target) (cold bool)
 }
 
 // LoadTable is the state that the holder of a service keeps of its targets and
--- a/internal/placement/loadtable_test.go
+++ b/internal/placement/loadtable_test.go
@@ -28,7 +28,7 @@
 
 func (q fakeQuotas) Wait(t *catalog.Target) time.Duration { return q[t.ID] }
 
-func (q fakeQuotas) Take(*catalog.Target) {}
+func (q fakeQuotas) Take(*catalog.Target) bool { return false }
 
 // loadTableScript runs a script against one load table with a clock of its own.
 //
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,6 +53,8 @@
 	Expected time.Duration
 	// Wait is the time until the request may go to the target.
 	Wait time.Duration
+	// Cold is set if the turn keeps to the rate of a cold target.
+	Cold bool
 	// Reading is the work pending ahead of the request, in tokens. Cached is the
 	// number of its tokens that the target is assumed to have cached.
 	Reading, Cached int
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,6 +41,11 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow declaration.Duration
+	// ColdFactor and ColdSlack bound the requests of all hosts together to a cold
+	// target in any second: ColdFactor times the cold rate of its service, plus
+	// ColdSlack. Without ColdFactor there is no such bound.
+	ColdFactor float64 `json:",omitempty"`
+	ColdSlack  float64 `json:",omitempty"`
 }
 
 // heapFraction is the garbage collector's soft limit as a fraction of the
@@ -117,6 +122,9 @@
 	if g.RepeatRatio < 0 || g.RepeatSlack < 0 {
 		r.Report("RepeatRatio", "must not be negative, nor RepeatSlack")
 	}
+	if g.ColdFactor < 0 || g.ColdSlack < 0 {
+		r.Report("ColdFactor", "must not be negative, nor ColdSlack")
+	}
 	if len(g.Peers) > maxPeers {
 		r.Report("Peers", "must be at most %d, are %d", maxPeers, len(g.Peers))
 	}
