--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -188,8 +187,6 @@
 	cold [][2]time.Time
 }
 
-var errCut = errors.New("no connection")
-
 // delay returns the time of a message on its way.
 func (s *coldSite) delay() time.Duration {
 	s.mu.Lock()
