backpressure: random test of cold targets with pauses, many hosts, new targets

Load now pauses, a third of the seeds have 30 hosts that may all be alone, and new targets register, whose bound holds from the first moment.

--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -343,6 +343,20 @@
 	t.cold = append(t.cold, [2]time.Time{known, now.Add(d)})
 }
 
+// register registers a new target that is cold for d. Hosts that have not read its entry
+// yet can't send to it, so that the bound holds from the first moment on.
+func (s *coldSite) register(d time.Duration) {
+	s.mu.Lock()
+	now := time.Now()
+	entry := &catalog.Target{ID: fmt.Sprint("t", len(s.targets)), Service: "s", Born: 1, Cold: catalog.Cold{Known: true, Left: d}}
+	t := &coldTarget{entry: entry, cold: [][2]time.Time{{now, now.Add(d)}}}
+	s.targets = append(s.targets, t)
+	s.mu.Unlock()
+	for _, h := range s.hosts {
+		time.AfterFunc(time.Duration(s.intN(int(readDelay))), func() { h.read(t) })
+	}
+}
+
 // arrivalDelay bounds the time of a request on its way to a target.
 const arrivalDelay = 50 * time.Millisecond
 
@@ -395,10 +409,14 @@
 	return catalog.FindTarget(h.snapshot.Targets["s"], id).Sequence
 }
 
+// maxFaultMS bounds the duration of a fault in milliseconds. In the longest one, each of
+// the hosts that are alone could earn a whole turn.
+const maxFaultMS = 7000
+
 // fault harms a host and returns what it did.
 func (s *coldSite) fault(ctx context.Context) string {
 	h := s.hosts[s.intN(len(s.hosts))]
-	d := time.Duration(100+s.intN(4000)) * time.Millisecond
+	d := time.Duration(100+s.intN(maxFaultMS)) * time.Millisecond
 	switch s.intN(6) {
 	case 0:
 		s.mu.Lock()
@@ -419,7 +437,7 @@
 		h.setKnown(known)
 		return fmt.Sprintf("%s knows of %d hosts", h.name, known)
 	default:
-		sides := 2 + s.intN(4)
+		sides := 2 + s.intN(len(s.hosts))
 		s.mu.Lock()
 		for i, other := range s.hosts {
 			other.side = i % sides
@@ -475,12 +493,22 @@
 	}
 }
 
+// sendsBetweenPauses is the mean number of sends before a pause, in which quotas earn
+// turns.
+const sendsBetweenPauses = 600
+
+// manyHosts is a number of hosts whose single turns together are too many.
+const manyHosts = 30
+
 func runColdSite(t *testing.T, seed uint64) {
-	const targets, duration, sendInterval = 3, 30 * time.Second, 2 * time.Millisecond
+	const targets, duration, sendInterval = 3, 40 * time.Second, 2 * time.Millisecond
 	random := rand.New(rand.NewPCG(seed, 0))
 	s := &coldSite{t: t, random: random}
 	ctx, stop := context.WithCancel(t.Context())
 	hosts := 1 + random.IntN(8)
+	if seed%3 == 0 {
+		hosts = manyHosts
+	}
 	for i := range hosts {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
 		s.hosts = append(s.hosts, &coldHost{site: s, name: fmt.Sprint("h", i), addr: addr, known: hosts})
@@ -503,13 +531,21 @@
 	wg.Go(func() {
 		for time.Now().Before(end) {
 			time.Sleep(time.Duration(s.intN(1500)) * time.Millisecond)
-			s.write(s.targets[s.intN(targets)], time.Duration(s.intN(6000))*time.Millisecond, s.intN(3) == 0)
+			d := time.Duration(s.intN(12000)) * time.Millisecond
+			if s.intN(5) == 0 {
+				s.register(d)
+			} else {
+				s.write(s.targets[s.intN(targets)], d, s.intN(3) == 0)
+			}
 		}
 	})
 	for time.Now().Before(end) {
 		h := s.hosts[s.intN(hosts)]
 		wg.Go(func() { s.send(h) })
 		time.Sleep(sendInterval)
+		if s.intN(sendsBetweenPauses) == 0 {
+			time.Sleep(time.Duration(s.intN(1500)) * time.Millisecond)
+		}
 	}
 	wg.Wait()
 	stop()
