--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -251,11 +251,14 @@
 	return c.Call(ctx, addr, method, args, reply)
 }
 
+// maxSkew bounds the difference of a host's clock, which must not matter.
+const maxSkew = time.Hour
+
 // start starts a process of h that knows of all hosts, or of some.
 func (h *coldHost) start(ctx context.Context) {
 	s := h.site
 	ctx, stop := context.WithCancel(ctx)
-	c := &clock.Service{}
+	c := &clock.Service{Skew: time.Duration(s.intN(int(2*maxSkew))) - maxSkew}
 	table := &Table{Clock: c, Log: zap.NewNop(), Cold: ColdBounds{1.5, 5}, Catalog: func() *catalog.Snapshot {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -400,6 +403,7 @@
 	time.Sleep(transit)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	turn.AskedAt = turn.AskedAt.Add(-c.Skew)
 	target.arrivals = append(target.arrivals, coldArrival{time.Now(), h.name, turn})
 }
 
@@ -565,3 +569,27 @@
 	defer s.mu.Unlock()
 	return s.random.IntN(n)
 }
+
+// BenchmarkWarmTargets measures the questions that the load table asks of each of 150
+// warm targets of a service with a cold rate, for one request.
+func BenchmarkWarmTargets(b *testing.B) {
+	const targets = 150
+	var list []*catalog.Target
+	for i := range targets {
+		list = append(list, &catalog.Target{ID: fmt.Sprint("t", i), Service: "s", Born: 1, Cold: catalog.Cold{Known: true}})
+	}
+	snapshot := coldServiceSnapshot(list...)
+	c := &clock.Service{}
+	h := &Holder{Clock: c, Log: zap.NewNop(), Hosts: func() int { return 1 }, Table: &Table{Clock: c, Log: zap.NewNop(), Cold: ColdBounds{1.5, 5},
+		Catalog: func() *catalog.Snapshot { return snapshot }}}
+	for _, t := range list {
+		h.Table.ObserveEntry(t)
+	}
+	for b.Loop() {
+		for _, t := range list {
+			if h.Limited(t) || h.Wait(t) > 0 {
+				b.Fatalf("target %s is limited", t.ID)
+			}
+		}
+	}
+}
