--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -81,7 +81,8 @@
 	// named none, or whose failure domain was put back into service; otherwise zero.
 	assumedAt time.Time
 	seenAt    time.Time
-	// cold is as last logged.
+	// cold is as last logged, by recordCold. While it is not set, the target is warm: it
+	// becomes cold by what it, its entry or another host says alone.
 	cold bool
 }
 
@@ -108,7 +109,7 @@
 func (b *Table) SetColdBounds(c ColdBounds) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.Cold = c
+	b.Cold, b.coldTable = c, nil
 }
 
 // coldLimit returns the rate of all holders at cold targets of a service and its cold
@@ -117,13 +118,35 @@
 	if b.Cold.Factor <= 0 || b.Catalog == nil {
 		return 0, 0, false
 	}
-	table := b.Catalog().Table
-	if table == nil || table.Services[service] == nil {
-		return 0, 0, false
+	if table := b.Catalog().Table; table != b.coldTable {
+		b.applyColdTable(table)
+	}
+	s, limited := b.coldLimits[service]
+	return s.rate, s.time, limited
+}
+
+// coldLimit is the rate of all holders at cold targets of a service and its cold time.
+type coldLimit struct {
+	rate float64
+	time time.Duration
+}
+
+// applyColdTable takes the limits of the services in table, which may be nil, and looks
+// which targets are cold by them; b.mu is held.
+func (b *Table) applyColdTable(table *catalog.Table) {
+	b.coldTable, b.coldLimits = table, map[string]coldLimit{}
+	if table == nil {
+		return
+	}
+	for name, s := range table.Services {
+		if rate, limited := b.Cold.rate(s.ColdRate); limited {
+			b.coldLimits[name] = coldLimit{rate, s.ColdTime}
+		}
+	}
+	now := b.Clock.Now()
+	for _, st := range b.cold {
+		b.setCold(st, "configuration", now)
 	}
-	s := table.Services[service]
-	rate, limited = b.Cold.rate(s.ColdRate)
-	return rate, s.ColdTime, limited
 }
 
 // ObserveEntry takes the remaining cold time in a new entry of t. The latest entry
@@ -159,9 +182,15 @@
 // recordCold logs that a target has become cold or is cold no longer; b.mu is held. A
 // target that stays cold as each entry renews its time is logged once.
 func (b *Table) recordCold(st *coldState, source string, now time.Time) {
-	rate, coldTime, limited := b.coldLimit(st.service)
-	left := st.left(coldTime, now)
-	cold := limited && left > 0
+	b.coldLimit(st.service)
+	b.setCold(st, source, now)
+}
+
+// setCold is recordCold by the limits as last taken from the configuration.
+func (b *Table) setCold(st *coldState, source string, now time.Time) {
+	limit, limited := b.coldLimits[st.service]
+	left := st.left(limit.time, now)
+	cold := limited && b.Cold.Factor > 0 && left > 0
 	if cold == st.cold {
 		return
 	}
@@ -171,7 +200,7 @@
 		return
 	}
 	b.Log.Info("target is cold", zap.String("Target", st.target), zap.String("Service", st.service), zap.Int64("Born", st.born), zap.Int64("Sequence", st.sequence),
-		zap.Duration("Left", left), zap.Float64("Rate", rate), zap.String("Source", source))
+		zap.Duration("Left", left), zap.Float64("Rate", limit.rate), zap.String("Source", source))
 	if b.onLimit != nil {
 		b.onLimit(st.service)
 	}
@@ -271,15 +300,22 @@
 	return st
 }
 
+// isWarm reports whether an incarnation of a target is known to be warm, without a look
+// at the clock: a choice among many targets asks this of each. b.mu is held.
+func (b *Table) isWarm(id string, born int64) bool {
+	st := b.cold[id]
+	return st != nil && born <= st.born && !st.cold
+}
+
 // ColdLeft returns the time for which t is still cold, or zero if cold targets of its
 // service are not limited.
 func (b *Table) ColdLeft(t *catalog.Target) time.Duration {
-	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, _, limited := b.coldLimit(t.Service); !limited {
+	if _, _, limited := b.coldLimit(t.Service); !limited || b.isWarm(t.ID, t.Born) {
 		return 0
 	}
+	now := b.Clock.Now()
 	return b.coldLeft(b.coldStateOf(t.ID, t.Service, t.Born, now), now)
 }
 
@@ -390,7 +426,6 @@
 // allowance returns the lower of the limit that an incarnation of a target has named
 // and, while it is cold, the cold rate of its service; limited is false without either.
 func (b *Table) allowance(service string, key quotaKey) (a allowance, limited bool) {
-	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a.born = key.born
@@ -398,9 +433,10 @@
 		a.rate, limited = max(st.Limit, trialRate), true
 	}
 	rate, _, coldLimited := b.coldLimit(service)
-	if !coldLimited {
+	if !coldLimited || b.isWarm(key.target, key.born) {
 		return a, limited
 	}
+	now := b.Clock.Now()
 	st := b.coldStateOf(key.target, service, key.born, now)
 	if b.coldLeft(st, now) == 0 {
 		return a, limited
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -24,6 +24,9 @@
 	mu      sync.Mutex
 	targets map[string]*targetState
 	cold    map[string]*coldState
+	// coldLimits holds the limits at cold targets by service, as coldTable has them.
+	coldLimits map[string]coldLimit
+	coldTable  *catalog.Table
 	// onLimit is set by notifyLimits.
 	onLimit func(service string)
 }
