--- a/internal/gateway/evacuate.go
+++ b/internal/gateway/evacuate.go
@@ -30,6 +30,35 @@
 	version int64
 }
 
+// evacuatedDomains holds the evacuations of a snapshot. The zero value is ready for use.
+type evacuatedDomains struct {
+	mu      sync.Mutex
+	offsets map[string]catalog.Offset
+}
+
+// replace takes the evacuations of s and returns the failure domains that were put back
+// into service since the former snapshot.
+func (d *evacuatedDomains) replace(s *catalog.Snapshot) (returned []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for domain := range d.offsets {
+		if !s.IsEvacuated(domain) {
+			returned = append(returned, domain)
+		}
+	}
+	d.offsets = s.Evacuated
+	return returned
+}
+
+// markReturnedDomains makes the targets of the failure domains that were put back into
+// service count as cold: they may have become cold meanwhile, and the entries that say so
+// come later.
+func (h *Host) markReturnedDomains(s *catalog.Snapshot) {
+	for _, domain := range h.evacuatedDomains.replace(s) {
+		h.Backpressure.MarkDomainCold(s, domain)
+	}
+}
+
 // checkOperators logs evacuations of unknown failure domains and home regions that no
 // failure domain is in. All of them stay in force: a target may register later.
 func (h *Host) checkOperators(s *catalog.Snapshot) {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -39,7 +39,9 @@
 
 	mu          sync.Mutex
 	evacuations []catalog.EvacuationChange
-	// changed is closed at the next evacuation.
+	// later holds the changes of targets that were written since the start.
+	later []catalog.TargetChange
+	// changed is closed at the next change of either kind.
 	changed chan struct{}
 }
 
@@ -48,23 +50,50 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.evacuations = append(f.evacuations, catalog.EvacuationChange{Domain: domain, Evacuated: evacuated, Offset: catalog.Offset(1 + len(f.evacuations))})
+	f.wakeReads()
+}
+
+// write writes a change of a target, which waiting reads return at once.
+func (f *testFeed) write(c catalog.TargetChange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.Offset = catalog.Offset(1 + len(f.later))
+	f.later = append(f.later, c)
+	f.wakeReads()
+}
+
+// wakeReads ends the reads that wait; f.mu is held.
+func (f *testFeed) wakeReads() {
 	if f.changed != nil {
 		close(f.changed)
 		f.changed = nil
 	}
 }
 
+// nextChange returns a channel that is closed at the next change; f.mu is held.
+func (f *testFeed) nextChange() <-chan struct{} {
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
+
 // newer returns the evacuations from an offset on, after the configuration, and a
-// channel that is closed at the next.
+// channel that is closed at the next change.
 func (f *testFeed) newer(from catalog.Offset) (catalog.TableUpdate, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.changed == nil {
-		f.changed = make(chan struct{})
-	}
 	u := catalog.TableUpdate{Next: catalog.Offset(1 + len(f.evacuations))}
 	u.Evacuations = append(u.Evacuations, f.evacuations[max(0, from-1):]...)
-	return u, f.changed
+	return u, f.nextChange()
+}
+
+// laterThan returns the changes of targets from an offset on, the next offset, and a
+// channel that is closed at the next change.
+func (f *testFeed) laterThan(from catalog.Offset) ([]catalog.TargetChange, catalog.Offset, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.later[from-1:]), catalog.Offset(1 + len(f.later)), f.nextChange()
 }
 
 var errDown = errors.New("down")
@@ -96,9 +125,22 @@
 
 func (f *testFeed) ReadTargets(ctx context.Context, from catalog.Offset, wait time.Duration) (catalog.TargetsUpdate, error) {
 	if from == catalog.Start {
-		return catalog.TargetsUpdate{Full: true, Changes: f.targets, Next: 1}, nil
+		later, next, _ := f.laterThan(1)
+		return catalog.TargetsUpdate{Full: true, Changes: append(slices.Clone(f.targets), later...), Next: next}, nil
+	}
+	later, next, changed := f.laterThan(from)
+	if len(later) > 0 {
+		return catalog.TargetsUpdate{Changes: later, Next: next}, nil
+	}
+	select {
+	case <-changed:
+		later, next, _ = f.laterThan(from)
+		return catalog.TargetsUpdate{Changes: later, Next: next}, nil
+	case <-time.After(wait):
+		return catalog.TargetsUpdate{Next: next}, nil
+	case <-ctx.Done():
+		return catalog.TargetsUpdate{Next: next}, ctx.Err()
 	}
-	return catalog.TargetsUpdate{Next: 1}, sleep(ctx, wait)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
@@ -254,7 +296,7 @@
 	s := &settings.Gateway{
 		Name: addr.String(), Domain: "d", CallerAddr: netip.AddrPortFrom(addr, callerAddr.Port()), ReadyAddr: netip.AddrPortFrom(addr, 81), PeerAddr: netip.AddrPortFrom(addr, 82),
 		Peers: peers, MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
-		RepeatWindow: declaration.Duration(10 * time.Second),
+		RepeatWindow: declaration.Duration(10 * time.Second), ColdFactor: coldFactor, ColdSlack: coldSlack,
 	}
 	feed := r.feed
 	if other := r.feeds[addr]; other != nil {
