placement: cost model and choice by work, behind PlacementPolicy

Requests that look alike cost targets very different work, and the load table knew of prefill alone. The holder now predicts outputs, keeps the remaining work of each target and learns lasting and passing slowness; hosts report numbers of events. Prefill stays the default.

--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -104,8 +104,8 @@
 	return &fleet.Balancer{Clock: c, Log: log, Domain: s.Domain}
 }
 
-func provideLoadTables(c *clock.Service, log *zap.Logger, f *catalog.Follower, quotas *backpressure.Holder) *placement.Holder {
-	return &placement.Holder{Clock: c, Log: log, Catalog: f.Snapshot, Quotas: quotas}
+func provideLoadTables(s *settings.Gateway, c *clock.Service, log *zap.Logger, f *catalog.Follower, quotas *backpressure.Holder) *placement.Holder {
+	return &placement.Holder{Clock: c, Log: log, Catalog: f.Snapshot, Quotas: quotas, Policy: placement.Policy(s.PlacementPolicy)}
 }
 
 func providePlacement(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, tables *placement.Holder) *placement.Client {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,7 +30,7 @@
 // chooseOnce chooses a target and waits for its turn there. The holder of the service
 // chooses for requests with a prompt; if it gives no target, this host chooses.
 func (s *sender) chooseOnce(ctx context.Context) *catalog.Target {
-	s.lease, s.noTurnFor = nil, 0
+	s.lease, s.noTurnFor, s.q.cost = nil, 0, sendCost{}
 	active := s.h.Follower.Snapshot().ActiveTargets(s.q.service)
 	targets := s.unpaused(s.h.Backpressure.Usable(active))
 	if len(s.q.Prompt) > 0 {
@@ -80,13 +80,13 @@
 	}
 	start := s.h.Clock.Now()
 	l := s.h.Placement.Choose(ctx, placement.Work{RequestID: s.q.ID, Service: s.q.service, Parts: s.q.Prompt, Except: except, Domain: s.inputsDomain,
-		MaxWait: s.maxWait()})
+		MaxWait: s.maxWait(), Route: s.q.route.Name, Workspace: s.q.workspace, LengthHint: s.q.LengthHint, MaxOutput: s.q.MaxOutput,
+		EventsBefore: s.q.eventsBefore()})
 	if l == nil {
 		return nil
 	}
 	s.h.histogram("Placement.Took").Update(int64(s.h.Clock.Since(start)))
-	s.h.Log.Info("target chosen", zap.String("RequestID", s.q.ID), zap.String("Target", l.Choice.Target), zap.Duration("Expected", l.Choice.Expected),
-		zap.Int("Reading", l.Choice.Reading), zap.Int("Cached", l.Choice.Cached), zap.Int("Except", len(except)), zap.Duration("Took", s.h.Clock.Since(start)))
+	s.logChoice(&l.Choice, len(except), s.h.Clock.Since(start))
 	t := catalog.FindTarget(targets, l.Choice.Target)
 	if t == nil || !s.waitForTurn(ctx, t, l.Choice.Wait) {
 		l.End(placement.Abandoned)
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -48,6 +48,7 @@
 	if q.timeToFirstEvent > 0 {
 		fields = append(fields, zap.Duration("FirstEvent", q.timeToFirstEvent), zap.Int("Events", q.eventCount))
 	}
+	fields = append(fields, q.cost.fields()...)
 	if e != nil {
 		fields = append(fields, zap.Stringer("Code", e.Code), zap.String("Why", e.Message), zap.Bool("MayHaveRun", q.mayHaveRun),
 			zap.Duration("RetryAfter", e.RetryAfter))
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -378,6 +378,9 @@
 			a.Pieces = append(a.Pieces, n)
 		}
 	}
+	if n, err := strconv.Atoi(h.Get("Hint")); err == nil {
+		a.LengthHint = n
+	}
 	for _, id := range strings.Split(h.Get("Parts"), ",") {
 		if id != "" {
 			a.Prompt = append(a.Prompt, placement.Part{ID: id, Tokens: 100})
--- a/internal/gateway/format.go
+++ b/internal/gateway/format.go
@@ -36,6 +36,9 @@
 	PieceKey string
 	// Prompt lists the parts of the prompt; the last one is the request's own.
 	Prompt []placement.Part
+	// LengthHint is the caller's estimate of the output in tokens, MaxOutput the largest
+	// output that it takes; zero if not given.
+	LengthHint, MaxOutput int
 }
 
 // ForwardInfo is the information that a host adds to a request for a target.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -191,14 +191,14 @@
 
 // Reload applies new settings, also while the host drains. The limits on repeats and
 // the grace period take effect at once, except that a shutdown keeps the grace period
-// with which it began; addresses, the store and the waiting time of catalog reads take
-// effect at the next start.
+// with which it began; addresses, the store, the waiting time of catalog reads
+// and the policy of placement take effect at the next start.
 func (h *Host) Reload(s *settings.Gateway) {
 	h.Repeats.SetLimit(s.RepeatRatio, s.RepeatSlack)
 	h.gracePeriod.Store(int64(s.GracePeriod))
 	h.Log.Info("settings reloaded", zap.Duration("GracePeriod", time.Duration(s.GracePeriod)),
 		zap.Float64("RepeatRatio", s.RepeatRatio), zap.Float64("RepeatSlack", s.RepeatSlack),
-		zap.Bool("RestartNeeded", s.StoreAddr != h.Settings.StoreAddr || s.CallerAddr != h.Settings.CallerAddr || s.PeerAddr != h.Settings.PeerAddr))
+		zap.Bool("RestartNeeded", s.StoreAddr != h.Settings.StoreAddr || s.CallerAddr != h.Settings.CallerAddr || s.PeerAddr != h.Settings.PeerAddr || s.PlacementPolicy != h.Settings.PlacementPolicy))
 }
 
 // ready reports whether the load balancer should send new connections.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,6 +52,8 @@
 	timeToFirstEvent time.Duration
 	lastEventAt      time.Time
 	eventCount       int
+	// cost compares the predicted with the actual cost of the last send.
+	cost sendCost
 }
 
 // errCallerGone is the error of a request whose caller disconnected.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -173,6 +173,7 @@
 		ev, err := events.next()
 		if err == io.EOF {
 			s.recordAnswer()
+			s.recordOutputCost()
 			s.endSend(t, fleet.Answered, max(first, s.h.Clock.Since(start)/2))
 			return s.finishStream(resp, rel)
 		}
@@ -186,11 +187,13 @@
 		}
 		if ev.hasID || ev.hasData {
 			timer.reset()
+			s.lease.Event()
 			if first == 0 {
 				first = s.h.Clock.Since(start)
 				s.recordBegin()
 				p.release()
 				s.lease.Begun()
+				s.recordFirstEventCost(first)
 			}
 		}
 		if err := s.relayEvent(resp, rel, ev, control); err != nil {
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -30,7 +30,7 @@
 	backpressureTable := provideBackpressure(c, log, exchange)
 	holder := provideQuotas(c, log, recentMax, backpressureTable)
 	batcher := provideBatcher(c, log, pool, follower, exchange, backpressureTable, holder)
-	placementHolder := provideLoadTables(c, log, follower, holder)
+	placementHolder := provideLoadTables(s, c, log, follower, holder)
 	server, err := providePeerServer(exchange, follower, table, batcher, placementHolder, holder)
 	if err != nil {
 		return nil, err
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -11,7 +11,8 @@
 )
 
 // The decisions of this file answer targets that differ in what they prefill, cache and
-// fail, and targets in need, which limit the number of requests.
+// fail, and targets in need, which limit the number of requests. They are those of
+// PrefillPolicy; workchoice.go has the cost of WorkPolicy.
 
 // Weights and times of the choice.
 const (
@@ -45,7 +46,11 @@
 func (lt *LoadTable) Choose(w *Work, targets []*catalog.Target, now time.Time) Choice {
 	lt.lastMessage[w.Host] = now
 	lt.removeSilentHosts(now)
-	best, wait := lt.cheapest(w, targets, now)
+	var q *workQuery
+	if lt.work != nil {
+		q = lt.newWorkQuery(w)
+	}
+	best, wait := lt.cheapest(w, q, targets, now)
 	if best == nil {
 		return Choice{}
 	}
@@ -53,13 +58,17 @@
 	s := lt.targetState(best)
 	ownTokens, cached := s.work(w, now)
 	c := Choice{Target: best.ID, Wait: wait, Reading: int(s.pendingTokens), Cached: cached, Expected: seconds(lt.pace(s, now) * (s.pendingTokens + ownTokens))}
-	lt.addRequest(w, s, ownTokens, now)
+	var e *engineRequest
+	if q != nil {
+		e = lt.addWork(q, s, &c, now)
+	}
+	lt.addRequest(w, s, e, ownTokens, now)
 	return c
 }
 
 // cheapest returns the target with the least cost for w, or nil, and the time until w
-// may go there.
-func (lt *LoadTable) cheapest(w *Work, targets []*catalog.Target, now time.Time) (best *catalog.Target, bestWait time.Duration) {
+// may go there. q is nil unless the table chooses by work.
+func (lt *LoadTable) cheapest(w *Work, q *workQuery, targets []*catalog.Target, now time.Time) (best *catalog.Target, bestWait time.Duration) {
 	anyLimited := slices.ContainsFunc(targets, lt.quotas.Limited)
 	least := math.Inf(1)
 	for _, t := range targets {
@@ -70,7 +79,12 @@
 		if !backpressure.MayWait(wait, w.MaxWait) {
 			continue
 		}
-		cost := lt.cost(w, t, now) + wait.Seconds()
+		cost := wait.Seconds()
+		if q != nil {
+			cost += lt.workCost(q, t, now)
+		} else {
+			cost += lt.cost(w, t, now)
+		}
 		if anyLimited {
 			cost += lt.scarcityCost(w, t, now)
 		}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
@@ -63,6 +64,8 @@
 	// begun is set once the first event has arrived; it is guarded by the client's
 	// mu.
 	begun bool
+	// events is the number of events seen.
+	events atomic.Int64
 }
 
 // Choose asks the holder of w.Service for a target. It returns nil if no holder
@@ -124,6 +127,21 @@
 	}
 }
 
+// Event counts an event. The next report has the number.
+func (l *Lease) Event() {
+	if l != nil {
+		l.events.Add(1)
+	}
+}
+
+// Events returns the number of events counted.
+func (l *Lease) Events() int {
+	if l == nil {
+		return 0
+	}
+	return int(l.events.Load())
+}
+
 // End reports the end of the request. Only the first call counts.
 func (l *Lease) End(p Progress) {
 	if l != nil {
@@ -148,7 +166,7 @@
 	if len(s.updates) == 0 {
 		c.Clock.AfterFunc(reportDelay, func() { c.sendReport(s, false) })
 	}
-	s.updates = append(s.updates, News{ID: l.id, Service: l.service, Progress: x})
+	s.updates = append(s.updates, News{ID: l.id, Service: l.service, Progress: x, Events: l.Events()})
 }
 
 // open returns the requests of s that have not ended; the client's mu is held.
@@ -156,7 +174,7 @@
 	o := &OpenRequests{}
 	for id, l := range s.leases {
 		if l.begun {
-			o.Begun = append(o.Begun, id)
+			o.Begun, o.Events = append(o.Begun, id), append(o.Events, l.Events())
 		} else {
 			o.Waiting = append(o.Waiting, id)
 		}
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -25,6 +25,8 @@
 	Catalog func() *catalog.Snapshot
 	// Quotas holds the turns at targets that have named a limit.
 	Quotas Quotas
+	// Policy is PrefillPolicy if empty.
+	Policy Policy
 
 	mu     sync.Mutex
 	tables map[string]*LoadTable
@@ -64,6 +66,9 @@
 	lt := h.tables[w.Service]
 	if lt == nil {
 		lt = NewLoadTable(h.Quotas)
+		if h.Policy == WorkPolicy {
+			lt.work = newWorkState()
+		}
 		h.tables[w.Service] = lt
 	}
 	if now.Sub(h.lastPruned[w.Service]) > pruneInterval {
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -57,6 +57,8 @@
 	// meanTokens is the mean work of requests in tokens.
 	meanTokens float64
 	quotas     Quotas
+	// work is nil unless the table chooses by WorkPolicy.
+	work *workState
 }
 
 // targetState is the state kept of one incarnation of a target.
@@ -77,6 +79,9 @@
 	// cachedParts maps the ID of a prompt part to the time of the last request that
 	// had it.
 	cachedParts map[string]time.Time
+	// load and slowness are kept for WorkPolicy alone.
+	load     engineLoad
+	slowness slowness
 }
 
 // openRequest is one request at a target.
@@ -88,6 +93,8 @@
 	// at the target when it arrived.
 	ownTokens, tokensAhead float64
 	hasFirstEvent          bool
+	// engine is the request in the load of its target, or nil with PrefillPolicy.
+	engine *engineRequest
 }
 
 // NewLoadTable returns an empty load table.
@@ -103,9 +110,9 @@
 	}
 }
 
-// addRequest counts w at s.
-func (lt *LoadTable) addRequest(w *Work, s *targetState, ownTokens float64, now time.Time) {
-	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens}
+// addRequest counts w at s; e is its work there, or nil.
+func (lt *LoadTable) addRequest(w *Work, s *targetState, e *engineRequest, ownTokens float64, now time.Time) {
+	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens, engine: e}
 	lt.meanTokens += meanTokensWeight * (ownTokens - lt.meanTokens)
 	lt.requests[w.ID], s.requests[w.ID] = r, r
 	if lt.hostRequests[w.Host] == nil {
@@ -132,7 +139,9 @@
 	if report.Open == nil {
 		return 0
 	}
-	return lt.correct(report.Host, report.Open, now)
+	corrected = lt.correct(report.Host, report.Open, now)
+	lt.applyEvents(report.Open)
+	return corrected
 }
 
 // correct makes the requests that are counted for a host those in its list. A
@@ -153,7 +162,7 @@
 			r.begin()
 			corrected++
 		case listed[id] == 0 && now.Sub(r.startedAt) > listDelay:
-			lt.removeRequest(id, r)
+			lt.removeRequest(id, r, now)
 			corrected++
 		}
 	}
@@ -181,7 +190,10 @@
 			lt.samplePace(r, now)
 		}
 	}
-	lt.removeRequest(n.ID, r)
+	if r.engine != nil {
+		lt.learnOutput(r.engine, n)
+	}
+	lt.removeRequest(n.ID, r, now)
 }
 
 // recordFirstEvent records the first event of r.
@@ -196,6 +208,7 @@
 // begin takes the work of r off its target's pending work.
 func (r *openRequest) begin() {
 	r.hasFirstEvent = true
+	r.engine.begin()
 	r.target.pendingTokens = math.Max(0, r.target.pendingTokens-r.ownTokens)
 }
 
@@ -209,6 +222,9 @@
 	}
 	s.pace += paceWeight * (sample - s.pace)
 	s.paceAt = now
+	if r.engine != nil {
+		lt.sampleSlowness(s, r.engine, now)
+	}
 	lt.meanPace += meanPaceWeight * (sample - lt.meanPace)
 }
 
@@ -220,7 +236,8 @@
 }
 
 // removeRequest removes r and the pending tokens that it accounts for.
-func (lt *LoadTable) removeRequest(id string, r *openRequest) {
+func (lt *LoadTable) removeRequest(id string, r *openRequest, now time.Time) {
+	r.engine.end(now)
 	if !r.hasFirstEvent {
 		r.begin()
 	}
@@ -241,7 +258,7 @@
 		}
 		delete(lt.lastMessage, host)
 		for id, r := range lt.hostRequests[host] {
-			lt.removeRequest(id, r)
+			lt.removeRequest(id, r, now)
 		}
 	}
 }
@@ -251,6 +268,9 @@
 	s := lt.targets[t.ID]
 	if s == nil || s.born != t.Born {
 		s = &targetState{born: t.Born, requests: map[string]*openRequest{}, cachedParts: map[string]time.Time{}}
+		if lt.work != nil {
+			s.slowness.lasting = lt.work.meanSlowness
+		}
 		lt.targets[t.ID] = s
 	}
 	return s
--- a/internal/placement/loadtable_test.go
+++ b/internal/placement/loadtable_test.go
@@ -32,10 +32,13 @@
 
 // loadTableScript runs a script against one load table with a clock of its own.
 //
+//	policy Work
 //	targets NAME[=DOMAIN] ...
 //	ask ID [host=H] [parts=(ID:TOKENS,...)] [domain=D] [except=NAME] [maxwait=D]
-//	begun|answered|failed|rejected|abandoned ID [host=H]
-//	heartbeat HOST [waiting=(ID,...)] [begun=(ID,...)]
+//	    [route=R] [workspace=W] [hint=TOKENS] [max=TOKENS] [before=EVENTS]
+//	begun|answered|failed|rejected|abandoned ID [host=H] [events=N]
+//	heartbeat HOST [waiting=(ID,...)] [begun=(ID,...)] [events=(N,...)]
+//	slowness
 //	limited [NAME=WAIT ...]
 //	wait D
 type loadTableScript struct {
@@ -57,6 +60,13 @@
 	host := "h"
 	d.MaybeScanArgs(t, "host", &host)
 	switch d.Cmd {
+	case "policy":
+		if d.CmdArgs[0].Key != string(WorkPolicy) {
+			d.Fatalf(t, "unknown policy")
+		}
+		s.table.work = newWorkState()
+	case "slowness":
+		return s.slowness()
 	case "targets":
 		s.targets = nil
 		for _, a := range d.CmdArgs {
@@ -71,7 +81,9 @@
 		return s.ask(t, d, host)
 	case "begun", "answered", "failed", "rejected", "abandoned":
 		progress := map[string]Progress{"begun": Begun, "answered": Answered, "failed": Failed, "rejected": Rejected, "abandoned": Abandoned}
-		s.table.Apply(&Report{Host: host, News: []News{{ID: d.CmdArgs[0].Key, Progress: progress[d.Cmd]}}}, s.now)
+		n := News{ID: d.CmdArgs[0].Key, Progress: progress[d.Cmd]}
+		d.MaybeScanArgs(t, "events", &n.Events)
+		s.table.Apply(&Report{Host: host, News: []News{n}}, s.now)
 	case "limited":
 		clear(s.quotas)
 		for _, a := range d.CmdArgs {
@@ -106,6 +118,12 @@
 				r.Open.Waiting = a.Vals
 			case "begun":
 				r.Open.Begun = a.Vals
+			case "events":
+				for _, v := range a.Vals {
+					n := 0
+					fmt.Sscan(v, &n)
+					r.Open.Events = append(r.Open.Events, n)
+				}
 			default:
 				d.Fatalf(t, "unknown list %s", a.Key)
 			}
@@ -117,6 +135,11 @@
 func (s *loadTableScript) ask(t *testing.T, d *datadriven.TestData, host string) string {
 	w := &Work{ID: d.CmdArgs[0].Key, Host: host}
 	d.MaybeScanArgs(t, "domain", &w.Domain)
+	d.MaybeScanArgs(t, "route", &w.Route)
+	d.MaybeScanArgs(t, "workspace", &w.Workspace)
+	d.MaybeScanArgs(t, "hint", &w.LengthHint)
+	d.MaybeScanArgs(t, "max", &w.MaxOutput)
+	d.MaybeScanArgs(t, "before", &w.EventsBefore)
 	for _, a := range d.CmdArgs[1:] {
 		switch a.Key {
 		case "except":
@@ -142,7 +165,21 @@
 	if c.Wait > 0 {
 		return fmt.Sprintf("%s after %v\n", c.Target, c.Wait)
 	}
-	return fmt.Sprintf("%s: expected %v, reading %d, cached %d\n", c.Target, c.Expected.Round(time.Millisecond), c.Reading, c.Cached)
+	out := fmt.Sprintf("%s: expected %v, reading %d, cached %d", c.Target, c.Expected.Round(time.Millisecond), c.Reading, c.Cached)
+	if s.table.work != nil {
+		out += fmt.Sprintf(", output %d to %d, work %v", c.Output, c.HighOutput, c.Work.Round(time.Millisecond))
+	}
+	return out + "\n"
+}
+
+// slowness returns the present and the lasting slowness of each target.
+func (s *loadTableScript) slowness() string {
+	var out strings.Builder
+	for _, t := range s.targets {
+		present, lasting := s.table.targetState(t).engineSlowness(s.now)
+		fmt.Fprintf(&out, "%s: %.2f, lasting %.2f\n", t.ID, present, lasting)
+	}
+	return out.String()
 }
 
 // TestLoadTablePrunes expects a load table to keep nothing of requests that have
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -34,6 +34,13 @@
 	Domain string
 	// MaxWait is the longest time that the request can wait for its turn at a target.
 	MaxWait time.Duration
+	// Route and Workspace name the class of the request, for the prediction of its output.
+	Route, Workspace string
+	// LengthHint is the caller's estimate of the output in tokens, MaxOutput the largest
+	// output that the caller takes; zero if they are unknown.
+	LengthHint, MaxOutput int
+	// EventsBefore is the number of events that the caller has from earlier sends.
+	EventsBefore int
 }
 
 // affinityKey returns the ID of the last part of the prompt that other requests
@@ -56,6 +63,13 @@
 	// Reading is the work pending ahead of the request, in tokens. Cached is the
 	// number of its tokens that the target is assumed to have cached.
 	Reading, Cached int
+	// Output is the predicted number of output tokens, HighOutput the number that is
+	// exceeded by about one request in six. Work is the time that the request is
+	// predicted to occupy the target, and Slowness the factor on the times of a reference
+	// engine now. All are zero unless the holder chooses by WorkPolicy.
+	Output, HighOutput int
+	Work               time.Duration
+	Slowness           float64
 }
 
 // Progress is the progress of a request at its target.
@@ -80,6 +94,8 @@
 	ID       string
 	Service  string
 	Progress Progress
+	// Events is the number of events seen so far; hosts of former versions count none.
+	Events int
 }
 
 // Report carries updates to a holder. Every report, also one without updates, is
@@ -96,4 +112,7 @@
 type OpenRequests struct {
 	// Waiting requests have no first event yet, Begun ones have.
 	Waiting, Begun []string
+	// Events holds the numbers of events that the requests in Begun have seen. It is
+	// empty from hosts of former versions.
+	Events []int
 }
--- /dev/null
+++ b/internal/placement/slowness.go
@@ -0,0 +1,71 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// The decisions of this file answer engines whose lasting speeds differ and that share
+// their machines with others, so that one may be slow for a while.
+
+// Weights, times and bounds of what is learned of speeds. Slowness is the ratio of the
+// time that a target takes to that of a reference engine; sums are of its logarithm.
+const (
+	// minLastingWeight is the weight of the newest sample in the lasting slowness once
+	// there are many. A target gets two or three requests a second, so that a slow phase
+	// of two seconds changes its lasting slowness by a sixth at most.
+	minLastingWeight = 0.03
+	// maxLastingStep bounds the effect of one sample on the lasting slowness, and
+	// with it that of a slow phase: a factor of 2.
+	maxLastingStep = 0.7
+	// passingWeight is the weight of the newest sample in the passing slowness,
+	// passingTime the time constant with which that returns to none. A slow target gets
+	// few requests that could show that it is fast again.
+	passingWeight = 0.3
+	passingTime   = 4 * time.Second
+	// maxPassing bounds the passing slowness and its samples: a factor of 20.
+	maxPassing = 3
+	// meanSlownessWeight is the weight of the newest sample in the mean slowness.
+	meanSlownessWeight = 0.01
+	// initialSamples is the number of samples that the mean slowness counts for in the
+	// lasting slowness of a new incarnation.
+	initialSamples = 3
+)
+
+// slowness is what is known of the speed of one incarnation of a target.
+type slowness struct {
+	samples          int
+	lasting, passing float64
+	passingAt        time.Time
+}
+
+// passingNow returns the decayed passing slowness.
+func (s *slowness) passingNow(now time.Time) float64 {
+	if s.passing == 0 {
+		return 0
+	}
+	return s.passing * math.Exp(-now.Sub(s.passingAt).Seconds()/passingTime.Seconds())
+}
+
+// add adds the logarithm of the slowness that a first event has shown.
+func (s *slowness) add(x float64, now time.Time) {
+	d := math.Max(-maxPassing, math.Min(x-s.lasting, maxPassing))
+	passing := s.passingNow(now)
+	s.passing, s.passingAt = passing+passingWeight*(d-passing), now
+	weight := math.Max(minLastingWeight, 1/float64(s.samples+initialSamples+1))
+	s.lasting += weight * math.Max(-maxLastingStep, math.Min(d, maxLastingStep))
+	s.samples++
+}
+
+// factor returns the factor on the times of a reference engine: now, and without what
+// passes.
+func (s *slowness) factor(now time.Time) (present, lasting float64) {
+	lasting = math.Exp(s.lasting)
+	return lasting * math.Exp(s.passingNow(now)), lasting
+}
+
+// sampleOf returns the logarithm of the slowness of a target that took the time for a
+// first event that takes reference seconds on a reference engine.
+func sampleOf(took time.Duration, reference float64) float64 {
+	return math.Log(math.Max(1e-3, took.Seconds()-firstEventOverhead) / reference)
+}
--- /dev/null
+++ b/internal/placement/workchoice.go
@@ -0,0 +1,138 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/peer"
+)
+
+// The decisions of this file answer requests of very different cost at targets of
+// unequal speed and load.
+
+// Policy selects how a holder chooses targets.
+type Policy string
+
+// The policies.
+const (
+	// PrefillPolicy chooses by the tokens that targets have still to prefill.
+	PrefillPolicy Policy = "Prefill"
+	// WorkPolicy chooses by all work that requests cause: prefill, output, memory and the
+	// delay of others, at the speed of each target.
+	WorkPolicy Policy = "Work"
+)
+
+// workState is what a load table learns for WorkPolicy, besides the loads of targets.
+type workState struct {
+	outputs *outputPredictor
+	// meanSlowness is the logarithm of the mean slowness of the targets.
+	meanSlowness float64
+}
+
+func newWorkState() *workState { return &workState{outputs: newOutputPredictor()} }
+
+// workQuery is a request with what its cost at any target needs.
+type workQuery struct {
+	*Work
+	output outputEstimate
+	// prompt and shared are the tokens of the whole prompt and of its shared parts.
+	prompt, shared int
+	// seen is the output that earlier targets have produced, in tokens.
+	seen float64
+	// exposure and held are those of the request once it runs.
+	exposure, held float64
+}
+
+func (lt *LoadTable) newWorkQuery(w *Work) *workQuery {
+	q := &workQuery{Work: w, output: lt.work.outputs.predict(w), seen: tokensPerEvent * float64(w.EventsBefore)}
+	for i, p := range w.Parts {
+		q.prompt += p.Tokens
+		if i < len(w.Parts)-1 {
+			q.shared += p.Tokens
+		}
+	}
+	q.exposure = exposure(q.output.left(q.seen))
+	q.held = float64(q.prompt) + math.Max(q.output.high(), q.seen)
+	return q
+}
+
+// prefill returns the tokens of q to prefill at s and the number cached there.
+func (q *workQuery) prefill(s *targetState, now time.Time) (tokens float64, cached int) {
+	_, cached = s.work(q.Work, now)
+	return float64(q.prompt-cached) + q.seen, cached
+}
+
+// workCost returns the cost of q at t in seconds: the predicted time to the first event,
+// the delay of others, and penalties for memory, parts of the prompt that are not cached
+// and work that t was given lately. Cached parts weigh as they do with PrefillPolicy.
+func (lt *LoadTable) workCost(q *workQuery, t *catalog.Target, now time.Time) float64 {
+	s := lt.targetState(t)
+	if s.pausedUntil.After(now) {
+		return math.MaxFloat64
+	}
+	tokens, cached := q.prefill(s, now)
+	present, lasting := s.engineSlowness(now)
+	cost := present*(s.load.firstEventTime(tokens)+s.load.besideCost(tokens, q.exposure)) + s.load.memoryCost(q.held)
+	cost += uncachedPenalty * lt.meanPace * float64(q.shared-cached)
+	if q.Domain != "" && t.Domain != q.Domain {
+		cost += crossDomainPenalty.Seconds()
+	}
+	if len(s.requests) >= max(1, t.Slots) {
+		cost += fullPenalty.Seconds()
+	}
+	cost += recentWeight * lasting * s.load.recentWork(now)
+	cost *= 1 + failurePenalty*s.failureRate*math.Exp(-now.Sub(s.failureRateAt).Seconds()/failureDecayTime.Seconds())
+	rank := 1 - float64(peer.Weight(t.ID, q.affinityKey()))/math.MaxUint64
+	return cost * (1 + hashPenalty*rank)
+}
+
+// engineSlowness returns the slowness of s: now, which is at least what the request that
+// waits longest there implies, and the lasting one.
+func (s *targetState) engineSlowness(now time.Time) (present, lasting float64) {
+	present, lasting = s.slowness.factor(now)
+	if r := s.load.oldestWaiting(); r != nil {
+		waited := math.Min(now.Sub(r.startedAt).Seconds(), lasting*math.Exp(maxPassing)*r.firstEvent)
+		present = math.Max(present, waited/r.firstEvent)
+	}
+	return present, lasting
+}
+
+// addWork counts q at s and completes c.
+func (lt *LoadTable) addWork(q *workQuery, s *targetState, c *Choice, now time.Time) *engineRequest {
+	tokens, _ := q.prefill(s, now)
+	present, lasting := s.engineSlowness(now)
+	r := &engineRequest{output: q.output, prefill: tokens, prompt: float64(q.prompt), seen: q.seen, seenBefore: q.seen, firstEvent: s.load.firstEventTime(tokens)}
+	c.Expected = seconds(firstEventOverhead + present*r.firstEvent)
+	c.Reading = int(s.load.prefill)
+	c.Output, c.HighOutput = int(math.Ceil(q.output.left(q.seen))), int(math.Ceil(math.Max(0, q.output.high()-q.seen)))
+	c.Work, c.Slowness = seconds(lasting*workOf(tokens, q.output.left(q.seen))), present
+	s.load.add(r, now)
+	return r
+}
+
+// sampleSlowness takes the time since the start of r as a sample of the slowness of s.
+func (lt *LoadTable) sampleSlowness(s *targetState, r *engineRequest, now time.Time) {
+	x := sampleOf(now.Sub(r.startedAt), r.firstEvent)
+	s.slowness.add(x, now)
+	lt.work.meanSlowness += meanSlownessWeight * math.Max(-maxPassing, math.Min(x-lt.work.meanSlowness, maxPassing))
+}
+
+// applyEvents applies the numbers of events in a host's list to the requests that it
+// names. Hosts of former versions list none.
+func (lt *LoadTable) applyEvents(open *OpenRequests) {
+	for i, id := range open.Begun[:min(len(open.Begun), len(open.Events))] {
+		if r := lt.requests[id]; r != nil {
+			r.engine.progress(open.Events[i])
+		}
+	}
+}
+
+// learnOutput learns from the end of a request with its number of events, which is zero
+// if its host does not count them.
+func (lt *LoadTable) learnOutput(r *engineRequest, n News) {
+	r.progress(n.Events)
+	if n.Progress == Answered && n.Events > 0 {
+		lt.work.outputs.learn(r.output, r.seen)
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"berylswitch.example/berylswitch/pkg/declaration"
@@ -41,6 +42,9 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow declaration.Duration
+	// PlacementPolicy selects how the holder of a service chooses the targets of prompts:
+	// "Prefill", also if it is empty, or "Work".
+	PlacementPolicy string `json:",omitempty"`
 }
 
 // heapFraction is the garbage collector's soft limit as a fraction of the
@@ -85,6 +89,9 @@
 	minRepeatWindow = time.Second
 )
 
+// placementPolicies holds the valid values of PlacementPolicy.
+var placementPolicies = []string{"", "Prefill", "Work"}
+
 // Check reports the invalid fields of g.
 func (g *Gateway) Check(r *declaration.Reporter) {
 	checkName(r, g.Name)
@@ -117,6 +124,9 @@
 	if g.RepeatRatio < 0 || g.RepeatSlack < 0 {
 		r.Report("RepeatRatio", "must not be negative, nor RepeatSlack")
 	}
+	if !slices.Contains(placementPolicies, g.PlacementPolicy) {
+		r.Report("PlacementPolicy", "must be \"Prefill\" or \"Work\", is %q", g.PlacementPolicy)
+	}
 	if len(g.Peers) > maxPeers {
 		r.Report("Peers", "must be at most %d, are %d", maxPeers, len(g.Peers))
 	}
