--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -48,7 +48,7 @@
 	lt.removeSilentHosts(now)
 	var q *workQuery
 	if lt.work != nil {
-		q = lt.newWorkQuery(w)
+		q = lt.newWorkQuery(w, now)
 	}
 	best, wait := lt.cheapest(w, q, targets, now)
 	if best == nil {
--- a/internal/placement/engineload.go
+++ b/internal/placement/engineload.go
@@ -18,6 +18,9 @@
 	// to 0.03 ms, for each running request, and gives a token to each.
 	stepTime           = 4.2e-3
 	stepTimePerRequest = 23e-6
+	// chunkTokens is the largest part of a prompt that is prefilled between two steps, 2,048
+	// to 4,096 tokens.
+	chunkTokens = 3000
 	// usualBatch is the number of running requests that share the fixed part of a step
 	// in the cost of a token.
 	usualBatch = 8
@@ -34,8 +37,9 @@
 	// as one that prefills beside it can delay: it lasts for half a second.
 	exposedOutput = 100
 	// besideWeight is the weight of the time by which prefills delay the outputs beside
-	// them, relative to the request's own time to the first event.
-	besideWeight = 0.25
+	// them, relative to the request's own time to the first event. At 0.2 and more, first
+	// events came later under load in TestPoliciesOnEngines.
+	besideWeight = 0.05
 	// usableMemory is the share of an engine's memory that running requests may plan to
 	// use. The rest is for cached parts of prompts and for wrong predictions.
 	usableMemory = 0.8
@@ -43,9 +47,12 @@
 	// all of its memory: one of them would be preempted in mid-stream.
 	memoryPenalty = 1
 	// recentTime is the time constant with which the work given to a target is
-	// forgotten, recentWeight the weight of a second of it.
+	// forgotten, recentWeight the weight of a second of it. Work over maxRecent, in
+	// seconds, doesn't count: a target that is busy for most of the time shows it by what
+	// is pending, and targets that are equally busy are not equally soon ready.
 	recentTime   = 10 * time.Second
-	recentWeight = 0.3
+	recentWeight = 0.05
+	maxRecent    = 2
 )
 
 // workOf returns the time that a reference engine needs for prefill and output tokens.
@@ -59,8 +66,10 @@
 
 // engineLoad is the remaining work of one target.
 type engineLoad struct {
-	// prefill is the number of tokens to prefill for requests without a first event.
+	// prefill is the number of tokens to prefill for the queued requests, those without a
+	// first event.
 	prefill float64
+	queued  int
 	// running is the number of requests with a first event, exposure the sum of theirs.
 	running  int
 	exposure float64
@@ -97,7 +106,9 @@
 // firstEventTime returns the time to the first event of a request with prefill tokens
 // on a reference engine, without firstEventOverhead.
 func (l *engineLoad) firstEventTime(prefill float64) float64 {
-	return prefillTime*(l.prefill+prefill) + tokensPerEvent*(stepTime+stepTimePerRequest*float64(l.running+1))
+	step := stepTime + stepTimePerRequest*float64(l.running+1)
+	chunks := float64(l.queued+1) + (l.prefill+prefill)/chunkTokens
+	return prefillTime*(l.prefill+prefill) + step*(chunks+tokensPerEvent)
 }
 
 // besideCost returns the weighted delay of others by prefill tokens, and of a request
@@ -106,10 +117,12 @@
 	return besideWeight * prefillTime * (prefill*l.exposure + l.prefill*exposure)
 }
 
-// memoryCost returns the penalty for a request that is going to need held tokens of
-// memory. It grows from zero between usableMemory and the whole memory, and further.
-func (l *engineLoad) memoryCost(held float64) float64 {
-	over := (l.held+held)/memoryTokens - usableMemory
+// memoryCost returns the penalty for a request that is going to need held tokens of memory
+// at a target that runs slots requests at once; the others wait and hold none. It grows
+// from zero between usableMemory and the whole memory, and further.
+func (l *engineLoad) memoryCost(held float64, slots int) float64 {
+	open := l.queued + l.running + 1
+	over := (l.held+held)*math.Min(1, float64(slots)/float64(open))/memoryTokens - usableMemory
 	return memoryPenalty * math.Max(0, over/(1-usableMemory))
 }
 
@@ -130,6 +143,7 @@
 func (l *engineLoad) add(r *engineRequest, now time.Time) {
 	r.load, r.startedAt = l, now
 	l.prefill += r.prefill
+	l.queued++
 	l.addRecent(workOf(r.prefill, r.output.left(r.seen)), now)
 	l.waiting = append(l.waiting, r)
 	r.update()
@@ -156,11 +170,21 @@
 		return
 	}
 	r.begun = true
-	r.load.prefill = math.Max(0, r.load.prefill-r.prefill)
+	r.leaveQueue()
 	r.load.running++
 	r.update()
 }
 
+// leaveQueue takes the prefill of r off the load.
+func (r *engineRequest) leaveQueue() {
+	r.load.queued--
+	r.load.prefill = math.Max(0, r.load.prefill-r.prefill)
+	if r.load.queued == 0 {
+		// Errors of rounding don't add up.
+		r.load.prefill = 0
+	}
+}
+
 // progress records that events of r have been seen at its present target.
 func (r *engineRequest) progress(events int) {
 	if r == nil || r.ended {
@@ -178,7 +202,7 @@
 	if r.begun {
 		r.load.running--
 	} else {
-		r.load.prefill = math.Max(0, r.load.prefill-r.prefill)
+		r.leaveQueue()
 	}
 	r.ended = true
 	got := r.seen - r.seenBefore
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -52,6 +52,9 @@
 	// hostRequests holds the requests by host.
 	hostRequests map[string]map[string]*openRequest
 	lastMessage  map[string]time.Time
+	// noSilenceBefore is the earliest time at which a host can have been silent for
+	// hostTimeout.
+	noSilenceBefore time.Time
 	// meanPace is the mean pace of all targets in seconds per token.
 	meanPace float64
 	// meanTokens is the mean work of requests in tokens.
@@ -82,6 +85,7 @@
 	// load and slowness are kept for WorkPolicy alone.
 	load     engineLoad
 	slowness slowness
+	cached   cachedPrefix
 }
 
 // openRequest is one request at a target.
@@ -120,6 +124,9 @@
 	}
 	lt.hostRequests[w.Host][w.ID] = r
 	s.pendingTokens += ownTokens
+	if lt.work != nil {
+		return
+	}
 	for _, p := range w.sharedParts() {
 		if len(s.cachedParts) < maxCachedParts {
 			s.cachedParts[p.ID] = now
@@ -252,8 +259,15 @@
 // removeSilentHosts removes the requests of hosts without a message for
 // hostTimeout.
 func (lt *LoadTable) removeSilentHosts(now time.Time) {
+	if !now.After(lt.noSilenceBefore) {
+		return
+	}
+	earliest := now
 	for host, at := range lt.lastMessage {
 		if now.Sub(at) <= hostTimeout {
+			if at.Before(earliest) {
+				earliest = at
+			}
 			continue
 		}
 		delete(lt.lastMessage, host)
@@ -261,6 +275,7 @@
 			lt.removeRequest(id, r, now)
 		}
 	}
+	lt.noSilenceBefore = earliest.Add(hostTimeout)
 }
 
 // targetState returns the state of the present incarnation of t.
@@ -269,7 +284,7 @@
 	if s == nil || s.born != t.Born {
 		s = &targetState{born: t.Born, requests: map[string]*openRequest{}, cachedParts: map[string]time.Time{}}
 		if lt.work != nil {
-			s.slowness.lasting = lt.work.meanSlowness
+			s.slowness = newSlowness(lt.work.meanSlowness)
 		}
 		lt.targets[t.ID] = s
 	}
--- a/internal/placement/slowness.go
+++ b/internal/placement/slowness.go
@@ -20,11 +20,15 @@
 	maxLastingStep = 0.7
 	// passingWeight is the weight of the newest sample in the passing slowness,
 	// passingTime the time constant with which that returns to none. A slow target gets
-	// few requests that could show that it is fast again.
-	passingWeight = 0.3
+	// few requests that could show that it is fast again. With a weight of 0.3, samples of
+	// wrongly predicted queues doubled the late requests of the double load in
+	// TestPoliciesOnEngines; a phase that is really slow shows by what waits.
+	passingWeight = 0.1
 	passingTime   = 4 * time.Second
-	// maxPassing bounds the passing slowness and its samples: a factor of 20.
-	maxPassing = 3
+	// maxPassing bounds the passing slowness and its samples; maxPassingFactor is the
+	// factor.
+	maxPassing       = 3
+	maxPassingFactor = 20
 	// meanSlownessWeight is the weight of the newest sample in the mean slowness.
 	meanSlownessWeight = 0.01
 	// initialSamples is the number of samples that the mean slowness counts for in the
@@ -37,6 +41,14 @@
 	samples          int
 	lasting, passing float64
 	passingAt        time.Time
+	// lastingFactor and passingFactor are the factors on times at passingAt. They are kept
+	// since a choice needs them of every target.
+	lastingFactor, passingFactor float64
+}
+
+// newSlowness returns what is assumed of a new incarnation.
+func newSlowness(mean float64) slowness {
+	return slowness{lasting: mean, lastingFactor: math.Exp(mean), passingFactor: 1}
 }
 
 // passingNow returns the decayed passing slowness.
@@ -55,13 +67,17 @@
 	weight := math.Max(minLastingWeight, 1/float64(s.samples+initialSamples+1))
 	s.lasting += weight * math.Max(-maxLastingStep, math.Min(d, maxLastingStep))
 	s.samples++
+	s.lastingFactor, s.passingFactor = math.Exp(s.lasting), math.Exp(s.passing)
 }
 
 // factor returns the factor on the times of a reference engine: now, and without what
 // passes.
 func (s *slowness) factor(now time.Time) (present, lasting float64) {
-	lasting = math.Exp(s.lasting)
-	return lasting * math.Exp(s.passingNow(now)), lasting
+	if s.passingFactor == 1 {
+		return s.lastingFactor, s.lastingFactor
+	}
+	decay := math.Exp(-now.Sub(s.passingAt).Seconds() / passingTime.Seconds())
+	return s.lastingFactor * (1 + (s.passingFactor-1)*decay), s.lastingFactor
 }
 
 // sampleOf returns the logarithm of the slowness of a target that took the time for a
--- a/internal/placement/workchoice.go
+++ b/internal/placement/workchoice.go
@@ -26,11 +26,14 @@
 // workState is what a load table learns for WorkPolicy, besides the loads of targets.
 type workState struct {
 	outputs *outputPredictor
+	parts   *partIndex
 	// meanSlowness is the logarithm of the mean slowness of the targets.
 	meanSlowness float64
 }
 
-func newWorkState() *workState { return &workState{outputs: newOutputPredictor()} }
+func newWorkState() *workState {
+	return &workState{outputs: newOutputPredictor(), parts: newPartIndex()}
+}
 
 // workQuery is a request with what its cost at any target needs.
 type workQuery struct {
@@ -38,14 +41,18 @@
 	output outputEstimate
 	// prompt and shared are the tokens of the whole prompt and of its shared parts.
 	prompt, shared int
+	// key is the affinity key.
+	key string
 	// seen is the output that earlier targets have produced, in tokens.
 	seen float64
 	// exposure and held are those of the request once it runs.
 	exposure, held float64
 }
 
-func (lt *LoadTable) newWorkQuery(w *Work) *workQuery {
-	q := &workQuery{Work: w, output: lt.work.outputs.predict(w), seen: tokensPerEvent * float64(w.EventsBefore)}
+// newWorkQuery returns the query for w. It is in force until the next one.
+func (lt *LoadTable) newWorkQuery(w *Work, now time.Time) *workQuery {
+	lt.work.parts.find(w.sharedParts(), now)
+	q := &workQuery{Work: w, key: w.affinityKey(), output: lt.work.outputs.predict(w), seen: tokensPerEvent * float64(w.EventsBefore)}
 	for i, p := range w.Parts {
 		q.prompt += p.Tokens
 		if i < len(w.Parts)-1 {
@@ -57,11 +64,8 @@
 	return q
 }
 
-// prefill returns the tokens of q to prefill at s and the number cached there.
-func (q *workQuery) prefill(s *targetState, now time.Time) (tokens float64, cached int) {
-	_, cached = s.work(q.Work, now)
-	return float64(q.prompt-cached) + q.seen, cached
-}
+// prefill returns the tokens of q to prefill at a target that has cached ones.
+func (q *workQuery) prefill(cached int) float64 { return float64(q.prompt-cached) + q.seen }
 
 // workCost returns the cost of q at t in seconds: the predicted time to the first event,
 // the delay of others, and penalties for memory, parts of the prompt that are not cached
@@ -71,9 +75,10 @@
 	if s.pausedUntil.After(now) {
 		return math.MaxFloat64
 	}
-	tokens, cached := q.prefill(s, now)
+	cached := lt.work.parts.tokens(s)
+	tokens := q.prefill(cached)
 	present, lasting := s.engineSlowness(now)
-	cost := present*(s.load.firstEventTime(tokens)+s.load.besideCost(tokens, q.exposure)) + s.load.memoryCost(q.held)
+	cost := present*(s.load.firstEventTime(tokens)+s.load.besideCost(tokens, q.exposure)) + s.load.memoryCost(q.held, max(1, t.Slots))
 	cost += uncachedPenalty * lt.meanPace * float64(q.shared-cached)
 	if q.Domain != "" && t.Domain != q.Domain {
 		cost += crossDomainPenalty.Seconds()
@@ -81,9 +86,11 @@
 	if len(s.requests) >= max(1, t.Slots) {
 		cost += fullPenalty.Seconds()
 	}
-	cost += recentWeight * lasting * s.load.recentWork(now)
-	cost *= 1 + failurePenalty*s.failureRate*math.Exp(-now.Sub(s.failureRateAt).Seconds()/failureDecayTime.Seconds())
-	rank := 1 - float64(peer.Weight(t.ID, q.affinityKey()))/math.MaxUint64
+	cost += recentWeight * math.Min(lasting*s.load.recentWork(now), maxRecent)
+	if s.failureRate > 0 {
+		cost *= 1 + failurePenalty*s.failureRate*math.Exp(-now.Sub(s.failureRateAt).Seconds()/failureDecayTime.Seconds())
+	}
+	rank := 1 - float64(peer.Weight(t.ID, q.key))/math.MaxUint64
 	return cost * (1 + hashPenalty*rank)
 }
 
@@ -92,7 +99,7 @@
 func (s *targetState) engineSlowness(now time.Time) (present, lasting float64) {
 	present, lasting = s.slowness.factor(now)
 	if r := s.load.oldestWaiting(); r != nil {
-		waited := math.Min(now.Sub(r.startedAt).Seconds(), lasting*math.Exp(maxPassing)*r.firstEvent)
+		waited := math.Min(now.Sub(r.startedAt).Seconds(), lasting*maxPassingFactor*r.firstEvent)
 		present = math.Max(present, waited/r.firstEvent)
 	}
 	return present, lasting
@@ -100,7 +107,8 @@
 
 // addWork counts q at s and completes c.
 func (lt *LoadTable) addWork(q *workQuery, s *targetState, c *Choice, now time.Time) *engineRequest {
-	tokens, _ := q.prefill(s, now)
+	c.Cached = lt.work.parts.tokens(s)
+	tokens := q.prefill(c.Cached)
 	present, lasting := s.engineSlowness(now)
 	r := &engineRequest{output: q.output, prefill: tokens, prompt: float64(q.prompt), seen: q.seen, seenBefore: q.seen, firstEvent: s.load.firstEventTime(tokens)}
 	c.Expected = seconds(firstEventOverhead + present*r.firstEvent)
@@ -108,6 +116,7 @@
 	c.Output, c.HighOutput = int(math.Ceil(q.output.left(q.seen))), int(math.Ceil(math.Max(0, q.output.high()-q.seen)))
 	c.Work, c.Slowness = seconds(lasting*workOf(tokens, q.output.left(q.seen))), present
 	s.load.add(r, now)
+	lt.work.parts.add(q.sharedParts(), s, now)
 	return r
 }
 
