--- a/internal/placement/engineload.go
+++ b/internal/placement/engineload.go
@@ -62,7 +62,7 @@
 
 // exposure returns how far prefills can delay a request with left tokens to come, from
 // zero to one.
-func exposure(left float64) float64 { return math.Min(1, left/exposedOutput) }
+func exposure(left float64) float64 { return min(1, left/exposedOutput) }
 
 // engineLoad is the remaining work of one target.
 type engineLoad struct {
@@ -122,8 +122,8 @@
 // from zero between usableMemory and the whole memory, and further.
 func (l *engineLoad) memoryCost(held float64, slots int) float64 {
 	open := l.queued + l.running + 1
-	over := (l.held+held)*math.Min(1, float64(slots)/float64(open))/memoryTokens - usableMemory
-	return memoryPenalty * math.Max(0, over/(1-usableMemory))
+	over := (l.held+held)*min(1, float64(slots)/float64(open))/memoryTokens - usableMemory
+	return memoryPenalty * max(0, over/(1-usableMemory))
 }
 
 // recentWork returns the work given lately, in seconds of a reference engine.
@@ -136,7 +136,7 @@
 
 // addRecent adds work, which may be negative as a correction.
 func (l *engineLoad) addRecent(work float64, now time.Time) {
-	l.recent, l.recentAt = math.Max(0, l.recentWork(now)+work), now
+	l.recent, l.recentAt = max(0, l.recentWork(now)+work), now
 }
 
 // add counts r.
@@ -153,13 +153,13 @@
 func (r *engineRequest) update() {
 	exposed, held := 0.0, 0.0
 	if !r.ended {
-		held = r.prompt + math.Max(r.output.high(), r.seen)
+		held = r.prompt + max(r.output.high(), r.seen)
 	}
 	if r.begun && !r.ended {
 		exposed = exposure(r.output.left(r.seen))
 	}
-	r.load.exposure = math.Max(0, r.load.exposure+exposed-r.exposure)
-	r.load.held = math.Max(0, r.load.held+held-r.held)
+	r.load.exposure = max(0, r.load.exposure+exposed-r.exposure)
+	r.load.held = max(0, r.load.held+held-r.held)
 	r.exposure, r.held = exposed, held
 }
 
@@ -178,7 +178,7 @@
 // leaveQueue takes the prefill of r off the load.
 func (r *engineRequest) leaveQueue() {
 	r.load.queued--
-	r.load.prefill = math.Max(0, r.load.prefill-r.prefill)
+	r.load.prefill = max(0, r.load.prefill-r.prefill)
 	if r.load.queued == 0 {
 		// Errors of rounding don't add up.
 		r.load.prefill = 0
@@ -190,7 +190,7 @@
 	if r == nil || r.ended {
 		return
 	}
-	r.seen = math.Max(r.seen, r.seenBefore+tokensPerEvent*float64(events))
+	r.seen = max(r.seen, r.seenBefore+tokensPerEvent*float64(events))
 	r.update()
 }
 
--- a/internal/placement/engines_test.go
+++ b/internal/placement/engines_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package placement
 
 import (
@@ -13,7 +15,8 @@
 )
 
 // This file compares policies on a queueing model of engines, as the platform describes
-// them: chunks of prompts between steps that give a token to each running request.
+// them: chunks of prompts between steps that give a token to each running request. With
+// the race detector it takes minutes, and it has one goroutine.
 
 // Figures of the engines and of the load in the model.
 const (
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -86,6 +86,7 @@
 	load     engineLoad
 	slowness slowness
 	cached   cachedPrefix
+	decayed  decayedValues
 }
 
 // openRequest is one request at a target.
--- a/internal/placement/output.go
+++ b/internal/placement/output.go
@@ -50,14 +50,14 @@
 // add adds the logarithm x.
 func (s *logStats) add(x float64) {
 	s.samples++
-	weight := math.Max(minOutputWeight, 1/float64(s.samples+1))
-	d := math.Max(-maxLogError, math.Min(x-s.mean, maxLogError))
+	weight := max(minOutputWeight, 1/float64(s.samples+1))
+	d := max(-maxLogError, min(x-s.mean, maxLogError))
 	s.mean += weight * d
 	s.variance = (1 - weight) * (s.variance + weight*d*d)
 }
 
 // spread returns the variance, at least that of minSpread.
-func (s *logStats) spread() float64 { return math.Max(s.variance, minSpread*minSpread) }
+func (s *logStats) spread() float64 { return max(s.variance, minSpread*minSpread) }
 
 // outputKey names a class of requests. An empty Workspace stands for all workspaces, an
 // empty Route for all routes.
@@ -118,7 +118,7 @@
 			mean, variance = combine(mean, variance, hinted, hintErrors.spread())
 		}
 	}
-	e.median, e.sigma = math.Min(math.Exp(mean), e.limit), math.Sqrt(variance)
+	e.median, e.sigma = min(math.Exp(mean), e.limit), math.Sqrt(variance)
 	return e
 }
 
@@ -150,7 +150,7 @@
 
 // learn adds the output of a complete request that was predicted as e, in tokens.
 func (p *outputPredictor) learn(e outputEstimate, output float64) {
-	x := math.Log(math.Max(1, output))
+	x := math.Log(max(1, output))
 	for i, key := range e.keys {
 		if i > 0 && key == e.keys[i-1] {
 			continue
@@ -172,16 +172,16 @@
 
 // mean returns the mean output in tokens.
 func (e outputEstimate) mean() float64 {
-	return math.Min(e.median*math.Exp(e.sigma*e.sigma/2), e.limit)
+	return min(e.median*math.Exp(e.sigma*e.sigma/2), e.limit)
 }
 
 // high returns an output that is exceeded by about one in six of the requests. The wider
 // the prediction error, the more room it leaves.
-func (e outputEstimate) high() float64 { return math.Min(e.median*math.Exp(e.sigma), e.limit) }
+func (e outputEstimate) high() float64 { return min(e.median*math.Exp(e.sigma), e.limit) }
 
 // left returns the mean output that is still to come after seen tokens. A request that
 // outlives its prediction goes on for the longer, the longer it has run already.
 func (e outputEstimate) left(seen float64) float64 {
-	left := math.Max(e.mean()-seen, e.sigma*seen/2)
-	return math.Max(0, math.Min(left, e.limit-seen))
+	left := max(e.mean()-seen, e.sigma*seen/2)
+	return max(0, min(left, e.limit-seen))
 }
--- a/internal/placement/slowness.go
+++ b/internal/placement/slowness.go
@@ -61,11 +61,11 @@
 
 // add adds the logarithm of the slowness that a first event has shown.
 func (s *slowness) add(x float64, now time.Time) {
-	d := math.Max(-maxPassing, math.Min(x-s.lasting, maxPassing))
+	d := max(-maxPassing, min(x-s.lasting, maxPassing))
 	passing := s.passingNow(now)
 	s.passing, s.passingAt = passing+passingWeight*(d-passing), now
-	weight := math.Max(minLastingWeight, 1/float64(s.samples+initialSamples+1))
-	s.lasting += weight * math.Max(-maxLastingStep, math.Min(d, maxLastingStep))
+	weight := max(minLastingWeight, 1/float64(s.samples+initialSamples+1))
+	s.lasting += weight * max(-maxLastingStep, min(d, maxLastingStep))
 	s.samples++
 	s.lastingFactor, s.passingFactor = math.Exp(s.lasting), math.Exp(s.passing)
 }
@@ -83,5 +83,5 @@
 // sampleOf returns the logarithm of the slowness of a target that took the time for a
 // first event that takes reference seconds on a reference engine.
 func sampleOf(took time.Duration, reference float64) float64 {
-	return math.Log(math.Max(1e-3, took.Seconds()-firstEventOverhead) / reference)
+	return math.Log(max(1e-3, took.Seconds()-firstEventOverhead) / reference)
 }
--- a/internal/placement/workchoice.go
+++ b/internal/placement/workchoice.go
@@ -60,7 +60,7 @@
 		}
 	}
 	q.exposure = exposure(q.output.left(q.seen))
-	q.held = float64(q.prompt) + math.Max(q.output.high(), q.seen)
+	q.held = float64(q.prompt) + max(q.output.high(), q.seen)
 	return q
 }
 
@@ -86,7 +86,7 @@
 	if len(s.requests) >= max(1, t.Slots) {
 		cost += fullPenalty.Seconds()
 	}
-	cost += recentWeight * math.Min(lasting*s.load.recentWork(now), maxRecent)
+	cost += recentWeight * min(lasting*s.decayed.recent, maxRecent)
 	if s.failureRate > 0 {
 		cost *= 1 + failurePenalty*s.failureRate*math.Exp(-now.Sub(s.failureRateAt).Seconds()/failureDecayTime.Seconds())
 	}
@@ -94,13 +94,35 @@
 	return cost * (1 + hashPenalty*rank)
 }
 
+// decayInterval is the time for which a choice uses the same decayed values of a target.
+// The values decay within seconds, and computing them took a third of a choice.
+const decayInterval = 20 * time.Millisecond
+
+// decayedValues are values of a target that decay, as of an interval of decayInterval.
+type decayedValues struct {
+	interval                 int64
+	present, lasting, recent float64
+}
+
+// decayedNow returns the decayed values of s.
+func (s *targetState) decayedNow(now time.Time) *decayedValues {
+	v := &s.decayed
+	if interval := now.UnixNano() / int64(decayInterval); v.interval != interval {
+		v.interval = interval
+		v.present, v.lasting = s.slowness.factor(now)
+		v.recent = s.load.recentWork(now)
+	}
+	return v
+}
+
 // engineSlowness returns the slowness of s: now, which is at least what the request that
 // waits longest there implies, and the lasting one.
 func (s *targetState) engineSlowness(now time.Time) (present, lasting float64) {
-	present, lasting = s.slowness.factor(now)
+	v := s.decayedNow(now)
+	present, lasting = v.present, v.lasting
 	if r := s.load.oldestWaiting(); r != nil {
-		waited := math.Min(now.Sub(r.startedAt).Seconds(), lasting*maxPassingFactor*r.firstEvent)
-		present = math.Max(present, waited/r.firstEvent)
+		waited := min(now.Sub(r.startedAt).Seconds(), lasting*maxPassingFactor*r.firstEvent)
+		present = max(present, waited/r.firstEvent)
 	}
 	return present, lasting
 }
@@ -113,9 +135,10 @@
 	r := &engineRequest{output: q.output, prefill: tokens, prompt: float64(q.prompt), seen: q.seen, seenBefore: q.seen, firstEvent: s.load.firstEventTime(tokens)}
 	c.Expected = seconds(firstEventOverhead + present*r.firstEvent)
 	c.Reading = int(s.load.prefill)
-	c.Output, c.HighOutput = int(math.Ceil(q.output.left(q.seen))), int(math.Ceil(math.Max(0, q.output.high()-q.seen)))
+	c.Output, c.HighOutput = int(math.Ceil(q.output.left(q.seen))), int(math.Ceil(max(0, q.output.high()-q.seen)))
 	c.Work, c.Slowness = seconds(lasting*workOf(tokens, q.output.left(q.seen))), present
 	s.load.add(r, now)
+	s.decayed.interval = 0
 	lt.work.parts.add(q.sharedParts(), s, now)
 	return r
 }
@@ -124,7 +147,8 @@
 func (lt *LoadTable) sampleSlowness(s *targetState, r *engineRequest, now time.Time) {
 	x := sampleOf(now.Sub(r.startedAt), r.firstEvent)
 	s.slowness.add(x, now)
-	lt.work.meanSlowness += meanSlownessWeight * math.Max(-maxPassing, math.Min(x-lt.work.meanSlowness, maxPassing))
+	s.decayed.interval = 0
+	lt.work.meanSlowness += meanSlownessWeight * max(-maxPassing, min(x-lt.work.meanSlowness, maxPassing))
 }
 
 // applyEvents applies the numbers of events in a host's list to the requests that it
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,4 +34,5 @@
 # race detector.
 go test -timeout 30m -run 'TurnedAway|InOutage' ${skip[@]+"${skip[@]}"} ./internal/catalog
 go test -timeout 30m -run 'ConnectionsOfMany' ${skip[@]+"${skip[@]}"} ./platform
+go test -timeout 30m -run 'PoliciesOnEngines' ${skip[@]+"${skip[@]}"} ./internal/placement
 go test -timeout 30m -run Aim ${skip[@]+"${skip[@]}"} ./internal/experiment
