--- a/internal/placement/engineload.go
+++ b/internal/placement/engineload.go
@@ -51,8 +51,8 @@
 	// seconds, doesn't count: a target that is busy for most of the time shows it by what
 	// is pending, and targets that are equally busy are not equally soon ready.
 	recentTime   = 10 * time.Second
-	recentWeight = 0.05
-	maxRecent    = 2
+	recentWeight = 0.04
+	maxRecent    = 3
 )
 
 // workOf returns the time that a reference engine needs for prefill and output tokens.
--- a/internal/placement/workchoice.go
+++ b/internal/placement/workchoice.go
@@ -43,6 +43,9 @@
 	prompt, shared int
 	// key is the affinity key.
 	key string
+	// meanSlowness is the factor of the mean target. Recent work counts relative to it, so
+	// that what delays first events at all targets alike doesn't use up maxRecent.
+	meanSlowness float64
 	// seen is the output that earlier targets have produced, in tokens.
 	seen float64
 	// exposure and held are those of the request once it runs.
@@ -59,6 +62,7 @@
 			q.shared += p.Tokens
 		}
 	}
+	q.meanSlowness = math.Exp(lt.work.meanSlowness)
 	q.exposure = exposure(q.output.left(q.seen))
 	q.held = float64(q.prompt) + max(q.output.high(), q.seen)
 	return q
@@ -86,7 +90,7 @@
 	if len(s.requests) >= max(1, t.Slots) {
 		cost += fullPenalty.Seconds()
 	}
-	cost += recentWeight * min(lasting*s.decayed.recent, maxRecent)
+	cost += recentWeight * min(lasting/q.meanSlowness*s.decayed.recent, maxRecent)
 	if s.failureRate > 0 {
 		cost *= 1 + failurePenalty*s.failureRate*math.Exp(-now.Sub(s.failureRateAt).Seconds()/failureDecayTime.Seconds())
 	}
