placement: the end of a response without events is no sample of speed

It comes after the whole output, so that a target looked slow by the length of its answers. The script passing showed slowness 1.61 after one such end, now 1.00.

--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -184,6 +184,7 @@
 	}
 	switch n.Progress {
 	case Begun:
+		lt.sampleSlowness(r, now)
 		lt.recordFirstEvent(r, now)
 		return
 	case Answered:
@@ -196,6 +197,7 @@
 	case Abandoned:
 		if !r.hasFirstEvent && now.Sub(r.startedAt).Seconds() > lt.pace(s, now)*(r.tokensAhead+r.ownTokens) {
 			lt.samplePace(r, now)
+			lt.sampleSlowness(r, now)
 		}
 	}
 	if r.engine != nil {
@@ -230,9 +232,6 @@
 	}
 	s.pace += paceWeight * (sample - s.pace)
 	s.paceAt = now
-	if r.engine != nil {
-		lt.sampleSlowness(s, r.engine, now)
-	}
 	lt.meanPace += meanPaceWeight * (sample - lt.meanPace)
 }
 
--- a/internal/placement/workchoice.go
+++ b/internal/placement/workchoice.go
@@ -147,9 +147,15 @@
 	return r
 }
 
-// sampleSlowness takes the time since the start of r as a sample of the slowness of s.
-func (lt *LoadTable) sampleSlowness(s *targetState, r *engineRequest, now time.Time) {
-	x := sampleOf(now.Sub(r.startedAt), r.firstEvent)
+// sampleSlowness takes the time since the start of r, which has no first event yet, as a
+// sample of the slowness of its target. The end of a response without events is no such
+// sample, since it comes after the whole output.
+func (lt *LoadTable) sampleSlowness(r *openRequest, now time.Time) {
+	if r.engine == nil || r.hasFirstEvent {
+		return
+	}
+	s := r.target
+	x := sampleOf(now.Sub(r.startedAt), r.engine.firstEvent)
 	s.slowness.add(x, now)
 	s.decayed.interval = 0
 	lt.work.meanSlowness += meanSlownessWeight * max(-maxPassing, min(x-lt.work.meanSlowness, maxPassing))
