--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -31,7 +31,7 @@
 // chooseOnce chooses a target and waits for its turn there. The holder of the service
 // chooses for requests with a prompt; if it gives no target, this host chooses.
 func (s *sender) chooseOnce(ctx context.Context) *catalog.Target {
-	s.lease, s.noTurnFor = nil, 0
+	s.lease, s.noTurnFor, s.q.cost = nil, 0, sendCost{}
 	s.turn = backpressure.Turn{AskedAt: s.h.Clock.Now()}
 	targets := s.unpaused(s.h.Backpressure.Usable(s.h.activeTargets(s.q, s.q.service)))
 	if len(s.q.Prompt) > 0 && !s.choosesHere {
@@ -82,13 +82,13 @@
 	}
 	start := s.h.Clock.Now()
 	l := s.h.Placement.Choose(ctx, placement.Work{RequestID: s.q.ID, Service: s.q.service, Parts: s.q.Prompt, Except: except, Domain: s.inputsDomain,
-		Domains: s.q.domains, MaxWait: s.maxWait()})
+		Domains: s.q.domains, MaxWait: s.maxWait(), Route: s.q.route.Name, Workspace: s.q.workspace, LengthHint: s.q.LengthHint, MaxOutput: s.q.MaxOutput,
+		EventsBefore: s.q.eventsBefore()})
 	if l == nil {
 		return nil
 	}
 	s.h.histogram("Placement.Took").Update(int64(s.h.Clock.Since(start)))
-	s.h.Log.Info("target chosen", zap.String("RequestID", s.q.ID), zap.String("Target", l.Choice.Target), zap.Duration("Expected", l.Choice.Expected),
-		zap.Int("Reading", l.Choice.Reading), zap.Int("Cached", l.Choice.Cached), zap.Int("Except", len(except)), zap.Duration("Took", s.h.Clock.Since(start)))
+	s.logChoice(&l.Choice, len(except), s.h.Clock.Since(start))
 	t := catalog.FindTarget(targets, l.Choice.Target)
 	s.turn.Wait, s.turn.Cold = l.Choice.Wait, l.Choice.Cold
 	if t != nil && !s.turn.Cold && s.h.Backpressure.ColdLeft(t) > 0 {
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -53,11 +53,16 @@
 	// hostRequests holds the requests by host.
 	hostRequests map[string]map[string]*openRequest
 	lastMessage  map[string]time.Time
+	// noSilenceBefore is the earliest time at which a host can have been silent for
+	// hostTimeout.
+	noSilenceBefore time.Time
 	// meanPace is the mean pace of all targets in seconds per token.
 	meanPace float64
 	// meanTokens is the mean work of requests in tokens.
 	meanTokens float64
 	quotas     Quotas
+	// work is nil unless the table chooses by WorkPolicy.
+	work *workState
 }
 
 // targetState is the state kept of one incarnation of a target.
@@ -78,6 +83,11 @@
 	// cachedParts maps the ID of a prompt part to the time of the last request that
 	// had it.
 	cachedParts map[string]time.Time
+	// load and slowness are kept for WorkPolicy alone.
+	load     engineLoad
+	slowness slowness
+	cached   cachedPrefix
+	decayed  decayedValues
 }
 
 // openRequest is one request at a target.
@@ -89,6 +99,8 @@
 	// at the target when it arrived.
 	ownTokens, tokensAhead float64
 	hasFirstEvent          bool
+	// engine is the request in the load of its target, or nil with PrefillPolicy.
+	engine *engineRequest
 }
 
 // NewLoadTable returns an empty load table.
@@ -104,9 +116,9 @@
 	}
 }
 
-// addRequest counts w at s.
-func (lt *LoadTable) addRequest(w *Work, s *targetState, ownTokens float64, now time.Time) {
-	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens}
+// addRequest counts w at s; e is its work there, or nil.
+func (lt *LoadTable) addRequest(w *Work, s *targetState, e *engineRequest, ownTokens float64, now time.Time) {
+	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens, engine: e}
 	lt.meanTokens += meanTokensWeight * (ownTokens - lt.meanTokens)
 	lt.requests[w.ID], s.requests[w.ID] = r, r
 	if lt.hostRequests[w.Host] == nil {
@@ -114,6 +126,9 @@
 	}
 	lt.hostRequests[w.Host][w.ID] = r
 	s.pendingTokens += ownTokens
+	if lt.work != nil {
+		return
+	}
 	for _, p := range w.sharedParts() {
 		if len(s.cachedParts) < maxCachedParts {
 			s.cachedParts[p.ID] = now
@@ -133,7 +148,9 @@
 	if report.Open == nil {
 		return 0
 	}
-	return lt.correct(report.Host, report.Open, now)
+	corrected = lt.correct(report.Host, report.Open, now)
+	lt.applyEvents(report.Open)
+	return corrected
 }
 
 // correct makes the requests that are counted for a host those in its list. A
@@ -154,7 +171,7 @@
 			r.begin()
 			corrected++
 		case listed[id] == 0 && now.Sub(r.startedAt) > listDelay:
-			lt.removeRequest(id, r)
+			lt.removeRequest(id, r, now)
 			corrected++
 		}
 	}
@@ -168,6 +185,7 @@
 	}
 	switch n.Progress {
 	case Begun:
+		lt.sampleSlowness(r, now)
 		lt.recordFirstEvent(r, now)
 		return
 	case Answered:
@@ -180,9 +198,13 @@
 	case Abandoned:
 		if !r.hasFirstEvent && now.Sub(r.startedAt).Seconds() > lt.pace(s, now)*(r.tokensAhead+r.ownTokens) {
 			lt.samplePace(r, now)
+			lt.sampleSlowness(r, now)
 		}
 	}
-	lt.removeRequest(n.ID, r)
+	if r.engine != nil {
+		lt.learnOutput(r.engine, n)
+	}
+	lt.removeRequest(n.ID, r, now)
 }
 
 // recordFirstEvent records the first event of r.
@@ -197,6 +219,7 @@
 // begin takes the work of r off its target's pending work.
 func (r *openRequest) begin() {
 	r.hasFirstEvent = true
+	r.engine.begin()
 	r.target.pendingTokens = math.Max(0, r.target.pendingTokens-r.ownTokens)
 }
 
@@ -221,7 +244,8 @@
 }
 
 // removeRequest removes r and the pending tokens that it accounts for.
-func (lt *LoadTable) removeRequest(id string, r *openRequest) {
+func (lt *LoadTable) removeRequest(id string, r *openRequest, now time.Time) {
+	r.engine.end(now)
 	if !r.hasFirstEvent {
 		r.begin()
 	}
@@ -236,15 +260,23 @@
 // removeSilentHosts removes the requests of hosts without a message for
 // hostTimeout.
 func (lt *LoadTable) removeSilentHosts(now time.Time) {
+	if !now.After(lt.noSilenceBefore) {
+		return
+	}
+	earliest := now
 	for host, at := range lt.lastMessage {
 		if now.Sub(at) <= hostTimeout {
+			if at.Before(earliest) {
+				earliest = at
+			}
 			continue
 		}
 		delete(lt.lastMessage, host)
 		for id, r := range lt.hostRequests[host] {
-			lt.removeRequest(id, r)
+			lt.removeRequest(id, r, now)
 		}
 	}
+	lt.noSilenceBefore = earliest.Add(hostTimeout)
 }
 
 // targetState returns the state of the present incarnation of t.
@@ -252,6 +284,9 @@
 	s := lt.targets[t.ID]
 	if s == nil || s.born != t.Born {
 		s = &targetState{born: t.Born, requests: map[string]*openRequest{}, cachedParts: map[string]time.Time{}}
+		if lt.work != nil {
+			s.slowness = newSlowness(lt.work.meanSlowness)
+		}
 		lt.targets[t.ID] = s
 	}
 	return s
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"berylswitch.example/berylswitch/pkg/declaration"
@@ -49,6 +50,9 @@
 	// ColdSlack. Without ColdFactor there is no such bound.
 	ColdFactor float64 `json:",omitempty"`
 	ColdSlack  float64 `json:",omitempty"`
+	// PlacementPolicy selects how the holder of a service chooses the targets of prompts:
+	// "Prefill", also if it is empty, or "Work".
+	PlacementPolicy string `json:",omitempty"`
 }
 
 // heapFraction is the garbage collector's soft limit as a fraction of the
@@ -93,6 +97,9 @@
 	minRepeatWindow = time.Second
 )
 
+// placementPolicies holds the valid values of PlacementPolicy.
+var placementPolicies = []string{"", "Prefill", "Work"}
+
 // Check reports the invalid fields of g.
 func (g *Gateway) Check(r *declaration.Reporter) {
 	checkName(r, g.Name)
@@ -128,6 +135,9 @@
 	if g.ColdFactor < 0 || g.ColdSlack < 0 {
 		r.Report("ColdFactor", "must not be negative, nor ColdSlack")
 	}
+	if !slices.Contains(placementPolicies, g.PlacementPolicy) {
+		r.Report("PlacementPolicy", "must be \"Prefill\" or \"Work\", is %q", g.PlacementPolicy)
+	}
 	if len(g.Peers) > maxPeers {
 		r.Report("Peers", "must be at most %d, are %d", maxPeers, len(g.Peers))
 	}
