gateway: test of cold pools has free slots

The single slot of the pool held the calls under the cold rate by itself; on a copy without the cold limits the test passed, and now fails with 160 calls in a second.

--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -159,7 +159,8 @@
 			routes := route(catalog.Stream, func(r *catalog.Route) { r.Stages = []catalog.Stage{{Service: "p"}} })
 			r := prepareFixture(t, routes, respondsWith("id: 1\ndata: x\n\n"))
 			r.feed.table.Services["p"].ColdRate = coldRate
-			r.feed.table.Services["p"].Pool.CallTime = 10 * time.Millisecond
+			// Free slots, so that nothing but the cold rate limits the calls.
+			r.feed.table.Services["p"].Pool.Slots = 16
 			addrs := r.startHosts(hosts)
 			pool := &coldTarget{entry: *r.feed.targets[len(r.feed.targets)-1].Target}
 			pool.write(r, time.Minute)
