gateway: bound what callers and slow readers can take of a host

Bodies were read whole with io.ReadAll, without a bound on their sum and without a time limit; connections were not bounded at all; a caller that took nothing of its answer held its memory for good, and a stream was read from its target only as fast as its caller read.

Bodies take memory of a budget before they are read, those up to 64 KiB of a part of their own, in segments that are never copied. An announced length over the limit is refused with 413 before a byte is read; after any refusal within a body nothing more is read. Pauses and the whole time of a body are limited, and under pressure the one that has paused longest ends with 503 and Retry-After. Connections are bounded by descriptors (MaxFDs) and memory; the one that has been idle or stalled longest goes first. A caller that takes no byte of a response for 20 s is disconnected; responses wait for memory for 3 s and return it as they are written; events of streams are queued up to a bound. Headers with very many lines are counted too.

--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -12,11 +12,11 @@
 	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/memory"
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/stage"
-	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/internal/workspace"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -126,12 +126,8 @@
 	return &crash.Table{Self: x.Self.Name, Clock: c, Log: log, Exchange: x, Peers: caller, Hosts: hosts.Value, Archive: archive}
 }
 
-// responseMemoryShare is the part of a host's memory that large responses may take
-// together.
-const responseMemoryShare = 0.125
-
-func provideResponseMemory(s *settings.Gateway) *upstream.MemoryBudget {
-	return &upstream.MemoryBudget{Bytes: int64(responseMemoryShare * float64(s.MemoryMB) * (1 << 20))}
+func provideResponseMemory(s *settings.Gateway) *memory.Budget {
+	return &memory.Budget{Bytes: s.CallerLimits().ResponseBytes}
 }
 
 func providePeerCaller(n link.Network) *peer.Caller { return &peer.Caller{Net: n} }
--- a/internal/gateway/caller_server.go
+++ b/internal/gateway/caller_server.go
@@ -65,6 +65,9 @@
 			s.host.Log.Info("caller listener closed", journal.Error(err))
 			return
 		}
+		if conn = s.host.conns.admit(conn); conn == nil {
+			continue
+		}
 		select {
 		case s.conns <- conn:
 		case <-s.done:
@@ -81,6 +84,7 @@
 		MaxHeaderBytes:    defaultHeaderBytes,
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
+		ConnContext:       withCallerConn,
 		ErrorLog:          zap.NewStdLog(s.host.Log),
 	}
 	if s.limits.HeaderBytes > 0 {
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -14,7 +14,7 @@
 	var e *result.Error
 	code := result.OK
 	if err != nil {
-		if caller.Err() != nil {
+		if caller.Err() != nil && !q.bodyRefused {
 			err = result.Failed(result.Cancelled, "%v", errCallerGone)
 		}
 		e = result.From(err)
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -14,6 +14,7 @@
 	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/memory"
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/settings"
@@ -47,11 +48,18 @@
 	Placement *placement.Client
 	Upstream  *upstream.Client
 	// ResponseMemory bounds the memory of large responses that are not streams.
-	ResponseMemory *upstream.MemoryBudget
+	ResponseMemory *memory.Budget
 	Repeats        *workspace.RepeatBudget
 	Crashes        *crash.Table
 	Metrics        metrics.Registry
 
+	// limits bound what callers can take; conns, bodies and streamMemory are what they
+	// bound.
+	limits       settings.CallerLimits
+	conns        *callerConns
+	bodies       *bodyMemory
+	streamMemory *memory.Budget
+
 	callerServer callerServer
 	draining     atomic.Bool
 	joined       atomic.Bool
@@ -88,6 +96,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	h.Follower.OnChange = h.applySnapshot
 	h.Crashes.OnCrash = h.recallBlocked
+	h.limitCallers()
 	h.gracePeriod.CompareAndSwap(0, int64(h.Settings.GracePeriod))
 	h.abortCtx, h.abort = context.WithCancelCause(context.WithoutCancel(ctx))
 	defer h.abort(nil)
@@ -122,6 +131,25 @@
 	return nil
 }
 
+// responseMemoryWait is how long a response waits for memory. Its request has run, so that
+// failing it is the worst; but a target aborts a response that stays unread for some
+// seconds.
+const responseMemoryWait = 3 * time.Second
+
+// limitCallers sets up the limits on callers before the first one connects.
+func (h *Host) limitCallers() {
+	h.limits = h.Settings.CallerLimits()
+	h.conns = &callerConns{Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, Max: h.limits.MaxConns, WritePause: h.limits.WritePause,
+		Headers: &memory.Budget{Bytes: h.limits.HeaderBytes}}
+	h.bodies = newBodyMemory(h.limits, h.conns)
+	h.streamMemory = &memory.Budget{Bytes: h.limits.StreamBytes}
+	h.ResponseMemory.Relieve = h.conns.endUnreadResponse
+	h.ResponseMemory.Wait = responseMemoryWait
+	h.Log.Info("limits on callers", zap.Int("Connections", h.limits.MaxConns), zap.Int64("SmallBodyBytes", h.limits.SmallBodyBytes),
+		zap.Int64("BodyBytes", h.limits.BodyBytes), zap.Int64("ResponseBytes", h.limits.ResponseBytes), zap.Int64("StreamBytes", h.limits.StreamBytes),
+		zap.Int64("StreamBufferBytes", h.limits.StreamBufferBytes), zap.Duration("BodyPause", h.limits.BodyPause), zap.Duration("WritePause", h.limits.WritePause))
+}
+
 // join runs the exchange once this host has read the configuration: a member may
 // be the holder of services, and needs to know their targets.
 func (h *Host) join(ctx context.Context) error {
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -28,12 +28,26 @@
 func (h *Host) metricsHandler() http.Handler {
 	return singleRouteHandler("/metrics", func(_ *restful.Request, resp *restful.Response) {
 		metrics.GetOrRegisterGauge("Requests.Open", h.Metrics).Update(h.openRequests.Load())
+		h.recordCallerLimits()
 		resp.AddHeader("Content-Type", "application/json")
 		resp.WriteHeader(http.StatusOK)
 		metrics.WriteJSONOnce(h.Metrics, resp)
 	})
 }
 
+// recordCallerLimits records what callers take at present.
+func (h *Host) recordCallerLimits() {
+	for name, n := range map[string]int64{
+		"Connections.Open":   int64(h.conns.count()),
+		"Memory.SmallBodies": h.bodies.small.Used(),
+		"Memory.Bodies":      h.bodies.large.Used(),
+		"Memory.Responses":   h.ResponseMemory.Used(),
+		"Memory.Streams":     h.streamMemory.Used(),
+	} {
+		metrics.GetOrRegisterGauge(name, h.Metrics).Update(n)
+	}
+}
+
 // singleRouteHandler returns a handler that serves GET requests of path with f.
 func singleRouteHandler(path string, f restful.RouteFunction) http.Handler {
 	ws := new(restful.WebService)
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -11,6 +11,7 @@
 type callerResponse struct {
 	w    http.ResponseWriter
 	host *Host
+	conn *callerConn
 	// started is set once part of a target's response has been sent.
 	started bool
 	status  int
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -24,7 +24,11 @@
 	RequestInfo
 	method, uri, host string
 	header            http.Header
-	body              []byte
+	body              body
+	// bodyRefused is set if the host has ended the body. net/http takes that for the end
+	// of the caller.
+	bodyRefused bool
+	conn        *callerConn
 	// version is that of the configuration by which the request is handled.
 	version   int64
 	route     *catalog.Route
@@ -70,7 +74,16 @@
 	h.openRequests.Add(1)
 	defer h.openRequests.Add(-1)
 	out := &callerResponse{w: w, host: h}
-	err := h.readRequest(w, r, q)
+	var err error
+	if q.conn, err = callerConnOf(r); err != nil {
+		h.finish(r.Context(), q, out, err)
+		return
+	}
+	out.conn = q.conn
+	q.conn.beginRequest(r, h.limits.BodyPause, q.arrived.Add(h.limits.BodyTime))
+	defer q.conn.endRequest()
+	defer q.body.release()
+	err = h.readRequest(w, r, q)
 	if err == nil {
 		ctx, cancel := h.requestContext(r.Context(), q.deadline)
 		if q.route.Kind == catalog.Stream {
@@ -115,11 +128,11 @@
 	if err := q.authorize(table); err != nil {
 		return err
 	}
-	if q.body, err = readBody(w, r, table.Limits.BodyBytes); err != nil {
+	q.deadline = q.arrived.Add(q.timeout())
+	if err := h.readBody(w, r, q, table.Limits.BodyBytes); err != nil {
 		return err
 	}
 	q.service = pickBackend(q.route.Backends)
-	q.deadline = q.arrived.Add(q.timeout())
 	q.digest = digest(q)
 	q.findSuspects()
 	h.Repeats.CountRequest(q.service)
@@ -213,25 +226,6 @@
 // of a request.
 const worthExponent = 0.75
 
-// readBody reads the complete body; limit is its maximum size in bytes, or zero
-// for defaultBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if limit == 0 {
-		limit = defaultBodyBytes
-	}
-	r.Body = http.MaxBytesReader(w, r.Body, limit)
-	body, err := io.ReadAll(r.Body)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, result.NotRun(result.BodyTooLarge, "body exceeds %d bytes", limit)
-	default:
-		return nil, result.NotRun(result.BadRequest, "reading the body: %v", err)
-	}
-}
-
 // pickBackend returns the service of a random backend, in proportion to the
 // weights.
 func pickBackend(backends []catalog.Backend) string {
@@ -258,7 +252,7 @@
 	writeField(d, q.host)
 	writeField(d, q.uri)
 	writeField(d, q.workspace)
-	d.Write(q.body)
+	q.body.writeTo(d)
 	return hex.EncodeToString(d.Sum(nil)[:digestBytes])
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,6 +10,7 @@
 	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/journal"
+	"berylswitch.example/berylswitch/internal/memory"
 	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/pkg/result"
@@ -60,14 +61,14 @@
 	// begun is set once the current send has brought its first event.
 	begun bool
 	// memory accounts for the large responses that are not streams.
-	memory *upstream.Allowance
+	memory *memory.Allowance
 }
 
 // targetResponse is a target's complete response.
 type targetResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *upstream.Content
 }
 
 // newSender returns a sender of q. Its memory must be released.
@@ -133,7 +134,8 @@
 		URI:     q.uri,
 		Host:    q.host,
 		Header:  header,
-		Body:    q.body,
+		Content: q.body.reader(),
+		Length:  q.body.size,
 		Matches: func(h http.Header) bool { return s.h.Format.ParseResponse(0, h).ID == q.ID },
 		NewConn: q.route.Kind != catalog.Safe,
 	})
@@ -249,7 +251,7 @@
 		s.recordRejection(t, resp, info, s.h.Clock.Since(start))
 		return nil
 	}
-	body, err := resp.ReadAll(maxResponseBytes, s.memory)
+	body, err := resp.ReadContent(maxResponseBytes, s.memory)
 	if err == nil && !info.Signed {
 		err = errUnsigned
 	}
@@ -279,7 +281,8 @@
 // writeTo writes a target's response to the caller.
 func (resp *targetResponse) writeTo(out *callerResponse) error {
 	out.startTargetResponse(resp.status, resp.header)
-	if _, err := out.w.Write(resp.body); err != nil {
+	out.conn.setLargeResponse(resp.body.Len() > upstream.UnaccountedBytes)
+	if _, err := resp.body.WriteTo(out.w); err != nil {
 		return result.Failed(result.Cancelled, "writing the response: %v", err)
 	}
 	return nil
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -97,6 +97,15 @@
 	t.arm(t.limit)
 }
 
+// suspend stops the timer until the next reset.
+func (t *stallTimer) suspend() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopTimer != nil {
+		t.stopTimer()
+	}
+}
+
 func (t *stallTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"berylswitch.example/berylswitch/internal/fleet"
 	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/upstream"
+	"berylswitch.example/berylswitch/pkg/result"
 	"go.uber.org/zap"
 )
 
@@ -17,14 +18,33 @@
 // sends.
 type relayState struct {
 	out *callerResponse
+	// events writes to out; it is nil before the first event.
+	events *eventWriter
 	// lastEventID is the number of the last event that the caller has; valid if
 	// hasLastEventID is set.
 	lastEventID    int64
 	hasLastEventID bool
 }
 
-// serveStream serves a request that is answered by a stream of events.
+// serveStream serves a request that is answered by a stream of events. It returns when
+// the caller has taken all events that were read, also if the stream is cut or late.
 func (h *Host) serveStream(ctx context.Context, q *request, out *callerResponse) error {
+	rel := &relayState{out: out, lastEventID: q.ResumeAfter, hasLastEventID: q.Resumes}
+	err := h.relayStream(ctx, q, rel)
+	if rel.events == nil {
+		return err
+	}
+	if writeErr := rel.events.finish(); writeErr != nil {
+		h.Log.Info("writing an event to the caller failed", zap.String("RequestID", q.ID), journal.Error(writeErr))
+		if err == nil {
+			err = result.Failed(result.Cancelled, "writing the response: %v", writeErr)
+		}
+	}
+	return err
+}
+
+// relayStream passes on the events of one or more sends.
+func (h *Host) relayStream(ctx context.Context, q *request, rel *relayState) error {
 	s := h.newSender(q)
 	defer s.memory.Release()
 	p := h.newPlan(q)
@@ -33,7 +53,6 @@
 		return err
 	}
 	p.announceStages()
-	rel := &relayState{out: out, lastEventID: q.ResumeAfter, hasLastEventID: q.Resumes}
 	for round := 0; ctx.Err() == nil; round++ {
 		if err := s.runStages(ctx, p); err != nil {
 			return s.logCut(rel, err)
@@ -47,7 +66,7 @@
 		case streamComplete:
 			return nil
 		case streamEventless:
-			return s.lastResponse.writeTo(out)
+			return s.lastResponse.writeTo(rel.out)
 		case streamInputsGone:
 			if round >= maxStageReruns {
 				return s.logCut(rel, s.finalError(ctx))
@@ -143,7 +162,7 @@
 
 // readEventless reads a response that contains no events.
 func (s *sender) readEventless(ctx context.Context, t *catalog.Target, resp *upstream.Response, info ResponseInfo, start time.Time, rel *relayState) streamEnd {
-	body, err := resp.ReadAll(maxResponseBytes, s.memory)
+	body, err := resp.ReadContent(maxResponseBytes, s.memory)
 	if err == nil && !info.Signed {
 		err = errUnsigned
 	}
@@ -166,7 +185,6 @@
 func (s *sender) relayEvents(ctx context.Context, t *catalog.Target, resp *upstream.Response, rel *relayState, p *plan, timer *stallTimer, start time.Time) streamEnd {
 	s.possibleRuns++
 	s.q.mayHaveRun = true
-	control := http.NewResponseController(rel.out.w)
 	events := newEventReader(resp.Body)
 	var first time.Duration
 	for {
@@ -193,9 +211,8 @@
 				s.lease.Begun()
 			}
 		}
-		if err := s.relayEvent(resp, rel, ev, control); err != nil {
+		if err := s.relayEvent(ctx, resp, rel, ev, timer); err != nil {
 			s.endSend(t, fleet.Abandoned, first)
-			s.h.Log.Info("writing an event to the caller failed", zap.String("RequestID", s.q.ID), journal.Error(err))
 			return streamBroken
 		}
 	}
@@ -209,13 +226,21 @@
 	return streamComplete
 }
 
-// relayEvent writes one event to the caller.
-func (s *sender) relayEvent(resp *upstream.Response, rel *relayState, ev event, control *http.ResponseController) error {
+// relayEvent passes one event on to the caller. If the caller reads so slowly that it has
+// to wait, the target's silence is not the target's.
+func (s *sender) relayEvent(ctx context.Context, resp *upstream.Response, rel *relayState, ev event, timer *stallTimer) error {
 	if !rel.out.started {
 		s.q.timeToFirstEvent = s.h.Clock.Since(s.q.arrived)
 		rel.out.startTargetResponse(resp.Status, streamHeader(resp))
+		rel.events = startEventWriter(rel.out.w, s.h.limits.StreamBufferBytes, s.h.streamMemory)
 	}
-	if _, err := rel.out.w.Write(ev.raw); err != nil {
+	ok, err := rel.events.tryPut(ev.raw)
+	if err == nil && !ok {
+		timer.suspend()
+		err = rel.events.put(ctx, ev.raw)
+		timer.reset()
+	}
+	if err != nil {
 		return err
 	}
 	s.q.eventCount++
@@ -223,7 +248,7 @@
 	if ev.hasID {
 		rel.lastEventID, rel.hasLastEventID = ev.id, true
 	}
-	return control.Flush()
+	return nil
 }
 
 // streamHeader returns the header of a stream's response without its length, which
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -39,7 +39,7 @@
 	stageClient := provideStageClient(c, log, exchange, caller, batcher)
 	balancer := provideBalancer(s, c, log)
 	placementClient := providePlacement(c, log, exchange, caller, placementHolder)
-	memoryBudget := provideResponseMemory(s)
+	budget := provideResponseMemory(s)
 	repeatBudget := provideRepeatBudget(s, c, recentMax)
 	registry := provideMetrics()
 	host := &Host{
@@ -59,7 +59,7 @@
 		Balancer:       balancer,
 		Placement:      placementClient,
 		Upstream:       u,
-		ResponseMemory: memoryBudget,
+		ResponseMemory: budget,
 		Repeats:        repeatBudget,
 		Crashes:        table,
 		Metrics:        registry,
--- /dev/null
+++ b/internal/memory/memory_test.go
@@ -0,0 +1,61 @@
+package memory
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestTakeWaitsForRelief checks that a Take that is short gets the memory of what Relieve
+// ends, and fails at once if there is nothing to end.
+func TestTakeWaitsForRelief(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &Budget{Bytes: 100}
+		held := b.NewAllowance()
+		ends := 1
+		b.Relieve = func() bool {
+			if ends == 0 {
+				return false
+			}
+			ends--
+			go func() {
+				time.Sleep(reliefTime / 2)
+				held.Release()
+			}()
+			return true
+		}
+		if !held.Take(60) {
+			t.Fatal("an empty budget holds too little")
+		}
+		a := b.NewAllowance()
+		if !a.Take(60) || b.Used() != 60 {
+			t.Errorf("no memory after relief, %d used", b.Used())
+		}
+		start := time.Now()
+		if b.NewAllowance().Take(60) || time.Since(start) > 0 {
+			t.Errorf("memory without relief, after %v", time.Since(start))
+		}
+		if a.Take(60) {
+			t.Error("an allowance exceeds the budget")
+		}
+	})
+}
+
+// TestTakeWaits checks that a Take waits for memory that its holder returns by itself,
+// and not longer than it should.
+func TestTakeWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &Budget{Bytes: 100, Wait: 3 * time.Second}
+		held := b.NewAllowance()
+		held.Take(60)
+		start := time.Now()
+		if b.NewAllowance().Take(60) || time.Since(start) != b.Wait {
+			t.Errorf("Take ended after %v, want %v", time.Since(start), b.Wait)
+		}
+		time.AfterFunc(time.Second, held.Release)
+		if !b.NewAllowance().Take(60) {
+			t.Error("no memory after it was returned")
+		}
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/settings/callerlimits.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"syscall"
+	"time"
+
+	"berylswitch.example/berylswitch/pkg/declaration"
+)
+
+// SmallBodyBytes is the largest size of the bodies that have a memory of their own, so
+// that large bodies can't make them fail.
+const SmallBodyBytes = 64 << 10
+
+// CallerLimits is what callers, and those who read slowly, can take of a process.
+type CallerLimits struct {
+	MaxConns int
+	// The memory for bodies of requests, responses, events that callers have not
+	// read, the events of one stream, and lines of headers.
+	SmallBodyBytes, BodyBytes, ResponseBytes, StreamBytes, StreamBufferBytes, HeaderBytes int64
+	BodyPause, BodyTime, WritePause                                                       time.Duration
+}
+
+// Defaults of CallerLimits. The shares of the memory add up to less than heapFraction,
+// with the collector's need of room left; the connections take the rest.
+const (
+	// reservedFDs are the descriptors for files, listeners and the store.
+	reservedFDs = 200
+	// connFDShare is the part of the other descriptors that callers' connections may
+	// take. A request needs one more at its target, other hosts and idle connections to
+	// targets the rest.
+	connFDShare = 1.0 / 3
+	// connBytes is the memory that a connection takes at most, with the buffers and
+	// stacks of its goroutines and a header of maximum size, and connMemoryShare the part of
+	// the memory for all. A host of 136 MB then has 415 connections.
+	connBytes       = 64 << 10
+	connMemoryShare = 0.2
+
+	// 300 callers, as many as are known at one host, can have bodies of 55 KB at the
+	// same time on a host of 136 MB, and four further ones bodies of 4 MiB.
+	smallBodyMemoryShare = 0.125
+	bodyMemoryShare      = 0.125
+	responseMemoryShare  = 0.125
+	streamMemoryShare    = 0.05
+	headerMemoryShare    = 0.025
+	streamBufferBytes    = 256 << 10
+
+	// defaultBodyPause exceeds the pauses of TCP after several losses in a row.
+	defaultBodyPause = 10 * time.Second
+	defaultBodyTime  = 10 * time.Minute
+	// defaultWritePause exceeds the longest time for which idle connections live.
+	defaultWritePause = 20 * time.Second
+)
+
+// CallerLimits returns the limits that are in force.
+func (g *Gateway) CallerLimits() CallerLimits {
+	bytes := func(mb, share float64) int64 {
+		if mb == 0 {
+			mb = share * g.MemoryMB
+		}
+		return int64(mb * bytesPerMB)
+	}
+	l := CallerLimits{
+		MaxConns:          g.MaxConns,
+		SmallBodyBytes:    bytes(g.SmallBodyMemoryMB, smallBodyMemoryShare),
+		BodyBytes:         bytes(g.BodyMemoryMB, bodyMemoryShare),
+		ResponseBytes:     bytes(g.ResponseMemoryMB, responseMemoryShare),
+		StreamBytes:       bytes(g.StreamMemoryMB, streamMemoryShare),
+		HeaderBytes:       bytes(g.HeaderMemoryMB, headerMemoryShare),
+		StreamBufferBytes: int64(g.StreamBufferKB * bytesPerKB),
+		BodyPause:         orDefault(g.BodyPause, defaultBodyPause),
+		BodyTime:          orDefault(g.BodyTime, defaultBodyTime),
+		WritePause:        orDefault(g.WritePause, defaultWritePause),
+	}
+	if l.MaxConns == 0 {
+		l.MaxConns = g.defaultMaxConns()
+	}
+	if l.StreamBufferBytes == 0 {
+		l.StreamBufferBytes = streamBufferBytes
+	}
+	return l
+}
+
+// bytesPerKB is the size of the kilobyte in settings.
+const bytesPerKB = 1e3
+
+func orDefault(d declaration.Duration, other time.Duration) time.Duration {
+	if d == 0 {
+		return other
+	}
+	return time.Duration(d)
+}
+
+// defaultMaxConns returns the number of callers' connections for which there are
+// descriptors and memory.
+func (g *Gateway) defaultMaxConns() int {
+	byFDs := connFDShare * float64(g.maxFDs()-reservedFDs)
+	byMemory := connMemoryShare * bytesPerMB * g.MemoryMB / connBytes
+	return max(1, int(min(byFDs, byMemory)))
+}
+
+// maxFDs returns the number of descriptors that the process may open.
+func (g *Gateway) maxFDs() int {
+	if g.MaxFDs > 0 {
+		return g.MaxFDs
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		// Getrlimit fails for a wrong argument alone.
+		return minFDs
+	}
+	return int(min(limit.Cur, maxFDs))
+}
+
+// Limits on MaxFDs: below minFDs a host could hardly have a connection to each other
+// host, and Linux allows maxFDs at most.
+const (
+	minFDs = 256
+	maxFDs = 1 << 20
+)
+
+// checkCallerLimits reports the invalid limits on callers.
+func (g *Gateway) checkCallerLimits(r *declaration.Reporter) {
+	if g.MaxFDs != 0 && (g.MaxFDs < minFDs || g.MaxFDs > maxFDs) {
+		r.Report("MaxFDs", "must be %d to %d, or 0 for the limit of the process, is %d", minFDs, maxFDs, g.MaxFDs)
+	}
+	if g.MaxConns < 0 {
+		r.Report("MaxConns", "must not be negative, is %d", g.MaxConns)
+	}
+	for _, m := range []struct {
+		field string
+		value float64
+	}{
+		{"SmallBodyMemoryMB", g.SmallBodyMemoryMB}, {"BodyMemoryMB", g.BodyMemoryMB}, {"ResponseMemoryMB", g.ResponseMemoryMB},
+		{"StreamMemoryMB", g.StreamMemoryMB}, {"StreamBufferKB", g.StreamBufferKB / 1e3}, {"HeaderMemoryMB", g.HeaderMemoryMB},
+	} {
+		if m.value < 0 || m.value > g.MemoryMB {
+			r.Report(m.field, "must not be negative or exceed MemoryMB")
+		}
+	}
+	for _, d := range []struct {
+		field string
+		value declaration.Duration
+	}{{"BodyPause", g.BodyPause}, {"BodyTime", g.BodyTime}, {"WritePause", g.WritePause}} {
+		if d.value < 0 {
+			r.Report(d.field, "must not be negative, is %v", time.Duration(d.value))
+		}
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,6 +41,33 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow declaration.Duration
+
+	// MaxFDs is the number of descriptors that the process may open. Zero means the
+	// limit under which it was started.
+	MaxFDs int `json:",omitempty"`
+	// The following fields limit what callers, and slow readers, can take of the
+	// process. Zero means a default, which CallerLimits computes.
+
+	// MaxConns is the maximum number of callers' connections.
+	MaxConns int `json:",omitempty"`
+	// SmallBodyMemoryMB is the memory for bodies of requests up to SmallBodyBytes,
+	// BodyMemoryMB that for larger ones.
+	SmallBodyMemoryMB float64 `json:",omitempty"`
+	BodyMemoryMB      float64 `json:",omitempty"`
+	// ResponseMemoryMB is the memory for large responses that are not streams.
+	ResponseMemoryMB float64 `json:",omitempty"`
+	// StreamMemoryMB is the memory for the events of streams that callers have not
+	// read yet, StreamBufferKB that for the events of one stream.
+	StreamMemoryMB float64 `json:",omitempty"`
+	StreamBufferKB float64 `json:",omitempty"`
+	// HeaderMemoryMB is the memory for headers with very many lines.
+	HeaderMemoryMB float64 `json:",omitempty"`
+	// BodyPause is the longest time without a byte of a body, BodyTime the longest
+	// time for the whole body. The deadline of the request ends a body too.
+	BodyPause declaration.Duration `json:",omitempty"`
+	BodyTime  declaration.Duration `json:",omitempty"`
+	// WritePause is the longest time for which a caller takes no byte of a response.
+	WritePause declaration.Duration `json:",omitempty"`
 }
 
 // heapFraction is the garbage collector's soft limit as a fraction of the
@@ -117,6 +144,7 @@
 	if g.RepeatRatio < 0 || g.RepeatSlack < 0 {
 		r.Report("RepeatRatio", "must not be negative, nor RepeatSlack")
 	}
+	g.checkCallerLimits(r)
 	if len(g.Peers) > maxPeers {
 		r.Report("Peers", "must be at most %d, are %d", maxPeers, len(g.Peers))
 	}
--- a/internal/upstream/content.go
+++ b/internal/upstream/content.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"io"
-	"sync/atomic"
 
+	"berylswitch.example/berylswitch/internal/memory"
 	"github.com/zeebo/errs"
 )
 
@@ -12,90 +12,121 @@
 // or the memory that large responses may take together.
 var ErrTooLarge = errs.New("response body is too large")
 
-// unaccountedBytes is the size below which a body takes nothing from a
-// MemoryBudget, so that large responses can't make small ones fail.
-const unaccountedBytes = 64 << 10
+// UnaccountedBytes is the size below which a body takes nothing from a budget, so that large responses can't make small ones fail.
+const UnaccountedBytes = 64 << 10
 
-// MemoryBudget bounds the memory that the bodies of large responses take together.
-// Targets that send without end can then fail each other's responses, but not end
-// the process. The zero value allows nothing.
-type MemoryBudget struct {
-	// Bytes is the size of the budget. It must be set before the first use.
-	Bytes int64
-
-	used atomic.Int64
-}
-
-// Allowance is the part of a MemoryBudget that the responses to one request take.
-// It is not safe for concurrent use.
-type Allowance struct {
-	budget *MemoryBudget
-	taken  int64
+// Content is the body of a response that was read completely. It is kept in segments,
+// whose memory is returned as they are written: a caller that reads slowly then holds what
+// it has not got yet, and no more.
+type Content struct {
+	segments []segment
+	size     int64
+	memory   *memory.Allowance
 }
 
-// NewAllowance returns an empty allowance. Release must be called when the bodies
-// read with it are no longer used.
-func (b *MemoryBudget) NewAllowance() *Allowance { return &Allowance{budget: b} }
-
-// take reserves n bytes and reports whether they were available.
-func (a *Allowance) take(n int64) bool {
-	if a.budget.used.Add(n) > a.budget.Bytes {
-		a.budget.used.Add(-n)
-		return false
-	}
-	a.taken += n
-	return true
+// segment is a part of a body. Taken is the memory that it holds of the allowance.
+type segment struct {
+	bytes []byte
+	taken int64
 }
 
-// Release returns all bytes to the budget.
-func (a *Allowance) Release() {
-	a.budget.used.Add(-a.taken)
-	a.taken = 0
-}
+// Sizes of segments in bytes: the first has minSegmentBytes, each further one doubles the
+// memory of the body up to maxSegmentBytes.
+const (
+	minSegmentBytes = 1 << 10
+	maxSegmentBytes = 256 << 10
+)
 
-// ReadAll reads the complete body of r and closes it. It fails with ErrTooLarge if
-// the body exceeds limit bytes or the allowance can't hold it, and with ErrBroken
-// if it is incomplete; it never returns a part of a body without an error. A nil
-// allowance doesn't account for the memory.
-func (r *Response) ReadAll(limit int64, a *Allowance) ([]byte, error) {
+// ReadContent reads the complete body of r and closes it. It fails with ErrTooLarge if
+// the body exceeds limit bytes or the allowance can't hold it, and with ErrBroken if it is
+// incomplete; it never returns a part of a body without an error. A nil allowance doesn't
+// account for the memory.
+func (r *Response) ReadContent(limit int64, a *memory.Allowance) (*Content, error) {
 	defer r.Body.Close()
 	if r.Length > limit {
 		return nil, wrapBroken(ErrTooLarge)
 	}
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			grown, ok := grow(body, limit, a)
-			if !ok {
+	c := &Content{memory: a}
+	for capacity := int64(0); ; {
+		if c.size == capacity {
+			// One byte more than allowed shows that a body is too large, or that it ends.
+			most := limit
+			if r.Length >= 0 {
+				most = r.Length
+			}
+			n := min(max(minSegmentBytes, capacity), maxSegmentBytes, most+1-capacity)
+			if !c.grow(n, capacity) {
 				return nil, wrapBroken(ErrTooLarge)
 			}
-			body = grown
+			capacity += n
 		}
-		n, err := r.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		err := c.readSome(r.Body)
 		switch {
-		case int64(len(body)) > limit:
+		case c.size > limit:
 			return nil, wrapBroken(ErrTooLarge)
 		case errors.Is(err, io.EOF):
-			return body, nil
+			return c, nil
 		case err != nil:
 			return nil, err
 		}
 	}
 }
 
-// minBodyCapacity is the capacity of the first buffer for a body in bytes.
-const minBodyCapacity = 1 << 10
+// grow adds a segment of n bytes to those of the given capacity, unless the allowance
+// can't hold it.
+func (c *Content) grow(n, capacity int64) bool {
+	s := segment{}
+	if over := capacity + n - max(capacity, UnaccountedBytes); c.memory != nil && over > 0 {
+		if !c.memory.Take(over) {
+			return false
+		}
+		s.taken = over
+	}
+	s.bytes = make([]byte, 0, n)
+	c.segments = append(c.segments, s)
+	return true
+}
+
+// readSome reads into the last segment.
+func (c *Content) readSome(r io.Reader) error {
+	last := &c.segments[len(c.segments)-1]
+	n, err := r.Read(last.bytes[len(last.bytes):cap(last.bytes)])
+	last.bytes = last.bytes[:len(last.bytes)+n]
+	c.size += int64(n)
+	return err
+}
+
+// Len returns the size of the body in bytes.
+func (c *Content) Len() int64 { return c.size }
 
-// grow returns body with twice its capacity, or false if the allowance can't hold
-// that. The capacity exceeds limit by at least one byte, which shows that a body is
-// too large.
-func grow(body []byte, limit int64, a *Allowance) ([]byte, bool) {
-	size := min(max(minBodyCapacity, 2*int64(cap(body))), limit+1)
-	if a != nil && size > unaccountedBytes && !a.take(size-max(unaccountedBytes, int64(cap(body)))) {
-		return nil, false
+// WriteTo writes the body and returns the memory of each part that has been written.
+func (c *Content) WriteTo(w io.Writer) (int64, error) {
+	total := int64(0)
+	for i := range c.segments {
+		s := &c.segments[i]
+		n, err := w.Write(s.bytes)
+		total += int64(n)
+		if err != nil {
+			return total, err
+		}
+		s.bytes = nil
+		if s.taken > 0 {
+			c.memory.Return(s.taken)
+		}
+	}
+	c.segments = nil
+	return total, nil
+}
+
+// ReadAll is like ReadContent and returns the body in one piece.
+func (r *Response) ReadAll(limit int64, a *memory.Allowance) ([]byte, error) {
+	c, err := r.ReadContent(limit, a)
+	if err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, c.size)
+	for _, s := range c.segments {
+		body = append(body, s.bytes...)
 	}
-	grown := make([]byte, len(body), size)
-	copy(grown, body)
-	return grown, true
+	return body, nil
 }
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/command"
+	"berylswitch.example/berylswitch/internal/memory"
 )
 
 // endless lists what a target may send without end: a fixed start, and then the
@@ -91,7 +92,7 @@
 )
 
 // fetch sends a request and reads the body of its response.
-func fetch(c *Client, addr netip.AddrPort, budget *MemoryBudget, timeout time.Duration) error {
+func fetch(c *Client, addr netip.AddrPort, budget *memory.Budget, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	resp, err := c.Do(ctx, addr, get("one"))
@@ -112,7 +113,7 @@
 			addr := startEndless(t, e.start, e.repeated)
 			const timeout = 30 * time.Second
 			start := time.Now()
-			err := fetch(newClient(t), addr, &MemoryBudget{Bytes: testMemoryBudget}, timeout)
+			err := fetch(newClient(t), addr, &memory.Budget{Bytes: testMemoryBudget}, timeout)
 			if !errors.Is(err, e.want) || !errors.Is(err, ErrBroken) {
 				t.Errorf("error %v, want %v", err, e.want)
 			}
@@ -131,7 +132,7 @@
 	const targets = 50
 	command.TuneCollector(smallestHost * 7 / 10)
 	c := newClient(t)
-	budget := &MemoryBudget{Bytes: testMemoryBudget}
+	budget := &memory.Budget{Bytes: testMemoryBudget}
 	sound := startSound(t)
 	var addrs []netip.AddrPort
 	for i := range targets {
@@ -165,7 +166,7 @@
 	if got := <-peak; got > smallestHost {
 		t.Errorf("the process grew to %d MB", got>>20)
 	}
-	if used := budget.used.Load(); used != 0 {
+	if used := budget.Used(); used != 0 {
 		t.Errorf("%d bytes of the budget were not released", used)
 	}
 }
@@ -201,21 +202,21 @@
 		{0, 100, 0, nil},
 		{100, 100, 0, nil},
 		{101, 100, 0, ErrTooLarge},
-		{unaccountedBytes - 1, 1 << 20, 0, nil},
+		{UnaccountedBytes - 1, 1 << 20, 0, nil},
 		{1 << 20, 1 << 20, 2 << 20, nil},
 		{1 << 20, 1 << 20, 1 << 19, ErrTooLarge},
 		{1<<20 + 1, 1 << 20, 8 << 20, ErrTooLarge},
 	} {
 		t.Run(fmt.Sprint(c), func(t *testing.T) {
 			body := bytes.Repeat([]byte("x"), int(c.length))
-			budget := &MemoryBudget{Bytes: c.budget}
+			budget := &memory.Budget{Bytes: c.budget}
 			a := budget.NewAllowance()
 			got, err := (&Response{Body: io.NopCloser(bytes.NewReader(body)), Length: -1}).ReadAll(c.limit, a)
 			if !errors.Is(err, c.want) || err == nil && !bytes.Equal(got, body) {
 				t.Errorf("%d bytes, error %v, want %v", len(got), err, c.want)
 			}
 			a.Release()
-			if used := budget.used.Load(); used != 0 {
+			if used := budget.Used(); used != 0 {
 				t.Errorf("%d bytes were not released", used)
 			}
 		})
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -48,6 +48,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Content is the body, of Length bytes, if it is not in one piece. Body is not used
+	// then.
+	Content io.Reader
+	Length  int64
 	// Matches reports whether a response with the given header belongs to this
 	// request. If it is nil, the first response is taken.
 	Matches func(http.Header) bool
@@ -177,7 +181,10 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
-	if len(r.Body) > 0 {
+	switch {
+	case r.Content != nil:
+		req.Body, req.ContentLength = io.NopCloser(r.Content), r.Length
+	case len(r.Body) > 0:
 		req.Body = io.NopCloser(bytes.NewReader(r.Body))
 	}
 	return req, nil
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -68,6 +68,7 @@
 	BodyTooLarge    Code = 106
 	CrashSuspect    Code = 107
 	KeyExpired      Code = 108
+	BodyTimeout     Code = 109
 
 	Draining         Code = 200
 	Overloaded       Code = 201
@@ -77,6 +78,7 @@
 	LogUnavailable   Code = 205
 	ConfigStale      Code = 206
 	TableFull        Code = 207
+	NoMemory         Code = 208
 
 	DeadlineExceeded Code = 300
 	StageFailed      Code = 301
@@ -111,6 +113,7 @@
 	{BodyTooLarge, "BodyTooLarge", http.StatusRequestEntityTooLarge, RanNo, "The body exceeds the limit."},
 	{CrashSuspect, "CrashSuspect", http.StatusUnprocessableEntity, RanNo, "Earlier sends of this body crashed targets; it is not run again."},
 	{KeyExpired, "KeyExpired", http.StatusGone, RanUnknown, "The key is too old to be judged."},
+	{BodyTimeout, "BodyTimeout", http.StatusRequestTimeout, RanNo, "The body paused for too long, or was not complete in its time."},
 	{Draining, "Draining", http.StatusServiceUnavailable, RanNo, "The host is shutting down."},
 	{Overloaded, "Overloaded", http.StatusServiceUnavailable, RanNo, "The queue can't serve the request before its deadline."},
 	{DeadlineTooShort, "DeadlineTooShort", http.StatusServiceUnavailable, RanNo, "The stages usually take longer than the time left."},
@@ -119,6 +122,7 @@
 	{LogUnavailable, "LogUnavailable", http.StatusServiceUnavailable, RanNo, "The log service can't record the claim, so the non-idempotent request was not run."},
 	{ConfigStale, "ConfigStale", http.StatusServiceUnavailable, RanNo, "The host has had no contact to log or peers and takes no new work."},
 	{TableFull, "TableFull", http.StatusServiceUnavailable, RanNo, "A bounded table of the host is full."},
+	{NoMemory, "NoMemory", http.StatusServiceUnavailable, RanNo, "The host has no memory left for the body."},
 	{DeadlineExceeded, "DeadlineExceeded", http.StatusGatewayTimeout, RanPartly, "The deadline passed after a stage was started."},
 	{StageFailed, "StageFailed", http.StatusBadGateway, RanPartly, "A stage failed and could not be retried."},
 	{OutcomeUnknown, "OutcomeUnknown", http.StatusBadGateway, RanUnknown, "The first attempt with this key broke; whether it ran is not known."},
