gateway, host: MaxFDs in the platform's settings, bodies of berylswitch serve

MaxFDs is a float like the platform's other amounts, some of which it writes with a decimal point; an integer field would then keep a host from starting. berylswitch serve bounded each body and its time, not the sum: large bodies take memory of a budget now, and end with 503 beyond it (TestBodiesTogether). Its connections still have no bound.

--- a/internal/host/admit.go
+++ b/internal/host/admit.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/memory"
 	"berylswitch.example/berylswitch/internal/pipeline"
 	"berylswitch.example/berylswitch/pkg/caller"
 	"berylswitch.example/berylswitch/pkg/declaration"
@@ -19,9 +20,9 @@
 	"github.com/google/uuid"
 )
 
-// admit validates a request before any part of it runs. Its error is a
-// *result.Error that reports that nothing ran.
-func (h *Host) admit(rest *restful.Request, resp *restful.Response, id string, start time.Time) (*pipeline.Request, error) {
+// admit validates a request before any part of it runs. The memory of its body is taken
+// of a. Its error is a *result.Error that reports that nothing ran.
+func (h *Host) admit(rest *restful.Request, resp *restful.Response, id string, start time.Time, a *memory.Allowance) (*pipeline.Request, error) {
 	state := h.Follower.State()
 	if h.Follower.Stale(start) {
 		return nil, result.NotRun(result.ConfigStale, "no configuration, or no contact with the log or the peers")
@@ -38,7 +39,7 @@
 	if err := readHeaders(rest.Request, req, start); err != nil {
 		return nil, err
 	}
-	body, err := readBody(resp.ResponseWriter, rest.Request)
+	body, err := readBody(resp.ResponseWriter, rest.Request, a)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -75,18 +75,24 @@
 		return pipeline.NewAnswer(nil, "", err)
 	}
 	out.onEnd = end
-	req, err := h.admit(rest, resp, id, h.Clock.Now())
+	body := h.bodies.NewAllowance()
+	req, err := h.admit(rest, resp, id, h.Clock.Now(), body)
 	if err != nil {
+		body.Release()
 		return pipeline.NewAnswer(nil, "", err)
 	}
 	release, err := h.Admission.Admit(req.Workspace, req.Pipeline, req.Priority, req.Deadline)
 	if err != nil {
+		body.Release()
 		return pipeline.NewAnswer(nil, "", err)
 	}
 	if out.stream {
 		req.Emit = out.emit
 	}
-	return h.run(rest.Request.Context(), req, release)
+	return h.run(rest.Request.Context(), req, func() {
+		release()
+		body.Release()
+	})
 }
 
 // run runs an admitted request. A claimed request may continue after its answer,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"berylswitch.example/berylswitch/internal/clock"
 	"berylswitch.example/berylswitch/internal/lease"
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/memory"
 	"berylswitch.example/berylswitch/internal/order"
 	"berylswitch.example/berylswitch/internal/peer"
 	"berylswitch.example/berylswitch/internal/pipeline"
@@ -50,7 +51,9 @@
 	Report     *report.Recorder
 	Metrics    metrics.Registry
 
-	requests       requestTracker
+	requests requestTracker
+	// bodies bounds the memory of callers' large bodies.
+	bodies         memory.Budget
 	draining       atomic.Bool
 	callerListener net.Listener
 	peerListener   net.Listener
@@ -63,6 +66,7 @@
 // tasks run until the drain is over.
 func (h *Host) Run(ctx context.Context) error {
 	h.requests.Clock = h.Clock
+	h.bodies.Bytes = maxBodiesBytes
 	h.Follower.OnState = func(s *section.State) {
 		h.Targets.Publish(s.View)
 		go h.Exchange.Announce()
--- a/internal/host/limits.go
+++ b/internal/host/limits.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/memory"
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
@@ -18,6 +19,12 @@
 	maxBodyBytes   = 4 << 20
 	maxHeaderBytes = 16 << 10
 	maxNesting     = 64
+	// maxBodiesBytes bounds the memory of the bodies above smallBodyBytes that are read
+	// or in use at the same time. Nothing else of a host takes as much of SoftMemoryBytes.
+	maxBodiesBytes = SoftMemoryBytes / 4
+	smallBodyBytes = 64 << 10
+	// minBodyCapacity is the capacity of the first buffer for a body.
+	minBodyCapacity = 1 << 10
 
 	headerTimeout = 5 * time.Second
 	bodyTimeout   = 10 * time.Second
@@ -42,10 +49,18 @@
 	http.NewResponseController(w).SetReadDeadline(now.Add(bodyTimeout))
 }
 
-// readBody reads the body of a request within the limits on its size and time.
-// If the body can't be read, the connection is closed after the answer.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+// bodyRetry is the time after which a caller may retry if there was no memory for its
+// body.
+const bodyRetry = time.Second
+
+// errNoBodyMemory means that the bodies of other requests take all memory for bodies.
+var errNoBodyMemory = errors.New("no memory is left for the body")
+
+// readBody reads the body of a request within the limits on its size and time and on the
+// memory of all bodies, of which it takes a. If the body can't be read, the connection is
+// closed after the answer.
+func readBody(w http.ResponseWriter, r *http.Request, a *memory.Allowance) ([]byte, error) {
+	body, err := readAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), a)
 	var tooLarge *http.MaxBytesError
 	if err != nil {
 		w.Header().Set("Connection", "close")
@@ -53,6 +68,10 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, result.NotRun(result.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	case errors.Is(err, errNoBodyMemory):
+		e := result.NotRun(result.NoMemory, "%v", err)
+		e.RetryAfter = bodyRetry
+		return nil, e
 	case err != nil:
 		return nil, result.NotRun(result.BadRequest, "the body could not be read: %v", err)
 	}
@@ -60,6 +79,29 @@
 	return body, nil
 }
 
+// readAll reads r to its end. The buffer grows with what has arrived; the memory for it is
+// taken first, except that of small bodies, so that large ones can't make them fail.
+func readAll(r io.Reader, a *memory.Allowance) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := min(max(minBodyCapacity, 2*int64(cap(body))), maxBodyBytes+1)
+			if over := size - max(smallBodyBytes, int64(cap(body))); over > 0 && !a.Take(over) {
+				return nil, errNoBodyMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // checkBody returns an error with line and column unless body is a single JSON
 // value that is nested at most maxNesting deep.
 func checkBody(body []byte) error {
--- a/internal/settings/callerlimits.go
+++ b/internal/settings/callerlimits.go
@@ -93,13 +93,13 @@
 // defaultMaxConns returns the number of callers' connections for which there are
 // descriptors and memory.
 func (g *Gateway) defaultMaxConns() int {
-	byFDs := connFDShare * float64(g.maxFDs()-reservedFDs)
+	byFDs := connFDShare * (g.maxFDs() - reservedFDs)
 	byMemory := connMemoryShare * bytesPerMB * g.MemoryMB / connBytes
 	return max(1, int(min(byFDs, byMemory)))
 }
 
 // maxFDs returns the number of descriptors that the process may open.
-func (g *Gateway) maxFDs() int {
+func (g *Gateway) maxFDs() float64 {
 	if g.MaxFDs > 0 {
 		return g.MaxFDs
 	}
@@ -108,7 +108,7 @@
 		// Getrlimit fails for a wrong argument alone.
 		return minFDs
 	}
-	return int(min(limit.Cur, maxFDs))
+	return float64(min(limit.Cur, maxFDs))
 }
 
 // Limits on MaxFDs: below minFDs a host could hardly have a connection to each other
@@ -121,7 +121,7 @@
 // checkCallerLimits reports the invalid limits on callers.
 func (g *Gateway) checkCallerLimits(r *declaration.Reporter) {
 	if g.MaxFDs != 0 && (g.MaxFDs < minFDs || g.MaxFDs > maxFDs) {
-		r.Report("MaxFDs", "must be %d to %d, or 0 for the limit of the process, is %d", minFDs, maxFDs, g.MaxFDs)
+		r.Report("MaxFDs", "must be %d to %d, or 0 for the limit of the process, is %v", minFDs, maxFDs, g.MaxFDs)
 	}
 	if g.MaxConns < 0 {
 		r.Report("MaxConns", "must not be negative, is %d", g.MaxConns)
