--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -26,9 +26,9 @@
 const (
 	// minStallTime is the time without a byte after which a body counts as stalled. It exceeds the usual retransmission times of TCP.
 	minStallTime = time.Second
-	// minUnreadTime is the same for a response. It exceeds the time that a slow but steady
-	// caller takes for what the kernel accepts at a time.
-	minUnreadTime = 5 * time.Second
+	// minUnreadTime is the same for a response. The kernel of a caller acknowledges bytes
+	// only when it has handed over a part of its buffer, which takes a slow caller seconds.
+	minUnreadTime = 10 * time.Second
 	// lastLookTime is the time of the last attempt to read or write when a time limit has
 	// passed: a process that was frozen finds bytes that came meanwhile.
 	lastLookTime = 100 * time.Millisecond
--- a/internal/settings/callerlimits.go
+++ b/internal/settings/callerlimits.go
@@ -47,8 +47,9 @@
 	// defaultBodyPause exceeds the pauses of TCP after several losses in a row.
 	defaultBodyPause = 10 * time.Second
 	defaultBodyTime  = 10 * time.Minute
-	// defaultWritePause exceeds the longest time for which idle connections live.
-	defaultWritePause = 20 * time.Second
+	// defaultWritePause is the time in which a caller that reads 20 KB/s takes a sixteenth of a
+	// receive buffer of 6 MiB, the least that its kernel acknowledges, with a margin.
+	defaultWritePause = 30 * time.Second
 )
 
 // CallerLimits returns the limits that are in force.
