gateway: count the lines of headers, not those of bodies that arrive with them

The memory for header lines was also taken for the start of a body that came in the same read. In TestFlood/SmallChunks most callers were refused with 400 for it (35 descriptors instead of 116), and bodies with many short lines would have used it up at a few dozen callers. Counting ends at the empty line now.

TestLinesOfBodies fails without the change (400), passes with it.

--- a/internal/gateway/callerlimits_test.go
+++ b/internal/gateway/callerlimits_test.go
@@ -307,6 +307,30 @@
 	})
 }
 
+// TestLinesOfBodies checks that the lines of a body are not counted as lines of a header,
+// with which they may arrive. They once made crowds of small chunks fail.
+func TestLinesOfBodies(t *testing.T) {
+	for name, request := range map[string][]string{
+		"lines":        {strings.Repeat("\n", 2000), "Content-Length: 2000"},
+		"small chunks": {strings.Repeat("1\r\nx\r\n", 500) + "0\r\n\r\n", "Transfer-Encoding: chunked"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newLimitedFixture(t, catalog.Unsafe, 10_000, func(s *settings.Gateway) { s.HeaderMemoryMB = 0.0001 }, respondsWith("x"))
+				defer r.close()
+				conn := r.dial()
+				defer conn.Close()
+				for range 2 {
+					r.begin(conn, request[0], request[1:]...)
+					if got := outcome(conn); got != "200" {
+						t.Error(got)
+					}
+				}
+			})
+		})
+	}
+}
+
 // largeAnswerBytes is the size of the answers to slow readers.
 const largeAnswerBytes = 3 << 20
 
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -187,8 +186,8 @@
 	// largeResponse is set while a response is written that holds counted memory.
 	largeResponse bool
 	closed        bool
-	// lines is the number of lines since the last request, headerMemory what they take.
-	lines        int
+	// header follows the head of the next request, headerMemory is what its lines take.
+	header       headLines
 	headerMemory *memory.Allowance
 
 	// The following fields are those of the body that is being received.
@@ -330,7 +329,7 @@
 	defer c.mu.Unlock()
 	c.state, c.end, c.largeResponse = awaitsRequest, bodyNotEnded, false
 	c.readAt = c.conns.Clock.Now()
-	c.lines = 0
+	c.header = headLines{}
 	c.headerMemory.Release()
 }
 
@@ -406,16 +405,41 @@
 	if c.state != awaitsRequest || c.closed {
 		return true
 	}
-	before := max(c.lines, usualHeaderLines)
-	c.lines += bytes.Count(b, []byte{'\n'})
-	if c.lines <= before || c.headerMemory.Take(int64(c.lines-before)*headerLineBytes) {
+	before := max(c.header.lines, usualHeaderLines)
+	c.header.count(b)
+	if c.header.lines <= before || c.headerMemory.Take(int64(c.header.lines-before)*headerLineBytes) {
 		return true
 	}
 	metrics.GetOrRegisterCounter("Connections.HeaderMemory", c.conns.Metrics).Inc(1)
-	c.conns.Log.Warn("no memory for a header", zap.Stringer("Caller", c.RemoteAddr()), zap.Int("Lines", c.lines))
+	c.conns.Log.Warn("no memory for a header", zap.Stringer("Caller", c.RemoteAddr()), zap.Int("Lines", c.header.lines))
 	return false
 }
 
+// headLines counts the lines of one head, and not those of the body that follows.
+type headLines struct {
+	lines int
+	// lineBytes is the size of the present line without line ends.
+	lineBytes int
+	// ended is set once the empty line at the end of the head has come.
+	ended bool
+}
+
+// count counts the lines that end in b.
+func (h *headLines) count(b []byte) {
+	for _, ch := range b {
+		switch {
+		case h.ended:
+			return
+		case ch == '\n':
+			h.ended = h.lineBytes == 0 && h.lines > 0
+			h.lines++
+			h.lineBytes = 0
+		case ch != '\r':
+			h.lineBytes++
+		}
+	}
+}
+
 // extendRead is called when the limit of a Read has passed, which is that of an earlier
 // byte. It sets the present one, or notes why the body ends and returns false.
 func (c *callerConn) extendRead() bool {
