--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -30,12 +30,26 @@
 		metrics.GetOrRegisterGauge("Requests.Open", h.Metrics).Update(h.openRequests.Load())
 		metrics.GetOrRegisterGauge(evacuatedGauge, h.Metrics).Update(int64(len(h.Follower.Snapshot().Evacuated)))
 		metrics.GetOrRegisterGauge("Cold.Targets", h.Metrics).Update(int64(h.Backpressure.ColdTargets()))
+		h.recordCallerLimits()
 		resp.AddHeader("Content-Type", "application/json")
 		resp.WriteHeader(http.StatusOK)
 		metrics.WriteJSONOnce(h.Metrics, resp)
 	})
 }
 
+// recordCallerLimits records what callers take at present.
+func (h *Host) recordCallerLimits() {
+	for name, n := range map[string]int64{
+		"Connections.Open":   int64(h.conns.count()),
+		"Memory.SmallBodies": h.bodies.small.Used(),
+		"Memory.Bodies":      h.bodies.large.Used(),
+		"Memory.Responses":   h.ResponseMemory.Used(),
+		"Memory.Streams":     h.streamMemory.Used(),
+	} {
+		metrics.GetOrRegisterGauge(name, h.Metrics).Update(n)
+	}
+}
+
 // singleRouteHandler returns a handler that serves GET requests of path with f.
 func singleRouteHandler(path string, f restful.RouteFunction) http.Handler {
 	ws := new(restful.WebService)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -53,6 +53,34 @@
 	// PlacementPolicy selects how the holder of a service chooses the targets of prompts:
 	// "Prefill", also if it is empty, or "Work".
 	PlacementPolicy string `json:",omitempty"`
+
+	// MaxFDs is the number of descriptors that the process may open. Zero means the
+	// limit under which it was started. It is a float as the platform's other amounts,
+	// some of which it writes with a decimal point.
+	MaxFDs float64 `json:",omitempty"`
+	// The following fields limit what callers, and slow readers, can take of the
+	// process. Zero means a default, which CallerLimits computes.
+
+	// MaxConns is the maximum number of callers' connections.
+	MaxConns int `json:",omitempty"`
+	// SmallBodyMemoryMB is the memory for bodies of requests up to SmallBodyBytes,
+	// BodyMemoryMB that for larger ones.
+	SmallBodyMemoryMB float64 `json:",omitempty"`
+	BodyMemoryMB      float64 `json:",omitempty"`
+	// ResponseMemoryMB is the memory for large responses that are not streams.
+	ResponseMemoryMB float64 `json:",omitempty"`
+	// StreamMemoryMB is the memory for the events of streams that callers have not
+	// read yet, StreamBufferKB that for the events of one stream.
+	StreamMemoryMB float64 `json:",omitempty"`
+	StreamBufferKB float64 `json:",omitempty"`
+	// HeaderMemoryMB is the memory for headers with very many lines.
+	HeaderMemoryMB float64 `json:",omitempty"`
+	// BodyPause is the longest time without a byte of a body, BodyTime the longest
+	// time for the whole body. The deadline of the request ends a body too.
+	BodyPause declaration.Duration `json:",omitempty"`
+	BodyTime  declaration.Duration `json:",omitempty"`
+	// WritePause is the longest time for which a caller takes no byte of a response.
+	WritePause declaration.Duration `json:",omitempty"`
 }
 
 // heapFraction is the garbage collector's soft limit as a fraction of the
@@ -138,6 +166,7 @@
 	if !slices.Contains(placementPolicies, g.PlacementPolicy) {
 		r.Report("PlacementPolicy", "must be \"Prefill\" or \"Work\", is %q", g.PlacementPolicy)
 	}
+	g.checkCallerLimits(r)
 	if len(g.Peers) > maxPeers {
 		r.Report("Peers", "must be at most %d, are %d", maxPeers, len(g.Peers))
 	}
