--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/stage"
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
@@ -65,16 +67,16 @@
 	return longest
 }
 
-// admit refuses a request whose stages would take too long, before any of them
-// runs.
-func (p *plan) admit() error {
+// admitByEstimate refuses a request whose stages would take too long by the wait
+// estimates, before any of them runs.
+func (p *plan) admitByEstimate(waits func(service string) stage.Outlook) error {
 	now := p.h.Clock.Now()
 	a := admission{aimLeft: p.q.softDeadline().Sub(now), usefulLeft: p.q.usefulUntil().Sub(now)}
 	a.onTime = p.longestPath(func(service string, callTime time.Duration) time.Duration {
-		return callTime + p.h.Stages.WaitEstimate(service).Ahead
+		return callTime + waits(service).Ahead
 	})
 	a.late = p.longestPath(func(service string, callTime time.Duration) time.Duration {
-		return callTime + p.h.Stages.WaitEstimate(service).All
+		return callTime + waits(service).All
 	})
 	wait, admitted := a.decide()
 	if admitted {
@@ -116,11 +118,12 @@
 	return min(max(wait, minRetryAfter), p.q.deadline.Sub(p.h.Clock.Now())/retryAfterDivisor)
 }
 
-// announceStages notifies the batchers of the stages that will follow others.
+// announceStages notifies the batchers of the stages that will follow others, unless
+// these know of them by reservations.
 func (p *plan) announceStages() {
 	p.announced = make([]bool, len(p.q.route.Stages))
 	for i, s := range p.q.route.Stages {
-		if len(s.After) > 0 && p.pieceCount(i) > 0 {
+		if len(s.After) > 0 && p.pieceCount(i) > 0 && !p.isReserved(i) {
 			p.announced[i] = true
 			p.h.Stages.AddUpcoming(s.Service, p.pieceCount(i))
 		}
@@ -141,6 +144,14 @@
 	}
 }
 
+// admit refuses a request that can't be served, before any of its stages runs.
+func (p *plan) admit(ctx context.Context) error {
+	if p.h.Settings.StageReservations {
+		return p.admitByReservation(ctx)
+	}
+	return p.admitByEstimate(p.h.Stages.WaitEstimate)
+}
+
 // Limits of admission.
 const (
 	// maxLateness is the greatest expected lateness with which a request is still
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -69,8 +69,9 @@
 		ApplyTime: time.Duration(s.ApplyTime)}
 }
 
-func provideBatcher(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower, x *peer.Exchange, signals *backpressure.Table, quotas *backpressure.Holder) *stage.Batcher {
-	return &stage.Batcher{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot, Backpressure: signals, Quotas: quotas}
+func provideBatcher(c *clock.Service, log *zap.Logger, pool stage.Pool, s *settings.Gateway, f *catalog.Follower, x *peer.Exchange, signals *backpressure.Table, quotas *backpressure.Holder, registry metrics.Registry) *stage.Batcher {
+	return &stage.Batcher{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot, Backpressure: signals, Quotas: quotas,
+		Reservations: s.StageReservations, Metrics: registry}
 }
 
 func provideBackpressure(c *clock.Service, log *zap.Logger, x *peer.Exchange) *backpressure.Table {
@@ -96,8 +97,8 @@
 		Holder: quotas, Hosts: hosts.Value}
 }
 
-func provideStageClient(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, batcher *stage.Batcher) *stage.Client {
-	return &stage.Client{Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller, Batcher: batcher}
+func provideStageClient(s *settings.Gateway, c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, batcher *stage.Batcher) *stage.Client {
+	return &stage.Client{Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller, Batcher: batcher, Reservations: s.StageReservations}
 }
 
 func provideBalancer(s *settings.Gateway, c *clock.Service, log *zap.Logger) *fleet.Balancer {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -73,6 +73,8 @@
 	// signal, unless nil, returns what a target says of itself. It is set before the
 	// first call.
 	signal func(t *catalog.Target) backpressure.Signal
+	// took, unless nil, returns the time of a call. It is set before the first call.
+	took func(t *catalog.Target, pieces int) time.Duration
 
 	mu      sync.Mutex
 	calls   []string
@@ -86,7 +88,11 @@
 	if p.signal != nil {
 		out.Signal = p.signal(t)
 	}
-	if err := sleep(ctx, 100*time.Millisecond); err != nil {
+	took := 100 * time.Millisecond
+	if p.took != nil {
+		took = p.took(t, len(pieces))
+	}
+	if err := sleep(ctx, took); err != nil {
 		return stage.Reply{}, err
 	}
 	p.mu.Lock()
@@ -135,6 +141,8 @@
 	stop    context.CancelFunc
 	done    chan error
 	hosts   []*runningHost // started by startHosts
+	// reservations is StageReservations of the hosts that are started.
+	reservations bool
 
 	mu       sync.Mutex
 	received []string // target and ID of each request that reached a target
@@ -186,7 +194,7 @@
 	s := &settings.Gateway{
 		Name: addr.String(), Domain: "d", CallerAddr: netip.AddrPortFrom(addr, callerAddr.Port()), ReadyAddr: netip.AddrPortFrom(addr, 81), PeerAddr: netip.AddrPortFrom(addr, 82),
 		Peers: peers, MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
-		RepeatWindow: declaration.Duration(10 * time.Second),
+		RepeatWindow: declaration.Duration(10 * time.Second), StageReservations: r.reservations,
 	}
 	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, r.feed, r.pool, noDirectory{}, nil)
 	if err != nil {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -16,6 +16,7 @@
 		Rank:       p.q.priority,
 		Worth:      p.q.worth(),
 		PieceBytes: s.ResultBytes,
+		Workspace:  p.q.workspace,
 	}
 	for _, r := range inputs {
 		j.Inputs = append(j.Inputs, r.Handle)
@@ -24,6 +25,7 @@
 	if len(s.After) == 0 {
 		j.Key = p.q.PieceKey
 	}
+	p.takeUpReservation(&j, now)
 	return j
 }
 
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -38,6 +38,10 @@
 	// announced marks the stages that were announced to their batchers and have not
 	// arrived there yet.
 	announced []bool
+	// reservations are those of an admitted request, by stage, until their jobs are sent.
+	// promised is set once the request was admitted by reservations.
+	reservations map[int]stage.Reservation
+	promised     bool
 	// heldBack is set once a stage was held back; a second one would wait for the
 	// first.
 	heldBack bool
--- a/internal/gateway/release.go
+++ b/internal/gateway/release.go
@@ -36,8 +36,10 @@
 // dropInputs drops the results that the request itself reads, after one was lost.
 func (p *plan) dropInputs() { p.drop(p.sinks) }
 
-// release frees all results and withdraws all announcements.
+// release frees all results, withdraws all announcements and gives back the reservations
+// that were not taken up.
 func (p *plan) release() {
+	p.giveBack()
 	all := make([]int, len(p.stages))
 	for i := range all {
 		all[i] = i
--- /dev/null
+++ b/internal/gateway/reserve.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/stage"
+	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/google/uuid"
+)
+
+// reservedLateness is the lateness with which a request is still promised capacity. It
+// is shorter than maxLateness, since promised requests don't end unserved: a longer one
+// makes more of them late in a peak, while the pools serve as many per second.
+const reservedLateness = 1500 * time.Millisecond
+
+// servedUntil returns the time by which the first event has to come for a request that
+// is admitted by reservations.
+func (p *plan) servedUntil() time.Time {
+	late, leaves := p.q.softDeadline().Add(reservedLateness), p.q.usefulUntil()
+	if leaves.Before(late) {
+		return leaves
+	}
+	return late
+}
+
+// admitByReservation asks the batchers of the request's stages for capacity. The request
+// is admitted if all grant it. Where no batcher replies, the wait estimates decide.
+func (p *plan) admitByReservation(ctx context.Context) error {
+	wanted := p.wantedReservations()
+	if len(wanted) == 0 {
+		return nil
+	}
+	verdicts := p.h.Stages.Reserve(ctx, wanted)
+	if err := p.judge(wanted, verdicts); err != nil {
+		p.h.Stages.GiveBack(unrefused(wanted, verdicts))
+		return err
+	}
+	p.promised = true
+	p.reservations = map[int]stage.Reservation{}
+	var kept []stage.Reservation
+	for i, v := range verdicts {
+		if v.Former {
+			continue
+		}
+		p.reservations[wanted[i].Stage] = wanted[i]
+		kept = append(kept, wanted[i])
+	}
+	p.h.Stages.Keep(kept)
+	return nil
+}
+
+// judge returns the refusal that the verdicts call for, or nil.
+func (p *plan) judge(wanted []stage.Reservation, verdicts []stage.Verdict) error {
+	replied := true
+	var refused *stage.Reservation
+	var longest stage.Answer
+	for i, v := range verdicts {
+		replied = replied && v.Replied
+		if v.Replied && !v.Granted && (refused == nil || v.Wait+v.Spread > longest.Wait+longest.Spread) {
+			refused, longest = &wanted[i], v.Answer
+		}
+	}
+	if refused != nil {
+		return retryLater(result.Overloaded, p.spreadRetry(longest.Wait, longest.Spread),
+			"service %s has no capacity for %d pieces of stage %d within %v, wait %v", refused.Service, refused.Pieces, refused.Stage, refused.End, longest.Wait)
+	}
+	if replied {
+		return nil
+	}
+	return p.judgeWithoutReply(wanted, verdicts)
+}
+
+// judgeWithoutReply decides by the wait estimates. Without a recent one of a service
+// only some requests are admitted.
+func (p *plan) judgeWithoutReply(wanted []stage.Reservation, verdicts []stage.Verdict) error {
+	unknown := map[string]bool{}
+	for i, v := range verdicts {
+		if !v.Replied {
+			unknown[wanted[i].Service] = true
+		}
+	}
+	err := p.admitByEstimate(func(service string) stage.Outlook {
+		if !unknown[service] {
+			return stage.Outlook{}
+		}
+		return p.h.Stages.WaitEstimate(service)
+	})
+	if err != nil {
+		return err
+	}
+	for i, v := range verdicts {
+		if _, known := p.h.Stages.EstimateAge(wanted[i].Service); !v.Replied && !known && !p.h.Stages.AdmitBlind(wanted[i].Service) {
+			return retryLater(result.Overloaded, p.spreadRetry(0, time.Second), "no batcher of service %s replies, and nothing recent is known of it", wanted[i].Service)
+		}
+	}
+	return nil
+}
+
+// unrefused returns the reservations that were granted, or may have been by a reply that
+// was lost.
+func unrefused(wanted []stage.Reservation, verdicts []stage.Verdict) []stage.Reservation {
+	var out []stage.Reservation
+	refusedAt := map[string]bool{}
+	for i, v := range verdicts {
+		refusedAt[wanted[i].Service] = refusedAt[wanted[i].Service] || v.Replied && !v.Granted
+	}
+	for i, v := range verdicts {
+		if !v.Former && !refusedAt[wanted[i].Service] {
+			out = append(out, wanted[i])
+		}
+	}
+	return out
+}
+
+// spreadRetry returns the delay after which the caller of a refused request may retry:
+// at random in the time over which capacity comes free, so that the refused callers don't
+// come back all at once. Callers that can't wait so long are spread over the time that
+// they can.
+func (p *plan) spreadRetry(wait, spread time.Duration) time.Duration {
+	longest := p.q.deadline.Sub(p.h.Clock.Now()) / retryAfterDivisor
+	from := min(max(wait, minRetryAfter), longest/2)
+	to := min(max(wait+spread, 2*from), longest)
+	if to <= from {
+		return max(0, longest)
+	}
+	return from + rand.N(to-from)
+}
+
+// wantedReservations returns the reservations for the stages that have pieces.
+func (p *plan) wantedReservations() []stage.Reservation {
+	now := p.h.Clock.Now()
+	limit := p.servedUntil().Sub(now)
+	id := uuid.NewString()
+	var out []stage.Reservation
+	for i, s := range p.q.route.Stages {
+		if p.pieceCount(i) == 0 {
+			continue
+		}
+		start, end := p.stageWindow(i, limit)
+		out = append(out, stage.Reservation{
+			ID:         id + "/" + strconv.Itoa(i),
+			RequestID:  p.q.ID,
+			Service:    s.Service,
+			Stage:      i,
+			Pieces:     p.pieceCount(i),
+			PieceBytes: s.ResultBytes,
+			Workspace:  p.q.workspace,
+			Route:      p.q.route.Name,
+			Rank:       p.q.priority,
+			Worth:      p.q.worth(),
+			Start:      start,
+			Due:        p.q.softDeadline().Sub(now) - p.leastRemainingTime(i),
+			End:        end,
+		})
+	}
+	return out
+}
+
+// stageWindow returns the expected start and the latest end of stage i, counted from now,
+// if the first event has to come within limit. The time that the calls of the request
+// leave is divided among the waits of its stages in proportion to the waits that are
+// expected: without a division the first stage could use up the time of the others.
+func (p *plan) stageWindow(i int, limit time.Duration) (start, end time.Duration) {
+	service, call := p.q.route.Stages[i].Service, p.callTime(i)
+	before, after := p.longestPathBefore(i, onlyCall), p.leastRemainingTime(i)
+	waitsBefore := p.longestPathBefore(i, p.callAndWait) - before
+	waitsAfter := p.longestPathAfter(i, p.callAndWait) - after
+	own := p.callAndWait(service, 0)
+	slack := max(0, limit-before-call-after)
+	share := func(d time.Duration) time.Duration {
+		total := waitsBefore + own + waitsAfter
+		if total == 0 {
+			return 0
+		}
+		return time.Duration(float64(slack) * float64(d) / float64(total))
+	}
+	expected := p.longestPathBefore(i, func(service string, callTime time.Duration) time.Duration {
+		return callTime + p.h.Stages.WaitEstimate(service).Ahead
+	})
+	start = min(expected, before+share(waitsBefore))
+	return start, before + call + share(waitsBefore+own)
+}
+
+// onlyCall is the estimate of a stage's time without any wait.
+func onlyCall(_ string, callTime time.Duration) time.Duration { return callTime }
+
+// callAndWait is the estimate of a stage's time with the wait before its call, which is
+// half of a full call at least, as one is running when a job arrives at a busy target.
+func (p *plan) callAndWait(service string, callTime time.Duration) time.Duration {
+	return callTime + max(p.fullCallTime(service)/2, p.h.Stages.WaitEstimate(service).Ahead)
+}
+
+// longestPathBefore returns the time of the longest path from now to the start of stage
+// i, before any stage has run.
+func (p *plan) longestPathBefore(i int, estimate func(service string, callTime time.Duration) time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, k := range p.q.route.Stages[i].After {
+		own := time.Duration(0)
+		if p.pieceCount(k) > 0 {
+			own = estimate(p.q.route.Stages[k].Service, p.callTime(k))
+		}
+		longest = max(longest, p.longestPathBefore(k, estimate)+own)
+	}
+	return longest
+}
+
+// takeUpReservation makes j take up the reservation of its stage, if it has one, with
+// the time by which it has to end for the rest of the request to be served.
+func (p *plan) takeUpReservation(j *stage.Job, now time.Time) {
+	if !p.promised {
+		return
+	}
+	j.Promised = true
+	p.mu.Lock()
+	j.Begun = p.q.stagesMayHaveRun
+	if r, ok := p.reservations[j.Stage]; ok {
+		j.Reservation = r.ID
+		delete(p.reservations, j.Stage)
+	}
+	p.mu.Unlock()
+	after := p.leastRemainingTime(j.Stage)
+	waitsAfter := p.longestPathAfter(j.Stage, p.callAndWait) - after
+	own := p.callAndWait(j.Service, 0)
+	call := p.callTime(j.Stage)
+	slack := max(0, p.servedUntil().Sub(now)-call-after)
+	j.Promise = call
+	if total := own + waitsAfter; total > 0 {
+		j.Promise += time.Duration(float64(slack) * float64(own) / float64(total))
+	}
+}
+
+// isReserved reports whether stage i has a reservation.
+func (p *plan) isReserved(i int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.reservations[i]
+	return ok
+}
+
+// giveBack gives back the reservations that were not taken up.
+func (p *plan) giveBack() {
+	p.mu.Lock()
+	rest := p.reservations
+	p.reservations = nil
+	p.mu.Unlock()
+	var out []stage.Reservation
+	for _, r := range rest {
+		out = append(out, r)
+	}
+	if len(out) > 0 {
+		slices.SortFunc(out, func(a, b stage.Reservation) int { return a.Stage - b.Stage })
+		p.h.Stages.GiveBack(out)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,7 +29,7 @@
 	defer s.memory.Release()
 	p := h.newPlan(q)
 	defer p.release()
-	if err := p.admit(); err != nil {
+	if err := p.admit(ctx); err != nil {
 		return err
 	}
 	p.announceStages()
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -29,19 +29,19 @@
 	table := provideCrashTable(c, log, exchange, caller, recentMax, archive)
 	backpressureTable := provideBackpressure(c, log, exchange)
 	holder := provideQuotas(c, log, recentMax, backpressureTable)
-	batcher := provideBatcher(c, log, pool, follower, exchange, backpressureTable, holder)
+	registry := provideMetrics()
+	batcher := provideBatcher(c, log, pool, s, follower, exchange, backpressureTable, holder, registry)
 	placementHolder := provideLoadTables(c, log, follower, holder)
 	server, err := providePeerServer(exchange, follower, table, batcher, placementHolder, holder)
 	if err != nil {
 		return nil, err
 	}
 	client := provideQuotaClient(c, log, exchange, caller, recentMax, backpressureTable, holder)
-	stageClient := provideStageClient(c, log, exchange, caller, batcher)
+	stageClient := provideStageClient(s, c, log, exchange, caller, batcher)
 	balancer := provideBalancer(s, c, log)
 	placementClient := providePlacement(c, log, exchange, caller, placementHolder)
 	memoryBudget := provideResponseMemory(s)
 	repeatBudget := provideRepeatBudget(s, c, recentMax)
-	registry := provideMetrics()
 	host := &Host{
 		Settings:       s,
 		Net:            n,
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,6 +41,9 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow declaration.Duration
+	// StageReservations makes the host ask the batchers of a request's stages for
+	// capacity before it admits the request. Without it the wait estimates decide.
+	StageReservations bool `json:",omitempty"`
 }
 
 // heapFraction is the garbage collector's soft limit as a fraction of the
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -9,6 +9,7 @@
 	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/clock"
+	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 )
@@ -21,6 +22,9 @@
 
 var errStopped = errs.New("batcher is not running")
 
+// errRetired answers a reservation at a batcher that is shutting down.
+var errRetired = errs.New("batcher is shutting down")
+
 // Times and bounds of the batcher.
 const (
 	// sweepInterval is the time between two sweeps for expired jobs and results.
@@ -54,6 +58,11 @@
 	// targets that have named a limit.
 	Backpressure *backpressure.Table
 	Quotas       *backpressure.Holder
+	// Reservations puts the jobs first without which promises can't be kept, by the
+	// capacity of full calls. Without it jobs are ordered as if nothing was reserved.
+	Reservations bool
+	// Metrics, unless nil, counts what becomes of reservations.
+	Metrics metrics.Registry
 
 	once     sync.Once
 	commands chan func()
@@ -69,6 +78,12 @@
 	// upcoming holds the upcoming pieces that hosts have reported, by service and
 	// host.
 	upcoming map[string]map[string]upcomingPieces
+	// reservations holds the granted reservations by ID, heard the time of the last
+	// message of each host that reserves.
+	reservations map[string]*reservation
+	heard        map[string]time.Time
+	// lastSweep is the time of the last sweep.
+	lastSweep time.Time
 	// retired batchers accept no jobs of other hosts.
 	retired bool
 }
@@ -86,6 +101,7 @@
 	defer close(b.stopped)
 	b.ctx, b.queues, b.jobs, b.answered = ctx, map[string]*queue{}, map[string]*job{}, map[string]*job{}
 	b.upcoming = map[string]map[string]upcomingPieces{}
+	b.reservations, b.heard = map[string]*reservation{}, map[string]time.Time{}
 	ticks := b.Clock.Subscribe(ctx, sweepInterval)
 	for {
 		select {
@@ -138,6 +154,13 @@
 	// ordered after all others, since not all jobs can be on time.
 	worth    float64
 	deferred bool
+	// promise is the time at which Promise ends, or deadline for a job without one.
+	// Critical jobs must start now for all promises to be kept.
+	promise  time.Time
+	critical bool
+	// over reports whether the workspace of the job has more than its share of a pool
+	// that is short.
+	over bool
 }
 
 // Submit runs a job of this host and waits for its outcome. The job is cancelled
@@ -195,6 +218,7 @@
 		return running
 	}
 	b.jobs[j.ID] = running
+	b.takeUp(running, now)
 	q := b.queue(j.Service)
 	q.setWorth(running)
 	q.jobs = append(q.jobs, running)
@@ -286,6 +310,7 @@
 			b.endJob(j, Late)
 		}
 	}
+	b.expireReservations(now)
 	for id, j := range b.answered {
 		if now.Sub(j.endedAt) > answerLifetime {
 			delete(b.answered, id)
@@ -293,6 +318,7 @@
 	}
 	for _, q := range b.queues {
 		q.expire(now)
+		b.judge(q, now)
 		b.dispatch(q)
 		q.measurePerPiece(now, q.hasWaiting())
 	}
--- a/internal/stage/calls.go
+++ b/internal/stage/calls.go
@@ -17,6 +17,7 @@
 	c.freeBytes = q.pool.RoomBytes - s.reservedBytes - s.heldBytes
 	s.calls++
 	s.lastUsed = now
+	s.busyUntil = now.Add(time.Duration(s.pace * float64(c.expected)))
 	for _, p := range c.parts {
 		s.reservedBytes += p.job.PieceBytes
 		p.job.sent = true
--- a/internal/stage/choose.go
+++ b/internal/stage/choose.go
@@ -45,7 +45,7 @@
 // shouldWaitForDomain reports whether j should wait for a target of its own
 // domain: while it can still be on time there, or if it can't be on time anyway.
 func (q *queue) shouldWaitForDomain(j *job, now time.Time) bool {
-	if j.Domain == "" || j.MoveBytes < largeMoveBytes {
+	if j.Domain == "" || j.MoveBytes < largeMoveBytes || j.critical {
 		return false
 	}
 	inDomain := 0
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -51,6 +51,9 @@
 	Members Members
 	Peers   *peer.Caller
 	Batcher *Batcher
+	// Reservations says that this host reserves, so that its heartbeats list what is
+	// open.
+	Reservations bool
 
 	mu            sync.Mutex
 	holders       map[string]*holderState
@@ -60,6 +63,14 @@
 	upcoming map[string]int
 	// reportedUpcoming is upcoming as last reported to the holders.
 	reportedUpcoming map[string]int
+	// open holds the reservations of admitted requests whose jobs have not been sent, by
+	// ID.
+	open map[string]openReservation
+	// formerUntil holds the holders that don't know the call, by name, and when to ask
+	// them again.
+	formerUntil map[string]time.Time
+	// blind counts the requests that were admitted without an estimate, by service.
+	blind map[string]blindCount
 }
 
 // Run runs j at the holder of its service and waits for the outcome. If the
@@ -67,7 +78,8 @@
 // host.
 func (c *Client) Run(ctx context.Context, j Job) (Outcome, error) {
 	start := c.Clock.Now()
-	due, left := j.Due, j.Left
+	due, left, promise := j.Due, j.Left, j.Promise
+	c.closeReservation(j.Reservation)
 	sent := false
 	var moved time.Time // when the first holder was given up
 	for moves := 0; ; moves++ {
@@ -79,7 +91,7 @@
 			host = peer.Host{Name: c.Self}
 		}
 		elapsed := c.Clock.Since(start)
-		j.ID, j.Due, j.Left = uuid.NewString(), due-elapsed, left-elapsed
+		j.ID, j.Due, j.Left, j.Promise = uuid.NewString(), due-elapsed, left-elapsed, promise-elapsed
 		var o Outcome
 		var err error
 		if host.Name == c.Self {
--- a/internal/stage/estimate.go
+++ b/internal/stage/estimate.go
@@ -59,6 +59,7 @@
 	out := map[string]Outlook{}
 	b.do(func() {
 		now := b.Clock.Now()
+		b.syncReservations(r, now)
 		for service, pieces := range r.Coming {
 			if b.upcoming[service] == nil {
 				b.upcoming[service] = map[string]upcomingPieces{}
@@ -73,7 +74,8 @@
 	return out
 }
 
-// waitEstimate returns the wait estimate of q with its upcoming pieces.
+// waitEstimate returns the wait estimate of q with its upcoming pieces. A reservation
+// counts as upcoming until its job is expected and like waiting pieces from then on.
 func (b *Batcher) waitEstimate(q *queue, now time.Time) Outlook {
 	o := q.waitEstimate(now)
 	for host, c := range b.upcoming[q.service] {
@@ -83,6 +85,15 @@
 		}
 		o.Coming += c.pieces
 	}
+	for _, r := range q.reserved {
+		if r.start.After(now) {
+			o.Coming += r.Pieces
+			continue
+		}
+		wait := time.Duration(r.Pieces) * o.PerPiece
+		o.Ahead += wait
+		o.All += wait
+	}
 	return o
 }
 
--- a/internal/stage/free.go
+++ b/internal/stage/free.go
@@ -70,6 +70,7 @@
 		b.do(func() {
 			now := b.Clock.Now()
 			for _, r := range results {
+				q.measureHeld(s, r, now)
 				s.resultFreed(r, now)
 			}
 			b.dispatch(q)
--- a/internal/stage/holder.go
+++ b/internal/stage/holder.go
@@ -135,6 +135,10 @@
 		h := c.holderOfLocked(service, now)
 		hosts[h.Name] = h
 	}
+	for service := range c.openByService(now) {
+		h := c.holderOfLocked(service, now)
+		hosts[h.Name] = h
+	}
 	return slices.Collect(maps.Values(hosts))
 }
 
@@ -185,8 +189,9 @@
 func (c *Client) ping(ctx context.Context, host peer.Host) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
+	now := c.Clock.Now()
 	c.mu.Lock()
-	heartbeat := SignOfLife{Host: c.Self, Coming: maps.Clone(c.reportedUpcoming)}
+	heartbeat := SignOfLife{Host: c.Self, Coming: maps.Clone(c.reportedUpcoming), Reserves: c.Reservations, Reservations: c.openAt(host, now)}
 	c.mu.Unlock()
 	if host.Name == c.Self {
 		c.storeEstimates(c.Batcher.waitEstimates(heartbeat))
--- a/internal/stage/order.go
+++ b/internal/stage/order.go
@@ -20,7 +20,10 @@
 func (q *queue) order(now time.Time) {
 	sort.SliceStable(q.jobs, func(i, k int) bool { return q.jobs[i].due.Before(q.jobs[k].due) })
 	q.callTimeAtOrder = q.callTime()
-	piece, call := q.perPiece(), q.callTimeAtOrder
+	call := q.callTimeAtOrder
+	if q.reserving {
+		q.atOrder = q.capacity(now)
+	}
 	end := now
 	var kept jobHeap
 	for _, j := range q.jobs {
@@ -28,18 +31,22 @@
 			continue
 		}
 		j.deferred = tooLate(j, call, now)
+		j.over = q.reserving && q.shares.over[j.Workspace]
 		if j.deferred {
 			continue
 		}
 		heap.Push(&kept, j)
-		end = end.Add(time.Duration(len(j.waiting)) * piece)
+		end = end.Add(q.workTime(j))
 		for end.Add(call).After(j.due) && len(kept) > 0 {
 			least := heap.Pop(&kept).(*job)
 			least.deferred = true
-			end = end.Add(-time.Duration(len(least.waiting)) * piece)
+			end = end.Add(-q.workTime(least))
 		}
 	}
 	sort.SliceStable(q.jobs, func(i, k int) bool { return !q.jobs[i].deferred && q.jobs[k].deferred })
+	if q.reserving {
+		q.prioritize(now)
+	}
 }
 
 // jobHeap is a heap with the job of the least worth per piece on top.
@@ -48,8 +55,18 @@
 // Len returns the number of jobs.
 func (h jobHeap) Len() int { return len(h) }
 
-// Less reports whether job i has less worth per piece than job k.
-func (h jobHeap) Less(i, k int) bool { return h[i].worthPerPiece() < h[k].worthPerPiece() }
+// Less reports whether job i has less worth per piece than job k. Jobs of requests that
+// have begun come last, since what has run of them would be lost, and those of workspaces
+// beyond their share come first.
+func (h jobHeap) Less(i, k int) bool {
+	if h[i].Begun != h[k].Begun {
+		return !h[i].Begun
+	}
+	if h[i].over != h[k].over {
+		return h[i].over
+	}
+	return h[i].worthPerPiece() < h[k].worthPerPiece()
+}
 
 // Swap swaps jobs i and k.
 func (h jobHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
--- a/internal/stage/overload.go
+++ b/internal/stage/overload.go
@@ -8,18 +8,19 @@
 // arrived ends at once: it would keep its inputs in scarce memory and its caller in
 // doubt until the caller leaves.
 
-// hopeless returns the deferred jobs without a started piece that would end after
+// hopeless returns the deferred or critical jobs without a started piece that would end after
 // their deadline. The jobs must be in the order of the last call of order.
 func (q *queue) hopeless(now time.Time) []*job {
 	var out []*job
-	ahead := 0 // pieces
+	ahead := time.Duration(0)
 	for _, j := range q.jobs {
-		end := now.Add(time.Duration(ahead+len(j.waiting))*q.perPiece() + q.callTimeAtOrder)
-		if j.deferred && !j.sent && end.After(j.deadline) {
+		work := q.workTime(j)
+		end := now.Add(ahead + work + q.callTimeAtOrder)
+		if (j.deferred || j.critical) && !j.sent && end.After(j.deadline) {
 			out = append(out, j)
 			continue
 		}
-		ahead += len(j.waiting)
+		ahead += work
 	}
 	return out
 }
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -60,6 +60,21 @@
 	busySince        time.Time
 	busyPieces       int
 
+	// reserving is Batcher.Reservations. reserved holds the reservations in no
+	// particular order.
+	reserving bool
+	reserved  []*reservation
+	// atOrder is the capacity when the jobs were last ordered, judgedPiece the time per
+	// piece when it was last found to have fallen or not.
+	atOrder     capacity
+	judgedPiece time.Duration
+	// meanHeld is the mean time for which targets hold results; zero until one is freed.
+	meanHeld time.Duration
+	shares   shares
+	// calendar and demandBuffer are reused by each decision.
+	calendar     calendar
+	demandBuffer []demand
+
 	// meanWorth is the mean worth of jobs by rank.
 	meanWorth map[int]float64
 }
@@ -77,7 +92,7 @@
 func (b *Batcher) queue(service string) *queue {
 	q := b.queues[service]
 	if q == nil {
-		q = &queue{service: service, signals: b.Backpressure, quotas: b.Quotas, targetStates: map[string]*targetState{}}
+		q = &queue{service: service, signals: b.Backpressure, quotas: b.Quotas, reserving: b.Reservations, targetStates: map[string]*targetState{}}
 		b.queues[service] = q
 	}
 	return q
--- a/internal/stage/service.go
+++ b/internal/stage/service.go
@@ -31,8 +31,23 @@
 	// Coming is the number of pieces that earlier stages of the host's requests
 	// will send, by service.
 	Coming map[string]int
+	// Reserves reports whether Reservations is complete. Hosts of a former version don't
+	// set it.
+	Reserves bool
+	// Reservations are the open reservations of the host at this holder, with the times
+	// that remain.
+	Reservations []Reservation
 }
 
+// Reserve grants or refuses the capacity for the stages of a request.
+func (s *Service) Reserve(a *ReserveArgs, reply *ReserveReply) (err error) {
+	*reply, err = s.batcher.reserve(*a, true)
+	return err
+}
+
+// Release gives back reservations.
+func (s *Service) Release(a *ReleaseArgs, _ *Empty) error { return s.batcher.release(*a) }
+
 // Ping answers a heartbeat with the wait estimates of the services.
 func (s *Service) Ping(r *SignOfLife, reply *map[string]Outlook) error {
 	*reply = s.batcher.waitEstimates(*r)
--- /dev/null
+++ b/internal/stage/share_test.go
@@ -0,0 +1,141 @@
+package stage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+// TestFairLevel expects shares that are max-min fair: nobody gets more than asked, all of
+// the capacity is given out if it is short, and who gets less than asked gets as much as
+// anybody.
+func TestFairLevel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		asked := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond
+		}), 1, 20).Draw(t, "asked")
+		total := time.Duration(rapid.IntRange(0, 10000).Draw(t, "total")) * time.Millisecond
+		sum, given := time.Duration(0), time.Duration(0)
+		level := fairLevel(asked, total)
+		for _, a := range asked {
+			sum += a
+			given += min(a, level)
+		}
+		if sum <= total != (level == noLevel) {
+			t.Fatalf("%v of %v asked, level %v", sum, total, level)
+		}
+		if rounding := time.Duration(len(asked)); level != noLevel && (given > total || given < total-rounding) {
+			t.Fatalf("%v of %v given at level %v", given, total, level)
+		}
+	})
+}
+
+// TestShares runs scripted loads of one pool in steps of 10 ms. Commands:
+//
+//	load NAME=RATE ...: what the workspaces ask for from now on, as a multiple of the
+//	  capacity, in requests of 10 ms. A rate followed by ! is that of a workspace that
+//	  retries each refused request at once, up to ten times.
+//	run TIME: prints the part of the capacity that each workspace was granted
+func TestShares(t *testing.T) {
+	datadriven.Walk(t, "testdata/shares", func(t *testing.T, path string) {
+		p := &sharedPool{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2))}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "load":
+				p.loads = nil
+				for _, arg := range d.CmdArgs {
+					p.loads = append(p.loads, parseLoad(t, arg))
+				}
+				return ""
+			case "run":
+				return p.run(parseTime(t, d.CmdArgs[0].Key))
+			}
+			t.Fatalf("unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+// workspaceLoad is the load of one workspace, or of several alike.
+type workspaceLoad struct {
+	name    string
+	rate    float64
+	retries int
+	granted time.Duration
+}
+
+func parseLoad(t *testing.T, arg datadriven.CmdArg) *workspaceLoad {
+	l := &workspaceLoad{name: arg.Key}
+	if len(arg.Vals) != 1 {
+		t.Fatalf("load %s needs a rate", arg.Key)
+	}
+	rate, retries := strings.CutSuffix(arg.Vals[0], "!")
+	if retries {
+		l.retries = 10
+	}
+	if _, err := fmt.Sscan(rate, &l.rate); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// sharedPool is a pool without calls: it meets demands as fast as its capacity allows.
+type sharedPool struct {
+	now      time.Time
+	random   *rand.Rand
+	loads    []*workspaceLoad
+	demands  []demand
+	calendar calendar
+	shares   shares
+}
+
+const shareStep, shareCost = 10 * time.Millisecond, 10 * time.Millisecond
+
+// run runs the load and returns what was granted.
+func (p *sharedPool) run(d time.Duration) string {
+	for _, l := range p.loads {
+		l.granted = 0
+	}
+	for range d / shareStep {
+		p.now = p.now.Add(shareStep)
+		p.demands = pass(p.demands, shareStep)
+		for _, i := range p.random.Perm(len(p.loads)) {
+			l := p.loads[i]
+			for range int(l.rate*usableShare + p.random.Float64()) {
+				p.send(l)
+			}
+		}
+	}
+	var out strings.Builder
+	for _, l := range p.loads {
+		fmt.Fprintf(&out, "%s %.2f\n", l.name, float64(l.granted)/(usableShare*float64(d)))
+	}
+	return out.String()
+}
+
+// send sends one request of l, again while it is refused.
+func (p *sharedPool) send(l *workspaceLoad) {
+	r := &Reservation{Workspace: l.name, Pieces: 1}
+	for range 1 + l.retries {
+		if p.now.Sub(p.shares.computedAt) >= shareInterval {
+			due := append([]demand(nil), p.demands...)
+			for i := range due {
+				due[i].end -= time.Second
+			}
+			p.shares.compute(p.calendar.lateness(due, 0, 0) > 0, p.now)
+		}
+		asked := demand{end: 2 * time.Second, cost: shareCost}
+		_, granted := p.calendar.decide(p.demands, 0, asked, p.shares.standing(r, shareCost, p.now).headroom())
+		p.shares.record(r, shareCost, granted, p.now)
+		if granted {
+			p.demands = append(p.demands, asked)
+			l.granted += shareCost
+			return
+		}
+	}
+}
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -46,6 +46,16 @@
 	// Anywhere else, MoveBytes bytes of input have to cross domains.
 	Domain    string
 	MoveBytes int64
+	// Promised reports whether the request was admitted by reservations. Reservation is
+	// the ID of the one that the job takes up, if any, Promise the remaining time by which
+	// the results have to be there.
+	Promised    bool
+	Reservation string
+	Promise     time.Duration
+	// Workspace is the workspace of the request.
+	Workspace string
+	// Begun reports whether another stage of the request may have run.
+	Begun bool
 }
 
 // Result refers to the result of one piece, which stays at the target that
--- /dev/null
+++ b/internal/stage/tally.go
@@ -0,0 +1,45 @@
+package stage
+
+import "time"
+
+// Resolution of a tally. Its window of 4 s is about as long as a load peak: a longer one
+// would make a workspace pay for a former peak.
+const (
+	tallyBucketTime = 500 * time.Millisecond
+	tallyBuckets    = 8
+	tallyWindow     = tallyBuckets * tallyBucketTime
+)
+
+// tally sums the costs that were asked for and granted over tallyWindow.
+type tally struct {
+	bucket         int64
+	asked, granted [tallyBuckets]time.Duration
+}
+
+// advance drops the buckets that have left the window.
+func (t *tally) advance(bucket int64) {
+	for n := 0; t.bucket < bucket && n < tallyBuckets; n++ {
+		t.bucket++
+		t.asked[t.bucket%tallyBuckets], t.granted[t.bucket%tallyBuckets] = 0, 0
+	}
+	t.bucket = max(t.bucket, bucket)
+}
+
+// add adds a cost that was asked for.
+func (t *tally) add(bucket int64, cost time.Duration, granted bool) {
+	t.advance(bucket)
+	t.asked[bucket%tallyBuckets] += cost
+	if granted {
+		t.granted[bucket%tallyBuckets] += cost
+	}
+}
+
+// sums returns the costs of the window that ends with bucket.
+func (t *tally) sums(bucket int64) (asked, granted time.Duration) {
+	t.advance(bucket)
+	for i := range tallyBuckets {
+		asked += t.asked[i]
+		granted += t.granted[i]
+	}
+	return asked, granted
+}
--- a/internal/stage/targetstate.go
+++ b/internal/stage/targetstate.go
@@ -13,6 +13,8 @@
 	rejections  int
 	pausedUntil time.Time
 	lastUsed    time.Time
+	// busyUntil is the expected end of the last call.
+	busyUntil time.Time
 
 	// reservedBytes is the size of the results that running calls will produce,
 	// heldBytes the size of the results that the target keeps.
