stage: count busy targets one by one in the calendar

The mean time until the targets are free took capacity from the start that some targets provide. The test pool of the gateway gave results of different requests the same handle, so that their memory counted for good.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -24,7 +24,6 @@
 	"berylswitch.example/berylswitch/internal/stage"
 	"berylswitch.example/berylswitch/internal/upstream"
 	"berylswitch.example/berylswitch/pkg/declaration"
-	"go.uber.org/zap"
 )
 
 // testFormat is a Format with short header names.
@@ -99,7 +98,13 @@
 	defer p.mu.Unlock()
 	for _, piece := range pieces {
 		p.calls = append(p.calls, fmt.Sprintf("stage %d piece %d of %v", piece.Stage, piece.Number, piece.Inputs))
-		out.Results = append(out.Results, stage.PieceResult{Handle: fmt.Sprintf("h%d.%d", piece.Stage, piece.Number)})
+		handle := fmt.Sprintf("h%d.%d", piece.Stage, piece.Number)
+		if p.took != nil {
+			// A batcher takes results of the same handle for one, and would count the memory of
+			// the others for good.
+			handle += "." + piece.RequestID
+		}
+		out.Results = append(out.Results, stage.PieceResult{Handle: handle})
 	}
 	return out, nil
 }
@@ -196,7 +201,7 @@
 		Peers: peers, MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
 		RepeatWindow: declaration.Duration(10 * time.Second), StageReservations: r.reservations,
 	}
-	h, err := New(s, n, c, zap.NewNop(), u, testFormat{}, r.feed, r.pool, noDirectory{}, nil)
+	h, err := New(s, n, c, dbgLog(), u, testFormat{}, r.feed, r.pool, noDirectory{}, nil)
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- a/internal/gateway/peak_test.go
+++ b/internal/gateway/peak_test.go
@@ -139,6 +139,7 @@
 		c.slowest = max(c.slowest, took)
 		c.retryAfter = append(c.retryAfter, retryAfter)
 	default:
+		println("DBG", status, took.String())
 		c.ended++
 	}
 }
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -189,9 +189,9 @@
 func onlyCall(_ string, callTime time.Duration) time.Duration { return callTime }
 
 // callAndWait is the estimate of a stage's time with the wait before its call, which is
-// half of a full call at least, as one is running when a job arrives at a busy target.
+// a full call at least, as one is running at each target when a job arrives at a busy pool.
 func (p *plan) callAndWait(service string, callTime time.Duration) time.Duration {
-	return callTime + max(p.fullCallTime(service)/2, p.h.Stages.WaitEstimate(service).Ahead)
+	return callTime + max(p.fullCallTime(service), p.h.Stages.WaitEstimate(service).Ahead)
 }
 
 // longestPathBefore returns the time of the longest path from now to the start of stage
--- a/internal/stage/calendar.go
+++ b/internal/stage/calendar.go
@@ -32,6 +32,24 @@
 	cost time.Duration
 }
 
+// busyTargets says until when the targets of a pool are busy with calls that run. The zero
+// value is that of targets that are all free.
+type busyTargets struct {
+	// until counts the targets by the slot from which they are free; the last one counts
+	// all later slots too.
+	until [busySlots]int32
+	total int32
+}
+
+// busySlots slots cover 2 s, longer than a call takes.
+const busySlots = 40
+
+// add adds a target that is free after d.
+func (b *busyTargets) add(d time.Duration) {
+	b.until[min(slotOf(d+slotTime/2), busySlots-1)]++
+	b.total++
+}
+
 // calendar predicts when the demands on a pool are met if those that end first go
 // first. It keeps its memory between predictions.
 type calendar struct {
@@ -62,20 +80,24 @@
 }
 
 // lateness returns the greatest time by which demands that end in the slot from or
-// later are met too late, and zero if none is. The targets are busy for the given time
-// on average with calls that run. Capacity that no demand can use in its slot is lost.
-func (c *calendar) lateness(demands []demand, busy time.Duration, from int) time.Duration {
+// later are met too late, and zero if none is. Capacity that no demand can use in its slot
+// is lost.
+func (c *calendar) lateness(demands []demand, busy *busyTargets, from int) time.Duration {
 	c.listByStart(demands)
 	clear(c.pending[:])
 	lowest, late := slotCount, 0
-	free := -time.Duration(usableShare * float64(busy))
+	freeTargets := int32(0)
 	for s := range slotCount {
 		for i := c.first[s]; i >= 0; i = c.next[i] {
 			end := slotOf(demands[i].end)
 			c.pending[end] += demands[i].cost
 			lowest = min(lowest, end)
 		}
-		free = min(0, free) + slotCapacity
+		free := slotCapacity
+		if s < busySlots && busy.total > 0 {
+			freeTargets += busy.until[s]
+			free = slotCapacity * time.Duration(freeTargets) / time.Duration(busy.total)
+		}
 		for free > 0 && lowest < slotCount {
 			done := min(free, c.pending[lowest])
 			if done > 0 && lowest >= from {
@@ -106,7 +128,7 @@
 // time after which it could be if nothing else changed. headroom is the cost that has
 // to stay free for others. Demands that end before asked don't matter to the answer,
 // since they go first: one that is late already must not keep out what can be served.
-func (c *calendar) decide(demands []demand, busy time.Duration, asked demand, headroom time.Duration) (wait time.Duration, granted bool) {
+func (c *calendar) decide(demands []demand, busy *busyTargets, asked demand, headroom time.Duration) (wait time.Duration, granted bool) {
 	asked.cost += headroom
 	late := c.lateness(append(demands, asked), busy, slotOf(asked.end))
 	return late, late == 0 && asked.end >= 0
--- a/internal/stage/calendar_test.go
+++ b/internal/stage/calendar_test.go
@@ -11,7 +11,7 @@
 
 // TestCalendar runs scripted loads of one pool. Commands:
 //
-//	busy TIME: the mean time until the targets are free
+//	busy TIME ...: the times until the targets are free
 //	demand start=TIME end=TIME cost=TIME [n=COUNT]
 //	ask start=TIME end=TIME cost=TIME [headroom=TIME] [n=COUNT]: asks COUNT times; what is
 //	  granted becomes a demand
@@ -19,14 +19,16 @@
 //	clear
 func TestCalendar(t *testing.T) {
 	datadriven.Walk(t, "testdata/calendar", func(t *testing.T, path string) {
-		c, demands, busy := &calendar{}, []demand(nil), time.Duration(0)
+		c, demands, busy := &calendar{}, []demand(nil), &busyTargets{}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "busy":
-				busy = parseTime(t, d.CmdArgs[0].Key)
+				for _, arg := range d.CmdArgs {
+					busy.add(parseTime(t, arg.Key))
+				}
 				return ""
 			case "clear":
-				demands, busy = nil, 0
+				demands, busy = nil, &busyTargets{}
 				return ""
 			case "demand":
 				each, n := scanDemand(t, d)
@@ -48,7 +50,7 @@
 }
 
 // ask asks n times and describes the answers.
-func ask(c *calendar, demands *[]demand, busy time.Duration, asked demand, headroom time.Duration, n int) string {
+func ask(c *calendar, demands *[]demand, busy *busyTargets, asked demand, headroom time.Duration, n int) string {
 	granted, wait := 0, time.Duration(0)
 	for range n {
 		w, ok := c.decide(*demands, busy, asked, headroom)
--- a/internal/stage/capacity.go
+++ b/internal/stage/capacity.go
@@ -22,8 +22,8 @@
 	// byteTime is the time in nanoseconds that one byte of a result takes of the result
 	// memory of all targets together; zero without a bound on that memory.
 	byteTime float64
-	// busy is the mean time until the targets are free.
-	busy time.Duration
+	// busy says until when the targets are busy.
+	busy busyTargets
 	// pace is the mean pace of the targets.
 	pace float64
 	// slots is the number of calls that the targets run concurrently.
@@ -46,19 +46,22 @@
 		return capacity{}
 	}
 	c := capacity{}
-	n, busy, speed := 0, time.Duration(0), 0.0
+	n, speed := 0, 0.0
 	for _, t := range q.targets {
 		s := q.targetStates[t.ID]
 		if s == nil {
 			n, speed = n+1, speed+1
+			c.busy.add(0)
 			continue
 		}
 		if s.pausedUntil.Sub(now) > maxPause {
 			continue
 		}
 		n, speed = n+1, speed+1/max(minPace, s.pace)
-		if s.calls > 0 {
-			busy += max(0, s.busyUntil.Sub(now))
+		if s.calls < max(1, q.pool.Slots) {
+			c.busy.add(0)
+		} else {
+			c.busy.add(s.busyUntil.Sub(now))
 		}
 	}
 	if n == 0 {
@@ -66,7 +69,6 @@
 	}
 	c.slots = n * max(1, q.pool.Slots)
 	c.pace = float64(n) / speed
-	c.busy = busy / time.Duration(n)
 	full := float64(q.expected(q.pool.Batch)) * c.pace
 	c.piece = time.Duration(full / float64(q.pool.Batch*c.slots))
 	if q.pool.RoomBytes > 0 {
--- a/internal/stage/reservation.go
+++ b/internal/stage/reservation.go
@@ -161,7 +161,7 @@
 	b.refreshShares(q, c, call, now)
 	standing := q.shares.standing(&r, asked.cost, now)
 	demands := q.demands(c, call, now)
-	wait, granted := q.calendar.decide(demands, c.busy, asked, standing.headroom())
+	wait, granted := q.calendar.decide(demands, &c.busy, asked, standing.headroom())
 	q.shares.record(&r, asked.cost, granted, now)
 	if granted {
 		b.addReservation(host, r, now)
@@ -172,7 +172,7 @@
 	spread := returnFactor * (total - served)
 	b.count("Refused")
 	b.logRefusal(r, zap.Duration("Cost", asked.cost), zap.Duration("Start", r.Start), zap.Duration("End", r.End), zap.Duration("Call", call),
-		zap.Duration("Busy", c.busy), zap.Int("Slots", c.slots), zap.Int("Demands", len(demands)), zap.Duration("Outstanding", totalCost(demands)),
+		zap.Int32("Free", c.busy.until[0]), zap.Int("Slots", c.slots), zap.Int("Demands", len(demands)), zap.Duration("Outstanding", totalCost(demands)),
 		zap.Duration("Headroom", standing.headroom()), zap.Bool("Short", standing.short), zap.Duration("Share", standing.level), zap.Duration("Used", standing.used),
 		zap.Bool("Starving", standing.starving), zap.Duration("Wait", wait), zap.Duration("Spread", spread))
 	return Answer{Wait: wait, Spread: spread}
--- a/internal/stage/share.go
+++ b/internal/stage/share.go
@@ -223,7 +223,7 @@
 		return
 	}
 	dues := q.dueDemands(c, call, now)
-	q.shares.compute(q.calendar.lateness(dues, c.busy, 0) > 0, now)
+	q.shares.compute(q.calendar.lateness(dues, &c.busy, 0) > 0, now)
 	b.reportShares(q, now)
 }
 
--- a/internal/stage/share_test.go
+++ b/internal/stage/share_test.go
@@ -127,10 +127,10 @@
 			for i := range due {
 				due[i].end -= time.Second
 			}
-			p.shares.compute(p.calendar.lateness(due, 0, 0) > 0, p.now)
+			p.shares.compute(p.calendar.lateness(due, &busyTargets{}, 0) > 0, p.now)
 		}
 		asked := demand{end: 2 * time.Second, cost: shareCost}
-		_, granted := p.calendar.decide(p.demands, 0, asked, p.shares.standing(r, shareCost, p.now).headroom())
+		_, granted := p.calendar.decide(p.demands, &busyTargets{}, asked, p.shares.standing(r, shareCost, p.now).headroom())
 		p.shares.record(r, shareCost, granted, p.now)
 		if granted {
 			p.demands = append(p.demands, asked)
