--- a/internal/stage/estimate.go
+++ b/internal/stage/estimate.go
@@ -85,8 +85,9 @@
 		}
 		o.Coming += c.pieces
 	}
+	since := now.Sub(q.epoch)
 	for _, r := range q.reserved {
-		if r.start.After(now) {
+		if r.start > since {
 			o.Coming += r.Pieces
 			continue
 		}
--- a/internal/stage/promise.go
+++ b/internal/stage/promise.go
@@ -30,8 +30,9 @@
 			promised = append(promised, demand{end: j.promise.Sub(now) - call, cost: q.workTime(j)})
 		}
 	}
+	since := now.Sub(q.epoch)
 	for _, r := range q.reserved {
-		promised = append(promised, r.demand(q.atOrder, call, now))
+		promised = append(promised, r.demand(q.atOrder, call, since))
 	}
 	q.demandBuffer = promised
 	var latest [slotCount]time.Duration
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -64,6 +64,9 @@
 	// particular order.
 	reserving bool
 	reserved  []*reservation
+	// epoch is the time from which the times of reservations count.
+	epoch  time.Time
+	recent recent
 	// atOrder is the capacity when the jobs were last ordered, judgedPiece the time per
 	// piece when it was last found to have fallen or not.
 	atOrder     capacity
@@ -92,7 +95,7 @@
 func (b *Batcher) queue(service string) *queue {
 	q := b.queues[service]
 	if q == nil {
-		q = &queue{service: service, signals: b.Backpressure, quotas: b.Quotas, reserving: b.Reservations, targetStates: map[string]*targetState{}}
+		q = &queue{service: service, signals: b.Backpressure, quotas: b.Quotas, reserving: b.Reservations, epoch: b.Clock.Now(), targetStates: map[string]*targetState{}}
 		b.queues[service] = q
 	}
 	return q
--- a/internal/stage/reservation.go
+++ b/internal/stage/reservation.go
@@ -84,9 +84,11 @@
 // reservation is a granted Reservation.
 type reservation struct {
 	Reservation
-	host       string
-	grantedAt  time.Time
-	start, end time.Time
+	host      string
+	grantedAt time.Time
+	// start, due and end are the times at which Start, Due and End end, counted from the
+	// queue's epoch: a decision looks at those of all reservations.
+	start, due, end time.Duration
 	// cost was counted as use of the workspace's share.
 	cost time.Duration
 	// index is the position in the queue's reserved.
@@ -138,21 +140,42 @@
 			b.giveBack(r.ID, now)
 		}
 		if _, ok := reply.Outlooks[r.Service]; !ok {
-			reply.Outlooks[r.Service] = b.waitEstimate(b.queue(r.Service), now)
+			reply.Outlooks[r.Service] = b.queue(r.Service).recent.outlook
 		}
 	}
 	return reply
 }
 
+// recent is what a queue keeps for the decisions of recentLifetime, since it takes as long
+// to compute as a decision.
+type recent struct {
+	at       time.Time
+	capacity capacity
+	outlook  Outlook
+}
+
+// recentLifetime is less than the resolution of the calendar.
+const recentLifetime = sweepInterval
+
+// refreshRecent takes the targets of q from the catalog and computes recent anew, if it is
+// old.
+func (b *Batcher) refreshRecent(q *queue, now time.Time) {
+	if !q.recent.at.IsZero() && now.Sub(q.recent.at) < recentLifetime {
+		return
+	}
+	q.refresh(b.Catalog())
+	q.recent = recent{at: now, capacity: q.capacity(now), outlook: b.waitEstimate(q, now)}
+}
+
 // decide grants or refuses one reservation. A call that is repeated because its reply
 // was lost is granted again.
 func (b *Batcher) decide(host string, r Reservation, now time.Time) Answer {
+	q := b.queue(r.Service)
 	if b.reservations[r.ID] != nil {
 		return Answer{Granted: true}
 	}
-	q := b.queue(r.Service)
-	q.refresh(b.Catalog())
-	c := q.capacity(now)
+	b.refreshRecent(q, now)
+	c := q.recent.capacity
 	if c.slots == 0 || len(b.reservations) >= maxReservations {
 		b.logRefusal(r, zap.Int("Targets", len(q.targets)), zap.Int("Reservations", len(b.reservations)))
 		b.count("Refused")
@@ -217,22 +240,24 @@
 			out = append(out, demand{end: j.promise.Sub(now) - call, cost: c.cost(len(j.waiting), j.PieceBytes)})
 		}
 	}
+	since := now.Sub(q.epoch)
 	for _, r := range q.reserved {
-		out = append(out, r.demand(c, call, now))
+		out = append(out, r.demand(c, call, since))
 	}
 	q.demandBuffer = append(out, demand{})
 	return q.demandBuffer[:len(out)]
 }
 
-// demand returns the capacity that r still needs.
-func (r *reservation) demand(c capacity, call time.Duration, now time.Time) demand {
-	return demand{start: r.start.Sub(now), end: r.end.Sub(now) - call, cost: c.cost(r.Pieces, r.PieceBytes)}
+// demand returns the capacity that r still needs. now counts from the queue's epoch.
+func (r *reservation) demand(c capacity, call, now time.Duration) demand {
+	return demand{start: r.start - now, end: r.end - now - call, cost: c.cost(r.Pieces, r.PieceBytes)}
 }
 
 // addReservation adds r as granted to host and returns it.
 func (b *Batcher) addReservation(host string, r Reservation, now time.Time) *reservation {
 	q := b.queue(r.Service)
-	granted := &reservation{Reservation: r, host: host, grantedAt: now, start: now.Add(r.Start), end: now.Add(r.End), index: len(q.reserved)}
+	since := now.Sub(q.epoch)
+	granted := &reservation{Reservation: r, host: host, grantedAt: now, start: since + r.Start, due: since + r.Due, end: since + r.End, index: len(q.reserved)}
 	b.reservations[r.ID] = granted
 	q.reserved = append(q.reserved, granted)
 	return granted
@@ -331,7 +356,7 @@
 			dropped[r.host]++
 			b.removeReservation(id)
 			b.count("Dropped")
-		case !r.end.After(now):
+		case r.end <= now.Sub(b.queue(r.Service).epoch):
 			b.Log.Info("reservation expired", zap.String("RequestID", r.RequestID), zap.Int("Stage", r.Stage), zap.String("Service", r.Service), zap.String("Host", r.host))
 			b.removeReservation(id)
 			b.count("Expired")
--- a/internal/stage/reserve_test.go
+++ b/internal/stage/reserve_test.go
@@ -439,6 +439,7 @@
 	for _, j := range q.jobs {
 		j.promise = now.Add(time.Hour)
 	}
+	q.epoch = now
 	batcher.queues = map[string]*queue{"s": q}
 	batcher.reservations, batcher.heard = map[string]*reservation{}, map[string]time.Time{}
 	batcher.upcoming, batcher.ctx = map[string]map[string]upcomingPieces{}, context.Background()
--- a/internal/stage/share.go
+++ b/internal/stage/share.go
@@ -247,9 +247,10 @@
 			out = append(out, demand{end: j.due.Sub(now) - call, cost: c.cost(len(j.waiting), j.PieceBytes)})
 		}
 	}
+	since := now.Sub(q.epoch)
 	for _, r := range q.reserved {
-		d := r.demand(c, call, now)
-		d.end = r.grantedAt.Add(r.Due).Sub(now) - call
+		d := r.demand(c, call, since)
+		d.end = r.due - since - call
 		out = append(out, d)
 	}
 	q.demandBuffer = out
