--- a/internal/stage/share_test.go
+++ b/internal/stage/share_test.go
@@ -143,3 +143,40 @@
 		}
 	}
 }
+
+// TestHeadroom runs scripted standings of one request.
+func TestHeadroom(t *testing.T) {
+	datadriven.RunTest(t, "testdata/headroom", func(t *testing.T, d *datadriven.TestData) string {
+		s := standing{short: d.HasArg("short"), starving: d.HasArg("starving"), lessUrgent: d.HasArg("less-urgent"), level: noLevel}
+		if d.HasArg("level") {
+			s.level = scanTime(t, d, "level")
+		}
+		s.used, s.cost = scanTime(t, d, "used"), scanTime(t, d, "cost")
+		return fmt.Sprintf("over %v, headroom %v\n", s.over(), s.headroom())
+	})
+}
+
+// TestStarvingClass has requests of one route refused by their size while others are
+// served, in a short pool. The route must be found starving, and not the others; nor must a
+// workspace beyond its share gain from it.
+func TestStarvingClass(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &shares{}
+	large, small := &Reservation{Workspace: "a", Route: "large", Pieces: 90}, &Reservation{Workspace: "b", Route: "small", Pieces: 1}
+	for range 40 {
+		now = now.Add(20 * time.Millisecond)
+		s.record(small, 20*time.Millisecond, true, now)
+		s.record(large, 20*time.Millisecond, false, now)
+	}
+	s.compute(true, now)
+	if got := s.standing(large, 20*time.Millisecond, now); !got.starving || got.headroom() != 0 {
+		t.Errorf("refused route: %+v", got)
+	}
+	if got := s.standing(small, 20*time.Millisecond, now); got.starving || !got.over() || got.headroom() != 2*headroomStep {
+		t.Errorf("served route: %+v", got)
+	}
+	s.refund(small, 800*time.Millisecond, now)
+	if got := s.standing(small, 20*time.Millisecond, now); got.used != 0 {
+		t.Errorf("%v used after all was given back", got.used)
+	}
+}
