stage: worth per unit of the scarcer of time and result memory

With reservations, jobs of a short pool are left behind by worth for what they take of the resource that binds, and not by pieces, whose results differ in size. Without the setting nothing changes.

--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -162,6 +162,9 @@
 	// over reports whether the workspace of the job has more than its share of a pool
 	// that is short.
 	over bool
+	// unitCost is the cost of a piece when the jobs were last ordered, or 1 if pieces count
+	// alike.
+	unitCost float64
 }
 
 // Submit runs a job of this host and waits for its outcome. The job is cancelled
--- a/internal/stage/order.go
+++ b/internal/stage/order.go
@@ -32,6 +32,10 @@
 		}
 		j.deferred = tooLate(j, call, now)
 		j.over = q.reserving && q.shares.over[j.Workspace]
+		j.unitCost = 1
+		if q.reserving {
+			j.unitCost = max(1, float64(q.atOrder.cost(1, j.PieceBytes)))
+		}
 		if j.deferred {
 			continue
 		}
@@ -82,8 +86,9 @@
 	return j
 }
 
-// worthPerPiece returns the worth of j divided by its number of pieces.
-func (j *job) worthPerPiece() float64 { return j.worth / float64(max(1, j.Pieces)) }
+// worthPerPiece returns the worth of j divided by its number of pieces, and by what a piece
+// takes of the scarcer of the targets' time and memory.
+func (j *job) worthPerPiece() float64 { return j.worth / float64(max(1, j.Pieces)) / j.unitCost }
 
 // setWorth scales the worth of a new job to be comparable across ranks: the mean
 // worth of a rank is no less than that of any less urgent rank.
--- a/internal/stage/reserve.go
+++ b/internal/stage/reserve.go
@@ -125,6 +125,7 @@
 		c.markFormer(host)
 		return nil, errFormerVersion
 	case err == nil && failure != "":
+		// The holder is shutting down, or takes the reservations for invalid.
 		return nil, failure
 	}
 	return reply, err
