--- a/internal/stage/reservation.go
+++ b/internal/stage/reservation.go
@@ -200,14 +200,13 @@
 	spread := returnFactor * (total - served)
 	b.count("Refused")
 	b.logRefusal(r, zap.Duration("Cost", asked.cost), zap.Duration("Start", r.Start), zap.Duration("End", r.End), zap.Duration("Call", call),
-		zap.Int32("Free", c.busy.until[0]), zap.Int("Slots", c.slots), zap.Int("Demands", len(demands)), zap.Duration("Outstanding", totalCost(demands)),
+		zap.Duration("Age", now.Sub(q.recent.at)), zap.Int32("Free", c.busy.until[0]), zap.Int("Slots", c.slots), zap.Int("Demands", len(demands)), zap.Duration("Outstanding", totalCost(demands)),
 		zap.Duration("Headroom", standing.headroom()), zap.Bool("Short", standing.short), zap.Duration("Share", standing.level), zap.Duration("Used", standing.used),
 		zap.Bool("Starving", standing.starving), zap.Duration("Wait", wait), zap.Duration("Spread", spread))
 	return Answer{Wait: wait, Spread: spread}
 }
 
-// logRefusal logs a refused reservation with the inputs of the decision, which are all
-// of the present moment.
+// logRefusal logs a refused reservation with the inputs of the decision.
 func (b *Batcher) logRefusal(r Reservation, inputs ...zap.Field) {
 	b.Log.Info("reservation refused", append([]zap.Field{zap.String("RequestID", r.RequestID), zap.Int("Stage", r.Stage), zap.String("Service", r.Service),
 		zap.String("Workspace", r.Workspace), zap.Int("Rank", r.Rank), zap.Int("Pieces", r.Pieces)}, inputs...)...)
