--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -69,9 +69,9 @@
 		ApplyTime: time.Duration(s.ApplyTime)}
 }
 
-func provideBatcher(c *clock.Service, log *zap.Logger, pool stage.Pool, f *catalog.Follower, x *peer.Exchange, signals *backpressure.Table, quotas *backpressure.Holder, m metrics.Registry) *stage.Batcher {
+func provideBatcher(c *clock.Service, log *zap.Logger, pool stage.Pool, s *settings.Gateway, f *catalog.Follower, x *peer.Exchange, signals *backpressure.Table, quotas *backpressure.Holder, registry metrics.Registry) *stage.Batcher {
 	return &stage.Batcher{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot, Backpressure: signals, Quotas: quotas,
-		Stopped: metrics.GetOrRegisterCounter(stoppedCounter, m)}
+		Stopped: metrics.GetOrRegisterCounter(stoppedCounter, registry), Reservations: s.StageReservations, Metrics: registry}
 }
 
 func provideBackpressure(s *settings.Gateway, c *clock.Service, log *zap.Logger, x *peer.Exchange, f *catalog.Follower) *backpressure.Table {
@@ -103,8 +103,8 @@
 		Holder: quotas, Hosts: hosts.Value}
 }
 
-func provideStageClient(c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, batcher *stage.Batcher) *stage.Client {
-	return &stage.Client{Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller, Batcher: batcher}
+func provideStageClient(s *settings.Gateway, c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, batcher *stage.Batcher) *stage.Client {
+	return &stage.Client{Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller, Batcher: batcher, Reservations: s.StageReservations}
 }
 
 func provideBalancer(s *settings.Gateway, c *clock.Service, log *zap.Logger) *fleet.Balancer {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -160,6 +160,8 @@
 	// signal, unless nil, returns what a target says of itself. It is set before the
 	// first call.
 	signal func(t *catalog.Target) backpressure.Signal
+	// took, unless nil, returns the time of a call. It is set before the first call.
+	took func(t *catalog.Target, pieces int) time.Duration
 
 	mu      sync.Mutex
 	calls   []string
@@ -179,14 +181,24 @@
 	if p.signal != nil {
 		out.Signal = p.signal(t)
 	}
-	if err := sleep(ctx, 100*time.Millisecond); err != nil {
+	took := 100 * time.Millisecond
+	if p.took != nil {
+		took = p.took(t, len(pieces))
+	}
+	if err := sleep(ctx, took); err != nil {
 		return stage.Reply{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, piece := range pieces {
 		p.calls = append(p.calls, fmt.Sprintf("stage %d piece %d of %v", piece.Stage, piece.Number, piece.Inputs))
-		out.Results = append(out.Results, stage.PieceResult{Handle: fmt.Sprintf("h%d.%d", piece.Stage, piece.Number)})
+		handle := fmt.Sprintf("h%d.%d", piece.Stage, piece.Number)
+		if p.took != nil {
+			// A batcher takes results of the same handle for one, and would count the memory of
+			// the others for good.
+			handle += "." + piece.RequestID
+		}
+		out.Results = append(out.Results, stage.PieceResult{Handle: handle})
 	}
 	return out, nil
 }
@@ -233,6 +245,8 @@
 	stop   context.CancelFunc
 	done   chan error
 	hosts  []*runningHost // started by startHosts
+	// reservations is StageReservations of the hosts that are started.
+	reservations bool
 
 	mu       sync.Mutex
 	received []string // target and ID of each request that reached a target
@@ -296,7 +310,7 @@
 	s := &settings.Gateway{
 		Name: addr.String(), Domain: "d", CallerAddr: netip.AddrPortFrom(addr, callerAddr.Port()), ReadyAddr: netip.AddrPortFrom(addr, 81), PeerAddr: netip.AddrPortFrom(addr, 82),
 		Peers: peers, MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
-		RepeatWindow: declaration.Duration(10 * time.Second), ColdFactor: coldFactor, ColdSlack: coldSlack,
+		RepeatWindow: declaration.Duration(10 * time.Second), ColdFactor: coldFactor, ColdSlack: coldSlack, StageReservations: r.reservations,
 	}
 	feed := r.feed
 	if other := r.feeds[addr]; other != nil {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -17,6 +17,7 @@
 		Worth:      p.q.worth(),
 		PieceBytes: s.ResultBytes,
 		Domains:    p.q.domains,
+		Workspace:  p.q.workspace,
 	}
 	for _, r := range inputs {
 		j.Inputs = append(j.Inputs, r.Handle)
@@ -25,6 +26,7 @@
 	if len(s.After) == 0 {
 		j.Key = p.q.PieceKey
 	}
+	p.takeUpReservation(&j, now)
 	return j
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,7 +52,7 @@
 	if err := p.checkBarred(); err != nil {
 		return err
 	}
-	if err := p.admit(); err != nil {
+	if err := p.admit(ctx); err != nil {
 		return err
 	}
 	p.announceStages()
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -30,14 +30,14 @@
 	backpressureTable := provideBackpressure(s, c, log, exchange, follower)
 	holder := provideQuotas(c, log, recentMax, backpressureTable)
 	registry := provideMetrics()
-	batcher := provideBatcher(c, log, pool, follower, exchange, backpressureTable, holder, registry)
+	batcher := provideBatcher(c, log, pool, s, follower, exchange, backpressureTable, holder, registry)
 	placementHolder := provideLoadTables(s, c, log, follower, holder)
 	server, err := providePeerServer(exchange, follower, table, batcher, placementHolder, holder)
 	if err != nil {
 		return nil, err
 	}
 	client := provideQuotaClient(c, log, exchange, caller, recentMax, backpressureTable, holder)
-	stageClient := provideStageClient(c, log, exchange, caller, batcher)
+	stageClient := provideStageClient(s, c, log, exchange, caller, batcher)
 	balancer := provideBalancer(s, c, log)
 	placementClient := providePlacement(c, log, exchange, caller, placementHolder)
 	budget := provideResponseMemory(s)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,6 +45,9 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow declaration.Duration
+	// StageReservations makes the host ask the batchers of a request's stages for
+	// capacity before it admits the request. Without it the wait estimates decide.
+	StageReservations bool `json:",omitempty"`
 	// ColdFactor and ColdSlack bound the requests of all hosts together to a cold
 	// target in any second: ColdFactor times the cold rate of its service, plus
 	// ColdSlack. Without ColdFactor there is no such bound.
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -22,6 +22,9 @@
 
 var errStopped = errs.New("batcher is not running")
 
+// errRetired answers a reservation at a batcher that is shutting down.
+var errRetired = errs.New("batcher is shutting down")
+
 // Times and bounds of the batcher.
 const (
 	// sweepInterval is the time between two sweeps for expired jobs and results.
@@ -58,6 +61,11 @@
 	// Stopped, unless nil, counts the calls that the check before the first byte
 	// stopped.
 	Stopped metrics.Counter
+	// Reservations puts the jobs first without which promises can't be kept, by the
+	// capacity of full calls. Without it jobs are ordered as if nothing was reserved.
+	Reservations bool
+	// Metrics, unless nil, counts what becomes of reservations.
+	Metrics metrics.Registry
 
 	once     sync.Once
 	commands chan func()
@@ -73,6 +81,12 @@
 	// upcoming holds the upcoming pieces that hosts have reported, by service and
 	// host.
 	upcoming map[string]map[string]upcomingPieces
+	// reservations holds the granted reservations by ID, heard the time of the last
+	// message of each host that reserves.
+	reservations map[string]*reservation
+	heard        map[string]time.Time
+	// lastSweep is the time of the last sweep.
+	lastSweep time.Time
 	// retired batchers accept no jobs of other hosts.
 	retired bool
 }
@@ -90,6 +104,8 @@
 	defer close(b.stopped)
 	b.ctx, b.queues, b.jobs, b.answered = ctx, map[string]*queue{}, map[string]*job{}, map[string]*job{}
 	b.upcoming = map[string]map[string]upcomingPieces{}
+	b.reservations, b.heard = map[string]*reservation{}, map[string]time.Time{}
+	b.lastSweep = b.Clock.Now()
 	ticks := b.Clock.Subscribe(ctx, sweepInterval)
 	for {
 		select {
@@ -143,6 +159,16 @@
 	// ordered after all others, since not all jobs can be on time.
 	worth    float64
 	deferred bool
+	// promise is the time at which Promise ends, or deadline for a job without one.
+	// Critical jobs must start now for all promises to be kept.
+	promise  time.Time
+	critical bool
+	// over reports whether the workspace of the job has more than its share of a pool
+	// that is short.
+	over bool
+	// unitCost is the cost of a piece when the jobs were last ordered, or 1 if pieces count
+	// alike.
+	unitCost float64
 }
 
 // Submit runs a job of this host and waits for its outcome. The job is cancelled
@@ -200,6 +226,7 @@
 		return running
 	}
 	b.jobs[j.ID] = running
+	b.takeUp(running, now)
 	q := b.queue(j.Service)
 	q.setWorth(running)
 	q.jobs = append(q.jobs, running)
@@ -291,6 +318,7 @@
 			b.endJob(j, Late)
 		}
 	}
+	b.expireReservations(now)
 	for id, j := range b.answered {
 		if now.Sub(j.endedAt) > answerLifetime {
 			delete(b.answered, id)
@@ -298,6 +326,7 @@
 	}
 	for _, q := range b.queues {
 		q.expire(now)
+		b.judge(q, now)
 		b.dispatch(q)
 		q.measurePerPiece(now, q.hasWaiting())
 	}
--- /dev/null
+++ b/internal/stage/tally.go
@@ -0,0 +1,52 @@
+package stage
+
+import "time"
+
+// Resolution of a tally. Its window of 2 s is shorter than a load peak, so that the shares
+// of the peak are known soon after its start, and no workspace pays for a former one.
+const (
+	tallyBucketTime = 250 * time.Millisecond
+	tallyBuckets    = 8
+	tallyWindow     = tallyBuckets * tallyBucketTime
+)
+
+// tally sums the costs that were asked for and granted over tallyWindow.
+type tally struct {
+	bucket         int64
+	asked, granted [tallyBuckets]time.Duration
+}
+
+// advance drops the buckets that have left the window.
+func (t *tally) advance(bucket int64) {
+	for n := 0; t.bucket < bucket && n < tallyBuckets; n++ {
+		t.bucket++
+		t.asked[t.bucket%tallyBuckets], t.granted[t.bucket%tallyBuckets] = 0, 0
+	}
+	t.bucket = max(t.bucket, bucket)
+}
+
+// add adds a cost that was asked for.
+func (t *tally) add(bucket int64, cost time.Duration, granted bool) {
+	t.advance(bucket)
+	t.asked[bucket%tallyBuckets] += cost
+	if granted {
+		t.granted[bucket%tallyBuckets] += cost
+	}
+}
+
+// refund takes back a cost that was granted shortly before.
+func (t *tally) refund(bucket int64, cost time.Duration) {
+	t.advance(bucket)
+	t.granted[bucket%tallyBuckets] -= cost
+}
+
+// sums returns the costs of the window that ends with bucket.
+func (t *tally) sums(bucket int64) (asked, granted time.Duration) {
+	t.advance(bucket)
+	for i := range tallyBuckets {
+		asked += t.asked[i]
+		granted += t.granted[i]
+	}
+	// What was granted before the window may have been refunded in it.
+	return asked, max(0, granted)
+}
