--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -6,12 +6,14 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/catalog"
+	"berylswitch.example/berylswitch/internal/peer"
 )
 
 // The second customer's bound on the requests of all hosts together to a cold target in
@@ -239,6 +241,51 @@
 	})
 }
 
+// TestColdTargetsAfterHolderIsLost has the holder of the limits killed while all targets
+// are cold. They get nothing until its leases have ended and the next holder's count, and
+// then as much as before.
+func TestColdTargetsAfterHolderIsLost(t *testing.T) {
+	const hosts, rate, cold, longest = 5, 60, time.Minute, 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		target := &coldTarget{}
+		r := prepareCold(t, catalog.Unsafe, target)
+		addrs := r.startHosts(hosts)
+		target.write(r, cold)
+		holder := r.holderOf("s")
+		addrs = slices.DeleteFunc(addrs, func(a netip.Addr) bool { return a == holder.addr })
+		lost := time.Now().Add(4 * time.Second)
+		time.AfterFunc(time.Until(lost), func() {
+			r.network.Kill(holder.addr)
+			r.stopHost(holder)
+		})
+		r.callAll(addrs, rand.New(rand.NewPCG(1, 0)), rate, 14*time.Second, "/a/b")
+		r.startHost(holder) // for the end of the fixture
+		target.check(t)
+		before, gap := time.Time{}, time.Duration(0)
+		for _, at := range target.arrived {
+			if at.After(lost) {
+				gap = max(gap, at.Sub(before))
+			}
+			before = at
+		}
+		t.Logf("nothing for %v", gap)
+		if n := target.between(lost.Add(longest), lost.Add(longest+4*time.Second)); gap > longest || n < 4*coldRate/2 {
+			t.Errorf("no request for %v, %d in 4s after that", gap, n)
+		}
+	})
+}
+
+// holderOf returns the host that holds a service.
+func (r *fixture) holderOf(service string) *runningHost {
+	var members []peer.Host
+	for _, h := range r.hosts {
+		members = append(members, hostAt(netip.AddrPortFrom(h.addr, 82)))
+	}
+	name := peer.NewMembers(members).Holder(service).Name
+	i := slices.IndexFunc(r.hosts, func(h *runningHost) bool { return netip.AddrPortFrom(h.addr, 82).String() == name })
+	return r.hosts[i]
+}
+
 var coldSeeds = flag.Uint("coldseeds", 2, "seeds of TestColdTargetsWhileHostsFail")
 
 // TestColdTargetsWhileHostsFail has hosts killed, stopped, started and cut off from each
