--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -50,6 +50,7 @@
 	f.evacuations, f.tablePosition = next, update.Next
 	changed := first || !maps.Equal(former, next)
 	if changed {
+		f.notifyPutBack(former, next)
 		f.evacuationsChanged = update.Next
 		f.publish()
 		f.notifyWaiters()
@@ -61,6 +62,18 @@
 	}
 }
 
+// notifyPutBack calls OnPutBack for the failure domains that next lacks; f.mu is held.
+func (f *Follower) notifyPutBack(former, next map[string]Offset) {
+	if f.OnPutBack == nil {
+		return
+	}
+	for domain := range former {
+		if _, still := next[domain]; !still {
+			f.OnPutBack(f.Snapshot(), domain)
+		}
+	}
+}
+
 // nextEvacuations returns the evacuations in force after update, given those at
 // position. The maps are not changed, since snapshots hold them.
 func nextEvacuations(former map[string]Offset, position Offset, update TableUpdate) map[string]Offset {
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -106,6 +106,10 @@
 	// OnEntry, unless nil, is called with the target of each new entry before a
 	// snapshot holds it. It must not block or call the Follower, except for Snapshot.
 	OnEntry func(*Target)
+	// OnPutBack, unless nil, is called with the snapshot in force and a failure domain
+	// that is put back into service, before a snapshot without its evacuation is
+	// published. It must not block.
+	OnPutBack func(*Snapshot, string)
 
 	snapshot atomic.Pointer[Snapshot]
 	// pollsReader is set while this host gets changes from a reader host instead
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -76,7 +76,7 @@
 
 func provideBackpressure(s *settings.Gateway, c *clock.Service, log *zap.Logger, x *peer.Exchange, f *catalog.Follower) *backpressure.Table {
 	b := &backpressure.Table{Clock: c, Log: log, Exchange: x, Catalog: f.Snapshot, Cold: coldBounds(s)}
-	f.OnEntry = b.ObserveEntry
+	f.OnEntry, f.OnPutBack = b.ObserveEntry, b.MarkDomainCold
 	b.Listen()
 	return b
 }
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// TestDomainPutBack has the targets of a failure domain become cold as it is put back
-// into service, though their entries say that they are warm.
+// TestDomainPutBack guards against a burst at the targets of a failure domain that is put
+// back into service: they count as cold, though their entries say that they are warm.
 func TestDomainPutBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		back, other := &coldTarget{}, &coldTarget{}
@@ -227,8 +227,9 @@
 		r.feed.targets[0].Target.Domain = "d"
 		r.start()
 		defer r.close()
-		r.host.Backpressure.MarkDomainCold(r.host.Follower.Snapshot(), "d")
+		r.evacuate("d")
 		now := time.Now()
+		r.feed.evacuate("d", false)
 		back.cold = [][2]time.Time{{now, now.Add(coldTime)}}
 		statuses := r.callAll([]netip.Addr{hostAddr}, rand.New(rand.NewPCG(1, 0)), 100, 6*time.Second, "/a/b")
 		back.check(t)
--- a/internal/gateway/evacuate.go
+++ b/internal/gateway/evacuate.go
@@ -7,6 +7,7 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/fleet"
+	"berylswitch.example/berylswitch/internal/journal"
 	"berylswitch.example/berylswitch/internal/placement"
 	"berylswitch.example/berylswitch/pkg/result"
 	"github.com/rcrowley/go-metrics"
@@ -30,35 +31,6 @@
 	version int64
 }
 
-// evacuatedDomains holds the evacuations of a snapshot. The zero value is ready for use.
-type evacuatedDomains struct {
-	mu      sync.Mutex
-	offsets map[string]catalog.Offset
-}
-
-// replace takes the evacuations of s and returns the failure domains that were put back
-// into service since the former snapshot.
-func (d *evacuatedDomains) replace(s *catalog.Snapshot) (returned []string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for domain := range d.offsets {
-		if !s.IsEvacuated(domain) {
-			returned = append(returned, domain)
-		}
-	}
-	d.offsets = s.Evacuated
-	return returned
-}
-
-// markReturnedDomains makes the targets of the failure domains that were put back into
-// service count as cold: they may have become cold meanwhile, and the entries that say so
-// come later.
-func (h *Host) markReturnedDomains(s *catalog.Snapshot) {
-	for _, domain := range h.evacuatedDomains.replace(s) {
-		h.Backpressure.MarkDomainCold(s, domain)
-	}
-}
-
 // checkOperators logs evacuations of unknown failure domains and home regions that no
 // failure domain is in. All of them stay in force: a target may register later.
 func (h *Host) checkOperators(s *catalog.Snapshot) {
@@ -184,20 +156,34 @@
 	return nil
 }
 
+// errTurnLost means that a request was not sent, since its turn at a cold target was too
+// late when the connection was there.
+var errTurnLost = errors.New("turn at a cold target is lost")
+
 // permit reports whether the request may still be sent to t, right before its first
 // byte goes out.
-func (s *sender) permit(t *catalog.Target) error { return s.h.Follower.Snapshot().CheckSend(t) }
+func (s *sender) permit(t *catalog.Target) error {
+	if err := s.h.Follower.Snapshot().CheckSend(t); err != nil {
+		return err
+	}
+	if !s.turnHolds(t) {
+		return errTurnLost
+	}
+	return nil
+}
 
 // recordStopped records that the check before the first byte stopped the send to t. The
 // send counts neither as one of the request nor against the target.
-func (s *sender) recordStopped(t *catalog.Target) {
+func (s *sender) recordStopped(t *catalog.Target, err error) {
 	s.q.sends--
 	s.h.Balancer.End(t, fleet.Returned, 0)
 	s.lease.End(placement.Abandoned)
 	metrics.GetOrRegisterCounter(stoppedCounter, s.h.Metrics).Inc(1)
-	s.h.Log.Info("send stopped by an evacuation", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.String("Domain", t.Domain))
+	s.h.Log.Info("send stopped before its first byte", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.String("Domain", t.Domain), journal.Error(err))
 }
 
 // isStopped reports whether err is that of a send that the check before the first byte
 // stopped.
-func isStopped(err error) bool { return errors.Is(err, catalog.ErrEvacuated) }
+func isStopped(err error) bool {
+	return errors.Is(err, catalog.ErrEvacuated) || errors.Is(err, errTurnLost)
+}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -70,8 +70,6 @@
 	// reloadedRegions holds the regions of settings that were reloaded, or nil.
 	reloadedRegions atomic.Pointer[map[string]string]
 	warnings        operatorWarnings
-	// evacuatedDomains is that of the last snapshot that was applied.
-	evacuatedDomains evacuatedDomains
 	// unbegun holds the sends that have brought no event yet.
 	unbegun unbegunSends
 	// crashChecks joins the attempts to find out whether a target crashed, by address.
@@ -218,7 +216,6 @@
 	h.Balancer.Prune(s)
 	h.Backpressure.Prune(s)
 	h.checkOperators(s)
-	h.markReturnedDomains(s)
 	if s.Table != nil {
 		h.callerServer.setLimits(s.Table.Limits)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -156,7 +156,7 @@
 // recordFailure records a send without a usable response and returns its outcome.
 func (s *sender) recordFailure(ctx context.Context, t *catalog.Target, err error, took time.Duration) fleet.Result {
 	if isStopped(err) {
-		s.recordStopped(t)
+		s.recordStopped(t, err)
 		return fleet.Returned
 	}
 	r := fleet.Failed
