--- a/internal/backpressure/client.go
+++ b/internal/backpressure/client.go
@@ -26,11 +26,11 @@
 	skipTime = 3 * time.Second
 )
 
-// Caller calls other hosts.
+// Caller makes RPC calls to other hosts.
 type Caller interface {
 	Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error
-	// CallOrDisconnect is like Call but gives the connection up if there is no reply in
-	// time.
+	// CallOrDisconnect is like Call but closes the connection if there is no reply before
+	// ctx ends.
 	CallOrDisconnect(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error
 }
 
@@ -49,6 +49,7 @@
 	// Hosts returns the number of hosts that share the limits.
 	Hosts func() int
 
+	// startedAt is the time at which Run began.
 	startedAt time.Time
 
 	mu     sync.Mutex
@@ -82,8 +83,9 @@
 	}
 }
 
-// renewTwice renews the lease of service now, and once more as soon as that makes it
-// count for cold targets.
+// renewTwice renews the lease of service now and again after coldLeaseDelay. A new lease
+// counts for cold targets only from its first renewal after that delay, and waiting for
+// the next tick of Run would leave cold targets without work for longer.
 func (c *Client) renewTwice(ctx context.Context, service string) {
 	c.renew(ctx, service)
 	if c.Clock.Sleep(ctx, coldLeaseDelay) == nil {
@@ -136,8 +138,15 @@
 }
 
 func (c *Client) renewal(service string, ends bool) *Renewal {
-	return &Renewal{Host: c.Self, Service: service, Hosts: c.Hosts(), Limits: c.Table.limits()[service], Cold: c.Table.serviceNotices(service),
-		Fresh: c.Clock.Since(c.startedAt) < leaseTime+renewTimeout, Return: ends}
+	return &Renewal{
+		Host:    c.Self,
+		Service: service,
+		Hosts:   c.Hosts(),
+		Limits:  c.Table.limits()[service],
+		Cold:    c.Table.serviceNotices(service),
+		Fresh:   c.Clock.Since(c.startedAt) < leaseTime+renewTimeout,
+		Return:  ends,
+	}
 }
 
 // call sends r to holder.
--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -8,49 +8,49 @@
 	"go.uber.org/zap"
 )
 
-// The decisions of this file answer targets that are cold after a start and crash if
-// they get many requests then: all hosts together keep to a bound in any second,
-// counted at the target.
+// This file limits the requests to cold targets. A target is cold after a start and
+// crashes if it gets many requests then, so all hosts together must stay within a bound
+// in any second, counted at the target.
 
 const (
-	// coldBurst is the number of requests that one holder may let go to a cold target
-	// at once.
+	// coldBurst is the number of requests that one holder may admit to a cold target at
+	// once.
 	coldBurst = 1
-	// minColdShare is the least share of the hosts whose holder sends to cold targets.
-	// Without it each of many holders that are cut off from each other may use its
-	// burst in the same second.
+	// minColdShare is the smallest share of the hosts' leases with which a holder admits
+	// requests to cold targets. Without it, each of many holders that are partitioned
+	// from each other could use its burst in the same second.
 	minColdShare = 0.25
 	// maxColdHolders is the largest number of holders that send to one cold target.
 	maxColdHolders = 1 / minColdShare
-	// coldBunching is the part of the rate that is left for requests that arrive
-	// closer together than their turns were, as after coldTurnLife, and for hosts that
-	// know of different numbers of hosts.
+	// coldBunching is the margin, as a fraction of the rate, for requests that arrive
+	// closer together than their turns were, since a turn may be used up to coldTurnLife
+	// late, and for hosts that differ in the number of hosts that they see.
 	coldBunching = 0.5
 	// maxColdWait is the longest wait for a turn at a cold target, except for the first
-	// turn at a low rate. What has been given out can't be taken back when the target's
-	// quota goes to another holder.
+	// turn at a low rate. Turns that have been granted can't be revoked when the
+	// target's quota moves to another holder.
 	maxColdWait = 250 * time.Millisecond
-	// coldLeaseDelay is how long a lease doesn't count for cold targets after its
-	// begin: the turns that the former holder has given out are used meanwhile.
+	// coldLeaseDelay is the time after its begin for which a lease doesn't count for cold
+	// targets: turns granted by the former holder may still be used then.
 	coldLeaseDelay = maxColdWait + coldTurnLife
-	// coldLeaseTime is how long a lease counts for cold targets after each renewal. It
-	// is shorter than leaseTime by more than a renewal may have waited, and longer than
-	// renewInterval.
+	// coldLeaseTime is how long a lease counts for cold targets after each renewal. It is
+	// longer than renewInterval, and shorter than leaseTime by more than the longest delay
+	// of a renewal.
 	coldLeaseTime = 900 * time.Millisecond
-	// coldTurnLife is how late a turn at a cold target may be used. The turns of a
-	// host that was frozen would otherwise come all at once.
+	// coldTurnLife is how late a turn at a cold target may be used. A host that was frozen
+	// would otherwise use all its turns at once.
 	coldTurnLife = 200 * time.Millisecond
-	// coldTolerance is the difference between two hosts' remaining cold times that
-	// comes from messages on their way.
+	// coldTolerance is the difference between two hosts' remaining cold times that the
+	// delay of messages explains.
 	coldTolerance = 500 * time.Millisecond
-	// maxColdTime is the longest cold time that another host may tell.
+	// maxColdTime is the longest remaining cold time that is accepted from another host.
 	maxColdTime = 10 * time.Minute
-	// coldPruneDelay is how long the cold time of a target is kept at least. A target
-	// that has just been read is not in the snapshot yet.
+	// coldPruneDelay is the minimum time for which the state of a target is kept, since a
+	// target whose entry has just been read is not in the snapshot yet.
 	coldPruneDelay = 5 * time.Second
 )
 
-// noSequence is before the sequence of every entry.
+// noSequence is lower than the sequence of every entry.
 const noSequence = math.MinInt64
 
 // ColdBounds bounds the requests of all hosts to a cold target: Factor times the cold
@@ -69,11 +69,11 @@
 	return max(0, min(coldRate, (most-maxColdHolders*coldBurst)/(1+coldBunching))), true
 }
 
-// coldState is what is known of the cold time of a target's latest incarnation.
+// coldState holds the cold time of a target's latest incarnation.
 type coldState struct {
 	target, service string
 	born            int64
-	// sequence is that of the latest entry of the target that counts here.
+	// sequence is that of the latest entry that has been applied.
 	sequence int64
 	// until is the end of the cold time that an entry or a response has named.
 	until time.Time
@@ -81,8 +81,9 @@
 	// named none, or whose failure domain was put back into service; otherwise zero.
 	assumedAt time.Time
 	seenAt    time.Time
-	// cold is as last logged, by recordCold. While it is not set, the target is warm: it
-	// becomes cold by what it, its entry or another host says alone.
+	// cold is the state that setCold has logged last. While it is not set, the target is
+	// warm: only an entry, a response, a notice, a failure domain that is put back or a
+	// configuration makes it cold, never the passing of time.
 	cold bool
 }
 
@@ -95,7 +96,7 @@
 	return max(0, left)
 }
 
-// ColdNotice tells another host that a target is cold.
+// ColdNotice informs another host that a target is cold.
 type ColdNotice struct {
 	Target, Service string
 	Born, Sequence  int64
@@ -131,8 +132,8 @@
 	time time.Duration
 }
 
-// applyColdTable takes the limits of the services in table, which may be nil, and looks
-// which targets are cold by them; b.mu is held.
+// applyColdTable applies the limits of the services in table, which may be nil, and
+// updates which targets are cold; b.mu is held.
 func (b *Table) applyColdTable(table *catalog.Table) {
 	b.coldTable, b.coldLimits = table, map[string]coldLimit{}
 	if table == nil {
@@ -149,8 +150,9 @@
 	}
 }
 
-// ObserveEntry takes the remaining cold time in a new entry of t. The latest entry
-// counts; one that says nothing changes nothing, but a new incarnation counts as cold.
+// ObserveEntry applies the remaining cold time in a new entry of t. The latest entry
+// counts. An entry without a cold time leaves that of a known incarnation unchanged; a
+// new incarnation counts as cold.
 func (b *Table) ObserveEntry(t *catalog.Target) {
 	now := b.Clock.Now()
 	b.mu.Lock()
@@ -179,14 +181,14 @@
 	return st
 }
 
-// recordCold logs that a target has become cold or is cold no longer; b.mu is held. A
-// target that stays cold as each entry renews its time is logged once.
+// recordCold updates whether a target is cold and logs each change; b.mu is held. A
+// target whose entries renew its cold time is logged once.
 func (b *Table) recordCold(st *coldState, source string, now time.Time) {
 	b.coldLimit(st.service)
 	b.setCold(st, source, now)
 }
 
-// setCold is recordCold by the limits as last taken from the configuration.
+// setCold is like recordCold but doesn't check for a new configuration first.
 func (b *Table) setCold(st *coldState, source string, now time.Time) {
 	limit, limited := b.coldLimits[st.service]
 	left := st.left(limit.time, now)
@@ -229,9 +231,8 @@
 	}
 }
 
-// extendCold takes a remaining cold time that a response of t has named. A response
-// only makes the time longer, since its place among the entries is unknown; b.mu is
-// held.
+// extendCold applies the remaining cold time in a response of t; b.mu is held. A response
+// can only extend the time, since it is unknown which entries were written before it.
 func (b *Table) extendCold(t *catalog.Target, left time.Duration, now time.Time) {
 	st := b.cold[t.ID]
 	if st == nil || t.Born > st.born {
@@ -243,7 +244,7 @@
 	b.recordCold(st, "response", now)
 }
 
-// applyNotices takes what another host knows of cold targets.
+// applyNotices applies another host's notices of cold targets and logs invalid ones.
 func (b *Table) applyNotices(notices []ColdNotice) {
 	now := b.Clock.Now()
 	b.mu.Lock()
@@ -257,9 +258,9 @@
 	}
 }
 
-// applyNotice takes a valid notice; b.mu is held. The latest entry counts. Of two times
-// by the same entry the longer one does, as one host may have more than the entry: a
-// response, or a failure domain that was put back.
+// applyNotice applies a valid notice; b.mu is held. The latest entry counts. Of two times
+// with the same entry the longer one counts, since a host may have extended it after a
+// response or because the failure domain was put back.
 func (b *Table) applyNotice(n *ColdNotice, now time.Time) {
 	until := now.Add(min(n.Left, maxColdTime))
 	st := b.cold[n.Target]
@@ -273,7 +274,8 @@
 	case n.Sequence > st.sequence:
 		st.until, st.sequence, st.assumedAt = until, n.Sequence, time.Time{}
 	case until.After(now.Add(b.coldLeft(st, now) + coldTolerance)):
-		// Less is the way of the message, and would be added anew by each host.
+		// A smaller difference comes from the delay of the message. Applying it would
+		// let hosts extend the time by that delay again and again.
 		st.until = until
 	}
 	b.recordCold(st, "peer", now)
@@ -300,8 +302,8 @@
 	return st
 }
 
-// isWarm reports whether an incarnation of a target is known to be warm, without a look
-// at the clock: a choice among many targets asks this of each. b.mu is held.
+// isWarm reports whether an incarnation of a target is known to be warm; b.mu is held. It
+// doesn't read the clock, since it is called for each of many targets at every choice.
 func (b *Table) isWarm(id string, born int64) bool {
 	st := b.cold[id]
 	return st != nil && born <= st.born && !st.cold
@@ -347,7 +349,7 @@
 	return out
 }
 
-// targetNotices returns the notices of the cold ones of targets.
+// targetNotices returns the notices of those of targets that are cold.
 func (b *Table) targetNotices(targets []*catalog.Target) []ColdNotice {
 	now := b.Clock.Now()
 	b.mu.Lock()
@@ -372,16 +374,16 @@
 
 // Turn is the right to send one request to a target.
 type Turn struct {
-	// AskedAt is the time at which the host asked for the turn, Wait the time until it
-	// comes.
+	// AskedAt is the time at which the host asked for the turn, and Wait the time from
+	// then until the request may be sent.
 	AskedAt time.Time
 	Wait    time.Duration
-	// Cold is set if the turn keeps to the rate of a cold target.
+	// Cold is set if the turn was granted at the rate of a cold target.
 	Cold bool
 }
 
-// TurnHolds reports whether the turn at t, whose time has come, may be used now. At a
-// cold target it may not if it was given at another rate, or is too late.
+// TurnHolds reports whether the turn at t, after its wait, may be used now. At a cold
+// target it may not if it was granted at another rate or if it is too late.
 func (b *Table) TurnHolds(t *catalog.Target, turn Turn) bool {
 	if b.ColdLeft(t) == 0 {
 		return true
@@ -415,16 +417,17 @@
 type allowance struct {
 	// rate is in requests a second.
 	rate float64
-	// cold is set if the target is cold. The rate then holds in every second, so that
-	// what is not used can't be made up for.
+	// cold is set if the target is cold. The rate is then a limit in every second, so that
+	// unused requests can't be made up for later.
 	cold bool
-	// born is the latest incarnation if the target is cold: a request for a former one
-	// goes to the same process.
+	// born is the latest known incarnation if the target is cold, otherwise the requested
+	// one. A request for a former incarnation reaches the same process.
 	born int64
 }
 
 // allowance returns the lower of the limit that an incarnation of a target has named
-// and, while it is cold, the cold rate of its service; limited is false without either.
+// and, while it is cold, the cold rate of its service. If neither applies, limited is
+// false.
 func (b *Table) allowance(service string, key quotaKey) (a allowance, limited bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -20,8 +20,8 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
-// TestColdRate compares the rates with the bounds: what all holders may let go in a
-// second must stay under them.
+// TestColdRate checks the rate of all holders for several bounds. A rate that ignores the
+// holders' bursts would exceed the bounds.
 func TestColdRate(t *testing.T) {
 	for _, c := range []struct {
 		bounds   ColdBounds
@@ -43,8 +43,8 @@
 	}
 }
 
-// coldServiceSnapshot returns a snapshot with the targets of service s, which is cold as
-// that of the second customer.
+// coldServiceSnapshot returns a snapshot with the targets of service s, whose cold time
+// and rate are those of the second customer.
 func coldServiceSnapshot(targets ...*catalog.Target) *catalog.Snapshot {
 	return &catalog.Snapshot{
 		Table:   &catalog.Table{Services: map[string]*catalog.Service{"s": {Name: "s", ColdTime: 3 * time.Second, ColdRate: 12}}},
@@ -139,7 +139,7 @@
 
 	mu      sync.Mutex
 	targets []*coldTarget
-	// done tells what the test did, for its report.
+	// done lists the actions of the test for its failure message.
 	done []string
 }
 
@@ -154,12 +154,12 @@
 	clock  *clock.Service
 	ctx    context.Context
 	stop   context.CancelFunc
-	// side is the side of a partition on which the host is, known the number of hosts
-	// that it knows of.
+	// side identifies the part of a partition in which the host is. known is the number of
+	// hosts that it sees.
 	side  int
 	known int
 	down  bool
-	// snapshot is what the host has read.
+	// snapshot holds the entries that the host has read.
 	snapshot *catalog.Snapshot
 }
 
@@ -187,7 +187,7 @@
 	cold [][2]time.Time
 }
 
-// delay returns the time of a message on its way.
+// delay returns a random delay of a message.
 func (s *coldSite) delay() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -254,7 +254,7 @@
 // maxSkew bounds the difference of a host's clock, which must not matter.
 const maxSkew = time.Hour
 
-// start starts a process of h that knows of all hosts, or of some.
+// start starts a process of h, which reads the present entries of all targets.
 func (h *coldHost) start(ctx context.Context) {
 	s := h.site
 	ctx, stop := context.WithCancel(ctx)
@@ -297,7 +297,7 @@
 	return peer.NewMembers(out)
 }
 
-// read takes the entry of t at h.
+// read applies the entry of t at h.
 func (h *coldHost) read(t *coldTarget) {
 	s := h.site
 	s.mu.Lock()
@@ -313,7 +313,7 @@
 // readDelay bounds the time until all hosts have read an entry.
 const readDelay = 300 * time.Millisecond
 
-// write writes a new entry of t, by which it is cold for d.
+// write writes a new entry of t with a remaining cold time of d.
 func (s *coldSite) write(t *coldTarget, d time.Duration, restarted bool) {
 	s.mu.Lock()
 	now := time.Now()
@@ -331,10 +331,11 @@
 	}
 }
 
-// recordCold records that t is cold for d from now on. Hosts that still know of the
-// former cold time when the last of them has read this one never believe t warm.
+// recordCold records that t is cold for d from now on. If the former cold time lasts until
+// all hosts have read this one, no host takes t for warm between them, so that they are
+// recorded as one.
 func (t *coldTarget) recordCold(now time.Time, d time.Duration) {
-	// What was on its way when the last host has read the entry may arrive after.
+	// Requests sent before the last host has read the entry may arrive later.
 	known := now.Add(readDelay + arrivalDelay)
 	if n := len(t.cold); n > 0 && t.cold[n-1][1].After(now) {
 		if t.cold[n-1][1].After(known) {
@@ -360,7 +361,7 @@
 	}
 }
 
-// arrivalDelay bounds the time of a request on its way to a target.
+// arrivalDelay bounds the time from sending a request to its arrival at the target.
 const arrivalDelay = 50 * time.Millisecond
 
 // send sends one request of h, as a gateway does: to a target without a limit at once,
@@ -396,8 +397,8 @@
 	behind := int(read) < len(target.written) && time.Since(target.written[read]) > readDelay
 	s.mu.Unlock()
 	if behind {
-		// The host was frozen and had not read the entry as it looked whether the turn
-		// holds. It can't know.
+		// The host was frozen and had not read the entry when it checked the turn, so it
+		// could not know of the cold time.
 		return
 	}
 	time.Sleep(transit)
@@ -457,7 +458,7 @@
 	}
 }
 
-// joinTime is how long a process knows of no other host.
+// joinTime is the time after its start for which a process sees no other host.
 const joinTime = time.Second
 
 func (h *coldHost) setKnown(n int) {
@@ -486,9 +487,9 @@
 	}
 }
 
-// TestColdTargetsWhileHostsFail has hosts killed, frozen, cut off from each other and
-// believe in different numbers of hosts while targets become cold, restart and become
-// warm. No cold target may get more in any second than it tolerates.
+// TestColdTargetsWhileHostsFail kills, freezes and partitions hosts, and lets them differ
+// in the number of hosts that they see, while targets become cold, restart and become
+// warm. No cold target may get more requests in any second than it tolerates.
 func TestColdTargetsWhileHostsFail(t *testing.T) {
 	for seed := range uint64(*coldSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -497,11 +498,11 @@
 	}
 }
 
-// sendsBetweenPauses is the mean number of sends before a pause, in which quotas earn
-// turns.
+// sendsBetweenPauses is the mean number of sends before a pause. Quotas earn tokens in
+// pauses, so that bursts follow.
 const sendsBetweenPauses = 600
 
-// manyHosts is a number of hosts whose single turns together are too many.
+// manyHosts is a number of hosts that exceed the bound if each sends one request.
 const manyHosts = 30
 
 func runColdSite(t *testing.T, seed uint64) {
@@ -553,7 +554,7 @@
 	}
 	wg.Wait()
 	stop()
-	// Calls and reads that are on their way end.
+	// Pending calls and reads end meanwhile.
 	time.Sleep(time.Second)
 	for _, c := range s.targets {
 		c.check(s)
@@ -570,8 +571,8 @@
 	return s.random.IntN(n)
 }
 
-// BenchmarkWarmTargets measures the questions that the load table asks of each of 150
-// warm targets of a service with a cold rate, for one request.
+// BenchmarkWarmTargets measures the checks that the load table makes for one request at
+// each of 150 warm targets of a service with a cold rate.
 func BenchmarkWarmTargets(b *testing.B) {
 	const targets = 150
 	var list []*catalog.Target
--- a/internal/backpressure/holder.go
+++ b/internal/backpressure/holder.go
@@ -62,8 +62,8 @@
 	// hosts is the number of hosts that share the limits as the host knows it.
 	hosts     int
 	renewedAt time.Time
-	// coldFrom is the time from which the lease counts for cold targets, once a renewal
-	// has come since: confirmed.
+	// coldFrom is the earliest time from which the lease may count for cold targets. It
+	// counts once it is confirmed by a renewal at that time or later.
 	coldFrom  time.Time
 	confirmed bool
 }
@@ -92,9 +92,9 @@
 	}
 }
 
-// renewed returns l after the renewal r. Renewals that waited while this host was frozen
-// are handled all at once, when the share may have gone to another holder; they confirm
-// nothing.
+// renewed returns l after the renewal r. A host that was frozen handles the renewals that
+// arrived meanwhile all at once, when the share may already be with another holder. They
+// must not confirm the lease, so the delay starts anew after a gap of coldLeaseTime.
 func (l lease) renewed(r *Renewal, now time.Time) lease {
 	l.until, l.hosts = now.Add(leaseTime), r.Hosts
 	if now.Sub(l.renewedAt) > coldLeaseTime {
@@ -113,8 +113,8 @@
 	return l.confirmed && now.Sub(l.renewedAt) < coldLeaseTime
 }
 
-// take returns the first of the targets without a wait, or else the one with the
-// shortest.
+// take grants a turn at the first of the targets without a wait, or else at the one with
+// the shortest wait.
 func (h *Holder) take(a *Ask) Grant {
 	h.Table.applyNotices(a.Cold)
 	now := h.Clock.Now()
@@ -145,8 +145,8 @@
 // Limited reports whether t limits the number of its requests or is cold.
 func (h *Holder) Limited(t *catalog.Target) bool { return h.Table.Limited(t) }
 
-// Wait returns the time until a request may go to t: zero without a limit, and very
-// long if no turn is given out now.
+// Wait returns the time until a request may go to t: zero without a limit, and noTurn if
+// no turn can be granted now.
 func (h *Holder) Wait(t *catalog.Target) time.Duration {
 	if !h.Table.Limited(t) {
 		return 0
@@ -166,8 +166,8 @@
 // MayWait reports whether a request that can wait for d may wait for its turn.
 func MayWait(wait, d time.Duration) bool { return wait <= min(d, maxWait) }
 
-// Take lets one request go to t after Wait. It reports whether the turn keeps to the
-// rate of a cold target.
+// Take lets one request go to t after Wait. It reports whether the turn was granted at
+// the rate of a cold target.
 func (h *Holder) Take(t *catalog.Target) (cold bool) {
 	now := h.Clock.Now()
 	h.mu.Lock()
@@ -234,7 +234,7 @@
 	return share, coldShare
 }
 
-// shareOf returns the share of this host in a.
+// shareOf returns the part of a that is leased to this host.
 func (s *serviceQuotas) shareOf(a allowance) float64 {
 	if a.cold {
 		return s.coldShare
@@ -242,8 +242,8 @@
 	return s.share
 }
 
-// wait returns the time until a request may go to a target. No turn may be given out if
-// that is too long.
+// wait returns the time until a request may go to a target. If tooLong is set, no turn may
+// be granted now.
 func (s *serviceQuotas) wait(h *Holder, key quotaKey, now time.Time) (wait time.Duration, tooLong bool) {
 	a, limited := h.Table.allowance(s.name, key)
 	if !limited {
--- a/internal/backpressure/quota.go
+++ b/internal/backpressure/quota.go
@@ -29,13 +29,13 @@
 	cold bool
 }
 
-// setRate changes the rate from now on, given what the target takes from all hosts and
-// the share of it that is leased to this host.
+// setRate changes the rate from now on, given the rate of all hosts at the target and the
+// share of it that is leased to this host.
 func (q *quota) setRate(a allowance, share float64, now time.Time) {
 	q.advance(now)
 	if a.cold && !q.cold {
-		// What was earned, and the turns that were given, belong to another rate. Hosts
-		// don't use these turns any more.
+		// Tokens earned at the former rate would exceed that of a cold target. Turns
+		// already granted need not be counted, since TurnHolds rejects them.
 		q.tokens = 0
 	}
 	q.rate, q.cold = a.rate*share, a.cold
@@ -69,7 +69,9 @@
 	}
 }
 
-// tooLong reports whether wait is longer than for a turn that may be given out.
+// tooLong reports whether no turn may be granted at a cold target after wait: it exceeds
+// both maxColdWait and the time in which the burst is earned. The second condition lets
+// targets with a low rate get requests at all.
 func (q *quota) tooLong(wait time.Duration) bool {
 	if !q.cold {
 		return false
--- a/internal/backpressure/service.go
+++ b/internal/backpressure/service.go
@@ -15,10 +15,10 @@
 	Hosts int
 	// Limits are the limits in force as the host knows them.
 	Limits []Update
-	// Cold are the cold targets as the host knows them.
+	// Cold holds the notices of the service's targets that the host considers cold.
 	Cold []ColdNotice
-	// Fresh is set while a process that ended just before may still have leased the
-	// share of the same host.
+	// Fresh is set shortly after the host's process has started, while a lease of its
+	// former process may still be in force at another holder.
 	Fresh bool
 	// Return ends the lease.
 	Return bool
@@ -31,7 +31,7 @@
 	Targets []Candidate
 	// MaxWait is the longest time that the request can wait.
 	MaxWait time.Duration
-	// Cold are the cold ones among the service's targets as the host knows them.
+	// Cold holds the notices of those of Targets that the host considers cold.
 	Cold []ColdNotice
 }
 
@@ -47,7 +47,7 @@
 	Target string
 	// Wait is, without a target, the time until a request may go.
 	Wait time.Duration
-	// Cold is set if the turn keeps to the rate of a cold target.
+	// Cold is set if the turn was granted at the rate of a cold target.
 	Cold bool
 }
 
--- a/internal/backpressure/signal.go
+++ b/internal/backpressure/signal.go
@@ -16,7 +16,7 @@
 	Pause time.Duration
 	// Leaving is set if the target drains.
 	Leaving bool
-	// Cold is the remaining cold time; zero if the target does not say.
+	// Cold is the remaining cold time; zero if the response doesn't name one.
 	Cold time.Duration
 	// Invalid describes a field that could not be decoded, or is empty.
 	Invalid string
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -16,7 +16,8 @@
 	Log   *zap.Logger
 	// Exchange, unless nil, spreads limits among the hosts.
 	Exchange Exchange
-	// Catalog, unless nil, returns the services, which may limit their cold targets.
+	// Catalog, unless nil, returns the snapshot in force, whose services may limit the
+	// requests to their cold targets.
 	Catalog func() *catalog.Snapshot
 	// Cold bounds the requests to cold targets; SetColdBounds changes it later.
 	Cold ColdBounds
@@ -24,7 +25,7 @@
 	mu      sync.Mutex
 	targets map[string]*targetState
 	cold    map[string]*coldState
-	// coldLimits holds the limits at cold targets by service, as coldTable has them.
+	// coldLimits holds the limits at cold targets by service, computed from coldTable.
 	coldLimits map[string]coldLimit
 	coldTable  *catalog.Table
 	// onLimit is set by notifyLimits.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -197,20 +197,21 @@
 	Born int64
 	// Sequence increases with each entry that an incarnation writes.
 	Sequence int64
-	// Cold is the remaining cold time, which every entry may renew. A snapshot may
-	// hold an older one: Follower.OnEntry gets that of each entry.
+	// Cold is the remaining cold time, which every entry may renew. That in a snapshot may
+	// be outdated, since a change of it alone makes no new snapshot; Follower.OnEntry is
+	// called with each entry.
 	Cold Cold
 }
 
-// Cold is what an entry says of the remaining cold time of its target. The zero value
-// means that it says nothing.
+// Cold is the remaining cold time of a target as of its entry.
 type Cold struct {
+	// Known is set if the entry has a cold time.
 	Known bool
 	// Left is counted from the read of the entry.
 	Left time.Duration
 }
 
-// after returns what is left of c after d.
+// after returns the cold time that remains when d has passed.
 func (c Cold) after(d time.Duration) Cold {
 	c.Left = max(0, c.Left-max(0, d))
 	return c
@@ -231,8 +232,8 @@
 	// Targets holds the registered targets by service, sorted by ID.
 	Targets map[string][]*Target
 	// Evacuated maps each evacuated failure domain to the offset of the record that
-	// evacuates it. It is nil until the operators' topic has been read. A domain that
-	// the snapshot before had and this one lacks was put back into service.
+	// evacuates it. It is nil until the operators' topic has been read. A domain that is
+	// missing here but was in the former snapshot has been put back into service.
 	Evacuated map[string]Offset
 }
 
@@ -273,8 +274,8 @@
 	return slices.DeleteFunc(s.ActiveTargets(service), func(t *Target) bool { return !DomainAllowed(domains, t.Domain) })
 }
 
-// Bars reports whether evacuations and the given restriction to failure domains leave
-// none of the targets of service that would take new work otherwise.
+// Bars reports whether service has targets that would take new work, but all of them are
+// ruled out by evacuations or by the given restriction to failure domains.
 func (s *Snapshot) Bars(service string, domains []string) bool {
 	barred := false
 	for _, t := range s.Targets[service] {
--- a/internal/catalog/cold_test.go
+++ b/internal/catalog/cold_test.go
@@ -51,8 +51,7 @@
 }
 
 // TestColdTimeAtPeer expects a peer to get what is left of a cold time, counted from
-// the first read of the entry. A peer that got the time as written would count it from
-// anew.
+// the first read of the entry. A peer that got the time as written would count it anew.
 func TestColdTimeAtPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader := newFollower()
--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -35,9 +35,9 @@
 }
 
 // applyEvacuations applies the evacuations of a read of the operators' topic, or of a
-// peer's reply. The state at a position of the topic is replaced only by one at a later
-// position, so that neither a peer that is behind nor a record that is read again
-// starts or ends an evacuation.
+// peer's reply. The state is replaced only by one at a later position of the topic, so
+// that neither a peer that lags behind nor a record that is read again starts or ends an
+// evacuation.
 func (f *Follower) applyEvacuations(update TableUpdate, source Source) {
 	f.mu.Lock()
 	former, position := f.evacuations, f.tablePosition
@@ -62,7 +62,8 @@
 	}
 }
 
-// notifyPutBack calls OnPutBack for the failure domains that next lacks; f.mu is held.
+// notifyPutBack calls OnPutBack for the failure domains that are in former but not in
+// next; f.mu is held.
 func (f *Follower) notifyPutBack(former, next map[string]Offset) {
 	if f.OnPutBack == nil {
 		return
@@ -75,7 +76,7 @@
 }
 
 // nextEvacuations returns the evacuations in force after update, given those at
-// position. The maps are not changed, since snapshots hold them.
+// position. It doesn't modify former, which snapshots hold.
 func nextEvacuations(former map[string]Offset, position Offset, update TableUpdate) map[string]Offset {
 	next := map[string]Offset{}
 	if !update.Full {
@@ -93,8 +94,8 @@
 	return next
 }
 
-// logEvacuations logs which evacuations began and ended. A full read shows only that
-// one has ended, not at which offset; the line then has that of the last record read.
+// logEvacuations logs which evacuations began and ended. A full read doesn't show the
+// offset at which an evacuation ended; the offset of the last record read is logged then.
 func (f *Follower) logEvacuations(former, next map[string]Offset, update TableUpdate, source Source) {
 	for domain, offset := range next {
 		if _, known := former[domain]; !known {
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -124,9 +124,9 @@
 }
 
 // TestPollEndsWithEvacuation expects an evacuation to end the waiting poll of another
-// host though the configuration's version stays the same: it once ended for a new
-// version alone. A host of the former version takes no evacuations, and must not be
-// woken again and again for one that it doesn't know.
+// host though the configuration's version stays the same: polls once ended only for a new
+// version. A host of the former version ignores evacuations, and its polls must not end
+// again and again because of one.
 func TestPollEndsWithEvacuation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader, poller := newFollower(), newFollower()
@@ -154,9 +154,9 @@
 	})
 }
 
-// TestPartialTable guards against a configuration that keeps what a host of the former
-// version left out of it: the same version from the store, or from a host that knows
-// all of it, must replace it, and it must not be passed on as whole.
+// TestPartialTable guards against a configuration that stays incomplete after it came from
+// a host of the former version: the same version from the store, or from a host that has
+// all of it, must replace it, and it must not be passed on as complete.
 func TestPartialTable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		partial := &Held{Table: &Table{Version: 3, Routes: []*Route{{Name: "r"}}}}
@@ -167,7 +167,7 @@
 			f.applyHeld(partial, Source{Name: "former"})
 			f.ApplyTableUpdate(TableUpdate{Full: true, Next: 4}, Source{Name: "store"})
 		}
-		if held := fetch(t, other, newFollower(), 0); held.tellsAll() {
+		if held := fetch(t, other, newFollower(), 0); held.hasTopic() {
 			t.Errorf("a partial configuration was passed on as whole: %+v", held)
 		}
 		fetch(t, reader, poller, 0)
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -72,8 +72,8 @@
 	// among so many that most poll a reader.
 	retryDelay       = 250 * time.Millisecond
 	pollerRetryDelay = time.Second
-	// maxApplyTime bounds ApplyTime as far as reads of the store follow from it:
-	// evacuations have to be in force within 5 s, whatever time the configuration has.
+	// maxApplyTime bounds ApplyTime where the timing of reads of the store is derived from
+	// it. Evacuations have to be in force within 5 s, even if ApplyTime is longer.
 	maxApplyTime = 4 * time.Second
 	// lapseGrace is how long after an outage of the store a target is kept whose
 	// entry lapsed during the outage; a live target registers again by then.
@@ -119,15 +119,14 @@
 	// store. It is owned by followTargets.
 	lastSource string
 
-	// readerIsFormer is set while the polled reader doesn't tell all of the operators'
-	// topic, as hosts of the version before evacuations don't. This host reads the topic
-	// itself then.
+	// readerIsFormer is set while the polled reader is a host of the former version, which
+	// relays no evacuations. This host then reads the operators' topic itself.
 	readerIsFormer atomic.Bool
 
 	mu    sync.Mutex
 	table *Table
-	// tablePartial is set if a host of the former version gave the table, which may lack
-	// what that version doesn't know.
+	// tablePartial is set if the table came from a host of the former version. Fields that
+	// this version has added are missing from it.
 	tablePartial bool
 	// evacuations holds the evacuations in force as of tablePosition, a position in the
 	// operators' topic that is zero until the topic has been read. evacuationsChanged is
@@ -218,8 +217,8 @@
 	Took, ReadAge time.Duration
 }
 
-// ApplyTableUpdate applies the result of a read of the operators' topic. Evacuations
-// come first, so that no request sees a configuration without them.
+// ApplyTableUpdate applies the result of a read of the operators' topic. Evacuations are
+// applied first, so that no request uses a new configuration without them.
 func (f *Follower) ApplyTableUpdate(update TableUpdate, source Source) {
 	f.applyEvacuations(update, source)
 	if update.Table != nil {
@@ -230,8 +229,8 @@
 // ApplyTable puts t in force unless the version in force is the same or newer.
 func (f *Follower) ApplyTable(t *Table, source Source) { f.applyTable(t, false, source) }
 
-// applyTable is ApplyTable for a table that may be partial. A whole one also replaces
-// a partial one of the same version.
+// applyTable is like ApplyTable for a table that may be partial (see tablePartial). A
+// whole table also replaces a partial one of the same version.
 func (f *Follower) applyTable(t *Table, partial bool, source Source) {
 	f.mu.Lock()
 	if f.table != nil && (t.Version < f.table.Version || t.Version == f.table.Version && (partial || !f.tablePartial)) {
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		if held.fresh(f.pollWait()) {
-			f.readerIsFormer.Store(!held.tellsAll())
+			f.readerIsFormer.Store(!held.hasTopic())
 			f.recordSource(h.Name)
 			return true
 		}
@@ -113,11 +113,11 @@
 // this host's state is as old as the peer's from then on, and lapsed entries are kept
 // for as long as there.
 func (f *Follower) applyHeld(held *Held, source Source) {
-	if held.tellsAll() {
+	if held.hasTopic() {
 		f.applyEvacuations(TableUpdate{Full: true, Evacuations: held.Evacuations, Next: held.TableNext}, source)
 	}
 	if held.Table != nil {
-		f.applyTable(held.Table, !held.tellsAll(), source)
+		f.applyTable(held.Table, !held.hasTopic(), source)
 	}
 	if held.fresh(f.readWait()) {
 		f.recordPeerRead(held)
@@ -155,7 +155,7 @@
 	}
 	if !f.tablePartial {
 		held.TableNext, held.Evacuations = f.tablePosition, f.evacuationList()
-		held.evacuationsChanged = held.tellsAll() && known.TableNext != 0 && f.evacuationsChanged > known.TableNext
+		held.evacuationsChanged = held.hasTopic() && known.TableNext != 0 && f.evacuationsChanged > known.TableNext
 	}
 	if !f.synced || known.Next >= f.position {
 		return held
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -22,11 +22,11 @@
 	// Next is the offset up to which the host knows the targets.
 	Next Offset
 	// TableNext is the position up to which the host knows the operators' topic, or
-	// Start. Zero means that it is unknown, as from a host of the former version, which
-	// takes no evacuations.
+	// Start. Zero means unknown: the host is of the former version and ignores
+	// evacuations.
 	TableNext Offset
-	// Partial means that the host has the configuration from one of the former version
-	// and needs the same version again.
+	// Partial means that the host got its configuration from a host of the former version,
+	// and needs the whole configuration of the same Version again.
 	Partial bool
 	Wait    time.Duration
 }
@@ -41,7 +41,7 @@
 	// version, and never that nothing is evacuated.
 	Evacuations []EvacuationChange
 	TableNext   Offset
-	// evacuationsChanged is set if they changed after the requested position.
+	// evacuationsChanged is set if Evacuations changed after the requested position.
 	evacuationsChanged bool
 	// Whole means that Targets holds all targets up to Next; otherwise it holds the
 	// changes from the requested offset up to Next.
@@ -147,9 +147,9 @@
 	return known
 }
 
-// tellsAll reports whether the reply holds all of the operators' topic up to a
-// position.
-func (h *Held) tellsAll() bool { return h.TableNext > 0 }
+// hasTopic reports whether the reply holds the whole state of the operators' topic as of
+// TableNext. Replies of hosts of the former version don't.
+func (h *Held) hasTopic() bool { return h.TableNext > 0 }
 
 // fresh reports whether the reply is as good as a read of the store that waited for
 // the given time: a host that has lost the store may not know the latest state.
--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -181,7 +181,7 @@
 		r.coldAt = now
 		f.notifyEntry(c.Target)
 	} else {
-		// The same entry, read again: its cold time runs on from the first read.
+		// The same entry was read again. Its cold time counts from the first read.
 		r.target = withCold(c.Target, old.target.Cold)
 	}
 	if sameButSequence(old.target, c.Target) && !old.lapsed {
@@ -192,7 +192,7 @@
 }
 
 // sameButSequence reports whether a and b differ in their sequences and remaining cold
-// times at most. Entries renew both, which must not make a new snapshot each time.
+// times at most. Each entry renews both, which must not cause a new snapshot each time.
 func sameButSequence(a, b *Target) bool {
 	c := *b
 	c.Sequence, c.Cold = a.Sequence, a.Cold
@@ -209,13 +209,13 @@
 	return &out
 }
 
-// atPeer returns the target of e as it is sent to a peer at now, whose own time starts
-// when the entry arrives.
+// atPeer returns the target of e as it is sent to a peer at now. The peer counts the
+// remaining cold time from the arrival of the reply.
 func (e *targetEntry) atPeer(now time.Time) *Target {
 	return withCold(e.target, e.target.Cold.after(now.Sub(e.coldAt)))
 }
 
-// notifyEntry passes the target of a new entry on; f.mu is held.
+// notifyEntry calls OnEntry with the target of a new entry; f.mu is held.
 func (f *Follower) notifyEntry(t *Target) {
 	if f.OnEntry != nil {
 		f.OnEntry(t)
