stage, gateway, docs: wording of reservations and evacuations

Rewrites comments that were unclear, told how the code came to be, or gave no reason, and renames unexported identifiers that needed an explanation: judge is checkVerdicts (gateway) and endUnservable (stage), checkOperators is warnOfOperatorRecords, blind is withoutEstimate. Client.AdmitBlind becomes AdmitWithoutEstimate, and its test TestAdmissionWithoutEstimate, with the same checks.

The comment of reservedLateness no longer has figures of test runs; they are in docs/design/reservations.md.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -119,7 +119,7 @@
 }
 
 // announceStages notifies the batchers of the stages that will follow others, unless
-// these know of them by reservations.
+// the batchers know of them by reservations.
 func (p *plan) announceStages() {
 	p.announced = make([]bool, len(p.q.route.Stages))
 	for i, s := range p.q.route.Stages {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -68,8 +68,8 @@
 }
 
 // chooseAtHolder asks the holder of the service for one of targets. The others that the
-// holder may know are left out by name: it may not know yet that one is evacuated, and
-// one of the former version knows no restriction to failure domains.
+// holder may know are left out by name: the holder may not know yet that one is evacuated, and a
+// holder of the former version knows no restriction to failure domains.
 func (s *sender) chooseAtHolder(ctx context.Context, targets []*catalog.Target) *catalog.Target {
 	except := s.h.Balancer.Paused(targets)
 	for id := range s.tried {
@@ -92,8 +92,8 @@
 	t := catalog.FindTarget(targets, l.Choice.Target)
 	s.turn.Wait, s.turn.Cold = l.Choice.Wait, l.Choice.Cold
 	if t != nil && !s.turn.Cold && s.h.Backpressure.ColdLeft(t) > 0 {
-		// The holder doesn't know that the target is cold. It is told with the question
-		// for a turn there.
+		// The holder doesn't know yet that the target is cold. This host asks for a turn
+		// there instead, which tells the holder of limits.
 		s.choosesHere = true
 		t = nil
 	}
@@ -135,7 +135,8 @@
 	t := catalog.FindTarget(limited, grant.Target)
 	s.turn.Wait, s.turn.Cold = grant.Wait, grant.Cold
 	if t != nil && !s.turn.Cold && s.h.Backpressure.ColdLeft(t) > 0 {
-		// A holder of the former version, or one with other settings.
+		// The holder is of a former version or has other settings, and gave the turn
+		// without regard to the rate of a cold target.
 		return s.withoutTurn(other, overloadedRetry)
 	}
 	if t == nil || !s.waitForTurn(ctx, t) {
--- a/internal/gateway/evacuate.go
+++ b/internal/gateway/evacuate.go
@@ -20,8 +20,8 @@
 	stoppedCounter = "Sends.Stopped"
 )
 
-// operatorWarnings holds what was logged of the operators' records, so that each is
-// logged once. The zero value is ready for use.
+// operatorWarnings holds which warnings about the operators' records were logged, so that
+// each is logged once. The zero value is ready for use.
 type operatorWarnings struct {
 	mu sync.Mutex
 	// domains holds the evacuated failure domains that nothing names, with the offsets
@@ -31,9 +31,9 @@
 	version int64
 }
 
-// checkOperators logs evacuations of unknown failure domains and home regions that no
-// failure domain is in. All of them stay in force: a target may register later.
-func (h *Host) checkOperators(s *catalog.Snapshot) {
+// warnOfOperatorRecords logs evacuations of unknown failure domains and home regions that no
+// failure domain is in. They stay in force, since a target may register later.
+func (h *Host) warnOfOperatorRecords(s *catalog.Snapshot) {
 	if s.Table == nil || s.Targets == nil {
 		return
 	}
@@ -141,8 +141,7 @@
 }
 
 // checkBarred refuses a request if evacuations or home regions leave no target to a
-// stage that it needs, before any stage runs. A request that can't be served is refused
-// at once.
+// stage that it needs, or to its service, before any stage runs.
 func (p *plan) checkBarred() error {
 	s := p.h.Follower.Snapshot()
 	for i, stage := range p.q.route.Stages {
@@ -156,12 +155,12 @@
 	return nil
 }
 
-// errTurnLost means that a request was not sent, since its turn at a cold target was too
-// late when the connection was there.
+// errTurnLost means that a request was not sent, since its turn at a cold target had
+// ended when the connection was ready.
 var errTurnLost = errors.New("turn at a cold target is lost")
 
-// permit reports whether the request may still be sent to t, right before its first
-// byte goes out.
+// permit returns an error if the request may no longer be sent to t. It is called right
+// before the first byte is sent.
 func (s *sender) permit(t *catalog.Target) error {
 	if err := s.h.Follower.Snapshot().CheckSend(t); err != nil {
 		return err
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -215,7 +215,7 @@
 func (h *Host) applySnapshot(s *catalog.Snapshot) {
 	h.Balancer.Prune(s)
 	h.Backpressure.Prune(s)
-	h.checkOperators(s)
+	h.warnOfOperatorRecords(s)
 	if s.Table != nil {
 		h.callerServer.setLimits(s.Table.Limits)
 	}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -13,9 +13,9 @@
 )
 
 // reservedLateness is the lateness with which a request is still promised capacity. It is
-// much shorter than maxLateness: promises are kept, so that in a peak the queue becomes as
-// long as this allows. In TestPeak, 1.5 s made 228 of 516 served requests late, 0.5 s about
-// 54 of 475.
+// much shorter than maxLateness: promises are kept, so that in a load peak the queues grow
+// as long as this allows, and late work displaces work that could be on time.
+// docs/design/reservations.md compares values.
 const reservedLateness = 500 * time.Millisecond
 
 // servedUntil returns the time by which the first event has to come for a request that
@@ -36,7 +36,7 @@
 		return nil
 	}
 	verdicts := p.h.Stages.Reserve(ctx, wanted)
-	if err := p.judge(wanted, verdicts); err != nil {
+	if err := p.checkVerdicts(wanted, verdicts); err != nil {
 		p.h.Stages.GiveBack(unrefused(wanted, verdicts))
 		return err
 	}
@@ -54,8 +54,9 @@
 	return nil
 }
 
-// judge returns the refusal that the verdicts call for, or nil.
-func (p *plan) judge(wanted []stage.Reservation, verdicts []stage.Verdict) error {
+// checkVerdicts returns a refusal if a batcher refused a reservation, or if none replied
+// and the wait estimates don't admit the request.
+func (p *plan) checkVerdicts(wanted []stage.Reservation, verdicts []stage.Verdict) error {
 	replied := true
 	var refused *stage.Reservation
 	var longest stage.Answer
@@ -72,12 +73,13 @@
 	if replied {
 		return nil
 	}
-	return p.judgeWithoutReply(wanted, verdicts)
+	return p.checkEstimates(wanted, verdicts)
 }
 
-// judgeWithoutReply decides by the wait estimates. Without a recent one of a service
-// only some requests are admitted.
-func (p *plan) judgeWithoutReply(wanted []stage.Reservation, verdicts []stage.Verdict) error {
+// checkEstimates returns a refusal if the wait estimates of the services whose batchers
+// did not reply don't admit the request. To a service without a recent estimate only a few
+// requests are admitted.
+func (p *plan) checkEstimates(wanted []stage.Reservation, verdicts []stage.Verdict) error {
 	unknown := map[string]bool{}
 	for i, v := range verdicts {
 		if !v.Replied {
@@ -94,15 +96,15 @@
 		return err
 	}
 	for i, v := range verdicts {
-		if _, known := p.h.Stages.EstimateAge(wanted[i].Service); !v.Replied && !known && !p.h.Stages.AdmitBlind(wanted[i].Service) {
+		if _, known := p.h.Stages.EstimateAge(wanted[i].Service); !v.Replied && !known && !p.h.Stages.AdmitWithoutEstimate(wanted[i].Service) {
 			return retryLater(result.Overloaded, p.spreadRetry(0, time.Second), "no batcher of service %s replies, and nothing recent is known of it", wanted[i].Service)
 		}
 	}
 	return nil
 }
 
-// unrefused returns the reservations that were granted, or may have been by a reply that
-// was lost.
+// unrefused returns the reservations to give back after a refusal: those that were
+// granted, and those that may have been granted although no reply arrived.
 func unrefused(wanted []stage.Reservation, verdicts []stage.Verdict) []stage.Reservation {
 	var out []stage.Reservation
 	refusedAt := map[string]bool{}
@@ -118,9 +120,9 @@
 }
 
 // spreadRetry returns the delay after which the caller of a refused request may retry:
-// at random in the time over which capacity comes free, so that the refused callers don't
-// come back all at once. Callers that can't wait so long are spread over the time that
-// they can.
+// at random in the time over which capacity becomes free, so that the refused callers don't
+// all retry at once. Callers that can't wait that long are spread over the time that they
+// can wait.
 func (p *plan) spreadRetry(wait, spread time.Duration) time.Duration {
 	longest := p.q.deadline.Sub(p.h.Clock.Now()) / retryAfterDivisor
 	from := min(max(wait+spread/4, minRetryAfter), longest/2)
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -61,8 +61,9 @@
 	// Stopped, unless nil, counts the calls that the check before the first byte
 	// stopped.
 	Stopped metrics.Counter
-	// Reservations puts the jobs first without which promises can't be kept, by the
-	// capacity of full calls. Without it jobs are ordered as if nothing was reserved.
+	// Reservations makes the batcher compute with the capacity of full calls, and put
+	// first the jobs that must start now for all promises to be kept. Without it, jobs are
+	// ordered as if nothing was reserved.
 	Reservations bool
 	// Metrics, unless nil, counts what becomes of reservations.
 	Metrics metrics.Registry
@@ -326,7 +327,7 @@
 	}
 	for _, q := range b.queues {
 		q.expire(now)
-		b.judge(q, now)
+		b.endUnservable(q, now)
 		b.dispatch(q)
 		q.measurePerPiece(now, q.hasWaiting())
 	}
--- a/internal/stage/calendar.go
+++ b/internal/stage/calendar.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// The decision of this file answers a load peak of several seconds that the later
-// stages of requests can't follow: each request that the first stage lets in needs the
-// capacity of pools in which other requests have not arrived yet. A request is promised
-// capacity only if it and all earlier promises can be kept.
+// The decision in this file is for load peaks of several seconds in which later stages have
+// too little capacity for all requests that the first stage admits. Requests in an earlier
+// stage don't wait at the later pools yet, but will need their capacity. A request is
+// promised capacity only if that promise and all earlier ones can be kept.
 
 // Resolution and bounds of a calendar.
 const (
@@ -127,7 +127,7 @@
 // decide reports whether asked can be promised beside the demands, and otherwise the
 // time after which it could be if nothing else changed. headroom is the cost that has
 // to stay free for others. Demands that end before asked don't matter to the answer,
-// since they go first: one that is late already must not keep out what can be served.
+// since they go first: one that is late already must not prevent others from being served.
 func (c *calendar) decide(demands []demand, busy *busyTargets, asked demand, headroom time.Duration) (wait time.Duration, granted bool) {
 	asked.cost += headroom
 	late := c.lateness(append(demands, asked), busy, slotOf(asked.end))
--- a/internal/stage/capacity.go
+++ b/internal/stage/capacity.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// The estimates of this file answer a load peak as well: calls fill up while pieces
-// wait, so that the capacity of a pool in a peak is that of full calls, and not the one
-// that was measured with calls of a few pieces before.
+// The estimates in this file are for load peaks. Calls fill up while pieces wait, so that
+// the capacity of a pool in a peak is that of full calls, which is more than what was
+// measured before the peak with calls of a few pieces.
 
 const (
 	// longPause is the remaining pause from which a target doesn't count towards the
@@ -81,8 +81,8 @@
 	return c
 }
 
-// minPace bounds the pace of a target that is taken for fast, since a pace of zero
-// would make its capacity infinite.
+// minPace is the lowest pace with which a target counts, since a pace of zero would make
+// its capacity infinite.
 const minPace = 0.1
 
 // cost returns the time that pieces take of all targets together: that of their calls
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -51,8 +51,8 @@
 	Members Members
 	Peers   *peer.Caller
 	Batcher *Batcher
-	// Reservations says that this host reserves, so that its heartbeats list what is
-	// open.
+	// Reservations reports whether this host reserves capacity. Its heartbeats then list
+	// its open reservations.
 	Reservations bool
 
 	mu            sync.Mutex
@@ -66,11 +66,11 @@
 	// open holds the reservations of admitted requests whose jobs have not been sent, by
 	// ID.
 	open map[string]openReservation
-	// formerUntil holds the holders that don't know the call, by name, and when to ask
-	// them again.
+	// formerUntil holds the holders that don't know the call Reserve, by name, and when to
+	// ask them again.
 	formerUntil map[string]time.Time
-	// blind counts the requests that were admitted without an estimate, by service.
-	blind map[string]blindCount
+	// withoutEstimate counts the requests that were admitted without an estimate, by service.
+	withoutEstimate map[string]admissionCount
 }
 
 // Run runs j at the holder of its service and waits for the outcome. If the
--- a/internal/stage/overload.go
+++ b/internal/stage/overload.go
@@ -8,8 +8,8 @@
 // arrived ends at once: it would keep its inputs in scarce memory and its caller in
 // doubt until the caller leaves.
 
-// hopeless returns the deferred or critical jobs without a started piece that would end after
-// their deadline. The jobs must be in the order of the last call of order.
+// hopeless returns the deferred or critical jobs without a started piece that would end
+// after their deadline. The jobs must be in the order of the last call of order.
 func (q *queue) hopeless(now time.Time) []*job {
 	var out []*job
 	ahead := time.Duration(0)
--- a/internal/stage/promise.go
+++ b/internal/stage/promise.go
@@ -7,21 +7,20 @@
 	"go.uber.org/zap"
 )
 
-// The decisions of this file answer a load peak in which not all that was admitted can
-// be on time: what was promised goes first when it would be served too late otherwise.
+// The order in this file is for load peaks in which not all admitted work can be on time:
+// promised jobs go first once they would otherwise be served too late.
 
 const (
 	// promiseMargin is how long before its latest start a promised job goes first.
 	promiseMargin = 100 * time.Millisecond
-	// judgeFactor is the growth of the time of a piece from which waiting jobs are
-	// judged again.
-	judgeFactor = 1.1
+	// capacityFallFactor is the growth of the time of a piece from which the capacity of
+	// a pool counts as fallen.
+	capacityFallFactor = 1.1
 )
 
-// prioritize puts promised jobs first that must start now so that all promises can be
-// kept, by the times that were promised, and deferred jobs of requests that have begun
-// before the other deferred ones. The jobs must be in the order of the last call of
-// order.
+// prioritize puts first the promised jobs that must start now for all promises to be kept,
+// in the order of the promised times. Deferred jobs of requests that have begun come before
+// the other deferred ones. The jobs must be in the order of the last call of order.
 func (q *queue) prioritize(now time.Time) {
 	call := q.callTimeAtOrder
 	promised := q.demandBuffer[:0]
@@ -63,17 +62,17 @@
 	}
 }
 
-// judge ends the waiting jobs that can't be served any more after the capacity of the
-// pool has fallen, such as when targets were lost while all others are in use.
-func (b *Batcher) judge(q *queue, now time.Time) {
+// endUnservable ends the waiting jobs that can't be served any more after the capacity of
+// the pool has fallen, for example because targets were lost.
+func (b *Batcher) endUnservable(q *queue, now time.Time) {
 	if !q.reserving || len(q.jobs) == 0 {
 		return
 	}
 	q.refresh(b.Catalog())
 	c := q.capacity(now)
-	fallen := c.slots > 0 && float64(c.piece) > judgeFactor*float64(q.judgedPiece)
-	first := q.judgedPiece == 0
-	q.judgedPiece = c.piece
+	fallen := c.slots > 0 && float64(c.piece) > capacityFallFactor*float64(q.lastPieceTime)
+	first := q.lastPieceTime == 0
+	q.lastPieceTime = c.piece
 	if !fallen || first {
 		return
 	}
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -67,10 +67,10 @@
 	// epoch is the time from which the times of reservations count.
 	epoch  time.Time
 	recent recent
-	// atOrder is the capacity when the jobs were last ordered, judgedPiece the time per
-	// piece when it was last found to have fallen or not.
-	atOrder     capacity
-	judgedPiece time.Duration
+	// atOrder is the capacity when the jobs were last ordered, lastPieceTime the time of a
+	// piece when endUnservable last compared it.
+	atOrder       capacity
+	lastPieceTime time.Duration
 	// meanHeld is the mean time for which targets hold results; zero until one is freed.
 	meanHeld time.Duration
 	shares   shares
@@ -199,8 +199,8 @@
 func tooLate(j *job, call time.Duration, now time.Time) bool { return j.due.Before(now.Add(call)) }
 
 // barred returns the waiting jobs that no target may take because of evacuations or
-// their home regions. Neither ends by itself soon, so that their callers are better
-// told at once.
+// their home regions. They are ended at once, since neither restriction is likely to end
+// before their callers leave.
 func (q *queue) barred(s *catalog.Snapshot) []*job {
 	var out []*job
 	for _, j := range q.jobs {
--- a/internal/stage/reservation.go
+++ b/internal/stage/reservation.go
@@ -66,8 +66,8 @@
 	// heartbeat is dropped. A younger one may be missing because the heartbeat was sent
 	// before the host had the answer.
 	listLag = 500 * time.Millisecond
-	// wakeGap is the time between two sweeps from which this host itself is taken for
-	// frozen in between, so that it can't know who was silent.
+	// wakeGap is the time between two sweeps from which this host counts as having been
+	// frozen. It then can't know which hosts were silent.
 	wakeGap = 500 * time.Millisecond
 	// maxReservations bounds the reservations of all hosts at one batcher, maxPerCall
 	// those of one call.
@@ -86,8 +86,9 @@
 	Reservation
 	host      string
 	grantedAt time.Time
-	// start, due and end are the times at which Start, Due and End end, counted from the
-	// queue's epoch: a decision looks at those of all reservations.
+	// start, due and end are the times at which Start, Due and End end. They count from the
+	// queue's epoch, so that a decision, which looks at those of all reservations, only
+	// subtracts durations.
 	start, due, end time.Duration
 	// cost was counted as use of the workspace's share.
 	cost time.Duration
@@ -146,15 +147,16 @@
 	return reply
 }
 
-// recent is what a queue keeps for the decisions of recentLifetime, since it takes as long
-// to compute as a decision.
+// recent holds what the decisions within recentLifetime share, since computing it takes
+// as long as a decision.
 type recent struct {
 	at       time.Time
 	capacity capacity
 	outlook  Outlook
 }
 
-// recentLifetime is less than the resolution of the calendar.
+// recentLifetime is the age from which recent is computed anew. It is less than the
+// resolution of the calendar.
 const recentLifetime = sweepInterval
 
 // refreshRecent takes the targets of q from the catalog and computes recent anew, if it is
@@ -181,29 +183,53 @@
 		b.count("Refused")
 		return Answer{Wait: noTargetWait}
 	}
-	call := q.callTimeOf(c, q.waitingPieces(), r.Pieces)
-	asked := demand{start: r.Start, end: r.End - call, cost: c.cost(r.Pieces, r.PieceBytes)}
-	b.refreshShares(q, c, call, now)
-	standing := q.shares.standing(&r, asked.cost, now)
-	demands := q.demands(c, call, now)
-	wait, granted := q.calendar.decide(demands, &c.busy, asked, standing.headroom())
-	q.shares.record(&r, asked.cost, granted, now)
-	if !granted {
-		q.shares.shortAt = now
-	}
-	if granted {
-		b.addReservation(host, r, now).cost = asked.cost
+	d := b.evaluate(q, &r, now)
+	q.shares.record(&r, d.asked.cost, d.granted, now)
+	if d.granted {
+		b.addReservation(host, r, now).cost = d.asked.cost
 		b.count("Granted")
 		return Answer{Granted: true}
 	}
+	q.shares.shortAt = now
+	b.count("Refused")
 	total, served := q.shares.all.sums(q.shares.bucketAt(now))
 	spread := returnFactor * (total - served)
-	b.count("Refused")
-	b.logRefusal(r, zap.Duration("Cost", asked.cost), zap.Duration("Start", r.Start), zap.Duration("End", r.End), zap.Duration("Call", call),
-		zap.Duration("Age", now.Sub(q.recent.at)), zap.Int32("Free", c.busy.until[0]), zap.Int("Slots", c.slots), zap.Int("Demands", len(demands)), zap.Duration("Outstanding", totalCost(demands)),
-		zap.Duration("Headroom", standing.headroom()), zap.Bool("Short", standing.short), zap.Duration("Share", standing.level), zap.Duration("Used", standing.used),
-		zap.Bool("Starving", standing.starving), zap.Duration("Wait", wait), zap.Duration("Spread", spread))
-	return Answer{Wait: wait, Spread: spread}
+	b.logRefusal(r, append(d.fields(&q.recent, now), zap.Duration("Spread", spread))...)
+	return Answer{Wait: d.wait, Spread: spread}
+}
+
+// decision is a decision on one reservation with its inputs.
+type decision struct {
+	asked demand
+	// call is the expected time of a call.
+	call     time.Duration
+	standing standing
+	demands  []demand
+	wait     time.Duration
+	granted  bool
+}
+
+// evaluate decides on r without granting it.
+func (b *Batcher) evaluate(q *queue, r *Reservation, now time.Time) decision {
+	c := q.recent.capacity
+	call := q.callTimeOf(c, q.waitingPieces(), r.Pieces)
+	d := decision{call: call, asked: demand{start: r.Start, end: r.End - call, cost: c.cost(r.Pieces, r.PieceBytes)}}
+	b.refreshShares(q, c, call, now)
+	d.standing = q.shares.standing(r, d.asked.cost, now)
+	d.demands = q.demands(c, call, now)
+	d.wait, d.granted = q.calendar.decide(d.demands, &c.busy, d.asked, d.standing.headroom())
+	return d
+}
+
+// fields returns the log fields of d, which was made with the capacity in recent.
+func (d *decision) fields(recent *recent, now time.Time) []zap.Field {
+	return []zap.Field{
+		zap.Duration("Cost", d.asked.cost), zap.Duration("Start", d.asked.start), zap.Duration("End", d.asked.end+d.call), zap.Duration("Call", d.call),
+		zap.Duration("Age", now.Sub(recent.at)), zap.Int32("Free", recent.capacity.busy.until[0]), zap.Int("Slots", recent.capacity.slots),
+		zap.Int("Demands", len(d.demands)), zap.Duration("Outstanding", totalCost(d.demands)),
+		zap.Duration("Headroom", d.standing.headroom()), zap.Bool("Short", d.standing.short), zap.Duration("Share", d.standing.level),
+		zap.Duration("Used", d.standing.used), zap.Bool("Starving", d.standing.starving), zap.Duration("Wait", d.wait),
+	}
 }
 
 // logRefusal logs a refused reservation with the inputs of the decision.
@@ -263,7 +289,7 @@
 }
 
 // giveBack removes the reservation with the given ID, if there is one. It does not count
-// as use of its workspace's share any more: another pool may have refused the request.
+// as use of its workspace's share any more, since another pool may have refused the request.
 func (b *Batcher) giveBack(id string, now time.Time) {
 	r := b.reservations[id]
 	if r == nil {
--- a/internal/stage/reserve.go
+++ b/internal/stage/reserve.go
@@ -15,15 +15,17 @@
 
 // Bounds of the reservations of a host.
 const (
-	// reserveTimeout bounds the calls for one request. A caller that is refused must
-	// hear so soon, and a batcher answers within a few milliseconds.
+	// reserveTimeout bounds the calls for one request. Refusals must be early, and a
+	// batcher usually replies within a few milliseconds.
 	reserveTimeout = 150 * time.Millisecond
-	// formerLifetime is how long a holder that doesn't know the call isn't asked.
+	// formerLifetime is how long a holder that doesn't know the call Reserve isn't asked
+	// again. It may be replaced by one of this version at any time.
 	formerLifetime = 5 * time.Second
-	// maxBlind is the number of requests that a host admits per blindWindow to a service
-	// of which it knows nothing. It is about what a host gets outside of load peaks.
-	maxBlind    = 4
-	blindWindow = time.Second
+	// maxWithoutEstimate is the number of requests that a host admits per
+	// withoutEstimateWindow to a service of which it has no recent estimate. It is about
+	// the rate of one host outside of load peaks.
+	maxWithoutEstimate    = 4
+	withoutEstimateWindow = time.Second
 )
 
 // Verdict is what became of one Reservation.
@@ -43,8 +45,8 @@
 	at time.Time
 }
 
-// blindCount is the number of requests admitted without an estimate since a time.
-type blindCount struct {
+// admissionCount is the number of requests admitted without an estimate since a time.
+type admissionCount struct {
 	since time.Time
 	n     int
 }
@@ -100,8 +102,8 @@
 // errFormerVersion is the error of a call that the holder doesn't know.
 var errFormerVersion = errors.New("holder of a former version")
 
-// callReserve makes the call. Over a broken connection it is made once more, as the
-// batcher knows what it has granted.
+// callReserve calls Reserve at host. After a broken connection it calls once more, which
+// is safe since a batcher grants a reservation that it has granted before.
 func (c *Client) callReserve(ctx context.Context, host peer.Host, args *ReserveArgs) (*ReserveReply, error) {
 	if host.Name == c.Self {
 		reply, err := c.Batcher.reserve(*args, false)
@@ -137,8 +139,9 @@
 }
 
 // refreshEstimates asks a holder of a former version for the wait estimates of the
-// reservations' services, unless there are recent ones: without jobs there this host would
-// know nothing. Such a holder sends no estimate of a service of which nothing waits.
+// reservations' services, unless there are recent ones. A host without jobs there gets none
+// otherwise. Such a holder sends no estimate of a service for which nothing waits; it counts
+// as no wait.
 func (c *Client) refreshEstimates(ctx context.Context, host peer.Host, rs []Reservation) {
 	missing := map[string]Outlook{}
 	for _, r := range rs {
@@ -188,29 +191,29 @@
 	return age, ok && age <= estimateLifetime
 }
 
-// AdmitBlind reports whether one more request may be admitted to a service of which this
-// host has no recent estimate, and counts it. A host without an estimate once admitted
-// everything, which in a load peak is far more than a pool can serve.
-func (c *Client) AdmitBlind(service string) bool {
+// AdmitWithoutEstimate reports whether one more request may be admitted to a service of
+// which this host has no recent estimate, and counts it. Without this bound such a host
+// would admit everything, which in a load peak is far more than a pool can serve.
+func (c *Client) AdmitWithoutEstimate(service string) bool {
 	now := c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.blind == nil {
-		c.blind = map[string]blindCount{}
+	if c.withoutEstimate == nil {
+		c.withoutEstimate = map[string]admissionCount{}
 	}
-	count := c.blind[service]
-	if now.Sub(count.since) >= blindWindow {
-		count = blindCount{since: now}
+	count := c.withoutEstimate[service]
+	if now.Sub(count.since) >= withoutEstimateWindow {
+		count = admissionCount{since: now}
 	}
-	if count.n >= maxBlind {
+	if count.n >= maxWithoutEstimate {
 		return false
 	}
 	count.n++
-	c.blind[service] = count
+	c.withoutEstimate[service] = count
 	return true
 }
 
-// Keep records the reservations of an admitted request, which heartbeats tell their
+// Keep records the reservations of an admitted request. Heartbeats list them to their
 // holders until their jobs are sent or they are given back.
 func (c *Client) Keep(rs []Reservation) {
 	now := c.Clock.Now()
@@ -224,8 +227,8 @@
 	}
 }
 
-// GiveBack gives back reservations whose jobs will not be sent. A message that is lost
-// is made good by the next heartbeat, or by the end of the reservation.
+// GiveBack gives back reservations whose jobs will not be sent. If the message is lost,
+// the holder drops them when a later heartbeat doesn't list them, or at their latest end.
 func (c *Client) GiveBack(rs []Reservation) {
 	byHost := map[peer.Host][]string{}
 	for _, r := range rs {
--- a/internal/stage/reserve_test.go
+++ b/internal/stage/reserve_test.go
@@ -50,7 +50,7 @@
 }
 
 // TestReservationsOfManyHosts has hosts that know nothing recent of a batcher ask it at
-// the same time. By their estimates they would all be admitted, as once they were: the sum
+// the same time. It guards against admitting all of them, as by their own estimates: the sum
 // must be what the pool can serve, and given back capacity must be granted again.
 func TestReservationsOfManyHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -82,8 +82,8 @@
 }
 
 // TestPromisedJobs fills a pool with promises and expects all their jobs to be served in
-// time, while jobs of a host that doesn't reserve, which are worth more, crowd in. Such
-// jobs once went first, so that what had been admitted before ended too late.
+// time, while jobs of a host that doesn't reserve, which are worth more, arrive. It guards
+// against such jobs going first, which makes promised ones end too late.
 func TestPromisedJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2).reserving()
@@ -320,22 +320,23 @@
 	})
 }
 
-// TestBlindAdmission expects a host that knows nothing of a service to admit no more than
-// it gets outside of load peaks: it once admitted everything.
-func TestBlindAdmission(t *testing.T) {
+// TestAdmissionWithoutEstimate expects a host without a recent estimate of a service to
+// admit no more than maxWithoutEstimate requests per withoutEstimateWindow. It guards against
+// admitting everything.
+func TestAdmissionWithoutEstimate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1).clients[0]
 		admitted := 0
 		for range 20 {
 			for range 10 {
-				if c.AdmitBlind("s") {
+				if c.AdmitWithoutEstimate("s") {
 					admitted++
 				}
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
-		if admitted != 2*maxBlind {
-			t.Errorf("%d requests admitted in 2s, want %d", admitted, 2*maxBlind)
+		if admitted != 2*maxWithoutEstimate {
+			t.Errorf("%d requests admitted in 2s, want %d", admitted, 2*maxWithoutEstimate)
 		}
 	})
 }
--- a/internal/stage/share.go
+++ b/internal/stage/share.go
@@ -10,22 +10,21 @@
 	"go.uber.org/zap"
 )
 
-// The decisions of this file answer a pool that is short while a few workspaces ask for
-// most of it, perhaps by retrying at once: its capacity is shared by max-min fairness, by
-// cost. They don't answer a workspace that asks for more than its share of a pool that has
-// enough for all.
+// The shares in this file are for pools that are short while a few workspaces ask for most
+// of their capacity, for example by retrying at once. The capacity is shared by max-min
+// fairness, measured by cost. A pool that has enough for all is not shared.
 
 const (
-	// headroomStep is the capacity that requests with less claim to a short pool leave
-	// free for others. With two hosts' load peaks in 50 ms it is enough for the requests of
-	// small workspaces that arrive until work has been done again.
+	// headroomStep is the capacity, in time of all targets, that a request must leave free
+	// in a short pool for those with a better claim. It covers what small workspaces ask
+	// for until the pool has completed more work.
 	headroomStep = 150 * time.Millisecond
 	// starvingRatio is the part of the rate of all requests below which a class of them
-	// is starving. It is above the quarter that every class has to get.
+	// is starving. It is above the quarter that every class must be served, as a margin.
 	starvingRatio = 0.35
-	// shareInterval is the time between two computations of the shares, shortLifetime the
-	// time for which a pool counts as short, so that the order of jobs doesn't change with
-	// each call.
+	// shareInterval is the time between two computations of the shares. shortLifetime is
+	// the time for which a pool counts as short after the last sign of it, so that the
+	// order of jobs doesn't change with each call.
 	shareInterval = 100 * time.Millisecond
 	shortLifetime = time.Second
 	// shareLogInterval is the time between two log lines on a short pool.
@@ -76,7 +75,7 @@
 	return noLevel
 }
 
-// standing is what the share of a request in a pool rests on.
+// standing holds what determines the headroom that a request must leave in a pool.
 type standing struct {
 	// short reports whether the pool is short.
 	short bool
@@ -155,7 +154,7 @@
 	}
 }
 
-// refund counts a granted request as refused that was given back.
+// refund counts a granted request that was given back as refused.
 func (s *shares) refund(r *Reservation, cost time.Duration, now time.Time) {
 	bucket := s.bucketAt(now)
 	s.all.refund(bucket, cost)
@@ -239,7 +238,8 @@
 	b.reportShares(q, now)
 }
 
-// dueDemands is demands with the times from which the results lose worth as ends.
+// dueDemands is like demands, but the ends of its demands are the times at which their
+// results begin to lose worth.
 func (q *queue) dueDemands(c capacity, call time.Duration, now time.Time) []demand {
 	out := q.demandBuffer[:0]
 	for _, j := range q.jobs {
--- a/internal/stage/tally.go
+++ b/internal/stage/tally.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// Resolution of a tally. Its window of 2 s is shorter than a load peak, so that the shares
-// of the peak are known soon after its start, and no workspace pays for a former one.
+// Resolution of a tally. Its window of 2 s is shorter than a load peak of several seconds, so
+// that the shares follow soon after the start of a peak, and what a workspace used in an
+// earlier peak doesn't count against it.
 const (
 	tallyBucketTime = 250 * time.Millisecond
 	tallyBuckets    = 8
