gateway: split conns.go by theme

conns.go keeps the table of connections. One connection, its reads, its writes and the memory of its headers have files of their own. No code changes.

--- /dev/null
+++ b/internal/gateway/callerconn.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/memory"
+)
+
+const (
+	// minStallTime is the time without a byte after which a body counts as stalled. It exceeds the usual retransmission times of TCP.
+	minStallTime = time.Second
+	// minUnreadTime is the same for a response. The kernel of a caller acknowledges bytes
+	// only when it has handed over a part of its buffer, which takes a slow caller seconds.
+	minUnreadTime = 10 * time.Second
+	// lastLookTime is the time of the last attempt to read or write when a time limit has
+	// passed: a process that was frozen finds bytes that came meanwhile.
+	lastLookTime = 100 * time.Millisecond
+)
+
+// connState is what a connection is being used for, apart from writing.
+type connState int
+
+const (
+	// awaitsRequest means that no complete head of a request has arrived.
+	awaitsRequest connState = iota
+	// receivesBody means that the caller sends a body.
+	receivesBody
+	// servesRequest means that the caller waits for the host.
+	servesRequest
+)
+
+var connStateNames = [...]string{"awaits request", "receives body", "serves request"}
+
+// String returns the name of s for logs.
+func (s connState) String() string { return connStateNames[s] }
+
+// callerConn is a connection of a caller. It limits the pauses of the bodies that it
+// brings and of the responses that it takes.
+type callerConn struct {
+	net.Conn
+	conns *callerConns
+
+	mu    sync.Mutex
+	state connState
+	// served is set once a complete request has come.
+	served bool
+	// readAt and wroteAt are the times of the last progress in each direction; wroteAt is
+	// valid if writing is set.
+	readAt, wroteAt time.Time
+	writing         bool
+	// largeResponse is set while a response is written that holds counted memory.
+	largeResponse bool
+	closed        bool
+	// header follows the head of the next request, headerMemory is what its lines take.
+	header       headLines
+	headerMemory *memory.Allowance
+
+	// The following fields are those of the body that is being received.
+	part      bodyPart
+	bodyPause time.Duration
+	bodyUntil time.Time
+	end       bodyEnd
+	// lastLook is set after the time of the body is over.
+	lastLook bool
+}
+
+type callerConnKey struct{}
+
+// withCallerConn is the ConnContext hook of the servers for callers.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
+// callerConnOf returns the connection of r.
+func callerConnOf(r *http.Request) (*callerConn, error) {
+	if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
+		return c, nil
+	}
+	return nil, fmt.Errorf("no connection is known for the request")
+}
+
+// stall is the duty of a connection to be ended: the one before others goes first.
+type stall struct {
+	served bool
+	since  time.Time
+}
+
+func (s stall) before(other stall) bool {
+	if s.served != other.served {
+		return other.served
+	}
+	return s.since.Before(other.since)
+}
+
+// stall returns since when c is idle or has stalled, or false if it is in use.
+func (c *callerConn) stall(now time.Time) (stall, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := stall{c.served, c.readAt}
+	if c.writing {
+		at.since = c.wroteAt
+	}
+	switch {
+	case c.closed || c.end != bodyNotEnded:
+		return at, false
+	case c.writing:
+		return at, now.Sub(at.since) >= minUnreadTime
+	case c.state == receivesBody:
+		return at, now.Sub(at.since) >= minStallTime
+	default:
+		return at, c.state == awaitsRequest
+	}
+}
+
+func (c *callerConn) stalledFor() time.Duration {
+	now := c.conns.Clock.Now()
+	at, _ := c.stall(now)
+	return now.Sub(at.since)
+}
+
+func (c *callerConn) currentState() connState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+func (c *callerConn) receives(part bodyPart) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == receivesBody && c.part == part
+}
+
+func (c *callerConn) holdsResponse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writing && c.largeResponse
+}
+
+func (c *callerConn) setLargeResponse(large bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.largeResponse = large
+}
+
+// reset closes the connection at once; what is unsent is dropped.
+func (c *callerConn) reset() {
+	if c.markClosed() {
+		// An error means that it is closed already.
+		_ = link.Reset(c.Conn)
+	}
+}
+
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	if !c.markClosed() {
+		return net.ErrClosed
+	}
+	return c.Conn.Close()
+}
+
+// markClosed reports whether c was open, and removes it.
+func (c *callerConn) markClosed() bool {
+	c.mu.Lock()
+	was := c.closed
+	c.closed = true
+	c.headerMemory.Release()
+	c.mu.Unlock()
+	c.conns.remove(c)
+	return !was
+}
+
+// CloseWrite closes the sending side, if the connection has sides. The server of
+// net/http closes so after a refusal, and gives the caller time to read it.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/callerconn_read.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"time"
+)
+
+// bodyEnd is the reason for which the host has ended a body.
+type bodyEnd int
+
+const (
+	bodyNotEnded bodyEnd = iota
+	// bodyPaused means that no byte came for the longest allowed time.
+	bodyPaused
+	// bodyLate means that it was not complete at the end of its time.
+	bodyLate
+	// bodyEvicted means that its memory was needed.
+	bodyEvicted
+)
+
+// beginRequest notes that the head of r has arrived. A body must bring bytes within each
+// pause and end until the given time.
+func (c *callerConn) beginRequest(r *http.Request, pause time.Duration, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end, c.lastLook, c.part = bodyNotEnded, false, noBody
+	if r.Body == http.NoBody {
+		c.state, c.served = servesRequest, true
+		return
+	}
+	c.state = receivesBody
+	c.readAt = c.conns.Clock.Now()
+	c.bodyPause, c.bodyUntil = pause, until
+	c.setReadLimit(c.nextLook())
+}
+
+// limitBody lowers the end of the time of the body.
+func (c *callerConn) limitBody(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == receivesBody && until.Before(c.bodyUntil) {
+		c.bodyUntil = until
+		c.setReadLimit(c.nextLook())
+	}
+}
+
+// setPart notes which part of the memory for bodies the body holds.
+func (c *callerConn) setPart(p bodyPart) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.part = p
+}
+
+// endBody notes that the body has been read, or that reading it has failed, and returns
+// the reason for which the host has ended it, if it has.
+func (c *callerConn) endBody(complete bool) bodyEnd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = servesRequest
+	if complete {
+		// A body that was complete when it was to be ended is not ended.
+		c.end, c.served = bodyNotEnded, true
+	}
+	return c.end
+}
+
+// endRequest notes that the request has been answered.
+func (c *callerConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.end, c.largeResponse = awaitsRequest, bodyNotEnded, false
+	c.readAt = c.conns.Clock.Now()
+	c.header = headLines{}
+	c.headerMemory.Release()
+}
+
+// endBodyFor ends the body that is being received.
+func (c *callerConn) endBodyFor(reason bodyEnd) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != receivesBody || c.end != bodyNotEnded {
+		return false
+	}
+	c.end = reason
+	c.setReadLimit(c.conns.Clock.Now().Add(-time.Second))
+	return true
+}
+
+// stopReading makes all further reads fail, so that the rest of a refused request takes
+// no time and no memory.
+func (c *callerConn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReadLimit(c.conns.Clock.Now().Add(-time.Second))
+}
+
+// setReadLimit sets the time at which a waiting Read returns; c.mu is held.
+func (c *callerConn) setReadLimit(at time.Time) {
+	// An error means that the connection is closed, which the next Read reports.
+	_ = c.Conn.SetReadDeadline(at)
+}
+
+// nextLook returns the time at which the body is to be ended if no byte comes; c.mu is
+// held.
+func (c *callerConn) nextLook() time.Time {
+	if at := c.readAt.Add(c.bodyPause); at.Before(c.bodyUntil) {
+		return at
+	}
+	return c.bodyUntil
+}
+
+// Read reads from the caller, within the limits on the pauses and the time of a body.
+func (c *callerConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			if !c.countRead(b[:n]) {
+				return 0, errHeaderMemory
+			}
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendRead() {
+			return n, err
+		}
+	}
+}
+
+// extendRead is called when the limit of a Read has passed, which is that of an earlier
+// byte. It sets the present one, or notes why the body ends and returns false.
+func (c *callerConn) extendRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != receivesBody || c.end != bodyNotEnded {
+		return false
+	}
+	now := c.conns.Clock.Now()
+	next := c.nextLook()
+	switch {
+	case next.After(now):
+		c.setReadLimit(next)
+		return true
+	case !c.lastLook:
+		c.lastLook = true
+		c.setReadLimit(now.Add(lastLookTime))
+		return true
+	case !c.bodyUntil.After(now):
+		c.end = bodyLate
+	default:
+		c.end = bodyPaused
+	}
+	return false
+}
