gateway, placement, memory, settings: clearer comments and names

Examples of host sizes and callers of one deployment no longer stand beside the limits on callers. Unexported identifiers that needed explaining are renamed: lastLook to finalAttempt, nextLook to bodyDeadline, pausingWriter to limitedWriter, besideCost to delayCost, and a few more.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -61,7 +61,7 @@
 // a buffer that is copied when it grows takes up to three times the memory of its content.
 type body struct {
 	memory *bodyMemory
-	// onPart, unless nil, is called when the body has got another part of the memory.
+	// onPart, unless nil, is called when the memory of the body comes from another part.
 	onPart func(bodyPart)
 
 	segments [][]byte
@@ -71,7 +71,7 @@
 	taken    *memory.Allowance
 }
 
-// release gives the memory back. It may be called more than once.
+// release returns the memory to its budget. It may be called more than once.
 func (b *body) release() {
 	if b.taken != nil {
 		b.taken.Release()
@@ -85,8 +85,8 @@
 	}
 }
 
-// readAll reads r to its end. The length is the announced one, or negative; a body of
-// more than limit bytes is an error.
+// readAll reads r to its end. The length is the announced one, or negative if there is
+// none. A body of more than limit bytes is an error.
 func (b *body) readAll(r io.Reader, length, limit int64) error {
 	if length > limit {
 		return errBodyTooLarge
@@ -143,8 +143,8 @@
 	return nil
 }
 
-// take takes n bytes of memory, for all of the body from the part for large ones once it
-// is not small.
+// take takes n bytes of memory. Once the body is no longer small, all of its memory is
+// taken from the part for large bodies.
 func (b *body) take(n, length int64) error {
 	part := smallBody
 	if max(length, b.capacity+n) > settings.SmallBodyBytes {
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -13,14 +13,16 @@
 )
 
 const (
-	// minStallTime is the time without a byte after which a body counts as stalled. It exceeds the usual retransmission times of TCP.
+	// minStallTime is the time without a byte after which a body counts as stalled. It
+	// exceeds the usual retransmission times of TCP.
 	minStallTime = time.Second
-	// minUnreadTime is the same for a response. The kernel of a caller acknowledges bytes
-	// only when it has handed over a part of its buffer, which takes a slow caller seconds.
+	// minUnreadTime is the time after which a response of which the caller takes nothing
+	// counts as stalled. The kernel of a caller accepts more bytes only once the caller
+	// has read a part of its receive buffer, which takes a slow caller seconds.
 	minUnreadTime = 10 * time.Second
-	// lastLookTime is the time of the last attempt to read or write when a time limit has
-	// passed: a process that was frozen finds bytes that came meanwhile.
-	lastLookTime = 100 * time.Millisecond
+	// finalAttemptTime is how long a read or write is tried once more after a time limit
+	// has passed: a process that was frozen can then take the bytes that came meanwhile.
+	finalAttemptTime = 100 * time.Millisecond
 )
 
 // connState is what a connection is being used for, apart from writing.
@@ -40,8 +42,8 @@
 // String returns the name of s for logs.
 func (s connState) String() string { return connStateNames[s] }
 
-// callerConn is a connection of a caller. It limits the pauses of the bodies that it
-// brings and of the responses that it takes.
+// callerConn is a connection of a caller. It limits the pauses within request bodies and
+// within responses.
 type callerConn struct {
 	net.Conn
 	conns *callerConns
@@ -57,7 +59,8 @@
 	// largeResponse is set while a response is written that holds counted memory.
 	largeResponse bool
 	closed        bool
-	// header follows the head of the next request, headerMemory is what its lines take.
+	// header counts the lines of the head of the next request, headerMemory accounts for
+	// their memory.
 	header       headLines
 	headerMemory *memory.Allowance
 
@@ -66,8 +69,9 @@
 	bodyPause time.Duration
 	bodyUntil time.Time
 	end       bodyEnd
-	// lastLook is set after the time of the body is over.
-	lastLook bool
+	// finalAttempt is set once the deadline of the body has passed and it is read a last
+	// time.
+	finalAttempt bool
 }
 
 type callerConnKey struct{}
@@ -85,12 +89,14 @@
 	return nil, fmt.Errorf("no connection is known for the request")
 }
 
-// stall is the duty of a connection to be ended: the one before others goes first.
+// stall describes an idle or stalled connection. Stalls are ordered by which connection is
+// to be closed first.
 type stall struct {
 	served bool
 	since  time.Time
 }
 
+// before reports whether the connection of s is to be closed before that of other.
 func (s stall) before(other stall) bool {
 	if s.served != other.served {
 		return other.served
@@ -148,7 +154,7 @@
 	c.largeResponse = large
 }
 
-// reset closes the connection at once; what is unsent is dropped.
+// reset closes the connection at once and drops unsent bytes.
 func (c *callerConn) reset() {
 	if c.markClosed() {
 		// An error means that it is closed already.
@@ -164,7 +170,8 @@
 	return c.Conn.Close()
 }
 
-// markClosed reports whether c was open, and removes it.
+// markClosed marks c as closed, removes it from the table, and reports whether it was
+// open.
 func (c *callerConn) markClosed() bool {
 	c.mu.Lock()
 	was := c.closed
@@ -175,8 +182,8 @@
 	return !was
 }
 
-// CloseWrite closes the sending side, if the connection has sides. The server of
-// net/http closes so after a refusal, and gives the caller time to read it.
+// CloseWrite closes the sending side if the connection supports that. The server of
+// net/http calls it after a refusal, so that the caller can still read the response.
 func (c *callerConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return conn.CloseWrite()
--- a/internal/gateway/callerconn_header.go
+++ b/internal/gateway/callerconn_header.go
@@ -7,11 +7,11 @@
 	"go.uber.org/zap"
 )
 
-// Memory of a header: net/http makes a map of its lines, which takes many times the bytes
+// Memory of a header: net/http stores its lines in a map, which takes many times the bytes
 // of short lines.
 const (
-	// usualHeaderLines is the number of lines for which the memory of the connection
-	// suffices; headerLineBytes is that of each further line.
+	// usualHeaderLines is the number of lines that the memory assumed for each connection
+	// covers; headerLineBytes is the memory of each further line.
 	usualHeaderLines = 128
 	headerLineBytes  = 160
 )
@@ -19,12 +19,12 @@
 // errHeaderMemory means that there is no memory for the lines of a header.
 var errHeaderMemory = errors.New("no memory is left for a header with so many lines")
 
-// countRead notes that b was read, and reports whether there is memory for its lines if
-// it may belong to a header.
+// countRead records that b was read. If b may belong to a header, it reports whether there
+// is memory for the lines.
 func (c *callerConn) countRead(b []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readAt, c.lastLook = c.conns.Clock.Now(), false
+	c.readAt, c.finalAttempt = c.conns.Clock.Now(), false
 	if c.state != awaitsRequest || c.closed {
 		return true
 	}
@@ -38,10 +38,10 @@
 	return false
 }
 
-// headLines counts the lines of one head, and not those of the body that follows.
+// headLines counts the lines of one head but not those of the body that follows.
 type headLines struct {
 	lines int
-	// lineBytes is the size of the present line without line ends.
+	// lineBytes is the size of the current line without its end.
 	lineBytes int
 	// ended is set once the empty line at the end of the head has come.
 	ended bool
--- a/internal/gateway/callerconn_read.go
+++ b/internal/gateway/callerconn_read.go
@@ -14,18 +14,18 @@
 	bodyNotEnded bodyEnd = iota
 	// bodyPaused means that no byte came for the longest allowed time.
 	bodyPaused
-	// bodyLate means that it was not complete at the end of its time.
+	// bodyLate means that the body was not complete by its deadline.
 	bodyLate
-	// bodyEvicted means that its memory was needed.
+	// bodyEvicted means that the memory of the body was needed for another one.
 	bodyEvicted
 )
 
-// beginRequest notes that the head of r has arrived. A body must bring bytes within each
-// pause and end until the given time.
+// beginRequest records that the head of r has arrived. No pause within a body may be longer
+// than the given one, and the body must be complete by the given time.
 func (c *callerConn) beginRequest(r *http.Request, pause time.Duration, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.end, c.lastLook, c.part = bodyNotEnded, false, noBody
+	c.end, c.finalAttempt, c.part = bodyNotEnded, false, noBody
 	if r.Body == http.NoBody {
 		c.state, c.served = servesRequest, true
 		return
@@ -33,27 +33,27 @@
 	c.state = receivesBody
 	c.readAt = c.conns.Clock.Now()
 	c.bodyPause, c.bodyUntil = pause, until
-	c.setReadLimit(c.nextLook())
+	c.setReadLimit(c.bodyDeadline())
 }
 
-// limitBody lowers the end of the time of the body.
+// limitBody sets the deadline of the body to the given time, unless it is earlier already.
 func (c *callerConn) limitBody(until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == receivesBody && until.Before(c.bodyUntil) {
 		c.bodyUntil = until
-		c.setReadLimit(c.nextLook())
+		c.setReadLimit(c.bodyDeadline())
 	}
 }
 
-// setPart notes which part of the memory for bodies the body holds.
+// setPart records which part of the memory for bodies the body holds.
 func (c *callerConn) setPart(p bodyPart) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.part = p
 }
 
-// endBody notes that the body has been read, or that reading it has failed, and returns
+// endBody records that the body has been read, or that reading it has failed, and returns
 // the reason for which the host has ended it, if it has.
 func (c *callerConn) endBody(complete bool) bodyEnd {
 	c.mu.Lock()
@@ -66,7 +66,7 @@
 	return c.end
 }
 
-// endRequest notes that the request has been answered.
+// endRequest records that the request has been answered.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -102,9 +102,9 @@
 	_ = c.Conn.SetReadDeadline(at)
 }
 
-// nextLook returns the time at which the body is to be ended if no byte comes; c.mu is
-// held.
-func (c *callerConn) nextLook() time.Time {
+// bodyDeadline returns the time at which the body is to be ended if no further byte comes;
+// c.mu is held.
+func (c *callerConn) bodyDeadline() time.Time {
 	if at := c.readAt.Add(c.bodyPause); at.Before(c.bodyUntil) {
 		return at
 	}
@@ -127,8 +127,9 @@
 	}
 }
 
-// extendRead is called when the limit of a Read has passed, which is that of an earlier
-// byte. It sets the present one, or notes why the body ends and returns false.
+// extendRead is called when the read deadline has passed. Bytes that came after it was set
+// may allow a later one. extendRead sets that, or records why the body ends and returns
+// false.
 func (c *callerConn) extendRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -136,14 +137,14 @@
 		return false
 	}
 	now := c.conns.Clock.Now()
-	next := c.nextLook()
+	next := c.bodyDeadline()
 	switch {
 	case next.After(now):
 		c.setReadLimit(next)
 		return true
-	case !c.lastLook:
-		c.lastLook = true
-		c.setReadLimit(now.Add(lastLookTime))
+	case !c.finalAttempt:
+		c.finalAttempt = true
+		c.setReadLimit(now.Add(finalAttemptTime))
 		return true
 	case !c.bodyUntil.After(now):
 		c.end = bodyLate
--- a/internal/gateway/callerconn_write.go
+++ b/internal/gateway/callerconn_write.go
@@ -12,14 +12,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// writePieceBytes is the size of the pieces in which a response is written. Each piece
-// must make progress within the limit on pauses.
+// writePieceBytes is the size of the pieces in which a response is written. Pauses are
+// limited for each piece.
 const writePieceBytes = 64 << 10
 
 // Write writes to the caller. It fails once the caller has taken no byte for the longest
 // allowed time; a caller that reads slowly but steadily gets all.
 func (c *callerConn) Write(b []byte) (int, error) {
-	w := &pausingWriter{c: c, unsent: -1}
+	w := &limitedWriter{c: c, unsent: -1}
 	c.setWriting(true)
 	defer c.setWriting(false)
 	total := 0
@@ -40,18 +40,20 @@
 	c.wroteAt = c.conns.Clock.Now()
 }
 
-// pausingWriter writes one piece after the other.
-type pausingWriter struct {
+// limitedWriter writes the pieces of one response to a caller, and fails after a pause of
+// WritePause.
+type limitedWriter struct {
 	c *callerConn
-	// unsent is the number of bytes in the kernel's queue at the last look, or -1.
-	unsent   int
-	lastLook bool
+	// unsent is the number of bytes that the kernel's queue last had, or -1 if it is
+	// unknown.
+	unsent       int
+	finalAttempt bool
 }
 
 // write writes b, or as much of it as fits until the caller has paused for too long.
-func (w *pausingWriter) write(b []byte) (int, error) {
+func (w *limitedWriter) write(b []byte) (int, error) {
 	total := 0
-	wait := min(w.c.conns.WritePause, writeLookTime)
+	wait := min(w.c.conns.WritePause, unsentPollInterval)
 	for {
 		// An error means that the connection is closed, which Write reports.
 		_ = w.c.Conn.SetWriteDeadline(w.c.conns.Clock.Now().Add(wait))
@@ -59,16 +61,16 @@
 		total += n
 		if n > 0 || w.takesBytes() {
 			w.c.setWriting(true)
-			w.lastLook = false
+			w.finalAttempt = false
 		}
 		if total == len(b) || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return total, err
 		}
 		switch paused := w.c.stalledFor(); {
 		case paused < w.c.conns.WritePause:
-			wait = min(w.c.conns.WritePause-paused, writeLookTime)
-		case !w.lastLook:
-			wait, w.lastLook = lastLookTime, true
+			wait = min(w.c.conns.WritePause-paused, unsentPollInterval)
+		case !w.finalAttempt:
+			wait, w.finalAttempt = finalAttemptTime, true
 		default:
 			w.c.countUnread(paused)
 			return total, err
@@ -76,21 +78,21 @@
 	}
 }
 
-// writeLookTime is the time between two looks at what a caller takes while it takes
-// nothing from the process: the kernel accepts bytes again only when much of its queue
-// has been sent, which can take a slow caller longer than the allowed pause.
-const writeLookTime = time.Second
+// unsentPollInterval is the interval at which the kernel's queue is checked while it accepts
+// no bytes. It accepts some again only when much of it has been sent, which can take longer
+// than the allowed pause though the caller reads steadily.
+const unsentPollInterval = time.Second
 
 // takesBytes reports whether the caller has taken bytes from the kernel's queue since
 // the last call.
-func (w *pausingWriter) takesBytes() bool {
+func (w *limitedWriter) takesBytes() bool {
 	before := w.unsent
 	w.unsent = unsentBytes(w.c.Conn)
 	return before >= 0 && w.unsent < before
 }
 
-// unsentBytes returns the number of bytes in the kernel's queue that c's other side has
-// not acknowledged, or -1 if it is unknown.
+// unsentBytes returns the number of bytes in the kernel's queue that the peer of c has not
+// acknowledged, or -1 if it is unknown.
 func unsentBytes(c net.Conn) int {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
@@ -111,7 +113,7 @@
 	return n
 }
 
-// countUnread counts a caller that is disconnected since it reads nothing.
+// countUnread counts and logs a caller that is disconnected because it reads nothing.
 func (c *callerConn) countUnread(paused time.Duration) {
 	metrics.GetOrRegisterCounter("Responses.Unread", c.conns.Metrics).Inc(1)
 	c.conns.Log.Warn("caller reads nothing", zap.Stringer("Caller", c.RemoteAddr()), zap.Duration("Stalled", paused))
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -12,11 +12,11 @@
 	"go.uber.org/zap"
 )
 
-// The limits on connections hold for callers outside our control: those that open
-// connections without end, that stop within a body, and that don't read their responses.
+// The limits on connections protect a host from callers that open connections without
+// end, that stop within a body, or that don't read their responses.
 
-// callerConns are the open connections of callers. It bounds their number, and ends
-// those that have stalled when something is short. Exported fields must be set before
+// callerConns holds the open connections of callers. It bounds their number, and ends
+// stalled ones when connections or memory run short. Exported fields must be set before
 // the first connection.
 type callerConns struct {
 	Clock   *clock.Service
@@ -26,7 +26,7 @@
 	Max int
 	// WritePause is the longest time for which a caller takes no byte of a response.
 	WritePause time.Duration
-	// Headers is the memory for headers with more than usualHeaderLines lines.
+	// Headers bounds the memory for header lines beyond usualHeaderLines a request.
 	Headers *memory.Budget
 
 	mu    sync.Mutex
@@ -83,7 +83,7 @@
 
 // longestStalled returns the connection that has been idle or stalled longest, of those
 // that fit, or nil. Connections that have never brought a complete request come first:
-// a crowd must not displace the idle connections of callers that have been served.
+// many new connections must not displace the idle ones of callers that have been served.
 func (s *callerConns) longestStalled(fits func(*callerConn) bool) *callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/eventwriter.go
+++ b/internal/gateway/eventwriter.go
@@ -8,20 +8,20 @@
 	"berylswitch.example/berylswitch/internal/memory"
 )
 
-// eventOverheadBytes is the memory that an event takes besides its bytes.
+// eventOverheadBytes is the memory that an event in the queue takes besides its bytes.
 const eventOverheadBytes = 64
 
 // queuedEvent is an event that has not been written to the caller.
 type queuedEvent struct {
 	raw []byte
-	// taken is the memory that it holds of the budget.
+	// taken is the number of bytes that the event holds of the budget.
 	taken int64
 }
 
 // eventWriter writes events to a caller while the next ones are read from the target: a
-// target aborts a response that stays unread for some seconds, so that a caller that
-// reads slowly would lose its stream. It holds a bounded number of bytes; then the target
-// waits for the caller. One goroutine puts events, another one writes them.
+// target aborts a response that stays unread for some seconds, and a caller that reads
+// slowly would lose its stream. The queue holds a bounded number of bytes; when it is full,
+// the target waits for the caller. One goroutine puts events, another one writes them.
 type eventWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
@@ -34,7 +34,7 @@
 	bytes  int64
 	closed bool
 	err    error
-	// added and removed signal a change of the queue to its two users.
+	// added wakes the goroutine that writes events, removed the one that puts them.
 	added, removed chan struct{}
 	done           chan struct{}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -25,8 +25,8 @@
 	method, uri, host string
 	header            http.Header
 	body              body
-	// bodyRefused is set if the host has ended the body. net/http takes that for the end
-	// of the caller.
+	// bodyRefused is set if the host has ended the body. The failed read makes net/http
+	// cancel the context of the request, as it does when the caller disconnects.
 	bodyRefused bool
 	conn        *callerConn
 	// version is that of the configuration by which the request is handled.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -59,7 +59,7 @@
 	turnLost bool
 	// turn is that of the current send.
 	turn backpressure.Turn
-	// choosesHere is set once the holder has chosen a cold target as if it was warm.
+	// choosesHere is set once the holder has chosen a cold target as if it were warm.
 	choosesHere bool
 	// blockedSuspect is that for which the request must not be sent any more, or zero.
 	blockedSuspect crash.Suspect
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -232,8 +232,8 @@
 	return streamComplete
 }
 
-// relayEvent passes one event on to the caller. If the caller reads so slowly that it has
-// to wait, the target's silence is not the target's.
+// relayEvent passes one event on to the caller. While it waits for a caller that reads
+// slowly, the target's silence is not counted as a stall of the target.
 func (s *sender) relayEvent(ctx context.Context, resp *upstream.Response, rel *relayState, ev event, timer *stallTimer) error {
 	if !rel.out.started {
 		s.q.timeToFirstEvent = s.h.Clock.Since(s.q.arrived)
--- a/internal/host/admit.go
+++ b/internal/host/admit.go
@@ -21,7 +21,7 @@
 )
 
 // admit validates a request before any part of it runs. The memory of its body is taken
-// of a. Its error is a *result.Error that reports that nothing ran.
+// from a. Its error is a *result.Error that reports that nothing ran.
 func (h *Host) admit(rest *restful.Request, resp *restful.Response, id string, start time.Time, a *memory.Allowance) (*pipeline.Request, error) {
 	state := h.Follower.State()
 	if h.Follower.Stale(start) {
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -1,6 +1,6 @@
-// Package memory bounds the memory that the data of others takes together: bodies of
-// callers' requests, and responses of targets. A Budget counts what its users hold; what
-// it can't hold is refused, so that no sender can end the process.
+// Package memory bounds the memory that data of callers and targets takes together: bodies
+// of requests, and responses. A Budget counts what its users hold and refuses what exceeds
+// it, so that no sender can make the process run out of memory.
 package memory
 
 import (
@@ -10,8 +10,8 @@
 	"berylswitch.example/berylswitch/internal/clock"
 )
 
-// reliefTime is how long a Take waits for the memory of what Relieve has ended. Its
-// holders only have to return, which takes no time of others.
+// reliefTime is how long a Take waits for the memory of holders that Relieve has ended.
+// These release it as soon as their goroutines run.
 const reliefTime = 500 * time.Millisecond
 
 // Budget bounds the memory that its allowances hold together. The zero value allows
@@ -22,8 +22,8 @@
 	// Relieve, unless nil, ends one holder of an allowance when memory is short, and
 	// reports whether there was one to end. The holder releases its allowance later.
 	Relieve func() bool
-	// Wait is how long a Take waits for memory that others return by themselves. If it is
-	// zero, a Take waits for what Relieve has ended alone.
+	// Wait is how long a Take waits for memory that holders release on their own. If it is
+	// zero, a Take waits only after Relieve has ended a holder.
 	Wait time.Duration
 
 	mu   sync.Mutex
@@ -66,7 +66,7 @@
 		if b.Relieve != nil && b.Relieve() {
 			waits = true
 		}
-		if !waits || !awaitFreed(freed, end) {
+		if !waits || !awaitRelief(freed, end) {
 			return false
 		}
 		if ok, freed = b.tryTake(n); ok {
@@ -75,17 +75,17 @@
 	}
 }
 
-// lookInterval is the time between two calls of Relieve while a Take waits.
-const lookInterval = 250 * time.Millisecond
+// reliefInterval is the longest time between two calls of Relieve while a Take waits.
+const reliefInterval = 250 * time.Millisecond
 
-// awaitFreed waits until memory is returned or it is time for another look. It returns
+// awaitRelief waits until memory is returned or Relieve is to be called again. It returns
 // false if end is closed first.
-func awaitFreed(freed, end <-chan struct{}) bool {
-	look, stop := clock.Timer(lookInterval)
+func awaitRelief(freed, end <-chan struct{}) bool {
+	again, stop := clock.Timer(reliefInterval)
 	defer stop()
 	select {
 	case <-freed:
-	case <-look:
+	case <-again:
 	case <-end:
 		return false
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -10,9 +10,9 @@
 	"berylswitch.example/berylswitch/internal/peer"
 )
 
-// The decisions of this file answer targets that differ in what they prefill, cache and
-// fail, and targets in need, which limit the number of requests. They are those of
-// PrefillPolicy; workchoice.go has the cost of WorkPolicy.
+// This file chooses among targets that differ in pending prefill, cached parts and failures,
+// and that may limit the number of their requests. The cost is that of PrefillPolicy;
+// workchoice.go has that of WorkPolicy.
 
 // Weights and times of the choice.
 const (
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// Event counts an event. The next report has the number.
+// Event counts an event. The next report contains the number.
 func (l *Lease) Event() {
 	if l != nil {
 		l.events.Add(1)
--- a/internal/placement/engineload.go
+++ b/internal/placement/engineload.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// The decisions of this file answer long prompts beside long outputs, running requests
-// that fill the memory of an engine, and engines of unequal speed.
+// This file estimates the load of engines: the delay that long prompts cause to running
+// requests, and the memory that running requests take.
 
-// What the engines of the platform do, by their published ranges. Only the ratios of
-// these figures matter for the choice: slowness scales their sum to each target.
+// Figures of a reference engine, from the ranges that the platform publishes. Only their
+// ratios matter for the choice: slowness scales their sum to each target.
 const (
 	// prefillTime is the time to prefill a token, in seconds: 44 to 51 tokens per
 	// millisecond.
@@ -26,20 +26,20 @@
 	usualBatch = 8
 	// memoryTokens is the memory of the smallest engine in tokens.
 	memoryTokens = 366_000
-	// firstEventOverhead is the time of a first event that no engine causes: the way
-	// there and back and the wait for the step under way, in seconds.
+	// firstEventOverhead is the part of the time to a first event that doesn't depend on
+	// the engine's load, in seconds: the network, and the wait for the step under way.
 	firstEventOverhead = 8e-3
 )
 
 // Weights and times of the choice by work.
 const (
 	// exposedOutput is the pending output, in tokens, from which a request counts fully
-	// as one that prefills beside it can delay: it lasts for half a second.
+	// as one that other prefills can delay. It takes about half a second.
 	exposedOutput = 100
-	// besideWeight is the weight of the time by which prefills delay the outputs beside
-	// them, relative to the request's own time to the first event. At 0.2 and more, first
-	// events came later under load in TestPoliciesOnEngines.
-	besideWeight = 0.05
+	// delayWeight is the weight of the time by which prefills delay the outputs of other
+	// requests, relative to the request's own time to the first event. A large weight makes
+	// first events later under load.
+	delayWeight = 0.05
 	// usableMemory is the share of an engine's memory that running requests may plan to
 	// use. The rest is for cached parts of prompts and for wrong predictions.
 	usableMemory = 0.8
@@ -48,8 +48,8 @@
 	memoryPenalty = 1
 	// recentTime is the time constant with which the work given to a target is
 	// forgotten, recentWeight the weight of a second of it. Work over maxRecent, in
-	// seconds, doesn't count: a target that is busy for most of the time shows it by what
-	// is pending, and targets that are equally busy are not equally soon ready.
+	// seconds, doesn't count: under high load, pending work shows which targets are busy,
+	// and equal use of all targets would make requests wait longest at the slow ones.
 	recentTime   = 10 * time.Second
 	recentWeight = 0.04
 	maxRecent    = 3
@@ -111,10 +111,10 @@
 	return prefillTime*(l.prefill+prefill) + step*(chunks+tokensPerEvent)
 }
 
-// besideCost returns the weighted delay of others by prefill tokens, and of a request
+// delayCost returns the weighted delay of others by prefill tokens, and of a request
 // with that exposure by the prefills of others, in seconds.
-func (l *engineLoad) besideCost(prefill, exposure float64) float64 {
-	return besideWeight * prefillTime * (prefill*l.exposure + l.prefill*exposure)
+func (l *engineLoad) delayCost(prefill, exposure float64) float64 {
+	return delayWeight * prefillTime * (prefill*l.exposure + l.prefill*exposure)
 }
 
 // memoryCost returns the penalty for a request that is going to need held tokens of memory
@@ -180,7 +180,7 @@
 	r.load.queued--
 	r.load.prefill = max(0, r.load.prefill-r.prefill)
 	if r.load.queued == 0 {
-		// Errors of rounding don't add up.
+		// Keeps rounding errors from adding up.
 		r.load.prefill = 0
 	}
 }
--- a/internal/placement/engineload_test.go
+++ b/internal/placement/engineload_test.go
@@ -56,9 +56,9 @@
 		more, less   float64
 		atLeastTimes float64
 	}{
-		{"a large prompt beside long and short outputs", long.besideCost(large, 0), short.besideCost(large, 0), 5},
-		{"a large and a small prompt beside long outputs", long.besideCost(large, 0), long.besideCost(small, 0), 20},
-		{"a long and a short output beside a large prompt", queued.besideCost(0, exposure(500)), queued.besideCost(0, exposure(10)), 5},
+		{"a large prompt beside long and short outputs", long.delayCost(large, 0), short.delayCost(large, 0), 5},
+		{"a large and a small prompt beside long outputs", long.delayCost(large, 0), long.delayCost(small, 0), 20},
+		{"a long and a short output beside a large prompt", queued.delayCost(0, exposure(500)), queued.delayCost(0, exposure(10)), 5},
 	} {
 		if c.more <= 0 || c.more < c.atLeastTimes*c.less {
 			t.Errorf("%s: %.4f and %.4f s", c.name, c.more, c.less)
--- a/internal/placement/engines_test.go
+++ b/internal/placement/engines_test.go
@@ -18,19 +18,20 @@
 // them: chunks of prompts between steps that give a token to each running request. With
 // the race detector it takes minutes, and it has one goroutine.
 
-// Figures of the engines and of the load in the model.
+// Figures of the engines and of the load in the model. Times are in seconds, sizes in
+// tokens.
 const (
-	modelEngines  = 90
-	modelChunk    = 3000
-	modelEvent    = 5.5 // tokens
-	modelPause    = 0.45
-	modelGone     = 2.0 // time without a first event after which callers leave
-	modelWarmUp   = 15.0
-	modelBeat     = 0.5
-	modelSpread   = 0.34 // of the logarithm of outputs: a factor of 1.4
-	modelMemory   = 366_000
-	modelPrefill  = 48_000 // tokens per second
-	modelMaxBatch = 48
+	modelEngines        = 90
+	modelChunk          = 3000
+	modelEvent          = 5.5 // tokens
+	modelPause          = 0.45
+	modelGone           = 2.0 // time without a first event after which callers leave
+	modelWarmUp         = 15.0
+	modelReportInterval = 0.5
+	modelSpread         = 0.34 // of the logarithm of outputs: a factor of 1.4
+	modelMemory         = 366_000
+	modelPrefill        = 48_000 // tokens per second
+	modelMaxBatch       = 48
 )
 
 // modelKind is a kind of requests.
@@ -46,7 +47,7 @@
 	{"long", 53, 0.3, 715, 172, 280},
 }
 
-// modelLoad is a scenario.
+// modelLoad is a scenario of requests and engines.
 type modelLoad struct {
 	name string
 	// speeds are those of the engines in turn.
@@ -176,13 +177,9 @@
 	}
 	var done *modelRequest
 	if len(e.waiting) > 0 && len(e.running) < modelMaxBatch && held+e.waiting[0].context <= modelMemory {
-		r := e.waiting[0]
-		chunk := math.Min(modelChunk, r.left)
-		r.left -= chunk
+		var chunk float64
+		chunk, done = e.prefillChunk()
 		took += chunk / modelPrefill
-		if r.left == 0 {
-			done, e.waiting = r, e.waiting[1:]
-		}
 	}
 	speed := e.speed
 	if e.target.ID == "0" && e.until >= 20 && e.until < 22 {
@@ -197,11 +194,29 @@
 		e.running = append(e.running, done)
 	}
 	if held > modelMemory {
-		last := len(e.running) - 1
-		r := e.running[last]
-		r.left = r.context + r.tokens
-		e.waiting, e.running = slices.Insert(e.waiting, 0, r), e.running[:last]
+		e.preempt()
+	}
+}
+
+// prefillChunk prefills a chunk of the first waiting request. It returns the size of the
+// chunk, and the request if its prompt is complete.
+func (e *modelEngine) prefillChunk() (chunk float64, done *modelRequest) {
+	r := e.waiting[0]
+	chunk = math.Min(modelChunk, r.left)
+	r.left -= chunk
+	if r.left == 0 {
+		done, e.waiting = r, e.waiting[1:]
 	}
+	return chunk, done
+}
+
+// preempt moves the newest running request back to the head of the queue. It has to be
+// prefilled again, with the output so far.
+func (e *modelEngine) preempt() {
+	last := len(e.running) - 1
+	r := e.running[last]
+	r.left = r.context + r.tokens
+	e.waiting, e.running = slices.Insert(e.waiting, 0, r), e.running[:last]
 }
 
 // token gives r a token and reports whether it was the last one.
@@ -225,8 +240,8 @@
 	return ended
 }
 
-// beat reports the open requests.
-func (m *model) beat(at float64) {
+// reportOpen reports the open requests.
+func (m *model) reportOpen(at float64) {
 	o := &OpenRequests{}
 	for _, e := range m.engines {
 		for _, r := range append(slices.Clone(e.waiting), e.running...) {
@@ -243,9 +258,9 @@
 // run serves all requests and returns them.
 func (m *model) run() []*modelRequest {
 	requests := m.load.requests()
-	beat := modelBeat
+	nextReport := modelReportInterval
 	for next := 0; next < len(requests); {
-		at := math.Min(requests[next].arrival, beat)
+		at := math.Min(requests[next].arrival, nextReport)
 		var first *modelEngine
 		for _, e := range m.engines {
 			if len(e.waiting)+len(e.running) > 0 && e.until < at {
@@ -255,9 +270,9 @@
 		switch {
 		case first != nil:
 			m.step(first)
-		case at == beat:
-			m.beat(at)
-			beat += modelBeat
+		case at == nextReport:
+			m.reportOpen(at)
+			nextReport += modelReportInterval
 		default:
 			m.arrive(requests[next])
 			next++
--- a/internal/placement/output.go
+++ b/internal/placement/output.go
@@ -2,14 +2,14 @@
 
 import "math"
 
-// The decisions of this file answer requests that look alike but get outputs of very
-// different length, and hints of that length that are often far off.
+// This file predicts the lengths of outputs. Requests that look alike get outputs of very
+// different length, and callers' hints are often far off.
 
 // Weights and bounds of the prediction of outputs. Lengths are logarithms of numbers of
 // tokens, since outputs differ by factors.
 const (
-	// tokensPerEvent is the usual number of output tokens in an event of a stream.
-	// Targets put five or six into one.
+	// tokensPerEvent is the mean number of output tokens in an event of a stream; targets
+	// put five or six into one.
 	tokensPerEvent = 5.5
 	// initialOutput is the output that is predicted before any request has ended, in
 	// tokens; initialSpread is the standard deviation of its logarithm.
@@ -66,7 +66,7 @@
 // outputClass holds what the ends of the requests of a class have shown.
 type outputClass struct {
 	lengths logStats
-	// hintErrors is about the ratio of the output to the hint.
+	// hintErrors holds the statistics of the ratio of the output to the hint.
 	hintErrors logStats
 }
 
--- a/internal/placement/partindex.go
+++ b/internal/placement/partindex.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// The decisions of this file answer many targets and prompts of several parts: looking
-// for each part at each target took most of the time of a choice.
+// This file indexes the parts of prompts by ID, so that a choice need not look for each
+// part at each target.
 
 // maxIndexedParts bounds the parts of a partIndex.
 const maxIndexedParts = 1 << 15
@@ -14,7 +14,7 @@
 // partIndex holds which targets have lately been sent which shared parts of prompts.
 type partIndex struct {
 	copies map[string][]partCopy
-	// lookup numbers the look-ups.
+	// lookup is the number of the last look-up.
 	lookup uint64
 	// sweptAt is the time at which parts that have expired were last removed.
 	sweptAt time.Time
--- a/internal/placement/slowness.go
+++ b/internal/placement/slowness.go
@@ -5,24 +5,24 @@
 	"time"
 )
 
-// The decisions of this file answer engines whose lasting speeds differ and that share
-// their machines with others, so that one may be slow for a while.
+// This file learns the speeds of engines. Their lasting speeds differ, and an engine that
+// shares its machine may be slow for a while.
 
 // Weights, times and bounds of what is learned of speeds. Slowness is the ratio of the
 // time that a target takes to that of a reference engine; sums are of its logarithm.
 const (
 	// minLastingWeight is the weight of the newest sample in the lasting slowness once
-	// there are many. A target gets two or three requests a second, so that a slow phase
-	// of two seconds changes its lasting slowness by a sixth at most.
+	// there are many. It is small, so that the few samples of a short slow phase change
+	// the lasting slowness little.
 	minLastingWeight = 0.03
 	// maxLastingStep bounds the effect of one sample on the lasting slowness, and
 	// with it that of a slow phase: a factor of 2.
 	maxLastingStep = 0.7
 	// passingWeight is the weight of the newest sample in the passing slowness,
 	// passingTime the time constant with which that returns to none. A slow target gets
-	// few requests that could show that it is fast again. With a weight of 0.3, samples of
-	// wrongly predicted queues doubled the late requests of the double load in
-	// TestPoliciesOnEngines; a phase that is really slow shows by what waits.
+	// few requests that could show that it is fast again. The weight is small because
+	// wrongly predicted queues give wrong samples; a slow phase also shows by the request
+	// that waits longest.
 	passingWeight = 0.1
 	passingTime   = 4 * time.Second
 	// maxPassing bounds the passing slowness and its samples; maxPassingFactor is the
@@ -70,8 +70,8 @@
 	s.lastingFactor, s.passingFactor = math.Exp(s.lasting), math.Exp(s.passing)
 }
 
-// factor returns the factor on the times of a reference engine: now, and without what
-// passes.
+// factor returns the factors on the times of a reference engine: the present one, and the
+// one without the passing slowness.
 func (s *slowness) factor(now time.Time) (present, lasting float64) {
 	if s.passingFactor == 1 {
 		return s.lastingFactor, s.lastingFactor
--- a/internal/placement/workchoice.go
+++ b/internal/placement/workchoice.go
@@ -8,8 +8,8 @@
 	"berylswitch.example/berylswitch/internal/peer"
 )
 
-// The decisions of this file answer requests of very different cost at targets of
-// unequal speed and load.
+// This file chooses targets by the work that requests cause, for requests of very different
+// cost and targets of unequal speed and load.
 
 // Policy selects how a holder chooses targets.
 type Policy string
@@ -52,7 +52,7 @@
 	exposure, held float64
 }
 
-// newWorkQuery returns the query for w. It is in force until the next one.
+// newWorkQuery returns the query for w. It is valid until the next call.
 func (lt *LoadTable) newWorkQuery(w *Work, now time.Time) *workQuery {
 	lt.work.parts.find(w.sharedParts(), now)
 	q := &workQuery{Work: w, key: w.affinityKey(), output: lt.work.outputs.predict(w), seen: tokensPerEvent * float64(w.EventsBefore)}
@@ -82,7 +82,7 @@
 	cached := lt.work.parts.tokens(s)
 	tokens := q.prefill(cached)
 	present, lasting := s.engineSlowness(now)
-	cost := present*(s.load.firstEventTime(tokens)+s.load.besideCost(tokens, q.exposure)) + s.load.memoryCost(q.held, max(1, t.Slots))
+	cost := present*(s.load.firstEventTime(tokens)+s.load.delayCost(tokens, q.exposure)) + s.load.memoryCost(q.held, max(1, t.Slots))
 	cost += uncachedPenalty * lt.meanPace * float64(q.shared-cached)
 	if q.Domain != "" && t.Domain != q.Domain {
 		cost += crossDomainPenalty.Seconds()
@@ -98,8 +98,8 @@
 	return cost * (1 + hashPenalty*rank)
 }
 
-// decayInterval is the time for which a choice uses the same decayed values of a target.
-// The values decay within seconds, and computing them took a third of a choice.
+// decayInterval is the time for which choices use the same decayed values of a target.
+// The values decay within seconds, and computing them for each target is expensive.
 const decayInterval = 20 * time.Millisecond
 
 // decayedValues are values of a target that decay, as of an interval of decayInterval.
--- a/internal/settings/callerlimits.go
+++ b/internal/settings/callerlimits.go
@@ -7,11 +7,12 @@
 	"berylswitch.example/berylswitch/pkg/declaration"
 )
 
-// SmallBodyBytes is the largest size of the bodies that have a memory of their own, so
-// that large bodies can't make them fail.
+// SmallBodyBytes is the maximum size of bodies whose memory is separate from that of larger
+// ones, so that large bodies can't make small ones fail.
 const SmallBodyBytes = 64 << 10
 
-// CallerLimits is what callers, and those who read slowly, can take of a process.
+// CallerLimits holds the limits on what callers, including slow readers, can take of a
+// process.
 type CallerLimits struct {
 	MaxConns int
 	// The memory for bodies of requests, responses, events that callers have not
@@ -20,8 +21,8 @@
 	BodyPause, BodyTime, WritePause                                                       time.Duration
 }
 
-// Defaults of CallerLimits. The shares of the memory add up to less than heapFraction,
-// with the collector's need of room left; the connections take the rest.
+// Defaults of CallerLimits. The shares of MemoryMB for bodies, responses, streams and headers
+// add up to less than heapFraction, which leaves room for the garbage collector.
 const (
 	// reservedFDs are the descriptors for files, listeners and the store.
 	reservedFDs = 200
@@ -31,12 +32,11 @@
 	connFDShare = 1.0 / 3
 	// connBytes is the memory that a connection takes at most, with the buffers and
 	// stacks of its goroutines and a header of maximum size, and connMemoryShare the part of
-	// the memory for all. A host of 136 MB then has 415 connections.
+	// the memory for all connections.
 	connBytes       = 64 << 10
 	connMemoryShare = 0.2
 
-	// 300 callers, as many as are known at one host, can have bodies of 55 KB at the
-	// same time on a host of 136 MB, and four further ones bodies of 4 MiB.
+	// An eighth of 128 MB holds 244 bodies of SmallBodyBytes, or three of 4 MiB.
 	smallBodyMemoryShare = 0.125
 	bodyMemoryShare      = 0.125
 	responseMemoryShare  = 0.125
@@ -47,8 +47,8 @@
 	// defaultBodyPause exceeds the pauses of TCP after several losses in a row.
 	defaultBodyPause = 10 * time.Second
 	defaultBodyTime  = 10 * time.Minute
-	// defaultWritePause is the time in which a caller that reads 20 KB/s takes a sixteenth of a
-	// receive buffer of 6 MiB, the least that its kernel acknowledges, with a margin.
+	// defaultWritePause exceeds the time in which a caller that reads 20 KB/s takes a
+	// sixteenth of a receive buffer of 6 MiB, the least after which its kernel accepts more.
 	defaultWritePause = 30 * time.Second
 )
 
@@ -106,7 +106,7 @@
 	}
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		// Getrlimit fails for a wrong argument alone.
+		// Getrlimit fails only for an invalid argument.
 		return minFDs
 	}
 	return float64(min(limit.Cur, maxFDs))
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -58,8 +58,8 @@
 	PlacementPolicy string `json:",omitempty"`
 
 	// MaxFDs is the number of descriptors that the process may open. Zero means the
-	// limit under which it was started. It is a float as the platform's other amounts,
-	// some of which it writes with a decimal point.
+	// limit under which it was started. It is a float like the platform's other amounts,
+	// some of which are written with a decimal point.
 	MaxFDs float64 `json:",omitempty"`
 	// The following fields limit what callers, and slow readers, can take of the
 	// process. Zero means a default, which CallerLimits computes.
--- a/internal/upstream/content.go
+++ b/internal/upstream/content.go
@@ -12,19 +12,20 @@
 // or the memory that large responses may take together.
 var ErrTooLarge = errs.New("response body is too large")
 
-// UnaccountedBytes is the size below which a body takes nothing from a budget, so that large responses can't make small ones fail.
+// UnaccountedBytes is the size below which a body takes nothing from a budget, so that
+// large responses can't make small ones fail.
 const UnaccountedBytes = 64 << 10
 
 // Content is the body of a response that was read completely. It is kept in segments,
-// whose memory is returned as they are written: a caller that reads slowly then holds what
-// it has not got yet, and no more.
+// whose memory is returned as they are written: a caller that reads slowly then holds only
+// the memory of what has not been written yet.
 type Content struct {
 	segments []segment
 	size     int64
 	memory   *memory.Allowance
 }
 
-// segment is a part of a body. Taken is the memory that it holds of the allowance.
+// segment is a part of a body; taken is the number of bytes that it holds of the allowance.
 type segment struct {
 	bytes []byte
 	taken int64
@@ -49,7 +50,7 @@
 	c := &Content{memory: a}
 	for capacity := int64(0); ; {
 		if c.size == capacity {
-			// One byte more than allowed shows that a body is too large, or that it ends.
+			// Room for one byte more than expected shows whether the body ends there.
 			most := limit
 			if r.Length >= 0 {
 				most = r.Length
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -48,8 +48,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Content is the body, of Length bytes, if it is not in one piece. Body is not used
-	// then.
+	// Content is the body, of Length bytes, if it is not in one piece. Body is ignored
+	// if Content is set.
 	Content io.Reader
 	Length  int64
 	// Matches reports whether a response with the given header belongs to this
