gateway: tell model engines the priorities of requests

Engines admit more urgent requests first and preempt less urgent ones, but no host told them which is which, so that all were alike. A priority sent by the caller is dropped, as before.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -528,6 +528,9 @@
 	if s.Resumes {
 		out.Set("After", strconv.FormatInt(s.ResumeAfter, 10))
 	}
+	if s.SendsRank {
+		out.Set("Priority", strconv.Itoa(s.Rank))
+	}
 	return out
 }
 
--- a/internal/gateway/format.go
+++ b/internal/gateway/format.go
@@ -53,6 +53,10 @@
 	// Resumes requests only the events after ResumeAfter.
 	Resumes     bool
 	ResumeAfter int64
+	// SendsRank is set if the target is told Rank, the priority of the request; zero is
+	// the most urgent.
+	SendsRank bool
+	Rank      int
 }
 
 // ResponseInfo is the information in the header of a target's response.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -131,6 +131,8 @@
 		Inputs:      s.inputs,
 		Resumes:     resumes,
 		ResumeAfter: after,
+		SendsRank:   s.h.Settings.SendPriorities && len(q.Prompt) > 0,
+		Rank:        q.priority,
 	})
 	sentAt := s.h.Clock.Now()
 	s.h.Backpressure.LogSend(t, q.ID)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -57,6 +57,10 @@
 	// "Prefill", also if it is empty, or "Work".
 	PlacementPolicy string `json:",omitempty"`
 
+	// SendPriorities makes the host tell model engines the priorities of requests, by which
+	// they admit and preempt.
+	SendPriorities bool `json:",omitempty"`
+
 	// MaxFDs is the number of descriptors that the process may open. Zero means the
 	// limit under which it was started. It is a float like the platform's other amounts,
 	// some of which are written with a decimal point.
