platform: describe all fields of the configuration in its types

The check of a configuration needs the type of every field, also of those that hosts don't use. These get the type unusedField, which accepts any value, so that hosts accept the same configurations as before; TestUnusedFieldsOfAnyType guards this. The anonymous structs get names. MaxSends and MaxTimeout are exported for the check.

Tested: gofmt, vet, staticcheck; go test -race ./platform. go test -race ./internal/gateway, where two constants are renamed, failed once in TestSlowReaderOverTCP at a load average of 36 (i/o timeout after 6.7 s) and passed 3 of 3 repeats of that test alone.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,7 +41,7 @@
 	priority int
 	arrived  time.Time
 	// deadline is the time at which the caller or the route gives up, at the latest
-	// defaultTimeout after the arrival.
+	// MaxTimeout after the arrival.
 	deadline time.Time
 	digest   string
 	// suspects is what may crash targets: the shared parts of the prompt, then the
@@ -69,9 +69,9 @@
 // errTimeout is the cause of a context that ended at the request's deadline.
 var errTimeout = errors.New("request deadline exceeded")
 
-// defaultTimeout is the timeout of a request that gives none, on a route without
+// MaxTimeout is the timeout of a request that gives none, on a route without
 // a limit. No timeout is longer.
-const defaultTimeout = 10 * time.Minute
+const MaxTimeout = 10 * time.Minute
 
 // ServeHTTP serves one request of a caller.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -168,7 +168,7 @@
 
 // timeout returns the time that q may take, counted from its arrival.
 func (q *request) timeout() time.Duration {
-	timeout := defaultTimeout
+	timeout := MaxTimeout
 	if q.Timeout > 0 {
 		timeout = min(timeout, q.Timeout)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,9 +20,9 @@
 
 // Limits on the sends of one request.
 const (
-	// maxSends is the maximum number of sends of a request, including those that
+	// MaxSends is the maximum number of sends of a request, including those that
 	// no target accepted.
-	maxSends = 4
+	MaxSends = 4
 	// maxResponseBytes is the maximum size of a response that is not a stream.
 	maxResponseBytes = 16 << 20
 	// Retry delays for callers: overloadedRetry if no target had capacity,
@@ -84,7 +84,7 @@
 // nextTarget returns the target of the next send, or nil. Every send after one that
 // may have arrived draws on the shared budget of repeats.
 func (s *sender) nextTarget(ctx context.Context) *catalog.Target {
-	if s.isBlocked() || s.q.sends >= maxSends || s.possibleRuns >= max(1, s.q.route.MaxTargets) {
+	if s.isBlocked() || s.q.sends >= MaxSends || s.possibleRuns >= max(1, s.q.route.MaxTargets) {
 		return nil
 	}
 	t := s.chooseTarget(ctx)
