--- a/cmd/berylswitch/config.go
+++ b/cmd/berylswitch/config.go
@@ -16,12 +16,13 @@
 
 // configCommand groups the subcommands that work on the declared document.
 type configCommand struct {
-	Check   configCheck   `command:"check" description:"Find every fault of documents or sections in files"`
-	Publish configPublish `command:"publish" description:"Publish a section and wait for the verdict"`
-	Restore configRestore `command:"restore" description:"Begin anew from files after the log has lost the document"`
-	Rule    configRule    `command:"rule" description:"Bring the next rule version into force"`
-	Show    configShow    `command:"show" description:"Print the document in force"`
-	Status  configStatus  `command:"status" description:"Print the offset in force at each host"`
+	Check         configCheck         `command:"check" description:"Find every fault of documents or sections in files"`
+	CheckPlatform configCheckPlatform `command:"check-platform" description:"Find errors, warnings and changes of a configuration of the users' platform"`
+	Publish       configPublish       `command:"publish" description:"Publish a section and wait for the verdict"`
+	Restore       configRestore       `command:"restore" description:"Begin anew from files after the log has lost the document"`
+	Rule          configRule          `command:"rule" description:"Bring the next rule version into force"`
+	Show          configShow          `command:"show" description:"Print the document in force"`
+	Status        configStatus        `command:"status" description:"Print the offset in force at each host"`
 }
 
 // newConfigCommand returns the command with its context set.
