stage: admission by forecasts of batchers that record what hosts admit

Cause: by the estimates of heartbeats a host without jobs at a batcher admitted everything, and no host saw what others had admitted to earlier stages. In a peak, requests ended with 502 after seconds. Retry-After named the time at which one more late request would fit, mostly 0.3 s, so that the one retry of a caller came in the same peak. Reservations ended the 502s, but promised work displaced new work that could be on time.

Change: the setting StageAdmission replaces StageReservations. With "Forecast" a host announces a request to the batchers of its stages, which record it and return the waits that it will find. The host admits what can be on time, or is late by little although work that is on time keeps arriving. Nothing is promised, and the order of jobs is that of estimates, but for jobs of workspaces beyond their share. Workspaces beyond their share of a short pool must leave room for others. Retry-After names the time at which the queued work is done, spread over callers.

TestBatcherLostInPeak now runs with forecasts too.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -146,10 +146,14 @@
 
 // admit refuses a request that can't be served, before any of its stages runs.
 func (p *plan) admit(ctx context.Context) error {
-	if p.h.Settings.StageReservations {
+	switch stage.Admission(p.h.Settings.StageAdmission) {
+	case stage.ForecastAdmission:
+		return p.admitByForecast(ctx)
+	case stage.ReservationAdmission:
 		return p.admitByReservation(ctx)
+	default:
+		return p.admitByEstimate(p.h.Stages.WaitEstimate)
 	}
-	return p.admitByEstimate(p.h.Stages.WaitEstimate)
 }
 
 // Limits of admission.
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -71,7 +71,7 @@
 
 func provideBatcher(c *clock.Service, log *zap.Logger, pool stage.Pool, s *settings.Gateway, f *catalog.Follower, x *peer.Exchange, signals *backpressure.Table, quotas *backpressure.Holder, registry metrics.Registry) *stage.Batcher {
 	return &stage.Batcher{Self: x.Self.Name, Clock: c, Log: log, Pool: pool, Catalog: f.Snapshot, Backpressure: signals, Quotas: quotas,
-		Stopped: metrics.GetOrRegisterCounter(stoppedCounter, registry), Reservations: s.StageReservations, Metrics: registry}
+		Stopped: metrics.GetOrRegisterCounter(stoppedCounter, registry), Admission: stage.Admission(s.StageAdmission), Metrics: registry}
 }
 
 func provideBackpressure(s *settings.Gateway, c *clock.Service, log *zap.Logger, x *peer.Exchange, f *catalog.Follower) *backpressure.Table {
@@ -104,7 +104,7 @@
 }
 
 func provideStageClient(s *settings.Gateway, c *clock.Service, log *zap.Logger, x *peer.Exchange, caller *peer.Caller, batcher *stage.Batcher) *stage.Client {
-	return &stage.Client{Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller, Batcher: batcher, Reservations: s.StageReservations}
+	return &stage.Client{Clock: c, Log: log, Self: x.Self.Name, Members: x, Peers: caller, Batcher: batcher, Admission: stage.Admission(s.StageAdmission)}
 }
 
 func provideBalancer(s *settings.Gateway, c *clock.Service, log *zap.Logger) *fleet.Balancer {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -245,8 +245,8 @@
 	stop   context.CancelFunc
 	done   chan error
 	hosts  []*runningHost // started by startHosts
-	// reservations is StageReservations of the hosts that are started.
-	reservations bool
+	// admission is StageAdmission of the hosts that are started.
+	admission stage.Admission
 
 	mu       sync.Mutex
 	received []string // target and ID of each request that reached a target
@@ -310,7 +310,7 @@
 	s := &settings.Gateway{
 		Name: addr.String(), Domain: "d", CallerAddr: netip.AddrPortFrom(addr, callerAddr.Port()), ReadyAddr: netip.AddrPortFrom(addr, 81), PeerAddr: netip.AddrPortFrom(addr, 82),
 		Peers: peers, MetricsPort: 83, ApplyTime: declaration.Duration(2 * time.Second), CPUShare: 1, CPUSpeed: 1, LinkMbps: 1000, MemoryMB: 100, GracePeriod: declaration.Duration(8 * time.Second), RepeatRatio: 0.2, RepeatSlack: 50,
-		RepeatWindow: declaration.Duration(10 * time.Second), ColdFactor: coldFactor, ColdSlack: coldSlack, StageReservations: r.reservations,
+		RepeatWindow: declaration.Duration(10 * time.Second), ColdFactor: coldFactor, ColdSlack: coldSlack, StageAdmission: string(r.admission),
 	}
 	feed := r.feed
 	if other := r.feeds[addr]; other != nil {
--- /dev/null
+++ b/internal/gateway/forecast_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// TestForecastEnd expects the wait at the pool of a later stage to pass while the request
+// is in earlier stages, and to delay it only as far as it is longer. Waits that all add up
+// refuse what can be served.
+func TestForecastEnd(t *testing.T) {
+	p := newChainPlan(10 * time.Second)
+	calls := p.callTime(0) + p.callTime(1) + p.callTime(2)
+	for _, c := range []struct {
+		waits [3]time.Duration
+		want  time.Duration
+	}{
+		{[3]time.Duration{}, calls + engineTime},
+		{[3]time.Duration{0, p.callTime(0), p.callTime(0) + p.callTime(1)}, calls + engineTime},
+		{[3]time.Duration{time.Second, 0, 0}, time.Second + calls + engineTime},
+		{[3]time.Duration{0, 0, time.Second}, time.Second + p.callTime(2) + engineTime},
+		{[3]time.Duration{time.Second, time.Second, time.Second}, time.Second + calls + engineTime},
+	} {
+		if got := p.forecastEnd(func(i int) time.Duration { return c.waits[i] }); got != c.want {
+			t.Errorf("waits %v: %v, want %v", c.waits, got, c.want)
+		}
+	}
+}
+
+// TestSpreadReturn expects refused callers to return when the pools are expected to take
+// work again, but not all at once, and within the third of the time left that they wait.
+func TestSpreadReturn(t *testing.T) {
+	const left = 9 * time.Second
+	for _, c := range []struct{ wait, from, to time.Duration }{
+		{0, minRetryAfter, minRetryAfter * 3 / 2},
+		{time.Second, time.Second, 1500 * time.Millisecond},
+		{time.Minute, left / 5, left / 3},
+	} {
+		p := newChainPlan(left)
+		least, most := left, time.Duration(0)
+		for range 200 {
+			got := p.spreadReturn(c.wait)
+			least, most = min(least, got), max(most, got)
+		}
+		if least < c.from || most > c.to || most-least < (c.to-c.from)/4 {
+			t.Errorf("wait %v: %v to %v, want within %v to %v", c.wait, least, most, c.from, c.to)
+		}
+	}
+	if got := newChainPlan(-time.Second).spreadReturn(time.Second); got != 0 {
+		t.Errorf("after the deadline: %v", got)
+	}
+}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -224,7 +224,8 @@
 // Reload applies new settings, also while the host drains. The limits on repeats and on
 // requests to cold targets, the regions and the grace period take effect at once, except
 // that a shutdown keeps the grace period with which it began; addresses, the store, the
-// waiting time of catalog reads and the policy of placement take effect at the next start.
+// waiting time of catalog reads and the policies of placement and of admission take effect at
+// the next start.
 func (h *Host) Reload(s *settings.Gateway) {
 	h.Repeats.SetLimit(s.RepeatRatio, s.RepeatSlack)
 	h.reloadedRegions.Store(&s.Regions)
@@ -233,7 +234,7 @@
 	h.Log.Info("settings reloaded", zap.Duration("GracePeriod", time.Duration(s.GracePeriod)),
 		zap.Float64("RepeatRatio", s.RepeatRatio), zap.Float64("RepeatSlack", s.RepeatSlack),
 		zap.Float64("ColdFactor", s.ColdFactor), zap.Float64("ColdSlack", s.ColdSlack),
-		zap.Bool("RestartNeeded", s.StoreAddr != h.Settings.StoreAddr || s.CallerAddr != h.Settings.CallerAddr || s.PeerAddr != h.Settings.PeerAddr || s.PlacementPolicy != h.Settings.PlacementPolicy))
+		zap.Bool("RestartNeeded", s.StoreAddr != h.Settings.StoreAddr || s.CallerAddr != h.Settings.CallerAddr || s.PeerAddr != h.Settings.PeerAddr || s.PlacementPolicy != h.Settings.PlacementPolicy || s.StageAdmission != h.Settings.StageAdmission))
 }
 
 // ready reports whether the load balancer should send new connections.
--- a/internal/gateway/peak_test.go
+++ b/internal/gateway/peak_test.go
@@ -15,6 +15,7 @@
 
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/peer"
+	"berylswitch.example/berylswitch/internal/stage"
 )
 
 // peakPools are three pools of two targets each that differ as those of a deployment do:
@@ -33,14 +34,17 @@
 	peakWait    = 10 * time.Second // of callers
 )
 
+// admissions are the ways of admission.
+var admissions = []stage.Admission{stage.EstimateAdmission, stage.ForecastAdmission, stage.ReservationAdmission}
+
 // newPeakFixture returns a fixture with the pools and routes of three stages in a row.
-func newPeakFixture(t *testing.T, reservations bool) *fixture {
+func newPeakFixture(t *testing.T, admission stage.Admission) *fixture {
 	routes := route(catalog.Stream, func(r *catalog.Route) {
 		r.Aim, r.Patience = peakAim, 4*peakAim
 		r.Stages = []catalog.Stage{{Service: "a", ResultBytes: 1000}, {Service: "b", After: []int{0}, ResultBytes: 1000}, {Service: "c", After: []int{1}, ResultBytes: 1000}}
 	})
 	r := prepareFixture(t, routes, events("t", -1), events("t", -1), events("t", -1), events("t", -1))
-	r.reservations = reservations
+	r.admission = admission
 	for name, pool := range peakPools {
 		r.feed.table.Services[name] = &catalog.Service{Name: name, Pool: pool}
 		for i := range peakTargets {
@@ -176,49 +180,56 @@
 }
 
 // newPeakLoad starts hosts and returns a load for them.
-func newPeakLoad(t *testing.T, reservations bool) *peakLoad {
-	r := newPeakFixture(t, reservations)
+func newPeakLoad(t *testing.T, admission stage.Admission) *peakLoad {
+	r := newPeakFixture(t, admission)
 	l := &peakLoad{r: r, addrs: r.startHosts(peakHosts), random: rand.New(rand.NewPCG(1, 0)), counts: map[string]*peakCounts{}}
 	t.Cleanup(r.client.CloseIdleConnections)
 	return l
 }
 
-// TestPeak replays a peak of three times the capacity of the pools, in requests with three
-// stages in a row, through many hosts. Without reservations the first stage lets in what
-// the later ones then end after seconds, with a status after which callers rarely retry;
-// both counts are logged. With them, what is let in must be served, more of it on time, and
-// a refusal must come at once.
-func TestPeak(t *testing.T) {
-	counts := map[bool]*peakCounts{}
-	for _, reservations := range []bool{false, true} {
-		t.Run(fmt.Sprint("reservations=", reservations), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				l := newPeakLoad(t, reservations)
-				l.send("", 0.5*peakRate, 4*time.Second)
-				l.send("", 3*peakRate, 5*time.Second)
-				l.send("", 0.5*peakRate, 4*time.Second)
-				l.wg.Wait()
-				counts[reservations] = l.counts[""]
-				t.Log(l.counts[""])
-			})
+// runPeak replays a peak of three times the capacity of the pools, in requests with three
+// stages in a row, through many hosts.
+func runPeak(t *testing.T, admission stage.Admission) (counts *peakCounts) {
+	t.Run(string(admission), func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			l := newPeakLoad(t, admission)
+			l.send("", 0.5*peakRate, 4*time.Second)
+			l.send("", 3*peakRate, 5*time.Second)
+			l.send("", 0.5*peakRate, 4*time.Second)
+			l.wg.Wait()
+			counts = l.counts[""]
+			t.Log(counts)
 		})
-	}
-	before, after := counts[false], counts[true]
+	})
+	return counts
+}
+
+// TestPeak replays a peak by the estimates of heartbeats, by which the first stage lets in
+// what the later ones then end after seconds, with a status after which callers rarely
+// retry, and by forecasts. With these, what is let in must be served, more of it on time,
+// and a refusal must come at once.
+func TestPeak(t *testing.T) { comparePeak(t, stage.ForecastAdmission) }
+
+// TestPeakOfReservations is TestPeak with reservations.
+func TestPeakOfReservations(t *testing.T) { comparePeak(t, stage.ReservationAdmission) }
+
+func comparePeak(t *testing.T, admission stage.Admission) {
+	before, after := runPeak(t, stage.EstimateAdmission), runPeak(t, admission)
 	if before == nil || after == nil {
 		return
 	}
 	if after.ended*100 > after.requests {
 		t.Errorf("%d of %d requests ended after being let in, want at most one in a hundred", after.ended, after.requests)
 	}
-	// Without reservations more of the peak is served late after it.
+	// By estimates more of the peak is served late after it.
 	if served, was := after.onTime+after.late, before.onTime+before.late; served*10 < was*9 || after.onTime < before.onTime || after.late > before.late {
-		t.Errorf("%d requests served, %d of them on time; without reservations %d and %d", served, after.onTime, was, before.onTime)
+		t.Errorf("%d requests served, %d of them on time; by estimates %d and %d", served, after.onTime, was, before.onTime)
 	}
 	if after.slowest > 50*time.Millisecond {
 		t.Errorf("slowest refusal after %v", after.slowest)
 	}
 	slices.Sort(after.retryAfter)
-	if n := len(after.retryAfter); n == 0 || after.retryAfter[n-1] > peakWait/retryAfterDivisor || after.retryAfter[n*9/10]-after.retryAfter[n/10] < 500*time.Millisecond {
+	if n := len(after.retryAfter); n == 0 || after.retryAfter[n-1] > peakWait/3 || after.retryAfter[n*9/10]-after.retryAfter[n/10] < 500*time.Millisecond {
 		t.Errorf("refused callers are not spread: %v", after.retryAfter)
 	}
 }
@@ -228,10 +239,10 @@
 // Once the pools were shared by what each sent. The small ones must be served.
 func TestGreedyWorkspace(t *testing.T) {
 	const small, retries = 15, 5
-	for _, reservations := range []bool{false, true} {
-		t.Run(fmt.Sprint("reservations=", reservations), func(t *testing.T) {
+	for _, admission := range admissions {
+		t.Run(string(admission), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := newGreedyLoad(t, reservations, small)
+				l := newGreedyLoad(t, admission, small)
 				var senders sync.WaitGroup
 				const duration = 8 * time.Second
 				for i := range small {
@@ -268,7 +279,7 @@
 				}
 				t.Logf("large workspace: %v", l.counts["big"])
 				t.Logf("small workspaces: %v; the worst one was served %.2f", others, worst)
-				if !reservations {
+				if admission == stage.EstimateAdmission {
 					return
 				}
 				if served := others.onTime + others.late; served*100 < others.requests*95 || worst < 0.85 {
@@ -284,8 +295,8 @@
 }
 
 // newGreedyLoad is newPeakLoad with the workspace "big" and small ones.
-func newGreedyLoad(t *testing.T, reservations bool, small int) *peakLoad {
-	r := newPeakFixture(t, reservations)
+func newGreedyLoad(t *testing.T, admission stage.Admission, small int) *peakLoad {
+	r := newPeakFixture(t, admission)
 	r.feed.table.Workspaces = []*catalog.Workspace{{Name: "big", Keys: []string{"big"}}}
 	for i := range small {
 		r.feed.table.Workspaces = append(r.feed.table.Workspaces, &catalog.Workspace{Name: fmt.Sprint("w", i), Keys: []string{fmt.Sprint("k", i)}})
@@ -299,21 +310,27 @@
 // middle of an overload. What was let in must be served nevertheless, but for the requests
 // of the killed host's own callers.
 func TestBatcherLostInPeak(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		l := newPeakLoad(t, true)
-		var hosts []peer.Host
-		for _, addr := range l.addrs {
-			hosts = append(hosts, hostAt(netip.AddrPortFrom(addr, 82)))
-		}
-		holder := peer.NewMembers(hosts).Holder("c").Addr.Addr()
-		l.addrs = slices.DeleteFunc(slices.Clone(l.addrs), func(a netip.Addr) bool { return a == holder })
-		time.AfterFunc(2*time.Second, func() { l.r.network.Kill(holder) })
-		l.send("", 1.5*peakRate, 6*time.Second)
-		l.wg.Wait()
-		c := l.counts[""]
-		t.Log(c)
-		if served := c.onTime + c.late; served < 6*peakRate*6/10 || c.ended*20 > c.requests {
-			t.Errorf("%v", c)
-		}
-	})
+	for _, admission := range []stage.Admission{stage.ForecastAdmission, stage.ReservationAdmission} {
+		t.Run(string(admission), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { loseBatcherInPeak(t, admission) })
+		})
+	}
+}
+
+func loseBatcherInPeak(t *testing.T, admission stage.Admission) {
+	l := newPeakLoad(t, admission)
+	var hosts []peer.Host
+	for _, addr := range l.addrs {
+		hosts = append(hosts, hostAt(netip.AddrPortFrom(addr, 82)))
+	}
+	holder := peer.NewMembers(hosts).Holder("c").Addr.Addr()
+	l.addrs = slices.DeleteFunc(slices.Clone(l.addrs), func(a netip.Addr) bool { return a == holder })
+	time.AfterFunc(2*time.Second, func() { l.r.network.Kill(holder) })
+	l.send("", 1.5*peakRate, 6*time.Second)
+	l.wg.Wait()
+	c := l.counts[""]
+	t.Log(c)
+	if served := c.onTime + c.late; served < 6*peakRate*6/10 || c.ended*20 > c.requests {
+		t.Errorf("%v", c)
+	}
 }
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -28,6 +28,19 @@
 	return late
 }
 
+// admittedUntil returns the time by which the first event has to come for a request to be
+// admitted.
+func (p *plan) admittedUntil() time.Time {
+	if stage.Admission(p.h.Settings.StageAdmission) == stage.ReservationAdmission {
+		return p.servedUntil()
+	}
+	late, leaves := p.q.softDeadline().Add(maxLateness), p.q.usefulUntil()
+	if leaves.Before(late) {
+		return leaves
+	}
+	return late
+}
+
 // admitByReservation asks the batchers of the request's stages for capacity. The request
 // is admitted if all grant it. Where no batcher replies, the wait estimates decide.
 func (p *plan) admitByReservation(ctx context.Context) error {
@@ -41,6 +54,12 @@
 		return err
 	}
 	p.promised = true
+	p.keep(wanted, verdicts)
+	return nil
+}
+
+// keep keeps the reservations of an admitted request until its jobs take them up.
+func (p *plan) keep(wanted []stage.Reservation, verdicts []stage.Verdict) {
 	p.reservations = map[int]stage.Reservation{}
 	var kept []stage.Reservation
 	for i, v := range verdicts {
@@ -51,7 +70,6 @@
 		kept = append(kept, wanted[i])
 	}
 	p.h.Stages.Keep(kept)
-	return nil
 }
 
 // checkVerdicts returns a refusal if a batcher refused a reservation, or if none replied
@@ -136,7 +154,7 @@
 // wantedReservations returns the reservations for the stages that have pieces.
 func (p *plan) wantedReservations() []stage.Reservation {
 	now := p.h.Clock.Now()
-	limit := p.servedUntil().Sub(now)
+	limit := p.admittedUntil().Sub(now)
 	id := uuid.NewString()
 	var out []stage.Reservation
 	for i, s := range p.q.route.Stages {
@@ -258,18 +276,21 @@
 // takeUpReservation makes j take up the reservation of its stage, if it has one, with
 // the time by which it has to end for the rest of the request to be served.
 func (p *plan) takeUpReservation(j *stage.Job, now time.Time) {
-	if !p.promised {
+	p.mu.Lock()
+	if p.reservations == nil {
+		p.mu.Unlock()
 		return
 	}
-	j.Promised = true
-	p.mu.Lock()
 	j.Begun = p.q.stagesMayHaveRun
 	if r, ok := p.reservations[j.Stage]; ok {
 		j.Reservation = r.ID
 		delete(p.reservations, j.Stage)
 	}
 	p.mu.Unlock()
-	j.Promise = p.windowFromNow(j.Stage, p.servedUntil().Sub(now))
+	if p.promised {
+		j.Promised = true
+		j.Promise = p.windowFromNow(j.Stage, p.servedUntil().Sub(now))
+	}
 }
 
 // isReserved reports whether stage i has a reservation.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,9 +45,10 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow declaration.Duration
-	// StageReservations makes the host ask the batchers of a request's stages for
-	// capacity before it admits the request. Without it the wait estimates decide.
-	StageReservations bool `json:",omitempty"`
+	// StageAdmission selects how requests with stages are admitted: by the wait estimates
+	// of heartbeats ("Estimate", also if it is empty), by forecasts of batchers that record
+	// what hosts admit ("Forecast"), or by reservations that are promised ("Reservation").
+	StageAdmission string `json:",omitempty"`
 	// ColdFactor and ColdSlack bound the requests of all hosts together to a cold
 	// target in any second: ColdFactor times the cold rate of its service, plus
 	// ColdSlack. Without ColdFactor there is no such bound.
@@ -131,6 +132,9 @@
 // placementPolicies holds the valid values of PlacementPolicy.
 var placementPolicies = []string{"", "Prefill", "Work"}
 
+// stageAdmissions holds the valid values of StageAdmission.
+var stageAdmissions = []string{"", "Estimate", "Forecast", "Reservation"}
+
 // Check reports the invalid fields of g.
 func (g *Gateway) Check(r *declaration.Reporter) {
 	checkName(r, g.Name)
@@ -169,6 +173,9 @@
 	if !slices.Contains(placementPolicies, g.PlacementPolicy) {
 		r.Report("PlacementPolicy", "must be \"Prefill\" or \"Work\", is %q", g.PlacementPolicy)
 	}
+	if !slices.Contains(stageAdmissions, g.StageAdmission) {
+		r.Report("StageAdmission", "must be \"Estimate\", \"Forecast\" or \"Reservation\", is %q", g.StageAdmission)
+	}
 	g.checkCallerLimits(r)
 	if len(g.Peers) > maxPeers {
 		r.Report("Peers", "must be at most %d, are %d", maxPeers, len(g.Peers))
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -61,10 +61,10 @@
 	// Stopped, unless nil, counts the calls that the check before the first byte
 	// stopped.
 	Stopped metrics.Counter
-	// Reservations makes the batcher compute with the capacity of full calls, and put
-	// first the jobs that must start now for all promises to be kept. Without it, jobs are
-	// ordered as if nothing was reserved.
-	Reservations bool
+	// Admission is how the hosts admit requests. With ReservationAdmission the batcher
+	// computes with the capacity of full calls, and puts first the jobs that must start now
+	// for all promises to be kept. Otherwise jobs are ordered as if nothing was reserved.
+	Admission Admission
 	// Metrics, unless nil, counts what becomes of reservations.
 	Metrics metrics.Registry
 
--- a/internal/stage/capacity.go
+++ b/internal/stage/capacity.go
@@ -115,7 +115,7 @@
 
 // workTime returns the time that the waiting pieces of j take of all targets together.
 func (q *queue) workTime(j *job) time.Duration {
-	if q.reserving {
+	if q.promising {
 		return q.atOrder.cost(len(j.waiting), j.PieceBytes)
 	}
 	return time.Duration(len(j.waiting)) * q.perPiece()
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -51,9 +51,9 @@
 	Members Members
 	Peers   *peer.Caller
 	Batcher *Batcher
-	// Reservations reports whether this host reserves capacity. Its heartbeats then list
-	// its open reservations.
-	Reservations bool
+	// Admission is how this host admits requests. Unless it is EstimateAdmission, its
+	// heartbeats list its open reservations.
+	Admission Admission
 
 	mu            sync.Mutex
 	holders       map[string]*holderState
--- /dev/null
+++ b/internal/stage/forecast.go
@@ -0,0 +1,105 @@
+package stage
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// The forecasts in this file are for load peaks of several seconds. The queues of the later
+// stages are still short when a peak begins, and work that is not on time waits until what
+// arrives meanwhile leaves capacity for it, which may be after the peak.
+
+// Admission selects how hosts admit requests with stages.
+type Admission string
+
+// The ways of admission.
+const (
+	// EstimateAdmission admits by the wait estimates of the last heartbeats.
+	EstimateAdmission Admission = "Estimate"
+	// ForecastAdmission admits by forecasts of batchers that record what all hosts admit.
+	ForecastAdmission Admission = "Forecast"
+	// ReservationAdmission admits what batchers promise to serve.
+	ReservationAdmission Admission = "Reservation"
+)
+
+// records reports whether batchers record the work of admitted requests.
+func (a Admission) records() bool { return a == ForecastAdmission || a == ReservationAdmission }
+
+const (
+	// loadBuckets is the number of buckets of the tally over which the load of a pool is
+	// measured: about a second, so that the forecast follows the start of a peak soon.
+	loadBuckets = 4
+	// maxForecastLoad bounds the load of a pool in a forecast, whose wait would be infinite
+	// at a load of 1.
+	maxForecastLoad = 0.95
+)
+
+// record adds a reservation without a decision and returns the forecast for it. A call that
+// is repeated because its reply was lost adds nothing.
+func (b *Batcher) record(host string, r Reservation, now time.Time) Answer {
+	q := b.queue(r.Service)
+	b.refreshRecent(q, now)
+	c := q.recent.capacity
+	if b.reservations[r.ID] != nil {
+		return Answer{Granted: true, Forecast: q.forecast(c, 0, now)}
+	}
+	if c.slots == 0 || len(b.reservations) >= maxReservations {
+		b.logRefusal(r, zap.Int("Targets", len(q.targets)), zap.Int("Reservations", len(b.reservations)))
+		b.count("Refused")
+		return Answer{Wait: noTargetWait}
+	}
+	b.refreshShares(q, c, q.callTimeOf(c, q.waitingPieces(), r.Pieces), now)
+	cost := c.cost(r.Pieces, r.PieceBytes)
+	o := q.forecast(c, q.shares.standing(&r, cost, now).shareHeadroom(), now)
+	q.shares.record(&r, cost, true, now)
+	b.addReservation(host, r, now).cost = cost
+	b.count("Recorded")
+	return Answer{Granted: true, Forecast: o}
+}
+
+// forecast returns the outlook for a request that must leave headroom for others. Work that
+// is not on time gets only the capacity that the load leaves. Calls fill up while work waits,
+// so the capacity is that of full calls.
+func (q *queue) forecast(c capacity, headroom time.Duration, now time.Time) Outlook {
+	call := q.callTime()
+	ahead, all := headroom, headroom
+	for _, j := range q.jobs {
+		cost := c.cost(len(j.waiting), j.PieceBytes)
+		all += cost
+		if !tooLate(j, call, now) {
+			ahead += cost
+		}
+	}
+	for _, r := range q.reserved {
+		cost := c.cost(r.Pieces, r.PieceBytes)
+		ahead, all = ahead+cost, all+cost
+	}
+	o := Outlook{Ahead: c.timeFor(ahead), All: c.timeFor(all), PerPiece: c.piece}
+	o.All = max(o.Ahead, time.Duration(float64(o.All)/(1-min(q.load(now), maxForecastLoad))))
+	return o
+}
+
+// timeFor returns the time after which the targets have taken work of the given cost into
+// calls, after those that they are busy with.
+func (c *capacity) timeFor(cost time.Duration) time.Duration {
+	free := int32(0)
+	for s, n := range c.busy.until {
+		free += n
+		done := slotTime * time.Duration(free) / time.Duration(max(1, c.busy.total))
+		if free > 0 && cost <= done {
+			return time.Duration(s)*slotTime + time.Duration(float64(slotTime)*float64(cost)/float64(done))
+		}
+		cost -= done
+	}
+	return busySlots*slotTime + cost
+}
+
+// load returns the work that was recorded in the last loadBuckets relative to what the pool
+// can do.
+func (q *queue) load(now time.Time) float64 {
+	bucket := q.shares.bucketAt(now)
+	begun := now.Sub(q.shares.origin) - time.Duration(bucket)*tallyBucketTime
+	window := (loadBuckets-1)*tallyBucketTime + begun
+	return float64(q.shares.all.recentlyGranted(bucket, loadBuckets)) / float64(window)
+}
--- /dev/null
+++ b/internal/stage/forecast_test.go
@@ -0,0 +1,134 @@
+package stage
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/catalog"
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestTimeFor checks the time after which two targets have taken up work, with and without
+// calls that they run.
+func TestTimeFor(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		busy       []time.Duration
+		cost, want time.Duration
+	}{
+		{[]time.Duration{0, 0}, 0, 0},
+		{[]time.Duration{0, 0}, 300 * ms, 300 * ms},
+		{[]time.Duration{0, 200 * ms}, 0, 0},
+		{[]time.Duration{0, 200 * ms}, 100 * ms, 200 * ms},
+		{[]time.Duration{200 * ms, 200 * ms}, 0, 200 * ms},
+		{[]time.Duration{200 * ms, 200 * ms}, 300 * ms, 500 * ms},
+		{[]time.Duration{0, 0}, 10 * time.Second, 10 * time.Second},
+	} {
+		capacity := capacity{}
+		for _, d := range c.busy {
+			capacity.busy.add(d)
+		}
+		if got := capacity.timeFor(c.cost); got != c.want {
+			t.Errorf("busy for %v, work of %v: %v, want %v", c.busy, c.cost, got, c.want)
+		}
+	}
+}
+
+// TestForecastOfLateWork expects work that can't be on time to wait for what the recorded
+// work leaves: in a peak, new work that can be on time goes first until the peak ends. It
+// guards against admitting late work that then ends unserved.
+func TestForecastOfLateWork(t *testing.T) {
+	now := time.Now()
+	pool := testPool()
+	q := &queue{service: "s", pool: &pool, epoch: now, sharing: true, targetStates: map[string]*targetState{}}
+	for i := range 2 {
+		q.targets = append(q.targets, &catalog.Target{ID: fmt.Sprint(i), Service: "s"})
+	}
+	late := &job{Job: Job{PieceBytes: 1}, due: now.Add(-time.Second), waiting: make([]int, 16)}
+	onTime := &job{Job: Job{PieceBytes: 1}, due: now.Add(time.Minute), waiting: make([]int, 8)}
+	q.jobs = []*job{late, onTime}
+	c := q.capacity(now)
+	cost := c.cost(8, 1)
+	want := Outlook{Ahead: c.timeFor(cost), All: c.timeFor(3 * cost), PerPiece: c.piece}
+	if diff := cmp.Diff(want, q.forecast(c, 0, now)); diff != "" {
+		t.Errorf("idle pool (-want +got):\n%s", diff)
+	}
+	r := testReservation("r", 8, time.Second)
+	q.shares.record(&r, c.cost(8, 1), true, now)
+	for range 100 {
+		q.shares.record(&r, cost, true, now)
+	}
+	now = now.Add(100 * time.Millisecond)
+	busy := q.forecast(c, 0, now)
+	if busy.Ahead != want.Ahead || busy.All < 10*want.All {
+		t.Errorf("overloaded pool: %+v, idle: %+v", busy, want)
+	}
+	if got := q.forecast(c, headroomStep, now); got.Ahead != c.timeFor(cost+headroomStep) {
+		t.Errorf("with headroom: %+v", got)
+	}
+}
+
+// TestForecastsOfManyHosts has hosts without jobs at the batcher ask it one after the other.
+// Each forecast must hold what the others were told, and no longer what was given back. It
+// guards against hosts that all see the same free capacity.
+func TestForecastsOfManyHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 5).admitting(ForecastAdmission)
+		const n = 20
+		var last Outlook
+		var recorded []Reservation
+		for i := range n {
+			r := testReservation(fmt.Sprint(i), 8, 5*time.Second)
+			v := cl.clients[i%5].Reserve(t.Context(), []Reservation{r})[0]
+			if !v.Replied || !v.Granted || v.Forecast.Ahead < last.Ahead {
+				t.Fatalf("reservation %d: %+v after %+v", i, v, last)
+			}
+			cl.clients[i%5].Keep([]Reservation{r})
+			last, recorded = v.Forecast, append(recorded, r)
+		}
+		// Two targets run at most 8 pieces each per 180 ms.
+		if least := (n - 1) / 2 * 180 * time.Millisecond; last.Ahead < least {
+			t.Errorf("forecast of the last one: %v, want at least %v", last.Ahead, least)
+		}
+		for i, r := range recorded {
+			cl.clients[i%5].GiveBack([]Reservation{r})
+		}
+		time.Sleep(2 * recentLifetime)
+		if v := cl.clients[0].Reserve(t.Context(), []Reservation{testReservation("next", 8, 5*time.Second)})[0]; v.Forecast.Ahead != 0 {
+			t.Errorf("after all was given back: %+v", v)
+		}
+	})
+}
+
+// TestRecordedOnce repeats a call whose reply was lost. The work must count once.
+func TestRecordedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBatcher(t, &fakePool{}, 1, testPool())
+		args := ReserveArgs{Host: "h", Record: true, Reservations: []Reservation{testReservation("r", 8, time.Second)}}
+		for range 2 {
+			if reply, err := b.reserve(args, true); err != nil || !reply.Answers[0].Granted {
+				t.Errorf("%+v, %v", reply, err)
+			}
+		}
+		if n := reservationCount(b); n != 1 {
+			t.Errorf("%d reservations, want 1", n)
+		}
+	})
+}
+
+// TestNothingRecordedWithoutTargets expects a pool without targets to take no work, so that
+// its requests are refused at once.
+func TestNothingRecordedWithoutTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBatcher(t, &fakePool{}, 0, testPool())
+		reply, err := b.reserve(ReserveArgs{Host: "h", Record: true, Reservations: []Reservation{testReservation("r", 8, time.Second)}}, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]Answer{{Wait: noTargetWait}}, reply.Answers); diff != "" || reservationCount(b) != 0 {
+			t.Errorf("%d reservations, answers (-want +got):\n%s", reservationCount(b), diff)
+		}
+	})
+}
--- a/internal/stage/holder.go
+++ b/internal/stage/holder.go
@@ -191,7 +191,7 @@
 	defer cancel()
 	now := c.Clock.Now()
 	c.mu.Lock()
-	heartbeat := SignOfLife{Host: c.Self, Coming: maps.Clone(c.reportedUpcoming), Reserves: c.Reservations, Reservations: c.openAt(host, now)}
+	heartbeat := SignOfLife{Host: c.Self, Coming: maps.Clone(c.reportedUpcoming), Reserves: c.Admission.records(), Reservations: c.openAt(host, now)}
 	c.mu.Unlock()
 	if host.Name == c.Self {
 		c.storeEstimates(c.Batcher.waitEstimates(heartbeat))
--- a/internal/stage/order.go
+++ b/internal/stage/order.go
@@ -21,7 +21,7 @@
 	sort.SliceStable(q.jobs, func(i, k int) bool { return q.jobs[i].due.Before(q.jobs[k].due) })
 	q.callTimeAtOrder = q.callTime()
 	call := q.callTimeAtOrder
-	if q.reserving {
+	if q.promising {
 		q.atOrder = q.capacity(now)
 	}
 	end := now
@@ -31,9 +31,9 @@
 			continue
 		}
 		j.deferred = tooLate(j, call, now)
-		j.over = q.reserving && q.shares.over[j.Workspace]
+		j.over = q.sharing && q.shares.over[j.Workspace]
 		j.unitCost = 1
-		if q.reserving {
+		if q.promising {
 			j.unitCost = max(1, float64(q.atOrder.cost(1, j.PieceBytes)))
 		}
 		if j.deferred {
@@ -48,7 +48,7 @@
 		}
 	}
 	sort.SliceStable(q.jobs, func(i, k int) bool { return !q.jobs[i].deferred && q.jobs[k].deferred })
-	if q.reserving {
+	if q.promising {
 		q.prioritize(now)
 	}
 }
--- a/internal/stage/promise.go
+++ b/internal/stage/promise.go
@@ -65,7 +65,7 @@
 // endUnservable ends the waiting jobs that can't be served any more after the capacity of
 // the pool has fallen, for example because targets were lost.
 func (b *Batcher) endUnservable(q *queue, now time.Time) {
-	if !q.reserving || len(q.jobs) == 0 {
+	if !q.promising || len(q.jobs) == 0 {
 		return
 	}
 	q.refresh(b.Catalog())
--- a/internal/stage/queue.go
+++ b/internal/stage/queue.go
@@ -60,10 +60,11 @@
 	busySince        time.Time
 	busyPieces       int
 
-	// reserving is Batcher.Reservations. reserved holds the reservations in no
-	// particular order.
-	reserving bool
-	reserved  []*reservation
+	// promising reports whether reservations are promised, sharing whether jobs of
+	// workspaces beyond their share are deferred first. reserved holds the reservations in
+	// no particular order.
+	promising, sharing bool
+	reserved           []*reservation
 	// epoch is the time from which the times of reservations count.
 	epoch  time.Time
 	recent recent
@@ -95,7 +96,7 @@
 func (b *Batcher) queue(service string) *queue {
 	q := b.queues[service]
 	if q == nil {
-		q = &queue{service: service, signals: b.Backpressure, quotas: b.Quotas, reserving: b.Reservations, epoch: b.Clock.Now(), targetStates: map[string]*targetState{}}
+		q = &queue{service: service, signals: b.Backpressure, quotas: b.Quotas, promising: b.Admission == ReservationAdmission, sharing: b.Admission.records(), epoch: b.Clock.Now(), targetStates: map[string]*targetState{}}
 		b.queues[service] = q
 	}
 	return q
--- a/internal/stage/reservation.go
+++ b/internal/stage/reservation.go
@@ -31,6 +31,8 @@
 // Answer is the answer to a Reservation.
 type Answer struct {
 	Granted bool
+	// Forecast is the outlook for a reservation that was recorded without a decision.
+	Forecast Outlook
 	// Wait is the time after which a refused reservation could be granted if nothing
 	// else was asked for. Spread is the time after that over which capacity comes free
 	// for what was refused.
@@ -40,7 +42,10 @@
 // ReserveArgs are reservations of one request at one holder. They are granted all or
 // none.
 type ReserveArgs struct {
-	Host         string
+	Host string
+	// Record asks to record the reservations without a decision, which the host makes by
+	// the forecasts in the answers. It gives back those of a request that it refuses.
+	Record       bool
 	Reservations []Reservation
 }
 
@@ -133,7 +138,11 @@
 	reply := ReserveReply{Answers: make([]Answer, len(a.Reservations)), Outlooks: map[string]Outlook{}}
 	all := true
 	for i, r := range a.Reservations {
-		reply.Answers[i] = b.decide(a.Host, r, now)
+		if a.Record {
+			reply.Answers[i] = b.record(a.Host, r, now)
+		} else {
+			reply.Answers[i] = b.decide(a.Host, r, now)
+		}
 		all = all && reply.Answers[i].Granted
 	}
 	for i, r := range a.Reservations {
@@ -319,10 +328,10 @@
 // former one granted it, or its host was silent for a while.
 func (b *Batcher) takeUp(j *job, now time.Time) {
 	j.promise = j.deadline
+	b.removeReservation(j.Reservation)
 	if !j.Promised {
 		return
 	}
-	b.removeReservation(j.Reservation)
 	if end := now.Add(j.Promise); end.Before(j.deadline) {
 		j.promise = end
 	}
--- a/internal/stage/reserve.go
+++ b/internal/stage/reserve.go
@@ -52,7 +52,8 @@
 }
 
 // Reserve asks the holders of the services for the reservations of one request, in
-// parallel, one call each. The verdicts are in the order of rs.
+// parallel, one call each. The verdicts are in the order of rs. With ForecastAdmission the
+// holders record the reservations without a decision.
 func (c *Client) Reserve(ctx context.Context, rs []Reservation) []Verdict {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
@@ -73,7 +74,7 @@
 // reserveAt asks host for the reservations with the given indices and sets their
 // verdicts.
 func (c *Client) reserveAt(ctx context.Context, host peer.Host, rs []Reservation, indices []int, verdicts []Verdict) {
-	args := &ReserveArgs{Host: c.Self}
+	args := &ReserveArgs{Host: c.Self, Record: c.Admission == ForecastAdmission}
 	for _, i := range indices {
 		args.Reservations = append(args.Reservations, rs[i])
 	}
--- a/internal/stage/reserve_test.go
+++ b/internal/stage/reserve_test.go
@@ -22,12 +22,15 @@
 }
 
 // reserving makes the hosts of cl reserve.
-func (cl *cluster) reserving() *cluster {
+func (cl *cluster) reserving() *cluster { return cl.admitting(ReservationAdmission) }
+
+// admitting makes the hosts of cl admit in the given way.
+func (cl *cluster) admitting(a Admission) *cluster {
 	for i := range cl.clients {
 		cl.clients[i].mu.Lock()
-		cl.clients[i].Reservations = true
+		cl.clients[i].Admission = a
 		cl.clients[i].mu.Unlock()
-		cl.batchers[i].do(func() { cl.batchers[i].Reservations = true })
+		cl.batchers[i].do(func() { cl.batchers[i].Admission = a })
 	}
 	return cl
 }
@@ -451,11 +454,15 @@
 		r.Workspace = fmt.Sprint(i % 16)
 		batcher.addReservation(fmt.Sprint(i%hosts), r, now)
 	}
-	args := ReserveArgs{Host: "0", Reservations: []Reservation{testReservation("r", 1, time.Hour)}}
 	batcher.Log = zap.NewNop()
-	b.ReportAllocs()
-	for b.Loop() {
-		batcher.reserveAll(args)
-		batcher.removeReservation("r")
+	for _, record := range []bool{false, true} {
+		b.Run(fmt.Sprint("record=", record), func(b *testing.B) {
+			args := ReserveArgs{Host: "0", Record: record, Reservations: []Reservation{testReservation("r", 1, time.Hour)}}
+			b.ReportAllocs()
+			for b.Loop() {
+				batcher.reserveAll(args)
+				batcher.removeReservation("r")
+			}
+		})
 	}
 }
--- a/internal/stage/share.go
+++ b/internal/stage/share.go
@@ -95,17 +95,21 @@
 // A workspace beyond its share has no claim to the minimum of its classes, or it could
 // raise what it gets by asking more often.
 func (s standing) headroom() time.Duration {
-	steps := 0
-	if s.over() {
-		steps = 2
+	if !s.short || s.starving && !s.over() {
+		return 0
 	}
 	if s.lessUrgent {
-		steps++
+		return s.shareHeadroom() + headroomStep
 	}
-	if !s.short || s.starving && !s.over() {
-		steps = 0
+	return s.shareHeadroom()
+}
+
+// shareHeadroom returns the part of headroom that goes beyond the share of the workspace.
+func (s standing) shareHeadroom() time.Duration {
+	if s.over() {
+		return 2 * headroomStep
 	}
-	return time.Duration(steps) * headroomStep
+	return 0
 }
 
 // shares is what a queue keeps to share its capacity among workspaces.
--- a/internal/stage/tally.go
+++ b/internal/stage/tally.go
@@ -41,6 +41,18 @@
 	t.granted[bucket%tallyBuckets] -= cost
 }
 
+// recentlyGranted returns the cost that was granted in the last n buckets up to bucket.
+func (t *tally) recentlyGranted(bucket int64, n int64) time.Duration {
+	t.advance(bucket)
+	sum := time.Duration(0)
+	for i := range n {
+		if bucket-i >= 0 {
+			sum += t.granted[(bucket-i)%tallyBuckets]
+		}
+	}
+	return max(0, sum)
+}
+
 // sums returns the costs of the window that ends with bucket.
 func (t *tally) sums(bucket int64) (asked, granted time.Duration) {
 	t.advance(bucket)
