--- a/internal/gateway/forecast.go
+++ b/internal/gateway/forecast.go
@@ -7,6 +7,7 @@
 
 	"berylswitch.example/berylswitch/internal/stage"
 	"berylswitch.example/berylswitch/pkg/result"
+	"go.uber.org/zap"
 )
 
 // The decisions of this file answer a load peak of several seconds that reaches many hosts
@@ -57,10 +58,22 @@
 	if _, admitted := a.decide(); admitted {
 		return nil
 	}
+	p.logForecasts(forecasts, a)
 	return retryLater(result.Overloaded, p.spreadReturn(a.late-a.aimLeft),
 		"stages need %v, or %v behind all queued work, but %v is left", a.onTime, a.late, a.aimLeft)
 }
 
+// logForecasts logs the forecasts by which the request is refused.
+func (p *plan) logForecasts(forecasts map[int]stage.Outlook, a admission) {
+	for i, s := range p.q.route.Stages {
+		if o, ok := forecasts[i]; ok {
+			p.h.Log.Info("forecast of a refused request", zap.String("RequestID", p.q.ID), zap.String("Workspace", p.q.workspace), zap.Int("Stage", i), zap.String("Service", s.Service),
+				zap.Int("Pieces", p.pieceCount(i)), zap.Duration("Ahead", o.Ahead), zap.Duration("All", o.All), zap.Duration("Piece", o.PerPiece),
+				zap.Duration("OnTime", a.onTime), zap.Duration("Late", a.late), zap.Duration("AimLeft", a.aimLeft))
+		}
+	}
+}
+
 // forecastEnd returns the expected time from now to the first event, if the work that waits
 // at the pool of each stage now takes the given time. The pools do that work while the
 // request is in earlier stages.
