--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,9 +45,10 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow declaration.Duration
-	// StageReservations makes the host ask the batchers of a request's stages for
-	// capacity before it admits the request. Without it the wait estimates decide.
-	StageReservations bool `json:",omitempty"`
+	// StageAdmission selects how requests with stages are admitted: by the wait estimates
+	// of heartbeats ("Estimate", also if it is empty), by forecasts of batchers that record
+	// what hosts admit ("Forecast"), or by reservations that are promised ("Reservation").
+	StageAdmission string `json:",omitempty"`
 	// ColdFactor and ColdSlack bound the requests of all hosts together to a cold
 	// target in any second: ColdFactor times the cold rate of its service, plus
 	// ColdSlack. Without ColdFactor there is no such bound.
@@ -124,6 +125,13 @@
 	return g, nil
 }
 
+// NeedsRestart reports whether g differs from the settings with which a host was started in
+// a field that takes effect at a start alone.
+func (g *Gateway) NeedsRestart(started *Gateway) bool {
+	return g.StoreAddr != started.StoreAddr || g.CallerAddr != started.CallerAddr || g.PeerAddr != started.PeerAddr ||
+		g.PlacementPolicy != started.PlacementPolicy || g.StageAdmission != started.StageAdmission || g.SendPriorities != started.SendPriorities
+}
+
 // Limits on the values of a gateway's settings.
 const (
 	minMemoryMB     = 32
@@ -135,6 +143,9 @@
 // placementPolicies holds the valid values of PlacementPolicy.
 var placementPolicies = []string{"", "Prefill", "Work"}
 
+// stageAdmissions holds the valid values of StageAdmission.
+var stageAdmissions = []string{"", "Estimate", "Forecast", "Reservation"}
+
 // Check reports the invalid fields of g.
 func (g *Gateway) Check(r *declaration.Reporter) {
 	checkName(r, g.Name)
@@ -173,6 +184,9 @@
 	if !slices.Contains(placementPolicies, g.PlacementPolicy) {
 		r.Report("PlacementPolicy", "must be \"Prefill\" or \"Work\", is %q", g.PlacementPolicy)
 	}
+	if !slices.Contains(stageAdmissions, g.StageAdmission) {
+		r.Report("StageAdmission", "must be \"Estimate\", \"Forecast\" or \"Reservation\", is %q", g.StageAdmission)
+	}
 	g.checkCallerLimits(r)
 	if len(g.Peers) > maxPeers {
 		r.Report("Peers", "must be at most %d, are %d", maxPeers, len(g.Peers))
