gateway: headers wait for memory instead of being refused

Cause: the memory of header lines was taken while a header arrived, without a wait, so that a crowd of headers within headerBytes was refused at once.

Change: a header with many lines takes the memory for all lines that it may still have at once, if need be after a wait of HeaderWait (new setting, 5s), and returns the excess when it ends. Headers that took a part each could wait for each other. The wait doesn't count towards headerTimeoutMs. The memory is in the metric Memory.Headers and its limit in the line "limits on callers".

Requests that hold such headers for longer than HeaderWait can still make others fail with 400.

--- a/internal/gateway/caller_server.go
+++ b/internal/gateway/caller_server.go
@@ -96,6 +96,7 @@
 	if s.limits.IdleTimeout > 0 {
 		server.IdleTimeout = s.limits.IdleTimeout
 	}
+	s.host.conns.HeaderLimit.Store(int64(server.MaxHeaderBytes))
 	l := &sharedListener{parent: s, closed: make(chan struct{})}
 	drainable := link.NewServer(s.host.Clock, server, l)
 	s.server = drainable
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -63,6 +63,8 @@
 	// their memory.
 	header       headLines
 	headerMemory *memory.Allowance
+	// readLimit is the read deadline that the server has set.
+	readLimit time.Time
 
 	// The following fields are those of the body that is being received.
 	part      bodyPart
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
@@ -28,6 +29,8 @@
 	WritePause time.Duration
 	// Headers bounds the memory for header lines beyond usualHeaderLines a request.
 	Headers *memory.Budget
+	// HeaderLimit is the maximum size of a head in bytes.
+	HeaderLimit atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -143,14 +143,14 @@
 func (h *Host) limitCallers() {
 	h.limits = h.Settings.CallerLimits()
 	h.conns = &callerConns{Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, Max: h.limits.MaxConns, WritePause: h.limits.WritePause,
-		Headers: &memory.Budget{Bytes: h.limits.HeaderBytes}}
+		Headers: &memory.Budget{Bytes: h.limits.HeaderBytes, Wait: h.limits.HeaderWait}}
 	h.bodies = newBodyMemory(h.limits, h.conns)
 	h.streamMemory = &memory.Budget{Bytes: h.limits.StreamBytes}
 	h.ResponseMemory.Relieve = h.conns.endUnreadResponse
 	h.ResponseMemory.Wait = responseMemoryWait
 	h.Log.Info("limits on callers", zap.Int("Connections", h.limits.MaxConns), zap.Int64("SmallBodyBytes", h.limits.SmallBodyBytes),
 		zap.Int64("BodyBytes", h.limits.BodyBytes), zap.Int64("ResponseBytes", h.limits.ResponseBytes), zap.Int64("StreamBytes", h.limits.StreamBytes),
-		zap.Int64("StreamBufferBytes", h.limits.StreamBufferBytes), zap.Duration("BodyPause", h.limits.BodyPause), zap.Duration("WritePause", h.limits.WritePause))
+		zap.Int64("HeaderBytes", h.limits.HeaderBytes), zap.Int64("StreamBufferBytes", h.limits.StreamBufferBytes), zap.Duration("HeaderWait", h.limits.HeaderWait), zap.Duration("BodyPause", h.limits.BodyPause), zap.Duration("WritePause", h.limits.WritePause))
 }
 
 // join runs the exchange once this host has read the configuration: a member may
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -41,6 +41,7 @@
 func (h *Host) recordCallerLimits() {
 	for name, n := range map[string]int64{
 		"Connections.Open":   int64(h.conns.count()),
+		"Memory.Headers":     h.conns.Headers.Used(),
 		"Memory.SmallBodies": h.bodies.small.Used(),
 		"Memory.Bodies":      h.bodies.large.Used(),
 		"Memory.Responses":   h.ResponseMemory.Used(),
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
@@ -105,11 +106,11 @@
 	}
 }
 
-// Allowance is the part of a Budget that one holder has. It is not safe for concurrent
-// use.
+// Allowance is the part of a Budget that one holder has. Its methods may be called by any
+// goroutine.
 type Allowance struct {
 	budget *Budget
-	taken  int64
+	taken  atomic.Int64
 }
 
 // NewAllowance returns an empty allowance. Release must be called when what it accounts
@@ -118,21 +119,21 @@
 
 // Take reserves n more bytes and reports whether they were available.
 func (a *Allowance) Take(n int64) bool {
-	if a.taken+n > a.budget.Bytes || !a.budget.take(n) {
+	if a.taken.Load()+n > a.budget.Bytes || !a.budget.take(n) {
 		return false
 	}
-	a.taken += n
+	a.taken.Add(n)
 	return true
 }
 
 // Return gives n bytes back.
 func (a *Allowance) Return(n int64) {
-	a.taken -= n
+	a.taken.Add(-n)
 	a.budget.put(n)
 }
 
 // Taken returns the number of bytes that a holds.
-func (a *Allowance) Taken() int64 { return a.taken }
+func (a *Allowance) Taken() int64 { return a.taken.Load() }
 
 // Release gives all bytes back.
-func (a *Allowance) Release() { a.Return(a.taken) }
+func (a *Allowance) Release() { a.budget.put(a.taken.Swap(0)) }
--- a/internal/settings/callerlimits.go
+++ b/internal/settings/callerlimits.go
@@ -18,7 +18,7 @@
 	// The memory for bodies of requests, responses, events that callers have not
 	// read, the events of one stream, and lines of headers.
 	SmallBodyBytes, BodyBytes, ResponseBytes, StreamBytes, StreamBufferBytes, HeaderBytes int64
-	BodyPause, BodyTime, WritePause                                                       time.Duration
+	HeaderWait, BodyPause, BodyTime, WritePause                                           time.Duration
 }
 
 // Defaults of CallerLimits. The shares of MemoryMB for bodies, responses, streams and headers
@@ -44,6 +44,9 @@
 	headerMemoryShare    = 0.025
 	streamBufferBytes    = 256 << 10
 
+	// defaultHeaderWait exceeds the configurations' headerTimeoutMs of 3 s, after which a
+	// header that does not end returns its memory.
+	defaultHeaderWait = 5 * time.Second
 	// defaultBodyPause exceeds the pauses of TCP after several losses in a row.
 	defaultBodyPause = 10 * time.Second
 	defaultBodyTime  = 10 * time.Minute
@@ -68,6 +71,7 @@
 		StreamBytes:       bytes(g.StreamMemoryMB, streamMemoryShare),
 		HeaderBytes:       bytes(g.HeaderMemoryMB, headerMemoryShare),
 		StreamBufferBytes: int64(g.StreamBufferKB * bytesPerKB),
+		HeaderWait:        orDefault(g.HeaderWait, defaultHeaderWait),
 		BodyPause:         orDefault(g.BodyPause, defaultBodyPause),
 		BodyTime:          orDefault(g.BodyTime, defaultBodyTime),
 		WritePause:        orDefault(g.WritePause, defaultWritePause),
@@ -141,7 +145,7 @@
 	for _, d := range []struct {
 		field string
 		value declaration.Duration
-	}{{"BodyPause", g.BodyPause}, {"BodyTime", g.BodyTime}, {"WritePause", g.WritePause}} {
+	}{{"HeaderWait", g.HeaderWait}, {"BodyPause", g.BodyPause}, {"BodyTime", g.BodyTime}, {"WritePause", g.WritePause}} {
 		if d.value < 0 {
 			r.Report(d.field, "must not be negative, is %v", time.Duration(d.value))
 		}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -78,6 +78,8 @@
 	StreamBufferKB float64 `json:",omitempty"`
 	// HeaderMemoryMB is the memory for headers with very many lines.
 	HeaderMemoryMB float64 `json:",omitempty"`
+	// HeaderWait is how long a header waits for that memory.
+	HeaderWait declaration.Duration `json:",omitempty"`
 	// BodyPause is the longest time without a byte of a body, BodyTime the longest
 	// time for the whole body. The deadline of the request ends a body too.
 	BodyPause declaration.Duration `json:",omitempty"`
