--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -35,8 +35,8 @@
 func newBodyMemory(l settings.CallerLimits, conns *callerConns) *bodyMemory {
 	m := &bodyMemory{}
 	m.small.Bytes, m.large.Bytes = l.SmallBodyBytes, l.BodyBytes
-	m.small.Relieve = func() bool { return conns.endPausedBody(smallBody) }
-	m.large.Relieve = func() bool { return conns.endPausedBody(largeBody) }
+	m.small.Relieve = func() *memory.Allowance { return conns.endPausedBody(smallBody) }
+	m.large.Relieve = func() *memory.Allowance { return conns.endPausedBody(largeBody) }
 	return m
 }
 
@@ -62,7 +62,7 @@
 type body struct {
 	memory *bodyMemory
 	// onPart, unless nil, is called when the memory of the body comes from another part.
-	onPart func(bodyPart)
+	onPart func(bodyPart, *memory.Allowance)
 
 	segments [][]byte
 	size     int64
@@ -167,7 +167,7 @@
 	b.release()
 	b.part, b.taken = part, taken
 	if b.onPart != nil {
-		b.onPart(part)
+		b.onPart(part, taken)
 	}
 	return nil
 }
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -56,9 +56,10 @@
 	// valid if writing is set.
 	readAt, wroteAt time.Time
 	writing         bool
-	// largeResponse is set while a response is written that holds counted memory.
-	largeResponse bool
-	closed        bool
+	// response is the allowance of the response that is being written, or nil if that
+	// holds no counted memory.
+	response *memory.Allowance
+	closed   bool
 	// header counts the lines of the head of the next request, headerMemory accounts for
 	// their memory.
 	header       headLines
@@ -67,10 +68,12 @@
 	readLimit time.Time
 
 	// The following fields are those of the body that is being received.
-	part      bodyPart
-	bodyPause time.Duration
-	bodyUntil time.Time
-	end       bodyEnd
+	part bodyPart
+	// bodyMemory is the allowance of the body, or nil before it holds memory.
+	bodyMemory *memory.Allowance
+	bodyPause  time.Duration
+	bodyUntil  time.Time
+	end        bodyEnd
 	// finalAttempt is set once the deadline of the body has passed and it is read a last
 	// time.
 	finalAttempt bool
@@ -147,13 +150,21 @@
 func (c *callerConn) holdsResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.writing && c.largeResponse
+	return c.writing && c.response != nil
 }
 
-func (c *callerConn) setLargeResponse(large bool) {
+// setResponse records the allowance of the response that is being written.
+func (c *callerConn) setResponse(a *memory.Allowance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.largeResponse = large
+	c.response = a
+}
+
+// responseMemory returns the allowance of the response that is being written, or nil.
+func (c *callerConn) responseMemory() *memory.Allowance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.response
 }
 
 // reset closes the connection at once and drops unsent bytes.
--- a/internal/gateway/callerconn_read.go
+++ b/internal/gateway/callerconn_read.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"berylswitch.example/berylswitch/internal/memory"
 )
 
 // bodyEnd is the reason for which the host has ended a body.
@@ -25,7 +27,7 @@
 func (c *callerConn) beginRequest(r *http.Request, pause time.Duration, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.end, c.finalAttempt, c.part = bodyNotEnded, false, noBody
+	c.end, c.finalAttempt, c.part, c.bodyMemory = bodyNotEnded, false, noBody, nil
 	if r.Body == http.NoBody {
 		c.state, c.served = servesRequest, true
 		return
@@ -46,11 +48,11 @@
 	}
 }
 
-// setPart records which part of the memory for bodies the body holds.
-func (c *callerConn) setPart(p bodyPart) {
+// setPart records which part of the memory for bodies the body holds, and its allowance.
+func (c *callerConn) setPart(p bodyPart, a *memory.Allowance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.part = p
+	c.part, c.bodyMemory = p, a
 }
 
 // endBody records that the body has been read, or that reading it has failed, and returns
@@ -61,6 +63,9 @@
 	c.state = servesRequest
 	if complete {
 		// A body that was complete when it was to be ended is not ended.
+		if c.end == bodyEvicted {
+			c.bodyMemory.Keep()
+		}
 		c.end, c.served = bodyNotEnded, true
 	}
 	return c.end
@@ -70,22 +75,23 @@
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.end, c.largeResponse = awaitsRequest, bodyNotEnded, false
+	c.state, c.end, c.response = awaitsRequest, bodyNotEnded, nil
 	c.readAt = c.conns.Clock.Now()
 	c.header = headLines{}
 	c.headerMemory.Release()
 }
 
-// endBodyFor ends the body that is being received.
-func (c *callerConn) endBodyFor(reason bodyEnd) bool {
+// evictBody ends the body that is being received and returns its allowance, or nil if it
+// has ended.
+func (c *callerConn) evictBody() *memory.Allowance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != receivesBody || c.end != bodyNotEnded {
-		return false
+		return nil
 	}
-	c.end = reason
+	c.end = bodyEvicted
 	c.setReadLimit(c.conns.Clock.Now().Add(-time.Second))
-	return true
+	return c.bodyMemory
 }
 
 // stopReading makes all further reads fail, so that the rest of a refused request takes
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -102,21 +102,30 @@
 }
 
 // endPausedBody ends the body that has paused longest of those that hold memory of the
-// given part, and reports whether there was one.
-func (s *callerConns) endPausedBody(part bodyPart) bool {
+// given part. It returns the body's allowance, or nil if there was none.
+func (s *callerConns) endPausedBody(part bodyPart) *memory.Allowance {
 	victim := s.longestStalled(func(c *callerConn) bool { return c.receives(part) })
-	return victim != nil && victim.endBodyFor(bodyEvicted)
+	if victim == nil {
+		return nil
+	}
+	return victim.evictBody()
 }
 
 // endUnreadResponse disconnects the caller that has read nothing for longest of those to
-// which a large response is being written, and reports whether there was one.
-func (s *callerConns) endUnreadResponse() bool {
+// which a large response is being written. It returns the response's allowance, or nil if
+// there was none.
+func (s *callerConns) endUnreadResponse() *memory.Allowance {
 	victim := s.longestStalled((*callerConn).holdsResponse)
 	if victim == nil {
-		return false
+		return nil
+	}
+	// A response that has been written meanwhile has no allowance.
+	a := victim.responseMemory()
+	if a == nil {
+		return nil
 	}
 	metrics.GetOrRegisterCounter("Responses.Evicted", s.Metrics).Inc(1)
 	s.Log.Warn("unread response ended for another one", zap.Stringer("Caller", victim.RemoteAddr()), zap.Duration("Stalled", victim.stalledFor()))
 	victim.reset()
-	return true
+	return a
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -74,6 +74,8 @@
 	status int
 	header http.Header
 	body   *upstream.Content
+	// memory is the allowance of the body.
+	memory *memory.Allowance
 }
 
 // newSender returns a sender of q. Its memory must be released.
@@ -273,7 +275,7 @@
 	s.possibleRuns++
 	s.q.mayHaveRun = true
 	s.endSend(t, resultOf(resp.Status), s.h.Clock.Since(start))
-	return &targetResponse{resp.Status, resp.Header, body}
+	return &targetResponse{resp.Status, resp.Header, body, s.memory}
 }
 
 // resultOf returns the outcome of a send that the target answered. A status that
@@ -291,7 +293,9 @@
 // writeTo writes a target's response to the caller.
 func (resp *targetResponse) writeTo(out *callerResponse) error {
 	out.startTargetResponse(resp.status, resp.header)
-	out.conn.setLargeResponse(resp.body.Len() > upstream.UnaccountedBytes)
+	if resp.body.Len() > upstream.UnaccountedBytes {
+		out.conn.setResponse(resp.memory)
+	}
 	if _, err := resp.body.WriteTo(out.w); err != nil {
 		return result.Failed(result.Cancelled, "writing the response: %v", err)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -177,7 +177,7 @@
 	s.possibleRuns++
 	s.q.mayHaveRun = true
 	s.endSend(t, resultOf(resp.Status), s.h.Clock.Since(start))
-	s.lastResponse = &targetResponse{resp.Status, resp.Header, body}
+	s.lastResponse = &targetResponse{resp.Status, resp.Header, body, s.memory}
 	if rel.out.started || resp.Status >= http.StatusInternalServerError && s.q.route.Repeatable() && s.possibleRuns < s.q.route.MaxTargets {
 		return streamBroken
 	}
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -13,16 +13,16 @@
 		b := &Budget{Bytes: 100}
 		held := b.NewAllowance()
 		ends := 1
-		b.Relieve = func() bool {
+		b.Relieve = func() *Allowance {
 			if ends == 0 {
-				return false
+				return nil
 			}
 			ends--
 			go func() {
 				time.Sleep(reliefTime / 2)
 				held.Release()
 			}()
-			return true
+			return held
 		}
 		if !held.Take(60) {
 			t.Fatal("an empty budget holds too little")
