upstream: a response of exactly 64 KiB takes no counted memory

Cause: to see whether a body ends at 64 KiB, another segment was added first, of one byte or, without an announced length, of 64 KiB, which counted towards the memory for large responses. Such a response failed when that memory was taken, and held it while it was not among those that can be ended for others.

Change: from 64 KiB on, a small read shows whether the body goes on before a further segment is added. A response holds counted memory only if it exceeds 64 KiB.

Before: TestLargestUnaccounted "announced length -1: error <nil>, 65536 bytes are counted", "announced length 65536: error <nil>, 1 bytes are counted"; TestReadAll with 65,536 bytes and no memory "response body is too large, want <nil>". After: all pass.

--- a/internal/upstream/content.go
+++ b/internal/upstream/content.go
@@ -22,6 +22,8 @@
 type Content struct {
 	segments []segment
 	size     int64
+	// capacity is the size of all segments.
+	capacity int64
 	memory   *memory.Allowance
 }
 
@@ -48,20 +50,13 @@
 		return nil, wrapBroken(ErrTooLarge)
 	}
 	c := &Content{memory: a}
-	for capacity := int64(0); ; {
-		if c.size == capacity {
-			// Room for one byte more than expected shows whether the body ends there.
-			most := limit
-			if r.Length >= 0 {
-				most = r.Length
-			}
-			n := min(max(minSegmentBytes, capacity), maxSegmentBytes, most+1-capacity)
-			if !c.grow(n, capacity) {
-				return nil, wrapBroken(ErrTooLarge)
-			}
-			capacity += n
-		}
-		err := c.readSome(r.Body)
+	// Room for one byte more than expected shows whether the body ends there.
+	most := limit
+	if r.Length >= 0 {
+		most = r.Length
+	}
+	for {
+		err := c.readSome(r.Body, most)
 		switch {
 		case c.size > limit:
 			return nil, wrapBroken(ErrTooLarge)
@@ -73,9 +68,11 @@
 	}
 }
 
-// grow adds a segment of n bytes to those of the given capacity, unless the allowance
-// can't hold it.
-func (c *Content) grow(n, capacity int64) bool {
+// grow adds a segment, unless the allowance can't hold it. The segments hold one byte more
+// than most.
+func (c *Content) grow(most int64) bool {
+	capacity := c.capacity
+	n := min(max(minSegmentBytes, capacity), maxSegmentBytes, most+1-capacity)
 	s := segment{}
 	if over := capacity + n - max(capacity, UnaccountedBytes); c.memory != nil && over > 0 {
 		if !c.memory.Take(over) {
@@ -85,11 +82,22 @@
 	}
 	s.bytes = make([]byte, 0, n)
 	c.segments = append(c.segments, s)
+	c.capacity += n
 	return true
 }
 
-// readSome reads into the last segment.
-func (c *Content) readSome(r io.Reader) error {
+// probeBytes is the size of the read that shows whether a body ends where a further segment
+// would take counted memory.
+const probeBytes = 256
+
+// readSome reads into the last segment, or into a new one if that is full.
+func (c *Content) readSome(r io.Reader, most int64) error {
+	if c.size == c.capacity && c.capacity >= UnaccountedBytes && c.memory != nil {
+		return c.readFurther(r, most)
+	}
+	if c.size == c.capacity && !c.grow(most) {
+		return wrapBroken(ErrTooLarge)
+	}
 	last := &c.segments[len(c.segments)-1]
 	n, err := r.Read(last.bytes[len(last.bytes):cap(last.bytes)])
 	last.bytes = last.bytes[:len(last.bytes)+n]
@@ -97,6 +105,22 @@
 	return err
 }
 
+// readFurther adds a segment, which takes counted memory, if the body has not ended.
+func (c *Content) readFurther(r io.Reader, most int64) error {
+	probe := make([]byte, min(probeBytes, most+1-c.capacity))
+	n, err := r.Read(probe)
+	if n == 0 {
+		return err
+	}
+	if !c.grow(most) {
+		return wrapBroken(ErrTooLarge)
+	}
+	last := &c.segments[len(c.segments)-1]
+	last.bytes = append(last.bytes, probe[:n]...)
+	c.size += int64(n)
+	return err
+}
+
 // Len returns the size of the body in bytes.
 func (c *Content) Len() int64 { return c.size }
 
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -203,6 +203,11 @@
 		{100, 100, 0, nil},
 		{101, 100, 0, ErrTooLarge},
 		{UnaccountedBytes - 1, 1 << 20, 0, nil},
+		{UnaccountedBytes, 1 << 20, 0, nil},
+		{UnaccountedBytes, UnaccountedBytes, 0, nil},
+		{UnaccountedBytes + 1, UnaccountedBytes, 0, ErrTooLarge},
+		{UnaccountedBytes + 1, 1 << 20, 0, ErrTooLarge},
+		{UnaccountedBytes + 1, 1 << 20, UnaccountedBytes, nil},
 		{1 << 20, 1 << 20, 2 << 20, nil},
 		{1 << 20, 1 << 20, 1 << 19, ErrTooLarge},
 		{1<<20 + 1, 1 << 20, 8 << 20, ErrTooLarge},
@@ -223,6 +228,20 @@
 	}
 }
 
+// TestLargestUnaccounted checks that the largest body that takes nothing from a budget
+// holds nothing, with and without an announced length. It once held memory, and a response
+// of this size is not ended when others need it.
+func TestLargestUnaccounted(t *testing.T) {
+	for _, length := range []int64{-1, UnaccountedBytes} {
+		budget := &memory.Budget{Bytes: 1 << 20}
+		body := io.NopCloser(bytes.NewReader(make([]byte, UnaccountedBytes)))
+		c, err := (&Response{Body: body, Length: length}).ReadContent(1<<20, budget.NewAllowance())
+		if err != nil || c.Len() != UnaccountedBytes || budget.Used() != 0 {
+			t.Errorf("announced length %d: error %v, %d bytes are counted", length, err, budget.Used())
+		}
+	}
+}
+
 // FuzzResponse reads arbitrary bytes as a response. Whatever a target sends, its
 // head takes no more than its limit from the connection, only a response that
 // belongs to the request is returned, and its body keeps to its limit.
