host: bound the connections of callers

Cause: berylswitch serve accepted connections without a bound. Idle ones stay for 2 min, so that some hundreds beyond the process's descriptors kept it from answering anybody.

Change: the new setting MaxConns bounds them, by default 10,240 and at most half of the descriptors less 200. Beyond it, link.Server closes the connection that has been unused longest, those without a request so far first, or the new one if all others carry a request. A bare net/http server took 14 KB for a silent connection, 16 KB for one that was served, 35 KB for a header that stops after 15 KB, and 263 KB if that consists of short lines (1,000 connections each, one run). The last is not bounded by this change.

Before: TestProcesses/crowd (256 descriptors, 400 connections of each kind) 'Get "http://.../v1/live": context deadline exceeded (Client.Timeout exceeded while awaiting headers)' after 60 s. After: it passes in 0.3 s.

--- a/cmd/berylswitch/process_test.go
+++ b/cmd/berylswitch/process_test.go
@@ -48,6 +48,8 @@
 //	exited NAME CODE                   waits for a process to exit with CODE
 //	publish LOG FILE                   appends the section in FILE to the log
 //	get ADDR PATH TEXT                 expects 200 and TEXT in the body
+//	getanew ADDR PATH                  expects 200 over a new connection
+//	crowd ADDR N TEXT                  connects N callers that send TEXT and stay
 //	control ADDR JSON                  sets the faults of a stand-in
 //	post ADDR PIPELINE KEY BODY WANT   expects the result WANT; - means no key
 //	stream NAME ADDR PIPELINE BODY     starts a streamed request
@@ -76,6 +78,7 @@
 			"status": scriptCommand(doStatus), "key": scriptCommand(doKey), "output": scriptCommand(doOutput), "lines": scriptCommand(doLines),
 			"hold": scriptCommand(doHold), "reading": scriptCommand(doReading), "release": scriptCommand(doRelease),
 			"startpiped": scriptCommand(doStartPiped), "unread": scriptCommand(doUnread),
+			"crowd": scriptCommand(doCrowd), "getanew": scriptCommand(doGetAnew),
 		},
 	})
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -78,6 +78,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	h.server = link.NewServer(h.Clock, newServer(h.handler()), h.callerListener)
+	h.server.Limit = h.connLimit()
 	g, groupCtx := errgroup.WithContext(background)
 	g.Go(func() error { return h.Follower.Run(groupCtx) })
 	g.Go(func() error { return h.Exchange.Run(groupCtx) })
--- /dev/null
+++ b/internal/link/connlimit.go
@@ -0,0 +1,90 @@
+package link
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+)
+
+// ConnLimit bounds the open connections of a Server, so that callers that open many and
+// leave them idle or send nothing take neither all descriptors nor all memory. When there
+// are more than Max, the one that has been unused longest is closed; if all others carry a
+// request, the new one is. Exported fields must be set before the server starts.
+type ConnLimit struct {
+	Max int
+	// OnClose, unless nil, is called for each connection that is closed beyond Max. refused
+	// is set if it is the new one.
+	OnClose func(addr net.Addr, refused bool)
+
+	clock *clock.Service
+	mu    sync.Mutex
+	conns map[net.Conn]connUse
+}
+
+// connUse is the use of a connection.
+type connUse struct {
+	state http.ConnState
+	since time.Time
+}
+
+// before reports whether a connection with use u is to be closed before one with use
+// other. Those that never brought a request come first: many new connections must not
+// displace the idle ones of callers that have been served.
+func (u connUse) before(other connUse) bool {
+	if u.state != other.state {
+		return u.state == http.StateNew
+	}
+	return u.since.Before(other.since)
+}
+
+// record records a new state of c, and makes room if c is new.
+func (l *ConnLimit) record(c net.Conn, state http.ConnState) {
+	if victim := l.update(c, state); victim != nil {
+		if l.OnClose != nil {
+			l.OnClose(victim.RemoteAddr(), victim == c)
+		}
+		// An error means that it is closed already.
+		_ = Reset(victim)
+	}
+}
+
+// update records a new state of c and returns the connection to be closed, if any.
+func (l *ConnLimit) update(c net.Conn, state http.ConnState) net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		if l.conns == nil {
+			l.conns = map[net.Conn]connUse{}
+		}
+		l.conns[c] = connUse{state, l.clock.Now()}
+		if len(l.conns) > l.Max {
+			victim := l.longestUnused(c)
+			// The server removes it later; until then it must not count.
+			delete(l.conns, victim)
+			return victim
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(l.conns, c)
+	default:
+		if _, ok := l.conns[c]; ok {
+			l.conns[c] = connUse{state, l.clock.Now()}
+		}
+	}
+	return nil
+}
+
+// longestUnused returns the connection to be closed for the new one, which may be the new
+// one itself; l.mu is held.
+func (l *ConnLimit) longestUnused(added net.Conn) net.Conn {
+	victim, use := added, connUse{}
+	for c, u := range l.conns {
+		if c != added && u.state != http.StateActive && (victim == added || u.before(use)) {
+			victim, use = c, u
+		}
+	}
+	return victim
+}
--- /dev/null
+++ b/internal/link/connlimit_test.go
@@ -0,0 +1,65 @@
+package link
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/clock"
+	"github.com/google/go-cmp/cmp"
+)
+
+// namedConn is a connection that records that it was closed.
+type namedConn struct {
+	net.Conn
+	name   string
+	closed *[]string
+}
+
+func (c *namedConn) Close() error {
+	*c.closed = append(*c.closed, c.name)
+	return nil
+}
+
+func (c *namedConn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
+// TestConnLimit checks which connections give way to new ones. It guards against a limit
+// that closes connections in use, or those of served callers before those that never sent
+// a request.
+func TestConnLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var closed []string
+		refused := 0
+		l := &ConnLimit{Max: 3, clock: &clock.Service{}, OnClose: func(_ net.Addr, r bool) {
+			if r {
+				refused++
+			}
+		}}
+		open := func(name string, states ...http.ConnState) *namedConn {
+			c := &namedConn{name: name, closed: &closed}
+			for _, s := range append([]http.ConnState{http.StateNew}, states...) {
+				l.record(c, s)
+			}
+			time.Sleep(time.Second)
+			return c
+		}
+		served := open("served", http.StateActive, http.StateIdle)
+		open("silent", http.StateNew)
+		busy := open("busy", http.StateActive)
+		open("another silent")
+		open("busy too", http.StateActive)
+		open("busy as well", http.StateActive)
+		open("one too many")
+		if diff := cmp.Diff([]string{"silent", "another silent", "served", "one too many"}, closed); diff != "" || refused != 1 {
+			t.Errorf("%d refused, closed (-want +got):\n%s", refused, diff)
+		}
+		l.record(served, http.StateClosed)
+		l.record(busy, http.StateClosed)
+		open("after the end of another one")
+		if len(closed) != 4 {
+			t.Errorf("closed %q although there was room", closed[4:])
+		}
+	})
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -13,6 +13,9 @@
 // Server serves HTTP on one listener and can stop without dropping a request.
 // Shutdown of net/http drops one that is still being read without an answer.
 type Server struct {
+	// Limit, unless nil, bounds the open connections. It must be set before Serve.
+	Limit *ConnLimit
+
 	http     *http.Server
 	clock    *clock.Service
 	listener net.Listener
@@ -32,12 +35,18 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve() error {
+	if s.Limit != nil {
+		s.Limit.clock = s.clock
+	}
 	defer close(s.served)
 	return IgnoreClosed(s.http.Serve(s.listener))
 }
 
 // countConn is the ConnState hook of the HTTP server.
-func (s *Server) countConn(_ net.Conn, state http.ConnState) {
+func (s *Server) countConn(c net.Conn, state http.ConnState) {
+	if s.Limit != nil {
+		s.Limit.record(c, state)
+	}
 	switch state {
 	case http.StateNew:
 		s.conns.Add(1)
--- a/internal/settings/callerlimits.go
+++ b/internal/settings/callerlimits.go
@@ -108,6 +108,11 @@
 	if g.MaxFDs > 0 {
 		return g.MaxFDs
 	}
+	return processFDs()
+}
+
+// processFDs returns the number of descriptors under which the process was started.
+func processFDs() float64 {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		// Getrlimit fails only for an invalid argument.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,9 @@
 	DrainDelay declaration.Duration `json:",omitempty"`
 	// DrainTimeout bounds the wait for requests and peer calls in a graceful shutdown.
 	DrainTimeout declaration.Duration `json:",omitempty"`
+	// MaxConns is the maximum number of callers' connections. Zero means a default, which
+	// MaxConnections computes.
+	MaxConns int `json:",omitempty"`
 }
 
 // Peer is another host that this one contacts first.
@@ -65,6 +68,17 @@
 	DefaultDrainTimeout = 30 * time.Second
 )
 
+// Defaults of MaxConns.
+const (
+	// defaultMaxConns is a quarter more than the requests that a host runs at most (8,192),
+	// so that callers may keep idle connections. At 35 KB each, as with a header that stops
+	// after 15 KB, they take a third of the soft memory limit of 1 GiB.
+	defaultMaxConns = 10240
+	// serveFDShare is the part of the descriptors beyond reservedFDs that callers'
+	// connections may take. A request needs as many at its targets.
+	serveFDShare = 0.5
+)
+
 // Limits on the values in a settings file.
 const (
 	maxPeers = 1024
@@ -114,6 +128,9 @@
 	if s.CallerAddr == s.PeerAddr && s.PeerAddr.IsValid() {
 		r.Report("PeerAddr", "must differ from CallerAddr")
 	}
+	if s.MaxConns < 0 {
+		r.Report("MaxConns", "must not be negative, is %d", s.MaxConns)
+	}
 	checkDrainTime(r, "DrainDelay", s.DrainDelay)
 	checkDrainTime(r, "DrainTimeout", s.DrainTimeout)
 	if d := time.Duration(s.SnapshotAge); d != 0 && d < minSnapshotAge {
@@ -162,3 +179,11 @@
 		s.DrainTimeout = declaration.Duration(DefaultDrainTimeout)
 	}
 }
+
+// MaxConnections returns the maximum number of callers' connections.
+func (s *Settings) MaxConnections() int {
+	if s.MaxConns > 0 {
+		return s.MaxConns
+	}
+	return max(1, min(defaultMaxConns, int(serveFDShare*(processFDs()-reservedFDs))))
+}
