settings: memory for two dozen long requests with many header lines

Cause: lines of headers now count 240 bytes instead of 160, and a header takes the memory for all lines that it may have while it arrives. Requests that hold this memory for longer than HeaderWait were thus refused earlier than before: 12 of 24 with 1,000 lines each were served by the smallest host.

Change: the default of HeaderMemoryMB is 0.05 of MemoryMB instead of 0.025. The shares add up to 0.675 with that for connections, and to 0.475 without it.

Before: TestHeadersWaitForMemory/long "24 requests got map[200 and close:12 400 and close:12]". After: all are served. One run: TestFloodOfAllKinds 105 MB of 136 with 62.5 MB of the 64.6 MB counted that the limits allow, TestFloodOfHeaderLines 55 MB of 96.

--- a/internal/gateway/callerlimits_test.go
+++ b/internal/gateway/callerlimits_test.go
@@ -311,13 +311,22 @@
 }
 
 // TestHeadersWaitForMemory checks that concurrent requests whose headers have very many
-// lines, each within the configured limit, are all served by the smallest host. They once
-// were refused as soon as the memory for lines was taken.
+// lines, each within the configured limit, are all served by the smallest host: many that
+// hold their memory briefly, and two dozen that hold it for longer than others wait. They
+// once were refused as soon as the memory for lines was taken.
 func TestHeadersWaitForMemory(t *testing.T) {
-	const requests, lines = 60, 1000
+	t.Run("brief", func(t *testing.T) { serveHeaderLines(t, 60, 200*time.Millisecond) })
+	t.Run("long", func(t *testing.T) { serveHeaderLines(t, 24, 10*time.Second) })
+}
+
+// serveHeaderLines checks that so many concurrent requests with many header lines, each of
+// which takes the target the given time, are served.
+func serveHeaderLines(t *testing.T, requests int, took time.Duration) {
+	t.Helper()
+	const lines = 1000
 	synctest.Test(t, func(t *testing.T) {
 		slow := func(w http.ResponseWriter, req *http.Request) {
-			time.Sleep(200 * time.Millisecond)
+			time.Sleep(took)
 			respondsWith("x")(w, req)
 		}
 		r := newLimitedFixture(t, catalog.Unsafe, 1000, func(s *settings.Gateway) { s.MemoryMB, s.MaxFDs = 136, 2870 }, slow)
--- a/internal/settings/callerlimits.go
+++ b/internal/settings/callerlimits.go
@@ -41,7 +41,7 @@
 	bodyMemoryShare      = 0.125
 	responseMemoryShare  = 0.125
 	streamMemoryShare    = 0.05
-	headerMemoryShare    = 0.025
+	headerMemoryShare    = 0.05
 	streamBufferBytes    = 256 << 10
 
 	// defaultHeaderWait exceeds the configurations' headerTimeoutMs of 3 s, after which a
