--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
@@ -95,3 +96,36 @@
 		t.Errorf("%d bytes are unsent on a closed connection", got)
 	}
 }
+
+// TestCompleteBodyKeepsItsMemory checks that another body is ended if the first one was
+// complete when it was to be ended: its request then holds the memory to its end, and a
+// budget that expected it back would end no other body.
+func TestCompleteBodyKeepsItsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := &memory.Budget{Bytes: 100}
+		conns := &callerConns{Clock: &clock.Service{}}
+		receive := func() (*callerConn, *memory.Allowance) {
+			end, other := net.Pipe()
+			t.Cleanup(func() { end.Close(); other.Close() })
+			a := budget.NewAllowance()
+			a.Take(50)
+			return &callerConn{Conn: end, conns: conns, state: receivesBody, part: largeBody, bodyMemory: a}, a
+		}
+		complete, _ := receive()
+		incomplete, held := receive()
+		budget.Relieve = func() *memory.Allowance {
+			if a := complete.evictBody(); a != nil {
+				time.AfterFunc(10*time.Millisecond, func() { complete.endBody(true) })
+				return a
+			}
+			a := incomplete.evictBody()
+			if a != nil {
+				time.AfterFunc(10*time.Millisecond, held.Release)
+			}
+			return a
+		}
+		if !budget.NewAllowance().Take(50) {
+			t.Error("no memory, and the incomplete body was not ended")
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -185,5 +185,10 @@
 	if s.MaxConns > 0 {
 		return s.MaxConns
 	}
-	return max(1, min(defaultMaxConns, int(serveFDShare*(processFDs()-reservedFDs))))
+	return defaultConnections(processFDs())
+}
+
+// defaultConnections returns the default of MaxConns in a process with so many descriptors.
+func defaultConnections(fds float64) int {
+	return max(1, min(defaultMaxConns, int(serveFDShare*(fds-reservedFDs))))
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -23,6 +23,22 @@
 	})
 }
 
+// TestMaxConnections checks the limit on callers' connections. It guards against a default
+// below the requests that a host runs, or beyond the process's descriptors.
+func TestMaxConnections(t *testing.T) {
+	if got := (&Settings{MaxConns: 7}).MaxConnections(); got != 7 {
+		t.Errorf("%d connections, 7 are set", got)
+	}
+	for _, c := range []struct {
+		fds  float64
+		want int
+	}{{1 << 20, 10240}, {4096, 1948}, {256, 28}, {100, 1}} {
+		if got := defaultConnections(c.fds); got != c.want {
+			t.Errorf("%v descriptors: %d connections, want %d", c.fds, got, c.want)
+		}
+	}
+}
+
 // FuzzParse checks that no text causes a panic and that each rejection reports at
 // least one problem.
 func FuzzParse(f *testing.F) {
