gateway, soak: stricter tests of headers with many lines

TestHeadersWaitForMemory/in parts guards against headers that take memory for each part as it arrives.

--- a/internal/gateway/callerlimits_test.go
+++ b/internal/gateway/callerlimits_test.go
@@ -315,13 +315,16 @@
 // hold their memory briefly, and two dozen that hold it for longer than others wait. They
 // once were refused as soon as the memory for lines was taken.
 func TestHeadersWaitForMemory(t *testing.T) {
-	t.Run("brief", func(t *testing.T) { serveHeaderLines(t, 60, 200*time.Millisecond) })
-	t.Run("long", func(t *testing.T) { serveHeaderLines(t, 24, 10*time.Second) })
+	t.Run("brief", func(t *testing.T) { serveHeaderLines(t, 60, 0, 200*time.Millisecond) })
+	t.Run("long", func(t *testing.T) { serveHeaderLines(t, 24, 0, 10*time.Second) })
+	// Headers that took memory for each part as it arrives would wait for each other.
+	t.Run("in parts", func(t *testing.T) { serveHeaderLines(t, 120, 200*time.Millisecond, 0) })
 }
 
-// serveHeaderLines checks that so many concurrent requests with many header lines, each of
-// which takes the target the given time, are served.
-func serveHeaderLines(t *testing.T, requests int, took time.Duration) {
+// serveHeaderLines checks that so many concurrent requests with many header lines, which
+// callers send with a pause in between and which each take the target the given time, are
+// served.
+func serveHeaderLines(t *testing.T, requests int, pause, took time.Duration) {
 	t.Helper()
 	const lines = 1000
 	synctest.Test(t, func(t *testing.T) {
@@ -331,17 +334,19 @@
 		}
 		r := newLimitedFixture(t, catalog.Unsafe, 1000, func(s *settings.Gateway) { s.MemoryMB, s.MaxFDs = 136, 2870 }, slow)
 		defer r.close()
-		var fields []string
+		text := "POST /a/b HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nContent-Length: 5\r\nConnection: close\r\n"
 		for i := range lines {
-			fields = append(fields, fmt.Sprintf("H%d:", i))
+			text += fmt.Sprintf("H%d:\r\n", i)
 		}
-		fields = append(fields, "Content-Length: 5", "Connection: close")
+		text += "\r\n12345"
 		outcomes := make(chan string, requests)
 		for range requests {
 			conn := r.dial()
 			defer conn.Close()
 			go func() {
-				r.begin(conn, "12345", fields...)
+				io.WriteString(conn, text[:len(text)/2])
+				time.Sleep(pause)
+				io.WriteString(conn, text[len(text)/2:])
 				outcomes <- outcome(conn)
 			}()
 		}
