backpressure: no turn at a cold target after more than 0.25 s

Cause: a holder with a small share or a low rate granted a turn with a wait of up to the time in which it earns one token (2 s at 0.5 a second). Such a turn can't be revoked when the share moves to another holder, whose lease counts 0.45 s after its begin. Both then sent in the same second. The exception was meant to let targets with a low rate get requests at all, but a quota earns tokens while no turn is granted, so it isn't needed for that.

Change: a turn at a cold target is granted only if its wait is at most maxColdWait, at every rate.

Test: TestTurnsOfFormerHolders has four parts of a partition, each with half a request a second, whose shares move from holder to holder. Before: 0s: 12 requests in a second, want at most 7 50ms: 8 requests in a second, want at most 7 500ms: 8 requests in a second, want at most 7 After: passes, and each holder that keeps its share for 3 s grants a turn.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -26,9 +26,9 @@
 	// closer together than their turns were, since a turn may be used up to coldTurnLife
 	// late, and for hosts that differ in the number of hosts that they see.
 	coldBunching = 0.5
-	// maxColdWait is the longest wait for a turn at a cold target, except for the first
-	// turn at a low rate. Turns that have been granted can't be revoked when the
-	// target's quota moves to another holder.
+	// maxColdWait is the longest wait for a turn at a cold target, also at a low rate.
+	// Turns that have been granted can't be revoked when the target's quota moves to
+	// another holder, and must be over when the other holder's lease counts.
 	maxColdWait = 250 * time.Millisecond
 	// coldLeaseDelay is the time after its begin for which a lease doesn't count for cold
 	// targets: turns granted by the former holder may still be used then.
--- a/internal/backpressure/quota.go
+++ b/internal/backpressure/quota.go
@@ -69,15 +69,10 @@
 	}
 }
 
-// tooLong reports whether no turn may be granted at a cold target after wait: it exceeds
-// both maxColdWait and the time in which the burst is earned. The second condition lets
-// targets with a low rate get requests at all.
-func (q *quota) tooLong(wait time.Duration) bool {
-	if !q.cold {
-		return false
-	}
-	return wait > maxColdWait && wait.Seconds()*q.rate > coldBurst
-}
+// tooLong reports whether no turn may be granted at a cold target after wait. A quota
+// also earns tokens while no turn is granted, so that targets with a low rate get
+// requests too, but only from the last maxColdWait before a token is earned.
+func (q *quota) tooLong(wait time.Duration) bool { return q.cold && wait > maxColdWait }
 
 // noTurn is the wait at a target to which no request may go.
 const noTurn = time.Hour
