backpressure: the end of a cold time is logged if the target is removed or replaced

Cause: pruneCold removes the state of a cold target that is gone without the line "target is cold no longer", and so does addCold when a warm incarnation replaces a cold one. An operator saw a target that became cold and never warm.

Change: both log the line, with the source "removed" or "new incarnation".

Tests: TestColdStateIsPruned, extended, and TestColdStateOfNewIncarnation. Before, each of the lines was missing: - "target is cold no longer a 1 removed", - "target is cold no longer a 1 new incarnation", - "target is cold no longer a 2 new incarnation", After: both pass. TestColdStateIsPruned now gives target a a remaining cold time in its entry and adds a warm target b, whose removal logs nothing.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -176,6 +176,9 @@
 	if b.cold == nil {
 		b.cold = map[string]*coldState{}
 	}
+	if former := b.cold[id]; former != nil && former.cold {
+		b.logWarm(former, "new incarnation")
+	}
 	st := &coldState{target: id, service: service, born: born, sequence: noSequence, until: now, assumedAt: now, seenAt: now}
 	b.cold[id] = st
 	return st
@@ -198,7 +201,7 @@
 	}
 	st.cold = cold
 	if !cold {
-		b.Log.Info("target is cold no longer", zap.String("Target", st.target), zap.String("Service", st.service), zap.Int64("Born", st.born), zap.String("Source", source))
+		b.logWarm(st, source)
 		return
 	}
 	b.Log.Info("target is cold", zap.String("Target", st.target), zap.String("Service", st.service), zap.Int64("Born", st.born), zap.Int64("Sequence", st.sequence),
@@ -208,6 +211,11 @@
 	}
 }
 
+// logWarm logs that a target is cold no longer.
+func (b *Table) logWarm(st *coldState, source string) {
+	b.Log.Info("target is cold no longer", zap.String("Target", st.target), zap.String("Service", st.service), zap.Int64("Born", st.born), zap.String("Source", source))
+}
+
 // MarkDomainCold makes all targets of a failure domain in s cold for the cold times of
 // their services from now on, until an entry written later says otherwise. It is called
 // when the failure domain is put back into service.
@@ -408,6 +416,9 @@
 	now := b.Clock.Now()
 	for id, st := range b.cold {
 		if !s.Has(id) && now.Sub(st.seenAt) > coldPruneDelay {
+			if st.cold {
+				b.logWarm(st, "removed")
+			}
 			delete(b.cold, id)
 		}
 	}
--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -111,11 +111,14 @@
 }
 
 // TestColdStateIsPruned expects the state of a target that is gone to be removed, but
-// not that of one that is not in the snapshot yet.
+// not that of one that is not in the snapshot yet. The end of the cold time must be logged:
+// the log once showed a target that became cold and never warm.
 func TestColdStateIsPruned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &Table{Clock: &clock.Service{}, Log: zap.NewNop(), Catalog: func() *catalog.Snapshot { return coldServiceSnapshot() }, Cold: ColdBounds{1.5, 5}}
-		b.ObserveEntry(&catalog.Target{ID: "a", Service: "s", Born: 1})
+		core, logs := observer.New(zap.InfoLevel)
+		b := &Table{Clock: &clock.Service{}, Log: zap.New(core), Catalog: func() *catalog.Snapshot { return coldServiceSnapshot() }, Cold: ColdBounds{1.5, 5}}
+		b.ObserveEntry(&catalog.Target{ID: "a", Service: "s", Born: 1, Cold: catalog.Cold{Known: true, Left: time.Minute}})
+		b.ObserveEntry(&catalog.Target{ID: "b", Service: "s", Born: 1, Cold: catalog.Cold{Known: true}})
 		b.Prune(coldServiceSnapshot())
 		if diff := cmp.Diff(1, b.ColdTargets()); diff != "" {
 			t.Errorf("targets at first (-want +got):\n%s", diff)
@@ -125,9 +128,41 @@
 		if diff := cmp.Diff(0, len(b.cold)); diff != "" {
 			t.Errorf("targets later (-want +got):\n%s", diff)
 		}
+		if diff := cmp.Diff([]string{"target is cold a 1", "target is cold no longer a 1 removed"}, coldLog(logs)); diff != "" {
+			t.Errorf("log (-want +got):\n%s", diff)
+		}
 	})
 }
 
+// TestColdStateOfNewIncarnation expects the end of a former incarnation's cold time to be
+// logged if the new incarnation is warm: the log once showed the target as cold for good.
+func TestColdStateOfNewIncarnation(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	b := &Table{Clock: &clock.Service{}, Log: zap.New(core), Catalog: func() *catalog.Snapshot { return coldServiceSnapshot() }, Cold: ColdBounds{1.5, 5}}
+	for born, left := range []time.Duration{time.Minute, time.Minute, 0, 0} {
+		b.ObserveEntry(&catalog.Target{ID: "a", Service: "s", Born: int64(born + 1), Cold: catalog.Cold{Known: true, Left: left}})
+	}
+	want := []string{"target is cold a 1", "target is cold no longer a 1 new incarnation", "target is cold a 2", "target is cold no longer a 2 new incarnation"}
+	if diff := cmp.Diff(want, coldLog(logs)); diff != "" {
+		t.Errorf("log (-want +got):\n%s", diff)
+	}
+}
+
+// coldLog returns the lines on cold targets with their target and incarnation, and with
+// the source of those that are cold no longer.
+func coldLog(logs *observer.ObservedLogs) []string {
+	var out []string
+	for _, l := range logs.All() {
+		f := l.ContextMap()
+		line := fmt.Sprint(l.Message, " ", f["Target"], " ", f["Born"])
+		if l.Message != "target is cold" {
+			line += fmt.Sprint(" ", f["Source"])
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
 var coldSeeds = flag.Uint("coldseeds", 10, "seeds of TestColdTargetsWhileHostsFail")
 
 // coldSite is several hosts with their tables, holders and clients, which call each
