catalog: evacuations follow the operators' topic when its offsets start over

Cause: the evacuations are kept as of a position in the operators' topic, and only a state at a later position replaced them. When the store has lost the topic's history, a full read ends at an earlier position and was ignored for good: evacuations stayed in force and new ones never began. A host that polls a reader ignored the reader's state for the same reason, and a host that knew the new history took the former one back from a peer.

Change: a full read of the store that ends before the position that was known when it began (TableUpdate.Since) replaces the state. After that, a peer's state counts only if it was read at least restartMargin (6 s) later, by the age in its reply, since positions before and after can't be compared. A peer's state at an earlier position counts if it was read that much later than this host's, so that hosts that the store turns away learn of it too. A host reads the topic itself while its reader has another position, and reads all of it again if the store is behind what a peer gave. The age of a reply whose state is behind no longer counts for this host's state. Messages between hosts are unchanged. If the new history is as long as the former one when a host reads it, the loss can't be noticed.

TestEvacuations now runs in virtual time and prints the new log line; its former scripts are unchanged. hostFeed returns all records for an offset beyond the end, like the platform's feed.

--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
@@ -34,18 +35,34 @@
 	return nil
 }
 
+// restartMargin is the difference between the times of two reads of the store, on different
+// hosts, from which on the later one is known to have begun after the earlier one had ended.
+// A read takes up to 4.2 s, and the age in a peer's reply leaves out the delay of calls.
+const restartMargin = 6 * time.Second
+
 // applyEvacuations applies the evacuations of a read of the operators' topic, or of a
 // peer's reply. The state is replaced only by one at a later position of the topic, so
 // that neither a peer that lags behind nor a record that is read again starts or ends an
-// evacuation.
-func (f *Follower) applyEvacuations(update TableUpdate, source Source) {
+// evacuation. If the store has lost the topic's history, so that offsets have started
+// over, a state at an earlier position replaces it. peerReadAt is the time at which a peer
+// or its source read the state; it is zero for a read of the store.
+func (f *Follower) applyEvacuations(update TableUpdate, source Source, peerReadAt time.Time) {
 	f.mu.Lock()
 	former, position := f.evacuations, f.tablePosition
-	first := former == nil
-	if first && !update.Full || !first && update.Next <= position {
+	first, now := former == nil, f.Clock.Now()
+	restarted := !first && f.hasStartedOver(update, peerReadAt)
+	known := !first && !restarted && (update.Next <= position || f.isOfFormerHistory(peerReadAt))
+	if update.Next == position || !known {
+		f.recordTopicRead(peerReadAt, now)
+	}
+	if first && !update.Full || known {
 		f.mu.Unlock()
 		return
 	}
+	if restarted {
+		f.startedOverAt = now
+		f.Log.Warn("offsets of the operators' topic have started over", zap.Int64("Next", int64(update.Next)), zap.Int64("Former", int64(position)), zap.String("Source", source.Name))
+	}
 	next := nextEvacuations(former, position, update)
 	f.evacuations, f.tablePosition = next, update.Next
 	changed := first || !maps.Equal(former, next)
@@ -62,6 +79,44 @@
 	}
 }
 
+// hasStartedOver reports whether update shows that the offsets of the operators' topic have
+// started over: it holds the whole state at an earlier position than the known one,
+// although it was read later. f.mu is held.
+func (f *Follower) hasStartedOver(update TableUpdate, peerReadAt time.Time) bool {
+	if !update.Full || update.Next >= f.tablePosition {
+		return false
+	}
+	if peerReadAt.IsZero() {
+		return update.Since == f.tablePosition
+	}
+	return peerReadAt.Sub(f.topicReadAt) > restartMargin
+}
+
+// isOfFormerHistory reports whether a peer's state may have been read before the offsets of
+// the operators' topic started over. Positions before and after can't be compared. f.mu is
+// held.
+func (f *Follower) isOfFormerHistory(peerReadAt time.Time) bool {
+	return !peerReadAt.IsZero() && !f.startedOverAt.IsZero() && peerReadAt.Sub(f.startedOverAt) < restartMargin
+}
+
+// recordTopicRead records that the known state was in force at peerReadAt or, if that is
+// zero, is in force now; f.mu is held.
+func (f *Follower) recordTopicRead(peerReadAt, now time.Time) {
+	if peerReadAt.IsZero() {
+		peerReadAt = now
+	}
+	if peerReadAt.After(f.topicReadAt) {
+		f.topicReadAt = peerReadAt
+	}
+}
+
+// topicPosition returns the position up to which the operators' topic is known.
+func (f *Follower) topicPosition() Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tablePosition
+}
+
 // notifyPutBack calls OnPutBack for the failure domains that are in former but not in
 // next; f.mu is held.
 func (f *Follower) notifyPutBack(former, next map[string]Offset) {
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -21,9 +21,11 @@
 // "DOMAIN evacuated|back OFFSET". Each command prints the evacuations in force with
 // the position, and the log lines of those that began or ended.
 //
-//	read next=N [full]   a read of the operators' topic from the store
-//	reply next=N         a reply of a peer that has read the topic up to N
-//	former version=N     a reply of a host of the former version with a configuration
+//	read next=N [full] [since=N]   a read of the operators' topic from the store, which
+//	                               began when the topic was known up to since
+//	reply next=N [age=D]           a reply of a peer that has read the topic up to N
+//	former version=N               a reply of a host of the former version with a configuration
+//	sleep D
 type evacuationScript struct {
 	follower *Follower
 	logs     *observer.ObservedLogs
@@ -34,23 +36,29 @@
 // while a full read ends those that it doesn't list.
 func TestEvacuations(t *testing.T) {
 	datadriven.Walk(t, "testdata/evacuations", func(t *testing.T, path string) {
-		core, logs := observer.New(zap.InfoLevel)
-		s := &evacuationScript{&Follower{Clock: &clock.Service{}, Log: zap.New(core)}, logs}
-		s.follower.ApplyTargets(TargetsUpdate{Full: true, Changes: entries(1, 0, 1), Next: 1})
-		datadriven.RunTest(t, path, s.run)
+		synctest.Test(t, func(t *testing.T) {
+			core, logs := observer.New(zap.InfoLevel)
+			s := &evacuationScript{&Follower{Clock: &clock.Service{}, Log: zap.New(core)}, logs}
+			s.follower.ApplyTargets(TargetsUpdate{Full: true, Changes: entries(1, 0, 1), Next: 1})
+			datadriven.RunTest(t, path, s.run)
+		})
 	})
 }
 
 func (s *evacuationScript) run(t *testing.T, d *datadriven.TestData) string {
-	next, version := int64(0), int64(0)
+	next, since, version, age := int64(0), int64(0), int64(0), "0s"
 	d.MaybeScanArgs(t, "next", &next)
+	d.MaybeScanArgs(t, "since", &since)
 	d.MaybeScanArgs(t, "version", &version)
+	d.MaybeScanArgs(t, "age", &age)
 	changes := parseEvacuations(t, d.Input)
 	switch d.Cmd {
 	case "read":
-		s.follower.ApplyTableUpdate(TableUpdate{Full: d.HasArg("full"), Evacuations: changes, Next: Offset(next)}, Source{Name: "store"})
+		s.follower.ApplyTableUpdate(TableUpdate{Full: d.HasArg("full"), Evacuations: changes, Next: Offset(next), Since: Offset(since)}, Source{Name: "store"})
 	case "reply":
-		s.follower.applyHeld(&Held{TableNext: Offset(next), Evacuations: changes}, Source{Name: "peer"})
+		s.follower.applyHeld(&Held{TableNext: Offset(next), Evacuations: changes, ReadAge: parseDuration(t, d, age)}, Source{Name: "peer"})
+	case "sleep":
+		time.Sleep(parseDuration(t, d, d.CmdArgs[0].Key))
 	case "former":
 		s.follower.applyHeld(&Held{Table: &Table{Version: version}}, Source{Name: "former"})
 	default:
@@ -59,6 +67,14 @@
 	return s.state()
 }
 
+func parseDuration(t *testing.T, d *datadriven.TestData, text string) time.Duration {
+	out, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return out
+}
+
 func parseEvacuations(t *testing.T, input string) []EvacuationChange {
 	var out []EvacuationChange
 	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
@@ -87,8 +103,11 @@
 	fmt.Fprintf(&b, "evacuated %v, position %d, ready %v\n", domains, s.follower.tablePosition, s.follower.Ready())
 	var lines []string
 	for _, e := range s.logs.TakeAll() {
-		if f := e.ContextMap(); f["Domain"] != nil {
+		switch f := e.ContextMap(); {
+		case f["Domain"] != nil:
 			lines = append(lines, fmt.Sprintf("log: %s %v offset %v source %v\n", e.Message, f["Domain"], f["Offset"], f["Source"]))
+		case f["Next"] != nil:
+			lines = append(lines, fmt.Sprintf("log: %s next %v former %v source %v\n", e.Message, f["Next"], f["Former"], f["Source"]))
 		}
 	}
 	slices.Sort(lines)
@@ -228,3 +247,66 @@
 		<-done
 	})
 }
+
+// restartedFeed is a store that loses the history of the operators' topic at lostAt. It
+// held an evacuation of a before, and holds one of b afterwards.
+type restartedFeed struct {
+	startingFeed
+	lostAt time.Time
+}
+
+func (d *restartedFeed) ReadTable(ctx context.Context, from Offset, wait time.Duration) (TableUpdate, error) {
+	domain, next := "a", Offset(50)
+	if !time.Now().Before(d.lostAt) {
+		domain, next = "b", 10
+	}
+	if from == next {
+		return TableUpdate{Next: next}, (&clock.Service{}).Sleep(ctx, wait)
+	}
+	return TableUpdate{Full: true, Table: &Table{Version: 1}, Evacuations: []EvacuationChange{{Domain: domain, Evacuated: true, Offset: next - 1}}, Next: next}, nil
+}
+
+// TestTopicStartsOver has the store lose the history of the operators' topic, so that its
+// offsets start over. A host must follow the new history, also if a peer that has not
+// noticed gives it the former state: hosts once kept that for good.
+func TestTopicStartsOver(t *testing.T) {
+	for _, lost := range []time.Duration{0, 3 * time.Second} {
+		t.Run(lost.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &Follower{Feed: &restartedFeed{lostAt: time.Now().Add(lost)}, Clock: &clock.Service{}, Log: zap.NewNop(), ApplyTime: 4 * time.Second}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- f.Run(ctx) }()
+				time.Sleep(lost + 5*time.Second)
+				for _, when := range []string{"in the new history", "after the former state from a peer"} {
+					if diff := cmp.Diff(map[string]Offset{"b": 9}, f.Snapshot().Evacuated); diff != "" {
+						t.Errorf("evacuated %s (-want +got):\n%s", when, diff)
+					}
+					f.applyHeld(&Held{TableNext: 50, Evacuations: []EvacuationChange{{Domain: "a", Evacuated: true, Offset: 49}}}, Source{Name: "peer"})
+					time.Sleep(5 * time.Second)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
+// TestAgeOfStateThatIsAhead expects a host's state to stay as old as it is after the reply
+// of a peer with an earlier position: with the age of the reply, other hosts would take
+// the state for one that was read after the topic's offsets had started over.
+func TestAgeOfStateThatIsAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollower()
+		f.ApplyTableUpdate(TableUpdate{Full: true, Next: 50}, Source{Name: "store"})
+		f.recordTargetsRead()
+		f.recordTableRead()
+		const age = restartMargin / 2
+		time.Sleep(age)
+		f.applyHeld(&Held{TableNext: 10}, Source{Name: "peer"})
+		held := &Held{}
+		if err := (&Relay{f}).Fetch(Known{}, held); err != nil || held.ReadAge != age || held.TableNext != 50 {
+			t.Errorf("age %v at %d, want %v at 50, error %v", held.ReadAge, held.TableNext, age, err)
+		}
+	})
+}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -31,6 +31,9 @@
 	// Evacuations are in the order of their offsets.
 	Evacuations []EvacuationChange
 	Next        Offset
+	// Since is the position up to which the topic was known when the read began. A full
+	// read that ends before it shows that the topic's offsets have started over.
+	Since Offset
 }
 
 // TargetsUpdate is the result of reading the stream of targets.
@@ -119,9 +122,11 @@
 	// store. It is owned by followTargets.
 	lastSource string
 
-	// readerIsFormer is set while the polled reader is a host of the former version, which
-	// relays no evacuations. This host then reads the operators' topic itself.
-	readerIsFormer atomic.Bool
+	// readsTopic is set while the polled reader does not relay the state of the operators'
+	// topic that this host knows: it is of the former version, behind, or one of the two
+	// has not noticed that the offsets have started over. This host then reads the topic
+	// itself.
+	readsTopic atomic.Bool
 
 	mu    sync.Mutex
 	table *Table
@@ -134,7 +139,12 @@
 	evacuations        map[string]Offset
 	tablePosition      Offset
 	evacuationsChanged Offset
-	targets            map[string]*targetEntry
+	// topicReadAt is the latest time at which this state was read from the store, by this
+	// host or the one that it has it from. startedOverAt is the time at which this host
+	// learned that the topic's offsets had started over, or zero.
+	topicReadAt   time.Time
+	startedOverAt time.Time
+	targets       map[string]*targetEntry
 	// synced is set once the full list of targets has been read.
 	synced bool
 	// position is the offset up to which the targets are known. tombstones holds
@@ -183,13 +193,14 @@
 	next := Start
 	reads := streamReads{log: f.Log, name: "configuration stream"}
 	for ctx.Err() == nil {
-		if f.pollsReader.Load() && !f.readerIsFormer.Load() {
+		if f.pollsReader.Load() && !f.readsTopic.Load() {
 			reads.wait = 0
 			f.Clock.Sleep(ctx, retryDelay)
 			continue
 		}
 		start := f.Clock.Now()
 		var update TableUpdate
+		since := f.topicPosition()
 		switch reads.try(ctx, func(ctx context.Context) (err error) {
 			update, err = f.Feed.ReadTable(ctx, next, reads.wait)
 			return err
@@ -199,11 +210,16 @@
 			f.Clock.Sleep(ctx, f.retryPause())
 		case readDone:
 			// A read from Start returns the newest record of every key.
-			update.Full = update.Full || next == Start
+			update.Full, update.Since = update.Full || next == Start, since
 			next, reads.wait = update.Next, f.readWait()
-			source := Source{Name: "store", Took: f.Clock.Since(start), ReadAge: f.tableReadAge()}
+			f.ApplyTableUpdate(update, Source{Name: "store", Took: f.Clock.Since(start), ReadAge: f.tableReadAge()})
+			if update.Next < f.topicPosition() {
+				// A peer gave a later position. Either it has read more, or it has not
+				// noticed that the offsets have started over.
+				next, reads.wait = Start, 0
+				continue
+			}
 			f.recordTableRead()
-			f.ApplyTableUpdate(update, source)
 		}
 	}
 }
@@ -220,7 +236,7 @@
 // ApplyTableUpdate applies the result of a read of the operators' topic. Evacuations are
 // applied first, so that no request uses a new configuration without them.
 func (f *Follower) ApplyTableUpdate(update TableUpdate, source Source) {
-	f.applyEvacuations(update, source)
+	f.applyEvacuations(update, source, time.Time{})
 	if update.Table != nil {
 		f.ApplyTable(update.Table, source)
 	}
--- a/internal/catalog/outage_test.go
+++ b/internal/catalog/outage_test.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"net/netip"
 	"net/rpc"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +37,8 @@
 	// former names the hosts whose relays are those of the version before evacuations.
 	former map[string]bool
 	reads  int
+	// fetches is the number of calls among the hosts.
+	fetches atomic.Int64
 }
 
 // evacuate evacuates a failure domain or, without evacuated, puts it back into service.
@@ -44,6 +48,14 @@
 	s.evacuations = append(s.evacuations, EvacuationChange{Domain: domain, Evacuated: evacuated, Offset: firstEvacuation + Offset(len(s.evacuations))})
 }
 
+// startOver removes the records of the operators' topic after the configuration, so that
+// their offsets start over.
+func (s *sharedStore) startOver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuations = nil
+}
+
 // firstEvacuation is the offset after the configuration.
 const firstEvacuation Offset = 1
 
@@ -105,7 +117,9 @@
 func (d *hostFeed) newerRecords(from Offset) TableUpdate {
 	d.store.mu.Lock()
 	defer d.store.mu.Unlock()
-	u := TableUpdate{Full: from == Start, Next: firstEvacuation + Offset(len(d.store.evacuations))}
+	next := firstEvacuation + Offset(len(d.store.evacuations))
+	// Like Feed of the platform, it reads all records if an offset is beyond the end.
+	u := TableUpdate{Full: from == Start || from > next, Next: next}
 	if u.Full {
 		u.Table, from = &Table{Version: 1}, firstEvacuation
 	}
@@ -150,6 +164,17 @@
 	return err
 }
 
+// countedRelay counts the calls of a relay.
+type countedRelay struct {
+	relay *Relay
+	store *sharedStore
+}
+
+func (r *countedRelay) Fetch(known Known, reply *Held) error {
+	r.store.fetches.Add(1)
+	return r.relay.Fetch(known, reply)
+}
+
 func testHosts(n int) []peer.Host {
 	var hosts []peer.Host
 	for i := range n {
@@ -173,7 +198,7 @@
 		f := &Follower{Feed: &hostFeed{store, h.Name}, Clock: &clock.Service{}, Log: zap.NewNop(), Self: h.Name, Members: members,
 			Peers: &peer.Caller{Net: net}, ApplyTime: apply}
 		s := &peer.Server{RPC: rpc.NewServer()}
-		register := f.Register
+		register := func(s *rpc.Server) error { return s.RegisterName(rpcName, &countedRelay{&Relay{f}, store}) }
 		if store.former[h.Name] {
 			register = func(s *rpc.Server) error { return s.RegisterName(rpcName, &formerRelay{&Relay{f}}) }
 		}
@@ -280,6 +305,53 @@
 	}
 }
 
+// TestTopicStartsOverForMany has the store lose the history of the operators' topic while
+// it serves all of many hosts, or turns some of them away. Those that it serves must know
+// the new state within the bound for evacuations and never return to the former one,
+// also if they poll a reader: polls once brought nothing at a lower position. Replies that a
+// host rejects must not make it poll again and again.
+func TestTopicStartsOverForMany(t *testing.T) {
+	const hosts, apply, evacuationBound, records = 20, 4 * time.Second, 3 * time.Second, 30
+	rejected := map[string]bool{}
+	for _, h := range testHosts(hosts)[:hosts/4] {
+		rejected[h.Name] = true
+	}
+	for name, rejected := range map[string]map[string]bool{"none": nil, "some": rejected} {
+		for delay := 100 * time.Millisecond; delay < apply; delay += 650 * time.Millisecond {
+			t.Run(fmt.Sprint(name, " turned away, ", delay), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					store := &sharedStore{}
+					for i := range records {
+						store.evacuate("z", i%2 == 0)
+					}
+					followers := startFollowers(t, store, hosts, apply)
+					time.Sleep(2500 * time.Millisecond)
+					store.reject(rejected)
+					time.Sleep(delay)
+					store.startOver()
+					before := store.fetches.Load()
+					for _, evacuated := range []bool{true, false, true} {
+						store.evacuate("a", evacuated)
+						served := slices.DeleteFunc(slices.Clone(followers), func(f *Follower) bool { return rejected[f.Self] })
+						if last := lastWithout(served, apply, evacuated); last > evacuationBound {
+							t.Errorf("a host did not know that evacuated is %v for %v", evacuated, last)
+						}
+					}
+					for _, f := range followers {
+						if !f.Snapshot().IsEvacuated("a") {
+							t.Errorf("host %s, turned away %v, does not know the evacuation", f.Self, rejected[f.Self])
+						}
+					}
+					// About one a second of each host, and one more while the store turns it away.
+					if n := int(store.fetches.Load() - before); n > 2*hosts*int(3*2*apply/time.Second) {
+						t.Errorf("%d calls among the hosts", n)
+					}
+				})
+			})
+		}
+	}
+}
+
 // lastWithout returns for how long a follower didn't know the state of failure domain a
 // within twice the given time.
 func lastWithout(followers []*Follower, apply time.Duration, evacuated bool) time.Duration {
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		if held.fresh(f.pollWait()) {
-			f.readerIsFormer.Store(!held.hasTopic())
+			f.readsTopic.Store(!held.hasTopic() || held.TableNext != f.topicPosition())
 			f.recordSource(h.Name)
 			return true
 		}
@@ -114,7 +114,8 @@
 // for as long as there.
 func (f *Follower) applyHeld(held *Held, source Source) {
 	if held.hasTopic() {
-		f.applyEvacuations(TableUpdate{Full: true, Evacuations: held.Evacuations, Next: held.TableNext}, source)
+		readAt := f.Clock.Now().Add(-source.Took - held.ReadAge)
+		f.applyEvacuations(TableUpdate{Full: true, Evacuations: held.Evacuations, Next: held.TableNext}, source, readAt)
 	}
 	if held.Table != nil {
 		f.applyTable(held.Table, !held.hasTopic(), source)
@@ -136,7 +137,8 @@
 	if at.After(f.lastTargetsRead) {
 		f.lastTargetsRead = at
 	}
-	if at.After(f.lastTableRead) {
+	// The state of a peer that is behind was not taken over.
+	if at.After(f.lastTableRead) && (!held.hasTopic() || held.TableNext >= f.tablePosition) {
 		f.lastTableRead = at
 	}
 	f.failing = false
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -22,8 +22,8 @@
 	// Next is the offset up to which the host knows the targets.
 	Next Offset
 	// TableNext is the position up to which the host knows the operators' topic, or
-	// Start. Zero means unknown: the host is of the former version and ignores
-	// evacuations.
+	// Start. With zero, evacuations don't end the wait: the host is of the former version
+	// and ignores them, or the topic's offsets have just started over.
 	TableNext Offset
 	// Partial means that the host got its configuration from a host of the former version,
 	// and needs the whole configuration of the same Version again.
@@ -138,7 +138,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known.TableNext, known.Partial = f.tablePosition, f.tablePartial
-	if known.TableNext == 0 {
+	switch {
+	case f.isOfFormerHistory(f.Clock.Now().Add(-restartMargin)):
+		// The reply may be rejected, as long as the state in it was read too early, and
+		// must not end the wait again and again.
+		known.TableNext = 0
+	case known.TableNext == 0:
 		known.TableNext = Start
 	}
 	if f.table != nil {
