gateway: a request whose turn ends while connecting waits for another turn

Cause: a request that lost its turn at a cold target between the grant and its first byte (errTurnLost) was not sent, as it should be, but the target stayed among those that were tried. If no other target was left, the request was refused with 503 at once, although it could wait for another turn.

Change: if there is no other target, a request may go again to those at which it lost its turn. After maxLostTurns (3) it is refused, so that a target whose connections take longer than a turn lasts doesn't hold it until its deadline.

TestTurnLostWhileConnecting covers errTurnLost with another target. It passes on the former code and fails without the check of the turn ("5 requests on lost turns"), if the stop counts as a send ("19 sends counted of 10 requests") or as a failure ("[t0] is paused"). TestTurnsAlwaysLost fails without the bound ("503 after 8.002s").

--- a/internal/gateway/evacuate.go
+++ b/internal/gateway/evacuate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"sync"
@@ -175,12 +176,34 @@
 // send counts neither as one of the request nor against the target.
 func (s *sender) recordStopped(t *catalog.Target, err error) {
 	s.q.sends--
+	if errors.Is(err, errTurnLost) {
+		s.lostTurns++
+		s.lostTurnsAt = append(s.lostTurnsAt, t.ID)
+	}
 	s.h.Balancer.End(t, fleet.Returned, 0)
 	s.lease.End(placement.Abandoned)
 	metrics.GetOrRegisterCounter(stoppedCounter, s.h.Metrics).Inc(1)
 	s.h.Log.Info("send stopped before its first byte", zap.String("RequestID", s.q.ID), zap.String("Target", t.ID), zap.String("Domain", t.Domain), journal.Error(err))
 }
 
+// maxLostTurns bounds the turns of a request that end before its first byte is sent. If
+// connections to a target always take longer than a turn lasts, the request would
+// otherwise be held until its deadline and then refused.
+const maxLostTurns = 3
+
+// forgetLostTurns makes the targets at which the request lost its turn available again. It
+// is called when there is no other target, and reports whether there is one now.
+func (s *sender) forgetLostTurns(ctx context.Context) bool {
+	if len(s.lostTurnsAt) == 0 || s.lostTurns >= maxLostTurns || ctx.Err() != nil {
+		return false
+	}
+	for _, id := range s.lostTurnsAt {
+		delete(s.tried, id)
+	}
+	s.lostTurnsAt = nil
+	return true
+}
+
 // isStopped reports whether err is that of a send that the check before the first byte
 // stopped.
 func isStopped(err error) bool {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -57,6 +57,10 @@
 	// turnLost is set if the chosen target took no requests any more when the turn of
 	// the request there had come.
 	turnLost bool
+	// lostTurnsAt holds the targets at which the request lost its turn while it was being
+	// sent. lostTurns is the number of those turns.
+	lostTurnsAt []string
+	lostTurns   int
 	// turn is that of the current send.
 	turn backpressure.Turn
 	// choosesHere is set once the holder has chosen a cold target as if it were warm.
@@ -88,6 +92,9 @@
 		return nil
 	}
 	t := s.chooseTarget(ctx)
+	if t == nil && s.forgetLostTurns(ctx) {
+		t = s.chooseTarget(ctx)
+	}
 	if t == nil {
 		return nil
 	}
