placement: hosts report running requests to the next holder

A host reported a request only to the holder that chose for it. After the loss of the holder the next one never learned of the streams that ran, so their targets looked idle. A host that was frozen for longer than 1.5 s lost its streams at the holder in the same way.

Once a holder answers, a host moves the requests of the service that other holders chose for to it, and reports them with their work, target, incarnation and choice; also those of a holder that has not heard of it for 1.5 s. The holder counts those that it doesn't know. Only requests chosen with the Work policy are moved; holders with Prefill or of the former version ignore them.

TestLostHolderUnderWork and TestFrozenHost saw, with the moving taken out of a scratch copy, nothing where "prefill 8200 queued 2 running 10 held 88468" and "prefill 6000 queued 3 running 1 held 25089" were counted before. They pass now. TestMixedPolicies runs requests through holders with both policies; with the holder's policy ignored in the scratch copy it fails ("choice {...Slowness:1} of a holder with policy Prefill").

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -51,19 +51,24 @@
 	host    peer.Host
 	leases  map[string]*Lease
 	updates []News
+	// answeredAt is the time of the last answer of the holder.
+	answeredAt time.Time
 }
 
 // Lease is a request that a holder counts at a target. The methods of a nil Lease
 // do nothing.
 type Lease struct {
-	client  *Client
-	holder  peer.Host
-	id      string
-	service string
-	Choice  Choice
-	// begun is set once the first event has arrived; it is guarded by the client's
+	client   *Client
+	id       string
+	service  string
+	work     Work
+	chosenAt time.Time
+	Choice   Choice
+	// holder counts the request, begun is set once the first event has arrived, and
+	// moved is set while holder may not know the request. They are guarded by the client's
 	// mu.
-	begun bool
+	holder       peer.Host
+	begun, moved bool
 	// events is the number of events seen.
 	events atomic.Int64
 }
@@ -79,7 +84,7 @@
 			if choice.Target == "" {
 				return nil
 			}
-			l := &Lease{client: c, holder: host, id: w.ID, service: w.Service, Choice: choice}
+			l := &Lease{client: c, holder: host, id: w.ID, service: w.Service, work: w, chosenAt: c.Clock.Now(), Choice: choice}
 			c.addLease(l)
 			return l
 		}
@@ -117,9 +122,72 @@
 		s = &holderSession{host: l.holder, leases: map[string]*Lease{}}
 		c.sessions[l.holder.Name] = s
 	}
+	s.markDropped(c.Clock.Now())
+	s.answeredAt = c.Clock.Now()
+	if c.moveLeases(s, l.service) {
+		c.Clock.AfterFunc(reportDelay, func() { c.sendReport(s, true) })
+	}
 	s.leases[l.id] = l
 }
 
+// moveLeases moves the requests of a service that other holders have chosen for to s, whose
+// holder has answered, so that it counts them. It reports whether there were any. The
+// client's mu is held. Holders that don't choose by WorkPolicy have no use for them.
+func (c *Client) moveLeases(s *holderSession, service string) (moved bool) {
+	for _, other := range c.sessions {
+		if other == s {
+			continue
+		}
+		for id, l := range other.leases {
+			if l.service == service && l.Choice.Slowness > 0 {
+				delete(other.leases, id)
+				s.leases[id] = l
+				l.holder, l.moved, moved = s.host, true, true
+			}
+		}
+	}
+	return moved
+}
+
+// markDropped marks all requests of s as unknown to its holder if that has not answered for
+// so long that it may have dropped the requests of this host, which was perhaps frozen. The
+// client's mu is held.
+func (s *holderSession) markDropped(now time.Time) {
+	if now.Sub(s.answeredAt) < hostTimeout {
+		return
+	}
+	for _, l := range s.leases {
+		l.moved = l.Choice.Slowness > 0
+	}
+}
+
+// movedRequests returns the requests that the holder of s may not know. The client's mu is
+// held.
+func (c *Client) movedRequests(s *holderSession) []MovedRequest {
+	now := c.Clock.Now()
+	s.markDropped(now)
+	var out []MovedRequest
+	for _, l := range s.leases {
+		if l.moved {
+			out = append(out, MovedRequest{l.work, l.Choice, now.Sub(l.chosenAt)})
+		}
+	}
+	return out
+}
+
+// answered records that the holder of s has received a report with moved requests.
+func (c *Client) answered(s *holderSession, moved []MovedRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.markDropped(c.Clock.Now())
+	s.answeredAt = c.Clock.Now()
+	for _, m := range moved {
+		if l := s.leases[m.Work.ID]; l != nil {
+			l.moved = false
+		}
+	}
+}
+
 // Begun reports the first event.
 func (l *Lease) Begun() {
 	if l != nil {
@@ -191,17 +259,21 @@
 	s.updates = nil
 	if list {
 		r.Open = s.open()
+		r.Moved = c.movedRequests(s)
 	}
 	c.mu.Unlock()
 	if s.host.Name == c.Self {
 		c.Holder.apply(r)
+		c.answered(s, r.Moved)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	if err := c.Peers.CallOrDisconnect(ctx, s.host.Addr, rpcName+".Tell", r, &Empty{}); err != nil {
 		c.Log.Info("failed to report to placement holder", zap.String("Holder", s.host.Name), zap.Int("News", len(r.News)), journal.Error(err))
+		return
 	}
+	c.answered(s, r.Moved)
 }
 
 // Run sends heartbeats to the holders that have requests of this host until ctx
--- a/internal/placement/client_test.go
+++ b/internal/placement/client_test.go
@@ -42,7 +42,7 @@
 }
 
 func (cl *cluster) startHost(t *testing.T, h peer.Host) {
-	snapshot := &catalog.Snapshot{Targets: map[string][]*catalog.Target{"s": {{ID: "a", Slots: 4}, {ID: "b", Slots: 4}, {ID: "c", Slots: 4}}}}
+	snapshot := &catalog.Snapshot{Targets: map[string][]*catalog.Target{"s": {{ID: "a", Slots: 4, Born: 1}, {ID: "b", Slots: 4, Born: 1}, {ID: "c", Slots: 4, Born: 1}}}}
 	c := &clock.Service{}
 	holder := &Holder{Clock: c, Log: zap.NewNop(), Catalog: func() *catalog.Snapshot { return snapshot }, Quotas: newQuotas()}
 	s := &peer.Server{RPC: rpc.NewServer()}
--- /dev/null
+++ b/internal/placement/failures_test.go
@@ -0,0 +1,212 @@
+package placement
+
+import (
+	"fmt"
+
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// newPolicyCluster returns a cluster whose hosts use the given policies as holders.
+func newPolicyCluster(t *testing.T, policies ...Policy) *cluster {
+	t.Helper()
+	cl := newCluster(t, len(policies))
+	for i, p := range policies {
+		cl.clients[i].Holder.Policy = p
+	}
+	return cl
+}
+
+// loads returns the work at each target as the holder counts it.
+func (cl *cluster) loads() map[string]string {
+	h := cl.clients[cl.holder()].Holder
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string]string{}
+	for id, s := range h.table("s").targets {
+		if len(s.requests) > 0 {
+			out[id] = fmt.Sprintf("prefill %.0f queued %d running %d held %.0f", s.load.prefill, s.load.queued, s.load.running, s.load.held)
+		}
+	}
+	return out
+}
+
+// kill ends the holder, and removes it from the members if known is set.
+func (cl *cluster) kill(known bool) {
+	h := cl.members.Holder("s")
+	cl.network.Kill(h.Addr.Addr())
+	if known {
+		cl.members = cl.members.Without(h.Name)
+	}
+}
+
+// others returns the clients of the hosts that are not the holder.
+func (cl *cluster) others() []*Client {
+	var out []*Client
+	for i, c := range cl.clients {
+		if i != cl.holder() {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// TestLostHolderUnderWork kills the holder while streams run at targets a and b. The next
+// holder must spread what comes before it has heard of the streams, then count them as the
+// former one did, and choose the same target. It guards against streams that the next holder
+// never learns of, so that their targets look idle and get most new requests.
+func TestLostHolderUnderWork(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		t.Run(fmt.Sprintf("removed=%v", known), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newPolicyCluster(t, WorkPolicy, WorkPolicy, WorkPolicy, WorkPolicy)
+				hosts := cl.others()
+				for i := range 24 {
+					l := hosts[i%3].Choose(t.Context(), workAt([]string{"a", "b"}[i%2], 2000+100*i, 200))
+					if i < 20 {
+						for range 1 + i%3 {
+							l.Event()
+						}
+						l.Begun()
+					}
+				}
+				time.Sleep(heartbeatInterval)
+				want := cl.loads()
+				cl.kill(known)
+				if !known {
+					// The hosts find out one by one.
+					for _, c := range hosts {
+						c.Holders.Skip(cl.members.Holder("s"), time.Hour)
+					}
+					cl.members = cl.members.Without(cl.members.Holder("s").Name)
+				}
+				var leases []*Lease
+				got := map[string]int{}
+				for i := range 9 {
+					// No time passes, so that no host has reported.
+					l := hosts[i%3].Choose(t.Context(), work())
+					if l == nil {
+						t.Fatal("no answer")
+					}
+					got[l.Choice.Target]++
+					leases = append(leases, l)
+				}
+				for id, n := range got {
+					if n > 5 {
+						t.Errorf("%d of 9 requests go to target %s before the hosts have reported", n, id)
+					}
+				}
+				for _, l := range leases {
+					l.End(Abandoned)
+				}
+				time.Sleep(2 * heartbeatInterval)
+				if diff := cmp.Diff(want, cl.loads()); diff != "" {
+					t.Errorf("loads at the next holder (-former +next):\n%s", diff)
+				}
+				for range 4 {
+					if l := hosts[0].Choose(t.Context(), work()); l.Choice.Target != "c" {
+						t.Errorf("a request goes to %s beside the running streams, want c", l.Choice.Target)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestFrozenHost freezes the connections of a host for longer than the holder keeps its
+// requests. Its streams must count again once it resumes, and its late first events must not
+// make their target look slow.
+func TestFrozenHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newPolicyCluster(t, WorkPolicy, WorkPolicy, WorkPolicy)
+		c := cl.others()[0]
+		var leases []*Lease
+		for range 4 {
+			leases = append(leases, c.Choose(t.Context(), workAt("a", 2000, 200)))
+		}
+		leases[0].Event()
+		leases[0].Begun()
+		time.Sleep(heartbeatInterval + 10*time.Millisecond)
+		want := cl.loads()
+		self, _ := cl.members.Find(c.Self)
+		holder := cl.members.Holder("s").Addr.Addr()
+		cl.network.Partition([]netip.Addr{self.Addr.Addr()}, []netip.Addr{holder})
+		time.Sleep(2 * hostTimeout)
+		cl.others()[1].Choose(t.Context(), workAt("b", 100, 10)).End(Abandoned)
+		time.Sleep(2 * reportDelay)
+		if diff := cmp.Diff(map[string]string{}, cl.loads()); diff != "" {
+			t.Errorf("loads of a silent host (-want +got):\n%s", diff)
+		}
+		cl.network.HealPartition([]netip.Addr{self.Addr.Addr()}, []netip.Addr{holder})
+		time.Sleep(3 * heartbeatInterval)
+		if diff := cmp.Diff(want, cl.loads()); diff != "" {
+			t.Errorf("loads after the host has resumed (-before +after):\n%s", diff)
+		}
+	})
+}
+
+// TestMixedPolicies runs requests through holders with both policies, one after the other, for
+// hosts of both. Each holder must choose by its own policy, count what it chose, and nothing
+// may be left once the requests have ended.
+func TestMixedPolicies(t *testing.T) {
+	for _, policies := range [][]Policy{{WorkPolicy, PrefillPolicy, WorkPolicy, PrefillPolicy}, {PrefillPolicy, WorkPolicy, PrefillPolicy, WorkPolicy}} {
+		synctest.Test(t, func(t *testing.T) {
+			cl := newPolicyCluster(t, policies...)
+			for range 2 {
+				policy := cl.clients[cl.holder()].Holder.Policy
+				former := cl.members.Holder("s").Name
+				var leases, later []*Lease
+				for _, c := range cl.clients {
+					if _, ok := cl.members.Find(c.Self); !ok {
+						continue
+					}
+					for range 4 {
+						l := c.Choose(t.Context(), work())
+						if l == nil {
+							t.Fatal("no answer")
+						}
+						if (l.Choice.Slowness > 0) != (policy == WorkPolicy) {
+							t.Errorf("choice %+v of a holder with policy %s", l.Choice, policy)
+						}
+						leases = append(leases, l)
+					}
+				}
+				time.Sleep(2 * heartbeatInterval)
+				for _, l := range leases[:len(leases)/2] {
+					l.Event()
+					l.Begun()
+				}
+				// The policy of the holder changes while the requests run.
+				for policy == cl.clients[cl.holder()].Holder.Policy {
+					cl.kill(true)
+				}
+				for _, c := range cl.clients {
+					if _, ok := cl.members.Find(c.Self); ok {
+						later = append(later, c.Choose(t.Context(), work()))
+					}
+				}
+				time.Sleep(2 * heartbeatInterval)
+				for _, l := range leases {
+					l.client.mu.Lock()
+					_, alive := cl.members.Find(l.client.Self)
+					if moved := l.holder.Name != former; alive && moved != (policy == WorkPolicy) {
+						t.Errorf("request of %s with policy %s is reported to the next holder: %v", l.client.Self, policy, moved)
+					}
+					l.client.mu.Unlock()
+					l.End(Answered)
+				}
+				for _, l := range later {
+					l.End(Answered)
+				}
+				time.Sleep(2 * heartbeatInterval)
+				if diff := cmp.Diff(map[string]string{}, cl.loads()); diff != "" {
+					t.Errorf("left after all requests have ended (-want +got):\n%s", diff)
+				}
+			}
+		})
+	}
+}
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -60,31 +60,51 @@
 	now := h.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	lt := h.table(w.Service)
+	if now.Sub(h.lastPruned[w.Service]) > pruneInterval {
+		h.lastPruned[w.Service] = now
+		lt.Prune(targets)
+	}
+	return lt.Choose(w, targets, now)
+}
+
+// table returns the load table of a service; the holder's mu is held.
+func (h *Holder) table(service string) *LoadTable {
 	if h.tables == nil {
 		h.tables, h.lastPruned = map[string]*LoadTable{}, map[string]time.Time{}
 	}
-	lt := h.tables[w.Service]
+	lt := h.tables[service]
 	if lt == nil {
 		lt = NewLoadTable(h.Quotas)
 		if h.Policy == WorkPolicy {
 			lt.work = newWorkState()
 		}
-		h.tables[w.Service] = lt
+		h.tables[service] = lt
 	}
-	if now.Sub(h.lastPruned[w.Service]) > pruneInterval {
-		h.lastPruned[w.Service] = now
-		lt.Prune(targets)
-	}
-	return lt.Choose(w, targets, now)
+	return lt
 }
 
 func (h *Holder) apply(report *Report) {
 	now := h.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	for i := range report.Moved {
+		h.addMoved(&report.Moved[i], now)
+	}
 	for service, lt := range h.tables {
 		if n := lt.Apply(report, now); n > 0 {
 			h.Log.Info("load table corrected by a host's list", zap.String("Service", service), zap.String("Peer", report.Host), zap.Int("Requests", n))
 		}
 	}
 }
+
+// addMoved counts a request that another holder has chosen a target for, if the service
+// still has that target.
+func (h *Holder) addMoved(m *MovedRequest, now time.Time) {
+	if h.Policy != WorkPolicy {
+		return
+	}
+	if t := catalog.FindTarget(h.Catalog().Targets[m.Work.Service], m.Choice.Target); t != nil {
+		h.table(m.Work.Service).addMoved(m, t, now)
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -58,6 +58,9 @@
 type Choice struct {
 	// Target is the ID of the target, or empty if there is none.
 	Target string
+	// Born is the incarnation of the target. It is zero unless the holder chooses by
+	// WorkPolicy.
+	Born int64
 	// Expected is the predicted time to the first event.
 	Expected time.Duration
 	// Wait is the time until the request may go to the target.
@@ -110,6 +113,17 @@
 	// Open, unless nil, lists all requests that the host has at the holder. Updates
 	// and choices can be lost on the way; the list corrects what the holder counts.
 	Open *OpenRequests
+	// Moved holds those of the requests in Open that the holder may not know, since another
+	// holder chose for them or the host was silent. Holders of former versions ignore it.
+	Moved []MovedRequest
+}
+
+// MovedRequest is an open request with what a holder needs to count it.
+type MovedRequest struct {
+	Work   Work
+	Choice Choice
+	// Age is the time since the choice.
+	Age time.Duration
 }
 
 // OpenRequests holds the IDs of requests that have not ended.
--- a/internal/placement/workchoice.go
+++ b/internal/placement/workchoice.go
@@ -131,12 +131,18 @@
 	return present, lasting
 }
 
+// engineRequest returns q as a request at s that has cached tokens of its prompt.
+func (q *workQuery) engineRequest(s *targetState, cached int) *engineRequest {
+	tokens := q.prefill(cached)
+	return &engineRequest{output: q.output, prefill: tokens, prompt: float64(q.prompt), seen: q.seen, seenBefore: q.seen, firstEvent: s.load.firstEventTime(tokens)}
+}
+
 // addWork counts q at s and completes c.
 func (lt *LoadTable) addWork(q *workQuery, s *targetState, c *Choice, now time.Time) *engineRequest {
-	c.Cached = lt.work.parts.tokens(s)
+	c.Born, c.Cached = s.born, lt.work.parts.tokens(s)
 	tokens := q.prefill(c.Cached)
 	present, lasting := s.engineSlowness(now)
-	r := &engineRequest{output: q.output, prefill: tokens, prompt: float64(q.prompt), seen: q.seen, seenBefore: q.seen, firstEvent: s.load.firstEventTime(tokens)}
+	r := q.engineRequest(s, c.Cached)
 	c.Expected = seconds(firstEventOverhead + present*r.firstEvent)
 	c.Reading = int(s.load.prefill)
 	c.Output, c.HighOutput = int(math.Ceil(q.output.left(q.seen))), int(math.Ceil(max(0, q.output.high()-q.seen)))
