placement: evict the least recently sent parts of prompts under Prefill

With the Prefill policy a target's parts of prompts were no longer recorded after the first 4,096, so that newer parts never counted as cached there and requests that shared them were spread over all targets. An LRU map of the same size takes the place of the map.

TestCachedPartsAreEvicted saw "part 12287: 0 tokens are cached, want 10" and "part 0: 10 tokens are cached, want 0"; it passes now.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -109,7 +109,7 @@
 	ownTokens = baseTokens
 	prefixCached := true
 	for i, p := range w.Parts {
-		at, ok := s.cachedParts[p.ID]
+		at, ok := s.cachedParts.Peek(p.ID)
 		prefixCached = prefixCached && ok && now.Sub(at) < cachedPartLifetime && i < len(w.Parts)-1
 		if prefixCached {
 			cached += p.Tokens
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -6,6 +6,7 @@
 
 	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Weights, times and bounds of what is learned.
@@ -88,8 +89,8 @@
 	pausedUntil time.Time
 	rejections  backpressure.Rejections
 	// cachedParts maps the ID of a prompt part to the time of the last request that
-	// had it.
-	cachedParts map[string]time.Time
+	// had it. The least recently sent parts are evicted.
+	cachedParts *simplelru.LRU[string, time.Time]
 	// load and slowness are kept for WorkPolicy alone.
 	load     engineLoad
 	slowness slowness
@@ -138,9 +139,7 @@
 		return
 	}
 	for _, p := range w.sharedParts() {
-		if len(s.cachedParts) < maxCachedParts {
-			s.cachedParts[p.ID] = now
-		}
+		s.cachedParts.Add(p.ID, now)
 	}
 }
 
@@ -303,7 +302,7 @@
 		if s != nil {
 			s.replaced = true
 		}
-		s = &targetState{born: t.Born, requests: map[string]*openRequest{}, cachedParts: map[string]time.Time{}}
+		s = &targetState{born: t.Born, requests: map[string]*openRequest{}, cachedParts: newCachedParts()}
 		if lt.work != nil {
 			s.slowness = newSlowness(lt.work.meanSlowness)
 		}
@@ -312,6 +311,14 @@
 	return s
 }
 
+func newCachedParts() *simplelru.LRU[string, time.Time] {
+	parts, err := simplelru.NewLRU[string, time.Time](maxCachedParts, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return parts
+}
+
 // Prune removes the state of targets that are not in targets and have no requests.
 func (lt *LoadTable) Prune(targets []*catalog.Target) {
 	known := map[string]bool{}
--- a/internal/placement/partindex_test.go
+++ b/internal/placement/partindex_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/catalog"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -44,3 +45,34 @@
 		t.Errorf("%d parts are kept after all but one have expired", len(x.copies))
 	}
 }
+
+// TestCachedPartsAreEvicted sends a target more parts of prompts than are recorded, and expects
+// the newest to be assumed cached, and a part in use to stay. It guards against targets at
+// which nothing new is recorded once they have had many parts.
+func TestCachedPartsAreEvicted(t *testing.T) {
+	lt, now := NewLoadTable(fakeQuotas{}), time.Unix(1000, 0)
+	targets := []*catalog.Target{{ID: "a", Slots: 4}}
+	used := Part{ID: "used", Tokens: 100}
+	choose := func(shared ...Part) int {
+		now = now.Add(time.Millisecond)
+		w := &Work{ID: "r", Host: "h", Parts: append(shared, Part{ID: "own", Tokens: 10})}
+		c := lt.Choose(w, targets, now)
+		lt.Apply(&Report{Host: "h", News: []News{{ID: "r", Progress: Answered}}}, now)
+		return c.Cached
+	}
+	const parts = 3 * maxCachedParts
+	for i := range parts {
+		choose(Part{ID: fmt.Sprint(i), Tokens: 10})
+		if got := choose(used); i > 0 && got != used.Tokens {
+			t.Fatalf("after %d parts, %d tokens of a part in use are cached, want %d", i+1, got, used.Tokens)
+		}
+	}
+	for id, want := range map[string]int{fmt.Sprint(parts - 1): 10, fmt.Sprint(parts - maxCachedParts/2): 10, "0": 0} {
+		if got := choose(Part{ID: id, Tokens: 10}); got != want {
+			t.Errorf("part %s: %d tokens are cached, want %d", id, got, want)
+		}
+	}
+	if n := lt.targets["a"].cachedParts.Len(); n > maxCachedParts {
+		t.Errorf("%d parts are recorded, want at most %d", n, maxCachedParts)
+	}
+}
