--- a/internal/placement/engines_test.go
+++ b/internal/placement/engines_test.go
@@ -23,17 +23,23 @@
 const (
 	modelEngines        = 90
 	modelChunk          = 3000
-	modelEvent          = 5.5 // tokens
 	modelPause          = 0.45
 	modelGone           = 2.0 // time without a first event after which callers leave
-	modelWarmUp         = 15.0
 	modelReportInterval = 0.5
 	modelSpread         = 0.34 // of the logarithm of outputs: a factor of 1.4
-	modelMemory         = 366_000
-	modelPrefill        = 48_000 // tokens per second
 	modelMaxBatch       = 48
 )
 
+// modelFigures are the figures of a reference engine.
+type modelFigures struct {
+	step    float64 // seconds
+	prefill float64 // tokens per second
+	memory  float64 // tokens
+	event   float64 // tokens
+}
+
+var usualFigures = modelFigures{stepTime, 48_000, 366_000, 5.5}
+
 // modelKind is a kind of requests.
 type modelKind struct {
 	name                   string
@@ -62,12 +68,18 @@
 	rate   float64
 	hint   func(rng *rand.Rand, output float64) float64
 	length float64
+	// figures are those of an engine of speed 1.
+	figures modelFigures
+	// Requests, prefills and busy time count between from and until, in seconds.
+	from, until float64
+	// recorded holds the requests if they are recorded ones.
+	recorded []*modelRequest
 }
 
 // modelRequest is a request in the model.
 type modelRequest struct {
 	work                 Work
-	kind                 int
+	target               float64 // seconds to the first event
 	arrival, first       float64
 	lastEvent, worstGap  float64
 	output, tokens, left float64
@@ -76,7 +88,7 @@
 }
 
 func (r *modelRequest) late() bool {
-	return r.first == 0 || r.first-r.arrival > modelKinds[r.kind].target || r.worstGap > modelPause
+	return r.first == 0 || r.first-r.arrival > r.target || r.worstGap > modelPause
 }
 
 // modelEngine is an engine: requests that wait for their prefill, and running ones.
@@ -85,8 +97,9 @@
 	speed            float64
 	waiting, running []*modelRequest
 	cached           map[string]bool
-	// until is the end of the step under way; busy is the time in steps after the warm-up.
-	until, busy float64
+	// until is the end of the step under way; busy is the time in steps, arrivals the number
+	// of requests and work their work as the holder counts it, in seconds of this engine.
+	until, busy, arrivals, work float64
 }
 
 // model runs a load against a policy.
@@ -103,6 +116,9 @@
 
 // requests returns the requests of a load in the order of their arrivals.
 func (l *modelLoad) requests() []*modelRequest {
+	if l.recorded != nil {
+		return l.recorded
+	}
 	rng := rand.New(rand.NewPCG(1, 2))
 	var out []*modelRequest
 	for k, kind := range modelKinds {
@@ -139,15 +155,18 @@
 		{ID: fmt.Sprintf("%s/%d", common, rng.IntN(6)), Tokens: int(0.4 * kind.shared)},
 		{ID: w.ID, Tokens: int(own)},
 	}
-	return &modelRequest{work: w, kind: k, arrival: at, output: output}
+	return &modelRequest{work: w, target: kind.target, arrival: at, output: output}
 }
 
+// counts reports whether what happens at a time counts.
+func (l *modelLoad) counts(at float64) bool { return at >= l.from && at < l.until }
+
 // arrive queues r at the engine that the policy chooses.
 func (m *model) arrive(r *modelRequest) {
 	id := m.choose(&r.work, modelTime(r.arrival))
 	i, _ := strconv.Atoi(id)
 	e := m.engines[i]
-	known := true
+	known, counts := true, m.load.counts(r.arrival)
 	for i, p := range r.work.Parts {
 		r.context += float64(p.Tokens)
 		known = known && e.cached[p.ID]
@@ -156,12 +175,18 @@
 		}
 		if i < len(r.work.Parts)-1 {
 			e.cached[p.ID] = true
-			m.shared += float64(p.Tokens)
-			if known {
+			if counts {
+				m.shared += float64(p.Tokens)
+			}
+			if known && counts {
 				m.cached += float64(p.Tokens)
 			}
 		}
 	}
+	if counts {
+		e.arrivals++
+		e.work += workOf(r.left, r.output) / e.speed
+	}
 	e.waiting = append(e.waiting, r)
 	e.until = math.Max(e.until, r.arrival)
 }
@@ -173,27 +198,27 @@
 		held += r.context + r.tokens
 	}
 	if len(e.running) > 0 {
-		took += stepTime + stepTimePerRequest*float64(len(e.running)) + held*1e-9
+		took += m.load.figures.step + stepTimePerRequest*float64(len(e.running)) + held*1e-9
 	}
 	var done *modelRequest
-	if len(e.waiting) > 0 && len(e.running) < modelMaxBatch && held+e.waiting[0].context <= modelMemory {
+	if len(e.waiting) > 0 && len(e.running) < modelMaxBatch && held+e.waiting[0].context <= m.load.figures.memory {
 		var chunk float64
 		chunk, done = e.prefillChunk()
-		took += chunk / modelPrefill
+		took += chunk / m.load.figures.prefill
 	}
 	speed := e.speed
 	if e.target.ID == "0" && e.until >= 20 && e.until < 22 {
 		speed *= m.load.slow
 	}
 	e.until += took / speed
-	if e.until > modelWarmUp {
+	if m.load.counts(e.until) {
 		e.busy += took / speed
 	}
 	e.running = slices.DeleteFunc(e.running, func(r *modelRequest) bool { return m.token(r, e.until) })
 	if done != nil {
 		e.running = append(e.running, done)
 	}
-	if held > modelMemory {
+	if held > m.load.figures.memory {
 		e.preempt()
 	}
 }
@@ -223,7 +248,7 @@
 func (m *model) token(r *modelRequest, at float64) bool {
 	r.tokens++
 	ended := r.tokens >= r.output
-	if !ended && int(r.tokens/modelEvent) == r.events {
+	if !ended && int(r.tokens/m.load.figures.event) == r.events {
 		return false
 	}
 	r.events++
@@ -283,9 +308,10 @@
 
 // modelResult is what a policy did with a load.
 type modelResult struct {
-	// late and gone are shares of the requests, busiest is the busy time of the busiest
-	// engine over the mean, cached the cached share of the shared tokens.
-	late, gone, busiest, cached float64
+	// late and gone are shares of the requests, cached is the cached share of the shared
+	// tokens. busiest is the busy time of the busiest engine over the mean, arrivals and work
+	// are the same of the number and of the work of requests.
+	late, gone, cached, busiest, arrivals, work float64
 	// first and gap are the 99th percentiles of the times to first events and of the
 	// longest pauses, in seconds.
 	first, gap float64
@@ -302,8 +328,7 @@
 	n := 0.0
 	var firsts, gaps []float64
 	for _, r := range m.run() {
-		// The last seconds don't count, since their requests are not complete.
-		if r.arrival < modelWarmUp || r.arrival > m.load.length-5 {
+		if !m.load.counts(r.arrival) {
 			continue
 		}
 		n++
@@ -315,12 +340,22 @@
 			res.gone++
 		}
 	}
-	total := 0.0
+	res.late, res.gone, res.cached = res.late/n, res.gone/n, m.cached/m.shared
+	res.busiest = m.largest(func(e *modelEngine) float64 { return e.busy })
+	res.arrivals = m.largest(func(e *modelEngine) float64 { return e.arrivals })
+	res.work = m.largest(func(e *modelEngine) float64 { return e.work })
+	res.first, res.gap = percentile99(firsts), percentile99(gaps)
+	return res
+}
+
+// largest returns the largest value of all engines over their mean.
+func (m *model) largest(value func(*modelEngine) float64) float64 {
+	largest, total := 0.0, 0.0
 	for _, e := range m.engines {
-		res.busiest = math.Max(res.busiest, e.busy)
-		total += e.busy
+		largest = math.Max(largest, value(e))
+		total += value(e)
 	}
-	return modelResult{res.late / n, res.gone / n, res.busiest / total * float64(len(m.engines)), m.cached / m.shared, percentile99(firsts), percentile99(gaps)}
+	return largest / total * float64(len(m.engines))
 }
 
 // newModel returns a model of a load and a policy; the empty policy chooses the engine
@@ -350,6 +385,17 @@
 	return m
 }
 
+// runModel runs and logs a load against a policy.
+func runModel(t *testing.T, l modelLoad, policy Policy) modelResult {
+	r := newModel(l, policy).result()
+	name := string(policy)
+	if policy == "" {
+		name = "fewest"
+	}
+	t.Logf("%-8s late %.4f gone %.4f busiest %.2f arrivals %.2f work %.2f cached %.4f first %.3f s gap %.3f s", name, r.late, r.gone, r.busiest, r.arrivals, r.work, r.cached, r.first, r.gap)
+	return r
+}
+
 func usualHint(rng *rand.Rand, output float64) float64 {
 	return math.Max(1, output*math.Exp(0.8*rng.NormFloat64()))
 }
@@ -375,16 +421,13 @@
 		{modelLoad{name: "double load, peak", rate: 2, speeds: unequal, peak: 3, slow: 1, longOutputs: 1, hint: usualHint, length: 32}, 1.5, 0.1},
 		{modelLoad{name: "long outputs", rate: 1, speeds: unequal, peak: 1, slow: 1, longOutputs: 5, hint: usualHint, length: 32}, 1.5, 0.1},
 	} {
+		c.load.figures = usualFigures
+		// The last seconds don't count, since their requests are not complete.
+		c.load.from, c.load.until = 15, c.load.length-5
 		t.Run(c.load.name, func(t *testing.T) {
 			results := map[Policy]modelResult{}
 			for _, policy := range []Policy{WorkPolicy, PrefillPolicy, ""} {
-				r := newModel(c.load, policy).result()
-				results[policy] = r
-				name := string(policy)
-				if policy == "" {
-					name = "fewest"
-				}
-				t.Logf("%-8s late %.4f gone %.4f busiest %.2f cached %.3f first %.3f s gap %.3f s", name, r.late, r.gone, r.busiest, r.cached, r.first, r.gap)
+				results[policy] = runModel(t, c.load, policy)
 			}
 			work, prefill := results[WorkPolicy], results[PrefillPolicy]
 			if work.busiest > c.maxBusiest {
