placement: recent work counts up to 6 s, not 3 s

Under Work, recent work spreads requests while nothing is pending, but only its first 3 s counted. At about 30% use, all targets are given that much within its time constant of 10 s, so it told few of them apart, and work concentrated on the targets that had cached the most common parts of prompts. 6 s is 60% of the time in use. Beyond it, pending work tells targets apart as before.

TestPoliciesOnRecordedLoads saw "busiest engine has 2.02 of the mean work, want at most 1.40", "2.19 ..., want at most 1.50" and "2.13 ..., want at most 1.70".

--- a/internal/placement/engineload.go
+++ b/internal/placement/engineload.go
@@ -49,10 +49,12 @@
 	// recentTime is the time constant with which the work given to a target is
 	// forgotten, recentWeight the weight of a second of it. Work over maxRecent, in
 	// seconds, doesn't count: under high load, pending work shows which targets are busy,
-	// and equal use of all targets would make requests wait longest at the slow ones.
+	// and equal use of all targets would make requests wait longest at the slow ones. The
+	// bound has to be well over what targets are given while nothing is pending; once most
+	// have reached it, recent work no longer tells them apart.
 	recentTime   = 10 * time.Second
 	recentWeight = 0.04
-	maxRecent    = 3
+	maxRecent    = 6
 )
 
 // workOf returns the time that a reference engine needs for prefill and output tokens.
--- a/internal/placement/recorded_test.go
+++ b/internal/placement/recorded_test.go
@@ -73,10 +73,10 @@
 		// maxWork bounds the work of the busiest engine over the mean for Work.
 		maxWork float64
 	}{
-		{first, 4, 13, 2.1},
-		{first, 13, 17, 1.8},
-		{second, 3, 10, 2.3},
-		{second, 10, 17, 2.2},
+		{first, 4, 13, 1.4},
+		{first, 13, 17, 1.7},
+		{second, 3, 10, 1.5},
+		{second, 10, 17, 1.7},
 	} {
 		c.load.from, c.load.until = recordedLength+c.from, recordedLength+c.until
 		t.Run(fmt.Sprintf("%s from %v s", c.load.name, c.from), func(t *testing.T) {
