placement: requests of a silent host don't make their targets look slow

Under Work, the request that waits longest for its first event shows that its target is slow. A request of a host that was frozen or cut off looked as if it waited, until the host was dropped after 1.5 s, so all its targets were avoided. Now the wait counts until the host's last message if that is over 0.75 s old.

TestWaitingAtSilentHost saw "silent=true: slowness 8.96". TestFrozenHost also chooses a target after the requests of a host have been counted again.

--- a/internal/placement/engineload.go
+++ b/internal/placement/engineload.go
@@ -90,7 +90,9 @@
 type engineRequest struct {
 	load      *engineLoad
 	startedAt time.Time
-	output    outputEstimate
+	// lastMessage is the time of the last message of the request's host.
+	lastMessage *time.Time
+	output      outputEstimate
 	// prefill and prompt are in tokens; the cached part of prompt needs no prefill.
 	prefill, prompt float64
 	// seen is the number of output tokens so far, of which seenBefore came from earlier
@@ -215,6 +217,15 @@
 	r.update()
 }
 
+// waited returns how long r is known to have waited for its first event. If its host is
+// silent, the event may have come since the last message.
+func (r *engineRequest) waited(now time.Time) time.Duration {
+	if now.Sub(*r.lastMessage) > silence {
+		now = *r.lastMessage
+	}
+	return now.Sub(r.startedAt)
+}
+
 // oldestWaiting returns the request that has waited longest for its first event, or nil.
 func (l *engineLoad) oldestWaiting() *engineRequest {
 	for len(l.waiting) > 0 {
--- a/internal/placement/failures_test.go
+++ b/internal/placement/failures_test.go
@@ -146,6 +146,9 @@
 		if diff := cmp.Diff(want, cl.loads()); diff != "" {
 			t.Errorf("loads after the host has resumed (-before +after):\n%s", diff)
 		}
+		if l := c.Choose(t.Context(), work()); l.Choice.Target == "a" {
+			t.Error("a request goes to target a beside the four that wait or run there")
+		}
 	})
 }
 
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -56,7 +56,8 @@
 	requests map[string]*openRequest
 	// hostRequests holds the requests by host.
 	hostRequests map[string]map[string]*openRequest
-	lastMessage  map[string]time.Time
+	// lastMessage holds the time of the last message of each host.
+	lastMessage map[string]*time.Time
 	// resumed holds the time of the first message of each host after its last silence.
 	resumed map[string]time.Time
 	// noSilenceBefore is the earliest time at which a host can have been silent for
@@ -118,7 +119,7 @@
 		targets:      map[string]*targetState{},
 		requests:     map[string]*openRequest{},
 		hostRequests: map[string]map[string]*openRequest{},
-		lastMessage:  map[string]time.Time{},
+		lastMessage:  map[string]*time.Time{},
 		resumed:      map[string]time.Time{},
 		meanPace:     initialPace,
 		meanTokens:   baseTokens,
@@ -128,6 +129,9 @@
 // addRequest counts w at s; e is its work there, or nil.
 func (lt *LoadTable) addRequest(w *Work, s *targetState, e *engineRequest, ownTokens float64, now time.Time) {
 	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens, engine: e}
+	if e != nil {
+		e.lastMessage = lt.lastMessage[w.Host]
+	}
 	lt.meanTokens += meanTokensWeight * (ownTokens - lt.meanTokens)
 	lt.requests[w.ID], s.requests[w.ID] = r, r
 	if lt.hostRequests[w.Host] == nil {
@@ -266,10 +270,15 @@
 
 // recordMessage records a message from a host.
 func (lt *LoadTable) recordMessage(host string, now time.Time) {
-	if at, ok := lt.lastMessage[host]; !ok || now.Sub(at) > silence {
+	at := lt.lastMessage[host]
+	if at == nil {
+		at = new(time.Time)
+		lt.lastMessage[host] = at
+	}
+	if now.Sub(*at) > silence {
 		lt.resumed[host] = now
 	}
-	lt.lastMessage[host] = now
+	*at = now
 }
 
 // removeSilentHosts removes the requests of hosts without a message for
@@ -280,9 +289,9 @@
 	}
 	earliest := now
 	for host, at := range lt.lastMessage {
-		if now.Sub(at) <= hostTimeout {
+		if now.Sub(*at) <= hostTimeout {
 			if at.Before(earliest) {
-				earliest = at
+				earliest = *at
 			}
 			continue
 		}
--- a/internal/placement/moved.go
+++ b/internal/placement/moved.go
@@ -21,6 +21,7 @@
 	if lt.requests[w.ID] != nil || m.Choice.Born != t.Born || m.Choice.Slowness <= 0 {
 		return
 	}
+	lt.recordMessage(w.Host, now)
 	s := lt.targetState(t)
 	if s.slowness.samples < maxMovedSamples {
 		s.slowness.add(math.Log(m.Choice.Slowness), now)
--- a/internal/placement/reports_test.go
+++ b/internal/placement/reports_test.go
@@ -213,3 +213,34 @@
 		t.Errorf("work of the target is %.3f s after 20 requests, want at least %.3f", got, want)
 	}
 }
+
+// TestWaitingAtSilentHost lets a host fall silent while its request waits for a first event. The
+// target must not look slow, since the event may have come, until the host is heard of again. A
+// request of a host that sends heartbeats must make it look slow all the time.
+func TestWaitingAtSilentHost(t *testing.T) {
+	const steps = 5 // heartbeats, all of them within hostTimeout
+	for _, silent := range []bool{true, false} {
+		lt, targets, now := newWorkTable()
+		w := workAt("a", 1000, 100)
+		w.ID, w.Host = "1", "h"
+		lt.Choose(&w, targets, now)
+		slowness := func() float64 {
+			present, _ := lt.targetState(targets[0]).engineSlowness(now)
+			return present
+		}
+		for range steps {
+			now = now.Add(silence/steps + 100*time.Millisecond)
+			lt.Apply(&Report{Host: "other"}, now)
+			if !silent {
+				lt.Apply(&Report{Host: "h"}, now)
+			}
+		}
+		if got := slowness(); silent != (got == 1) {
+			t.Errorf("silent=%v: slowness %.2f", silent, got)
+		}
+		lt.Apply(&Report{Host: "h", Open: &OpenRequests{Waiting: []string{"1"}}}, now)
+		if got := slowness(); got < 5 {
+			t.Errorf("silent=%v: slowness %.2f once the host names the request as waiting, want at least 5", silent, got)
+		}
+	}
+}
--- a/internal/placement/workchoice.go
+++ b/internal/placement/workchoice.go
@@ -125,7 +125,7 @@
 	v := s.decayedNow(now)
 	present, lasting = v.present, v.lasting
 	if r := s.load.oldestWaiting(); r != nil {
-		waited := min(now.Sub(r.startedAt).Seconds(), lasting*maxPassingFactor*r.firstEvent)
+		waited := min(r.waited(now).Seconds(), lasting*maxPassingFactor*r.firstEvent)
 		present = max(present, waited/r.firstEvent)
 	}
 	return present, lasting
