--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -44,7 +44,7 @@
 // Choose returns the target with the least cost for w, which is the predicted time
 // to the first event with penalties, and counts w there.
 func (lt *LoadTable) Choose(w *Work, targets []*catalog.Target, now time.Time) Choice {
-	lt.lastMessage[w.Host] = now
+	lt.recordMessage(w.Host, now)
 	lt.removeSilentHosts(now)
 	var q *workQuery
 	if lt.work != nil {
@@ -109,7 +109,7 @@
 	ownTokens = baseTokens
 	prefixCached := true
 	for i, p := range w.Parts {
-		at, ok := s.cachedParts[p.ID]
+		at, ok := s.cachedParts.Peek(p.ID)
 		prefixCached = prefixCached && ok && now.Sub(at) < cachedPartLifetime && i < len(w.Parts)-1
 		if prefixCached {
 			cached += p.Tokens
--- a/internal/placement/engineload.go
+++ b/internal/placement/engineload.go
@@ -49,10 +49,12 @@
 	// recentTime is the time constant with which the work given to a target is
 	// forgotten, recentWeight the weight of a second of it. Work over maxRecent, in
 	// seconds, doesn't count: under high load, pending work shows which targets are busy,
-	// and equal use of all targets would make requests wait longest at the slow ones.
+	// and equal use of all targets would make requests wait longest at the slow ones. The
+	// bound has to be well over what targets are given while nothing is pending; once most
+	// have reached it, recent work no longer tells them apart.
 	recentTime   = 10 * time.Second
 	recentWeight = 0.04
-	maxRecent    = 3
+	maxRecent    = 6
 )
 
 // workOf returns the time that a reference engine needs for prefill and output tokens.
@@ -88,7 +90,9 @@
 type engineRequest struct {
 	load      *engineLoad
 	startedAt time.Time
-	output    outputEstimate
+	// lastMessage is the time of the last message of the request's host.
+	lastMessage *time.Time
+	output      outputEstimate
 	// prefill and prompt are in tokens; the cached part of prompt needs no prefill.
 	prefill, prompt float64
 	// seen is the number of output tokens so far, of which seenBefore came from earlier
@@ -205,11 +209,23 @@
 		r.leaveQueue()
 	}
 	r.ended = true
-	got := r.seen - r.seenBefore
-	r.load.addRecent(workOf(0, got-r.output.left(r.seenBefore)), now)
+	// A request with a first event but no output is of a host that counts no events, or has a
+	// response without any. Its output is unknown and counts as predicted.
+	if got := r.seen - r.seenBefore; got > 0 || !r.begun {
+		r.load.addRecent(workOf(0, got-r.output.left(r.seenBefore)), now)
+	}
 	r.update()
 }
 
+// waited returns how long r is known to have waited for its first event. If its host is
+// silent, the event may have come since the last message.
+func (r *engineRequest) waited(now time.Time) time.Duration {
+	if now.Sub(*r.lastMessage) > silence {
+		now = *r.lastMessage
+	}
+	return now.Sub(r.startedAt)
+}
+
 // oldestWaiting returns the request that has waited longest for its first event, or nil.
 func (l *engineLoad) oldestWaiting() *engineRequest {
 	for len(l.waiting) > 0 {
--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -6,6 +6,7 @@
 
 	"berylswitch.example/berylswitch/internal/backpressure"
 	"berylswitch.example/berylswitch/internal/catalog"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Weights, times and bounds of what is learned.
@@ -27,6 +28,9 @@
 	// hostTimeout is the time without a message from a host after which its
 	// requests no longer count.
 	hostTimeout = 1500 * time.Millisecond
+	// silence is the time without a message from a host with open requests that shows that
+	// its reports are late: a heartbeat is missing.
+	silence = heartbeatInterval + heartbeatInterval/2
 	// listDelay is the longest time that a host's list of its requests takes to
 	// arrive. A request that was counted within it may be missing from the list.
 	listDelay = reportTimeout
@@ -52,7 +56,10 @@
 	requests map[string]*openRequest
 	// hostRequests holds the requests by host.
 	hostRequests map[string]map[string]*openRequest
-	lastMessage  map[string]time.Time
+	// lastMessage holds the time of the last message of each host.
+	lastMessage map[string]*time.Time
+	// resumed holds the time of the first message of each host after its last silence.
+	resumed map[string]time.Time
 	// noSilenceBefore is the earliest time at which a host can have been silent for
 	// hostTimeout.
 	noSilenceBefore time.Time
@@ -67,7 +74,9 @@
 
 // targetState is the state kept of one incarnation of a target.
 type targetState struct {
-	born     int64
+	born int64
+	// replaced is set once the target has a newer incarnation.
+	replaced bool
 	requests map[string]*openRequest
 	// pendingTokens is the work of the requests without a first event, in tokens.
 	pendingTokens float64
@@ -81,8 +90,8 @@
 	pausedUntil time.Time
 	rejections  backpressure.Rejections
 	// cachedParts maps the ID of a prompt part to the time of the last request that
-	// had it.
-	cachedParts map[string]time.Time
+	// had it. The least recently sent parts are evicted.
+	cachedParts *simplelru.LRU[string, time.Time]
 	// load and slowness are kept for WorkPolicy alone.
 	load     engineLoad
 	slowness slowness
@@ -110,7 +119,8 @@
 		targets:      map[string]*targetState{},
 		requests:     map[string]*openRequest{},
 		hostRequests: map[string]map[string]*openRequest{},
-		lastMessage:  map[string]time.Time{},
+		lastMessage:  map[string]*time.Time{},
+		resumed:      map[string]time.Time{},
 		meanPace:     initialPace,
 		meanTokens:   baseTokens,
 	}
@@ -119,6 +129,9 @@
 // addRequest counts w at s; e is its work there, or nil.
 func (lt *LoadTable) addRequest(w *Work, s *targetState, e *engineRequest, ownTokens float64, now time.Time) {
 	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens, engine: e}
+	if e != nil {
+		e.lastMessage = lt.lastMessage[w.Host]
+	}
 	lt.meanTokens += meanTokensWeight * (ownTokens - lt.meanTokens)
 	lt.requests[w.ID], s.requests[w.ID] = r, r
 	if lt.hostRequests[w.Host] == nil {
@@ -130,16 +143,14 @@
 		return
 	}
 	for _, p := range w.sharedParts() {
-		if len(s.cachedParts) < maxCachedParts {
-			s.cachedParts[p.ID] = now
-		}
+		s.cachedParts.Add(p.ID, now)
 	}
 }
 
 // Apply applies the updates in a host's report and returns how many requests the
 // host's list corrected.
 func (lt *LoadTable) Apply(report *Report, now time.Time) (corrected int) {
-	lt.lastMessage[report.Host] = now
+	lt.recordMessage(report.Host, now)
 	for _, n := range report.News {
 		if r := lt.requests[n.ID]; r != nil {
 			lt.applyUpdate(n, r, now)
@@ -257,6 +268,19 @@
 	}
 }
 
+// recordMessage records a message from a host.
+func (lt *LoadTable) recordMessage(host string, now time.Time) {
+	at := lt.lastMessage[host]
+	if at == nil {
+		at = new(time.Time)
+		lt.lastMessage[host] = at
+	}
+	if now.Sub(*at) > silence {
+		lt.resumed[host] = now
+	}
+	*at = now
+}
+
 // removeSilentHosts removes the requests of hosts without a message for
 // hostTimeout.
 func (lt *LoadTable) removeSilentHosts(now time.Time) {
@@ -265,13 +289,14 @@
 	}
 	earliest := now
 	for host, at := range lt.lastMessage {
-		if now.Sub(at) <= hostTimeout {
+		if now.Sub(*at) <= hostTimeout {
 			if at.Before(earliest) {
-				earliest = at
+				earliest = *at
 			}
 			continue
 		}
 		delete(lt.lastMessage, host)
+		delete(lt.resumed, host)
 		for id, r := range lt.hostRequests[host] {
 			lt.removeRequest(id, r, now)
 		}
@@ -283,7 +308,10 @@
 func (lt *LoadTable) targetState(t *catalog.Target) *targetState {
 	s := lt.targets[t.ID]
 	if s == nil || s.born != t.Born {
-		s = &targetState{born: t.Born, requests: map[string]*openRequest{}, cachedParts: map[string]time.Time{}}
+		if s != nil {
+			s.replaced = true
+		}
+		s = &targetState{born: t.Born, requests: map[string]*openRequest{}, cachedParts: newCachedParts()}
 		if lt.work != nil {
 			s.slowness = newSlowness(lt.work.meanSlowness)
 		}
@@ -292,6 +320,14 @@
 	return s
 }
 
+func newCachedParts() *simplelru.LRU[string, time.Time] {
+	parts, err := simplelru.NewLRU[string, time.Time](maxCachedParts, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return parts
+}
+
 // Prune removes the state of targets that are not in targets and have no requests.
 func (lt *LoadTable) Prune(targets []*catalog.Target) {
 	known := map[string]bool{}
--- a/internal/placement/workchoice.go
+++ b/internal/placement/workchoice.go
@@ -125,18 +125,24 @@
 	v := s.decayedNow(now)
 	present, lasting = v.present, v.lasting
 	if r := s.load.oldestWaiting(); r != nil {
-		waited := min(now.Sub(r.startedAt).Seconds(), lasting*maxPassingFactor*r.firstEvent)
+		waited := min(r.waited(now).Seconds(), lasting*maxPassingFactor*r.firstEvent)
 		present = max(present, waited/r.firstEvent)
 	}
 	return present, lasting
 }
 
+// engineRequest returns q as a request at s that has cached tokens of its prompt.
+func (q *workQuery) engineRequest(s *targetState, cached int) *engineRequest {
+	tokens := q.prefill(cached)
+	return &engineRequest{output: q.output, prefill: tokens, prompt: float64(q.prompt), seen: q.seen, seenBefore: q.seen, firstEvent: s.load.firstEventTime(tokens)}
+}
+
 // addWork counts q at s and completes c.
 func (lt *LoadTable) addWork(q *workQuery, s *targetState, c *Choice, now time.Time) *engineRequest {
-	c.Cached = lt.work.parts.tokens(s)
+	c.Born, c.Cached = s.born, lt.work.parts.tokens(s)
 	tokens := q.prefill(c.Cached)
 	present, lasting := s.engineSlowness(now)
-	r := &engineRequest{output: q.output, prefill: tokens, prompt: float64(q.prompt), seen: q.seen, seenBefore: q.seen, firstEvent: s.load.firstEventTime(tokens)}
+	r := q.engineRequest(s, c.Cached)
 	c.Expected = seconds(firstEventOverhead + present*r.firstEvent)
 	c.Reading = int(s.load.prefill)
 	c.Output, c.HighOutput = int(math.Ceil(q.output.left(q.seen))), int(math.Ceil(max(0, q.output.high()-q.seen)))
@@ -149,9 +155,11 @@
 
 // sampleSlowness takes the time since the start of r, which has no first event yet, as a
 // sample of the slowness of its target. The end of a response without events is no such
-// sample, since it comes after the whole output.
+// sample, since it comes after the whole output. Neither is a first event that was reported
+// after a silence of the host, since it is not known when it came, nor what a former
+// incarnation did, since the mean slowness is what is assumed of the new one.
 func (lt *LoadTable) sampleSlowness(r *openRequest, now time.Time) {
-	if r.engine == nil || r.hasFirstEvent {
+	if r.engine == nil || r.hasFirstEvent || r.target.replaced || r.startedAt.Before(lt.resumed[r.host]) {
 		return
 	}
 	s := r.target
