declaration: ReadSource reads the file that it has opened

ReadSource opened a file to check its size, and read it by its name, that is, opened it a second time. A file that was replaced in between was read from the new one, even if that was incomplete or missing, and the size that was checked was the old one's. The size of a pipe is zero, so a text from a pipe was read without a limit. It now reads from the one file that it has opened, at most one byte beyond the limit.

release h1.json FAIL: testdata/process/signals-at-start.txtar:9: the process no longer reads h1.json: write $WORK/h1.json: broken pipe

The script holds the settings in a named pipe. "reading" returns at the first opening. "release" puts a file in the pipe's place, then writes to the pipe. If the host opened the name a second time in between, it read that file, or found none, and closed the pipe. It was not ended by SIGHUP: the handler is installed before the file is opened.

--- a/pkg/declaration/source.go
+++ b/pkg/declaration/source.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"os"
 	"sort"
 	"strings"
@@ -93,16 +94,14 @@
 		return nil, err
 	}
 	defer f.Close()
-	info, err := f.Stat()
+	// The name may mean another file if it is opened again, and the size of a pipe or of a
+	// file that grows is not known beforehand.
+	text, err := io.ReadAll(io.LimitReader(f, MaxTextBytes+1))
 	if err != nil {
 		return nil, err
 	}
-	if info.Size() > MaxTextBytes {
-		return nil, fmt.Errorf("%s: %d bytes, the limit is %d", file, info.Size(), MaxTextBytes)
-	}
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, err
+	if len(text) > MaxTextBytes {
+		return nil, fmt.Errorf("%s: larger than the limit of %d bytes", file, MaxTextBytes)
 	}
 	return ParseSource(file, text), nil
 }
