crash: the note of a break is spread before members are told

A host that sees a break told every member, and only then spread the note. A member that doesn't respond holds up the former for a second. If the host was killed in that time the note was lost with it: a frozen member never learned of the break from the others, although those knew, and ran the body at a third target once it resumed. The note is now spread first, so that the others pass it on; it waits in the connections to the frozen member and is read before its requests reach a target. The same holds for the crashes that the gateway records.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -7,10 +7,10 @@
 // as another suspect at that target, so that a second break distinguishes the
 // body that causes breaks from those that merely ran at the same time. A body that broke
 // MaxTargets is blocked, that is, not run again; the breaks of a body that ran to
-// completion are cleared. The host that sees a break notifies every member before
-// it does anything else with the request, and spreads a note for members that it
-// couldn't reach. One host, picked by rendezvous hashing, arbitrates the runs of
-// all suspects; if it can't be reached, each host decides on its own.
+// completion are cleared. The host that sees a break spreads a note, for members that it
+// can't reach, and notifies every member before it does anything else with the request.
+// One host, picked by rendezvous hashing, arbitrates the runs of all suspects; if it
+// can't be reached, each host decides on its own.
 //
 // That is for callers that ask for permission before each run. For those that can't
 // wait for it, a Table also records the crashes of targets with all that may have caused
--- a/internal/crash/permit.go
+++ b/internal/crash/permit.go
@@ -90,9 +90,9 @@
 	if broke {
 		w := Word{BreakID: uuid.NewString(), Digest: p.run.Digest, Target: p.run.Target, BeganAt: p.beganAt, At: t.Clock.Now()}
 		t.apply(w)
+		t.spreadNote(w)
 		t.reportRuns(ctx, w.Digest)
 		t.notifyMembers(context.WithoutCancel(ctx), w)
-		t.spreadNote(w)
 	}
 	if reported {
 		t.reportEnd(p.run)
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -107,6 +107,6 @@
 
 // tell sends w to the members.
 func (t *Table) tell(w Word) {
-	t.notifyMembers(context.Background(), w)
 	t.spreadNote(w)
+	t.notifyMembers(context.Background(), w)
 }
--- a/internal/crash/service.go
+++ b/internal/crash/service.go
@@ -96,7 +96,9 @@
 	return t.Peers.CallOrDisconnect(ctx, h.Addr, rpcName+".Tell", &w, &Empty{})
 }
 
-// spreadNote spreads w as a note, for the hosts that notifyMembers doesn't reach.
+// spreadNote spreads w as a note, for the members that notifyMembers doesn't reach. It
+// comes before notifyMembers, which waits long for a member that doesn't respond: if this
+// host is killed meanwhile, the others pass the note on.
 func (t *Table) spreadNote(w Word) {
 	data, err := json.Marshal(&w)
 	if err != nil {
