crash: hosts that can't reach the arbiter agree on the next one

A body that broke a target runs at one target at a time, which one host arbitrates. A host that couldn't reach the arbiter decided for itself. After the arbiter's death that holds for all hosts until they count it as dead, so that two of them allowed a run each and the body broke a third target. They now ask up to two further hosts in rendezvous order, and report the end of the run to all of these.

Found by a trace of the fuzz test: the arbiter h3 is killed at 3.52 s when the body breaks e1; h1 runs it at e2 at 4.52 s and h2, which knows of the break, at e3 at 4.56 s, each after "connection refused" from h3.

TestArbiterKilled failed before for each pair of hosts ("h2 allows a run beside one of h1") and passes now in 3 of 3 runs.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -9,8 +9,8 @@
 // MaxTargets is blocked, that is, not run again; the breaks of a body that ran to
 // completion are cleared. The host that sees a break spreads a note, for members that it
 // can't reach, and notifies every member before it does anything else with the request.
-// One host, picked by rendezvous hashing, arbitrates the runs of all suspects; if it
-// can't be reached, each host decides on its own.
+// One host, picked by rendezvous hashing, arbitrates the runs of all suspects. A host that
+// can't reach it asks the next ones, and decides on its own if it reaches none.
 //
 // That is for callers that ask for permission before each run. For those that can't
 // wait for it, a Table also records the crashes of targets with all that may have caused
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -87,6 +87,34 @@
 	})
 }
 
+// TestArbiterKilled kills the arbiter before the others count it as dead. They must still
+// let a suspect run at one target at a time. Each decided for itself, so that the body
+// broke a target more for each host.
+func TestArbiterKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &link.Memory{Delay: 500 * time.Microsecond}
+		tables := newTablesOn(t, m, 4)
+		tables[0].End(t.Context(), begin(t, tables[0], "d", "t1"), true)
+		arbiter := tables[0].Exchange.Members().Holder(suspectsKey)
+		m.Kill(arbiter.Addr.Addr())
+		others := slices.DeleteFunc(tables, func(o *Table) bool { return o.Self == arbiter.Name })
+		for i, table := range others {
+			p := begin(t, table, "d", "t2")
+			for _, other := range others {
+				run := Run{Digest: "d", Target: "t3", AttemptID: "d@t3", Until: time.Now().Add(100 * time.Millisecond)}
+				if _, err := other.Begin(t.Context(), run); err == nil {
+					t.Errorf("%s allows a run beside one of %s", other.Self, table.Self)
+				}
+			}
+			table.End(t.Context(), p, false)
+			time.Sleep(askTimeout)
+			if i == len(others)-1 {
+				begin(t, others[0], "d", "t4")
+			}
+		}
+	})
+}
+
 // TestNewsOverSilentConnections makes the connections among hosts silent without a
 // reset and expects the news of crashes just after that to reach every host once hosts
 // count as in touch again.
--- a/internal/crash/service.go
+++ b/internal/crash/service.go
@@ -156,6 +156,9 @@
 	// a suspect may run at the same target as another one.
 	shareDivisor = 8
 	maxRuns      = 8192
+	// maxArbiters is the number of hosts that are asked in turn. Two hosts that each
+	// decide for themselves allow two runs of a body at the same time.
+	maxArbiters = 3
 )
 
 // arbitrate waits for permission to run a suspect.
@@ -179,33 +182,57 @@
 	}
 }
 
-// askArbiter asks the arbiter about r, or decides locally if it can't be reached.
+// arbiters returns the hosts to ask, in order: the arbiter, and those that take its place
+// for hosts that can't reach it.
+func (t *Table) arbiters() []peer.Host {
+	var out []peer.Host
+	members := t.Exchange.Members()
+	for range min(maxArbiters, len(members.Hosts)) {
+		h := members.Holder(suspectsKey)
+		out = append(out, h)
+		members = members.Without(h.Name)
+	}
+	return out
+}
+
+// askArbiter asks the arbiter about r, or the host that takes its place, or decides
+// locally if none can be reached.
 func (t *Table) askArbiter(ctx context.Context, r Run) Answer {
-	h := t.Exchange.Members().Holder(suspectsKey)
-	if h.Name == t.Self {
-		return t.decide(r).Answer
+	for _, h := range t.arbiters() {
+		if h.Name == t.Self {
+			break
+		}
+		if answer, err := t.ask(ctx, h, r); err == nil {
+			return answer
+		}
 	}
+	return t.decide(r).Answer
+}
+
+// ask asks h about r.
+func (t *Table) ask(ctx context.Context, h peer.Host, r Run) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var reply Reply
-	if t.Peers.Call(ctx, h.Addr, rpcName+".Begin", &r, &reply) != nil {
-		return t.decide(r).Answer
+	if err := t.Peers.Call(ctx, h.Addr, rpcName+".Begin", &r, &reply); err != nil {
+		return Busy, err
 	}
-	return reply.Answer
+	return reply.Answer, nil
 }
 
-// reportEnd notifies the arbiter, in the background, that r has ended.
+// reportEnd notifies the arbiters, in the background, that r has ended.
 func (t *Table) reportEnd(r Run) {
 	t.arbiter.end(r)
-	h := t.Exchange.Members().Holder(suspectsKey)
-	if h.Name == t.Self {
-		return
+	for _, h := range t.arbiters() {
+		if h.Name == t.Self {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+			defer cancel()
+			t.Peers.Call(ctx, h.Addr, rpcName+".End", &r, &Empty{})
+		}()
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-		defer cancel()
-		t.Peers.Call(ctx, h.Addr, rpcName+".End", &r, &Empty{})
-	}()
 }
 
 // decide returns the arbiter's decision on r.
