scenario: a cluster is closed once claimed requests have ended

A claimed request of a killed host goes on trying to record its outcome for up to 30 s, as it should: only its network is gone. The fixture left the bubble 1 s after the drain of the last host, and the test ended with

panic: deadlock: main bubble goroutine has exited but blocked goroutines remain

The goroutines were finishFirst and claim.Client.Release, seen in a dump on a scratch copy; with one minute more they had all ended. The fixture now waits 15 s of virtual time. A goroutine that remains for longer still fails the test.

--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -120,9 +120,14 @@
 	for _, s := range cl.standinServers {
 		s.Stop()
 	}
-	time.Sleep(time.Second) // servers delay closing a connection
+	time.Sleep(endTime)
 }
 
+// endTime exceeds the time for which goroutines of ended processes remain. A claimed
+// request of a killed host lasts longest: 5 s to its deadline, 10 s for a late answer and
+// 30 s to record the outcome, of which the drain of its host, 32 s, has passed.
+const endTime = 15 * time.Second
+
 // publish appends the declared section to the log as a change.
 func (cl *cluster) publish() {
 	text, err := json.Marshal(&cl.section)
