--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/clock"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -27,6 +28,9 @@
 	// a second; of the lines beyond it, one in sampleThereafter is kept.
 	sampleFirst      = 200
 	sampleThereafter = 100
+	// closeTimeout bounds the time to write the queued lines at the end. It fits into the
+	// part of a host's grace period that is reserved for the exit of the process.
+	closeTimeout = 300 * time.Millisecond
 )
 
 // Writer passes lines on to a slower writer without blocking the caller.
@@ -60,12 +64,22 @@
 // zapcore.WriteSyncer.
 func (w *Writer) Sync() error { return nil }
 
-// Close writes the queued lines and stops the Writer.
+// Close writes the queued lines and stops the Writer. It gives up after closeTimeout, so
+// that a process whose output accepts nothing can exit.
 func (w *Writer) Close() error {
 	w.closeOnce.Do(func() {
+		late, stop := clock.Timer(closeTimeout)
+		defer stop()
 		// A nil line stops the writer; lines written later are dropped.
-		w.lines <- nil
-		<-w.done
+		select {
+		case w.lines <- nil:
+		case <-late:
+			return
+		}
+		select {
+		case <-w.done:
+		case <-late:
+		}
 	})
 	return nil
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
@@ -50,6 +51,34 @@
 	}
 }
 
+// TestCloseOfBlockedOutput closes writers whose output accepts nothing, one with a full
+// buffer. Close waited for the output, so that the process didn't exit.
+func TestCloseOfBlockedOutput(t *testing.T) {
+	for _, lines := range []int{1, bufferLines + 2} {
+		synctest.Test(t, func(t *testing.T) {
+			out := &blockedWriter{unblock: make(chan struct{})}
+			w := NewWriter(out)
+			for range lines {
+				io.WriteString(w, "x\n")
+			}
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				w.Close()
+			}()
+			time.Sleep(closeTimeout + time.Millisecond)
+			select {
+			case <-closed:
+			default:
+				t.Errorf("Close still waits after %v, with %d lines", closeTimeout, lines)
+			}
+			close(out.unblock)
+			synctest.Wait()
+			w.lines <- nil // ends the goroutine if Close could not
+		})
+	}
+}
+
 // TestSampling logs one message more often than the sampling rate allows and
 // checks that most of the lines are left out.
 func TestSampling(t *testing.T) {
