stage: less urgent work is not ahead of urgent work in forecasts

Cause: forecasts counted all work that can be on time as ahead of a new request, in the order of admission.

Change: a forecast counts as ahead only work of the same or a more urgent rank. TestForecastOfUrgentWork covers waiting and recorded work.

--- a/internal/stage/forecast.go
+++ b/internal/stage/forecast.go
@@ -42,7 +42,7 @@
 	b.refreshRecent(q, now)
 	c := q.recent.capacity
 	if b.reservations[r.ID] != nil {
-		return Answer{Granted: true, Forecast: q.forecast(c, 0, now)}
+		return Answer{Granted: true, Forecast: q.forecast(c, r.Rank, 0, now)}
 	}
 	if c.slots == 0 || len(b.reservations) >= maxReservations {
 		b.logRefusal(r, zap.Int("Targets", len(q.targets)), zap.Int("Reservations", len(b.reservations)))
@@ -51,29 +51,33 @@
 	}
 	b.refreshShares(q, c, q.callTimeOf(c, q.waitingPieces(), r.Pieces), now)
 	cost := c.cost(r.Pieces, r.PieceBytes)
-	o := q.forecast(c, q.shares.standing(&r, cost, now).shareHeadroom(), now)
+	o := q.forecast(c, r.Rank, q.shares.standing(&r, cost, now).shareHeadroom(), now)
 	q.shares.record(&r, cost, true, now)
 	b.addReservation(host, r, now).cost = cost
 	b.count("Recorded")
 	return Answer{Granted: true, Forecast: o}
 }
 
-// forecast returns the outlook for a request that must leave headroom for others. Work that
-// is not on time gets only the capacity that the load leaves. Calls fill up while work waits,
-// so the capacity is that of full calls.
-func (q *queue) forecast(c capacity, headroom time.Duration, now time.Time) Outlook {
+// forecast returns the outlook for a request of the given rank that must leave headroom for
+// others. Less urgent work is not ahead of it, since that is deferred first. Work that is not
+// on time gets only the capacity that the load leaves. Calls fill up while work waits, so the
+// capacity is that of full calls.
+func (q *queue) forecast(c capacity, rank int, headroom time.Duration, now time.Time) Outlook {
 	call := q.callTime()
 	ahead, all := headroom, headroom
 	for _, j := range q.jobs {
 		cost := c.cost(len(j.waiting), j.PieceBytes)
 		all += cost
-		if !tooLate(j, call, now) {
+		if j.Rank <= rank && !tooLate(j, call, now) {
 			ahead += cost
 		}
 	}
 	for _, r := range q.reserved {
 		cost := c.cost(r.Pieces, r.PieceBytes)
-		ahead, all = ahead+cost, all+cost
+		all += cost
+		if r.Rank <= rank {
+			ahead += cost
+		}
 	}
 	o := Outlook{Ahead: c.timeFor(ahead), All: c.timeFor(all), PerPiece: c.piece}
 	o.All = max(o.Ahead, time.Duration(float64(o.All)/(1-min(q.load(now), maxForecastLoad))))
--- a/internal/stage/forecast_test.go
+++ b/internal/stage/forecast_test.go
@@ -52,7 +52,7 @@
 	c := q.capacity(now)
 	cost := c.cost(8, 1)
 	want := Outlook{Ahead: c.timeFor(cost), All: c.timeFor(3 * cost), PerPiece: c.piece}
-	if diff := cmp.Diff(want, q.forecast(c, 0, now)); diff != "" {
+	if diff := cmp.Diff(want, q.forecast(c, 0, 0, now)); diff != "" {
 		t.Errorf("idle pool (-want +got):\n%s", diff)
 	}
 	r := testReservation("r", 8, time.Second)
@@ -61,15 +61,37 @@
 		q.shares.record(&r, cost, true, now)
 	}
 	now = now.Add(100 * time.Millisecond)
-	busy := q.forecast(c, 0, now)
+	busy := q.forecast(c, 0, 0, now)
 	if busy.Ahead != want.Ahead || busy.All < 10*want.All {
 		t.Errorf("overloaded pool: %+v, idle: %+v", busy, want)
 	}
-	if got := q.forecast(c, headroomStep, now); got.Ahead != c.timeFor(cost+headroomStep) {
+	if got := q.forecast(c, 0, headroomStep, now); got.Ahead != c.timeFor(cost+headroomStep) {
 		t.Errorf("with headroom: %+v", got)
 	}
 }
 
+// TestForecastOfUrgentWork expects less urgent work, waiting or recorded, not to delay what is
+// more urgent. It guards against admission in the order of arrival, by which a peak of less
+// urgent requests gets more urgent ones refused.
+func TestForecastOfUrgentWork(t *testing.T) {
+	now := time.Now()
+	pool := testPool()
+	q := &queue{service: "s", pool: &pool, epoch: now, sharing: true, targetStates: map[string]*targetState{}}
+	for i := range 2 {
+		q.targets = append(q.targets, &catalog.Target{ID: fmt.Sprint(i), Service: "s"})
+	}
+	q.jobs = []*job{{Job: Job{PieceBytes: 1, Rank: 1}, due: now.Add(time.Minute), waiting: make([]int, 8)}}
+	r := testReservation("r", 8, time.Minute)
+	r.Rank = 1
+	q.reserved = []*reservation{{Reservation: r}}
+	c := q.capacity(now)
+	ahead := c.timeFor(c.cost(16, 1))
+	got := []time.Duration{q.forecast(c, 0, 0, now).Ahead, q.forecast(c, 1, 0, now).Ahead, q.forecast(c, 2, 0, now).Ahead}
+	if diff := cmp.Diff([]time.Duration{0, ahead, ahead}, got); diff != "" {
+		t.Errorf("work ahead by rank (-want +got):\n%s", diff)
+	}
+}
+
 // TestForecastsOfManyHosts has hosts without jobs at the batcher ask it one after the other.
 // Each forecast must hold what the others were told, and no longer what was given back. It
 // guards against hosts that all see the same free capacity.
