stage: a removed pool or a repeated call doesn't break forecasts

A call repeated after a lost reply was told a wait behind its own work; it now gets the answer of the first call.

TestRecordAfterPoolIsRemoved panicked and TestRecordedOnce failed before.

--- a/internal/stage/forecast.go
+++ b/internal/stage/forecast.go
@@ -36,14 +36,14 @@
 )
 
 // record adds a reservation without a decision and returns the forecast for it. A call that
-// is repeated because its reply was lost adds nothing.
+// is repeated because its reply was lost adds nothing and gets the same answer.
 func (b *Batcher) record(host string, r Reservation, now time.Time) Answer {
+	if known := b.reservations[r.ID]; known != nil {
+		return Answer{Granted: true, Forecast: known.forecast}
+	}
 	q := b.queue(r.Service)
 	b.refreshRecent(q, now)
 	c := q.recent.capacity
-	if b.reservations[r.ID] != nil {
-		return Answer{Granted: true, Forecast: q.forecast(c, 0, now)}
-	}
 	if c.slots == 0 || len(b.reservations) >= maxReservations {
 		b.logRefusal(r, zap.Int("Targets", len(q.targets)), zap.Int("Reservations", len(b.reservations)))
 		b.count("Refused")
@@ -53,7 +53,8 @@
 	cost := c.cost(r.Pieces, r.PieceBytes)
 	o := q.forecast(c, q.shares.standing(&r, cost, now).shareHeadroom(), now)
 	q.shares.record(&r, cost, true, now)
-	b.addReservation(host, r, now).cost = cost
+	recorded := b.addReservation(host, r, now)
+	recorded.cost, recorded.forecast = cost, o
 	b.count("Recorded")
 	return Answer{Granted: true, Forecast: o}
 }
--- a/internal/stage/forecast_test.go
+++ b/internal/stage/forecast_test.go
@@ -102,15 +102,22 @@
 	})
 }
 
-// TestRecordedOnce repeats a call whose reply was lost. The work must count once.
+// TestRecordedOnce repeats a call whose reply was lost. The work must count once, and not as
+// a wait of the request itself.
 func TestRecordedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBatcher(t, &fakePool{}, 1, testPool())
 		args := ReserveArgs{Host: "h", Record: true, Reservations: []Reservation{testReservation("r", 8, time.Second)}}
+		var answers []Answer
 		for range 2 {
-			if reply, err := b.reserve(args, true); err != nil || !reply.Answers[0].Granted {
+			reply, err := b.reserve(args, true)
+			if err != nil || !reply.Answers[0].Granted {
 				t.Errorf("%+v, %v", reply, err)
 			}
+			answers = append(answers, reply.Answers...)
+		}
+		if diff := cmp.Diff(answers[0], answers[1]); diff != "" {
+			t.Errorf("second answer (-first +second):\n%s", diff)
 		}
 		if n := reservationCount(b); n != 1 {
 			t.Errorf("%d reservations, want 1", n)
@@ -132,3 +139,30 @@
 		}
 	})
 }
+
+// TestRecordAfterPoolIsRemoved removes a pool from the configuration within recentLifetime of
+// a call, and repeats the call. It guards against a crash of the batcher's host: the capacity
+// was then still that of the removed pool.
+func TestRecordAfterPoolIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBatcher(t, &fakePool{}, 1, testPool())
+		first, second := testReservation("r", 8, time.Second), testReservation("other", 8, time.Second)
+		if _, err := b.reserve(ReserveArgs{Host: "h", Record: true, Reservations: []Reservation{first}}, true); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.do(func() {
+			b.Catalog = func() *catalog.Snapshot { return &catalog.Snapshot{Table: &catalog.Table{}} }
+			b.queue("s").refresh(b.Catalog())
+		}); err != nil {
+			t.Fatal(err)
+		}
+		for _, record := range []bool{true, false} {
+			if reply, err := b.reserve(ReserveArgs{Host: "h", Record: record, Reservations: []Reservation{first}}, true); err != nil || !reply.Answers[0].Granted {
+				t.Errorf("repeated call, record %v: %+v, %v", record, reply, err)
+			}
+			if reply, err := b.reserve(ReserveArgs{Host: "h", Record: record, Reservations: []Reservation{second}}, true); err != nil || reply.Answers[0].Granted {
+				t.Errorf("new call, record %v: %+v, %v", record, reply, err)
+			}
+		}
+	})
+}
--- a/internal/stage/reservation.go
+++ b/internal/stage/reservation.go
@@ -97,6 +97,8 @@
 	start, due, end time.Duration
 	// cost was counted as use of the workspace's share.
 	cost time.Duration
+	// forecast is the answer to the call that recorded it.
+	forecast Outlook
 	// index is the position in the queue's reserved.
 	index int
 }
@@ -169,9 +171,9 @@
 const recentLifetime = sweepInterval
 
 // refreshRecent takes the targets of q from the catalog and computes recent anew, if it is
-// old.
+// old or the pool has been removed since.
 func (b *Batcher) refreshRecent(q *queue, now time.Time) {
-	if !q.recent.at.IsZero() && now.Sub(q.recent.at) < recentLifetime {
+	if q.pool != nil && !q.recent.at.IsZero() && now.Sub(q.recent.at) < recentLifetime {
 		return
 	}
 	q.refresh(b.Catalog())
