gateway: bound admission without a forecast at former holders too

While a holder was taken for one of a former version, for 5 s after its last reply, hosts without an estimate admitted all requests, also if it was lost. Now at most 4 a second are admitted, as to any other service of which nothing is known. A request with two stages at one service counts once towards that bound.

TestAdmissionWithoutForecast failed before: 2 and 10 requests admitted, 4 are wanted.

--- a/internal/gateway/forecast.go
+++ b/internal/gateway/forecast.go
@@ -34,6 +34,7 @@
 // checkForecasts returns a refusal if the request can't be served by the forecasts.
 func (p *plan) checkForecasts(wanted []stage.Reservation, verdicts []stage.Verdict) error {
 	forecasts := map[int]stage.Outlook{}
+	counted := map[string]bool{} // services for which the request was counted as admitted without an estimate
 	for i, v := range verdicts {
 		r := &wanted[i]
 		switch {
@@ -42,8 +43,11 @@
 		case v.Replied:
 			forecasts[r.Stage] = v.Forecast
 		default:
-			if _, known := p.h.Stages.EstimateAge(r.Service); !known && !v.Former && !p.h.Stages.AdmitWithoutEstimate(r.Service) {
-				return retryLater(result.Overloaded, p.spreadReturn(time.Second), "no batcher of service %s replies, and nothing recent is known of it", r.Service)
+			if _, known := p.h.Stages.EstimateAge(r.Service); !known && !counted[r.Service] {
+				if !p.h.Stages.AdmitWithoutEstimate(r.Service) {
+					return retryLater(result.Overloaded, p.spreadReturn(time.Second), "no batcher of service %s replies, and nothing recent is known of it", r.Service)
+				}
+				counted[r.Service] = true
 			}
 			forecasts[r.Stage] = p.h.Stages.WaitEstimate(r.Service)
 		}
--- a/internal/gateway/forecast_test.go
+++ b/internal/gateway/forecast_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"berylswitch.example/berylswitch/internal/stage"
 )
 
 // TestForecastEnd expects the wait at the pool of a later stage to pass while the request
@@ -50,3 +54,27 @@
 		t.Errorf("after the deadline: %v", got)
 	}
 }
+
+// TestAdmissionWithoutForecast sends requests of two stages at one pool to a host that no
+// batcher replies to and that has no estimate, also if the holder was last known to be of a
+// former version. It guards against admitting everything, and against counting a request
+// once for each of its stages.
+func TestAdmissionWithoutForecast(t *testing.T) {
+	wanted := []stage.Reservation{{Service: "a"}, {Service: "a", Stage: 1}}
+	for _, former := range []bool{false, true} {
+		t.Run(fmt.Sprint("former=", former), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newChainPlan(time.Minute)
+				admitted := 0
+				for range 10 {
+					if p.checkForecasts(wanted, []stage.Verdict{{Former: former}, {Former: former}}) == nil {
+						admitted++
+					}
+				}
+				if admitted != 4 {
+					t.Errorf("%d requests admitted in a second, want 4", admitted)
+				}
+			})
+		})
+	}
+}
