stage: refunds go to the bucket of the grant, and all given back reservations count

Cause: capacity that was given back was taken from the present bucket of the tally, although it had been counted in an earlier one, so that a pool whose requests ended looked idle. Reservations that a batcher gave back by itself, since another one of the request was refused, were missing in the metric Reservations.GivenBack.

TestAllOrNone also checks the metric.

--- a/internal/stage/reservation.go
+++ b/internal/stage/reservation.go
@@ -150,6 +150,7 @@
 	for i, r := range a.Reservations {
 		if !all && reply.Answers[i].Granted {
 			b.giveBack(r.ID, now)
+			b.count("GivenBack")
 		}
 		if _, ok := reply.Outlooks[r.Service]; !ok {
 			reply.Outlooks[r.Service] = b.queue(r.Service).recent.outlook
@@ -306,7 +307,7 @@
 	if r == nil {
 		return
 	}
-	b.queue(r.Service).shares.refund(&r.Reservation, r.cost, now)
+	b.queue(r.Service).shares.refund(&r.Reservation, r.cost, r.grantedAt, now)
 	b.removeReservation(id)
 }
 
--- a/internal/stage/reserve_test.go
+++ b/internal/stage/reserve_test.go
@@ -12,6 +12,7 @@
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/peer"
 	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 )
 
@@ -414,6 +415,8 @@
 func TestAllOrNone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBatcher(t, &fakePool{}, 1, testPool())
+		registry := metrics.NewRegistry()
+		b.do(func() { b.Metrics = registry })
 		reply, err := b.reserve(ReserveArgs{Host: "h", Reservations: []Reservation{testReservation("a", 1, time.Second), testReservation("b", 400, time.Second)}}, false)
 		if err != nil {
 			t.Fatal(err)
@@ -425,6 +428,9 @@
 		if n := reservationCount(b); n != 0 {
 			t.Errorf("%d reservations, want 0", n)
 		}
+		if n := metrics.GetOrRegisterCounter("Reservations.GivenBack", registry).Count(); n != 1 {
+			t.Errorf("%d reservations counted as given back, want 1", n)
+		}
 	})
 }
 
--- a/internal/stage/share.go
+++ b/internal/stage/share.go
@@ -158,13 +158,13 @@
 	}
 }
 
-// refund counts a granted request that was given back as refused.
-func (s *shares) refund(r *Reservation, cost time.Duration, now time.Time) {
-	bucket := s.bucketAt(now)
-	s.all.refund(bucket, cost)
+// refund counts a request that was granted at grantedAt and given back as refused.
+func (s *shares) refund(r *Reservation, cost time.Duration, grantedAt, now time.Time) {
+	bucket, granted := s.bucketAt(now), s.bucketAt(grantedAt)
+	s.all.refund(bucket, granted, cost)
 	for _, c := range r.classes() {
 		if t := s.tallies[c]; t != nil {
-			t.refund(bucket, cost)
+			t.refund(bucket, granted, cost)
 		}
 	}
 }
--- a/internal/stage/share_test.go
+++ b/internal/stage/share_test.go
@@ -175,7 +175,7 @@
 	if got := s.standing(small, 20*time.Millisecond, now); got.starving || !got.over() || got.headroom() != 2*headroomStep {
 		t.Errorf("served route: %+v", got)
 	}
-	s.refund(small, 800*time.Millisecond, now)
+	s.refund(small, 800*time.Millisecond, now, now)
 	if got := s.standing(small, 20*time.Millisecond, now); got.used != 0 {
 		t.Errorf("%v used after all was given back", got.used)
 	}
--- a/internal/stage/tally.go
+++ b/internal/stage/tally.go
@@ -35,10 +35,13 @@
 	}
 }
 
-// refund takes back a cost that was granted shortly before.
-func (t *tally) refund(bucket int64, cost time.Duration) {
+// refund takes back a cost that was granted in an earlier bucket, unless that has left the
+// window.
+func (t *tally) refund(bucket, granted int64, cost time.Duration) {
 	t.advance(bucket)
-	t.granted[bucket%tallyBuckets] -= cost
+	if bucket-granted < tallyBuckets {
+		t.granted[granted%tallyBuckets] -= cost
+	}
 }
 
 // recentlyGranted returns the cost that was granted in the last n buckets up to bucket.
@@ -50,7 +53,7 @@
 			sum += t.granted[(bucket-i)%tallyBuckets]
 		}
 	}
-	return max(0, sum)
+	return sum
 }
 
 // sums returns the costs of the window that ends with bucket.
@@ -60,6 +63,5 @@
 		asked += t.asked[i]
 		granted += t.granted[i]
 	}
-	// What was granted before the window may have been refunded in it.
-	return asked, max(0, granted)
+	return asked, granted
 }
