stage: forecasts follow the order of the queue by due time

Cause: forecasts counted all recorded work as ahead, though the queue takes what is due first. Kinds with long target latencies filled the pools up to their own limit, and those with short ones were refused although their jobs would have gone first.

Change: work that is due later than a request is not ahead of it. TestForecastFollowsOrder, before TestForecastOfUrgentWork, has both rules.

--- a/internal/stage/forecast.go
+++ b/internal/stage/forecast.go
@@ -51,7 +51,7 @@
 	}
 	b.refreshShares(q, c, q.callTimeOf(c, q.waitingPieces(), r.Pieces), now)
 	cost := c.cost(r.Pieces, r.PieceBytes)
-	o := q.forecast(c, r.Rank, q.shares.standing(&r, cost, now).shareHeadroom(), now)
+	o := q.forecast(c, &r, q.shares.standing(&r, cost, now).shareHeadroom(), now)
 	q.shares.record(&r, cost, true, now)
 	recorded := b.addReservation(host, r, now)
 	recorded.cost, recorded.forecast = cost, o
@@ -59,24 +59,25 @@
 	return Answer{Granted: true, Forecast: o}
 }
 
-// forecast returns the outlook for a request of the given rank that must leave headroom for
-// others. Less urgent work is not ahead of it, since that is deferred first. Work that is not
-// on time gets only the capacity that the load leaves. Calls fill up while work waits, so the
-// capacity is that of full calls.
-func (q *queue) forecast(c capacity, rank int, headroom time.Duration, now time.Time) Outlook {
-	call := q.callTime()
+// forecast returns the outlook for r, which must leave headroom for others. Only work that is
+// due earlier is ahead of it, since that is the order of the queue, and no less urgent work,
+// since that is deferred first. Work that is not on time gets only the capacity that the load
+// leaves. Calls fill up while work waits, so the capacity is that of full calls.
+func (q *queue) forecast(c capacity, r *Reservation, headroom time.Duration, now time.Time) Outlook {
+	call, due := q.callTime(), now.Add(r.Due)
 	ahead, all := headroom, headroom
 	for _, j := range q.jobs {
 		cost := c.cost(len(j.waiting), j.PieceBytes)
 		all += cost
-		if j.Rank <= rank && !tooLate(j, call, now) {
+		if j.Rank <= r.Rank && !j.due.After(due) && !tooLate(j, call, now) {
 			ahead += cost
 		}
 	}
-	for _, r := range q.reserved {
-		cost := c.cost(r.Pieces, r.PieceBytes)
+	since := due.Sub(q.epoch)
+	for _, other := range q.reserved {
+		cost := c.cost(other.Pieces, other.PieceBytes)
 		all += cost
-		if r.Rank <= rank {
+		if other.Rank <= r.Rank && other.due <= since {
 			ahead += cost
 		}
 	}
--- a/internal/stage/forecast_test.go
+++ b/internal/stage/forecast_test.go
@@ -49,10 +49,11 @@
 	late := &job{Job: Job{PieceBytes: 1}, due: now.Add(-time.Second), waiting: make([]int, 16)}
 	onTime := &job{Job: Job{PieceBytes: 1}, due: now.Add(time.Minute), waiting: make([]int, 8)}
 	q.jobs = []*job{late, onTime}
+	asked := testReservation("asked", 1, time.Hour)
 	c := q.capacity(now)
 	cost := c.cost(8, 1)
 	want := Outlook{Ahead: c.timeFor(cost), All: c.timeFor(3 * cost), PerPiece: c.piece}
-	if diff := cmp.Diff(want, q.forecast(c, 0, 0, now)); diff != "" {
+	if diff := cmp.Diff(want, q.forecast(c, &asked, 0, now)); diff != "" {
 		t.Errorf("idle pool (-want +got):\n%s", diff)
 	}
 	r := testReservation("r", 8, time.Second)
@@ -61,34 +62,44 @@
 		q.shares.record(&r, cost, true, now)
 	}
 	now = now.Add(100 * time.Millisecond)
-	busy := q.forecast(c, 0, 0, now)
+	busy := q.forecast(c, &asked, 0, now)
 	if busy.Ahead != want.Ahead || busy.All < 10*want.All {
 		t.Errorf("overloaded pool: %+v, idle: %+v", busy, want)
 	}
-	if got := q.forecast(c, 0, headroomStep, now); got.Ahead != c.timeFor(cost+headroomStep) {
+	if got := q.forecast(c, &asked, headroomStep, now); got.Ahead != c.timeFor(cost+headroomStep) {
 		t.Errorf("with headroom: %+v", got)
 	}
 }
 
-// TestForecastOfUrgentWork expects less urgent work, waiting or recorded, not to delay what is
-// more urgent. It guards against admission in the order of arrival, by which a peak of less
-// urgent requests gets more urgent ones refused.
-func TestForecastOfUrgentWork(t *testing.T) {
+// TestForecastFollowsOrder expects only work that the queue takes first to be ahead: that
+// which is due earlier and not less urgent, waiting or recorded. It guards against admission
+// in the order of arrival, by which a peak of requests with long target latencies, or of less
+// urgent ones, gets others refused.
+func TestForecastFollowsOrder(t *testing.T) {
 	now := time.Now()
 	pool := testPool()
 	q := &queue{service: "s", pool: &pool, epoch: now, sharing: true, targetStates: map[string]*targetState{}}
 	for i := range 2 {
 		q.targets = append(q.targets, &catalog.Target{ID: fmt.Sprint(i), Service: "s"})
 	}
-	q.jobs = []*job{{Job: Job{PieceBytes: 1, Rank: 1}, due: now.Add(time.Minute), waiting: make([]int, 8)}}
+	q.jobs = []*job{{Job: Job{PieceBytes: 1, Rank: 1}, due: now.Add(10 * time.Second), waiting: make([]int, 8)}}
 	r := testReservation("r", 8, time.Minute)
 	r.Rank = 1
-	q.reserved = []*reservation{{Reservation: r}}
+	q.reserved = []*reservation{{Reservation: r, due: 20 * time.Second}}
 	c := q.capacity(now)
-	ahead := c.timeFor(c.cost(16, 1))
-	got := []time.Duration{q.forecast(c, 0, 0, now).Ahead, q.forecast(c, 1, 0, now).Ahead, q.forecast(c, 2, 0, now).Ahead}
-	if diff := cmp.Diff([]time.Duration{0, ahead, ahead}, got); diff != "" {
-		t.Errorf("work ahead by rank (-want +got):\n%s", diff)
+	none, one, both := time.Duration(0), c.timeFor(c.cost(8, 1)), c.timeFor(c.cost(16, 1))
+	for _, test := range []struct {
+		rank      int
+		due, want time.Duration
+	}{
+		{0, time.Minute, none}, {1, time.Minute, both}, {2, time.Minute, both},
+		{1, 15 * time.Second, one}, {1, 5 * time.Second, none},
+	} {
+		asked := testReservation("asked", 1, time.Minute)
+		asked.Rank, asked.Due = test.rank, test.due
+		if got := q.forecast(c, &asked, 0, now).Ahead; got != test.want {
+			t.Errorf("rank %d, due in %v: %v ahead, want %v", test.rank, test.due, got, test.want)
+		}
 	}
 }
 
