docs, comments: what forecasts record, settings' names, load peaks

Comments say units and reasons of the constants of forecasts, and 'load peak' instead of 'crest'. A switch with one case is an if.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -10,9 +10,9 @@
 	"berylswitch.example/berylswitch/pkg/result"
 )
 
-// The estimates of this file answer a crest that has passed: they follow from what
-// the queues hold now. An average of past waits would outlast the crest that caused
-// it, and requests that it makes look late are put last, so that they are late.
+// The estimates of this file are for the time after a load peak: they follow from what
+// the queues hold now. An average of past waits would outlast the peak that caused it, and
+// requests that it makes look late are put last, so that they are late.
 
 // remainingTime returns the expected time from the end of stage i to the first
 // event: that of the calls that follow and of the waits before them. The waits take at
@@ -98,7 +98,7 @@
 }
 
 // decide reports whether the request is admitted, and otherwise the time until it
-// could be. It answers a crest: a request that can be on time is always admitted. Any
+// could be. It is for load peaks: a request that can be on time is always admitted. Any
 // other one would wait behind all others, and is admitted only if it would be at most
 // maxLateness late and its caller still there.
 func (a admission) decide() (wait time.Duration, admitted bool) {
--- a/internal/gateway/callerconn_header.go
+++ b/internal/gateway/callerconn_header.go
@@ -99,8 +99,7 @@
 // count counts the lines that end in b.
 func (h *headLines) count(b []byte) {
 	for _, ch := range b {
-		switch {
-		case h.ended:
+		if h.ended {
 			return
 		}
 		h.bytes++
--- a/internal/gateway/forecast.go
+++ b/internal/gateway/forecast.go
@@ -10,10 +10,10 @@
 	"go.uber.org/zap"
 )
 
-// The decisions of this file answer a load peak of several seconds that reaches many hosts
+// The decisions of this file are for a load peak of several seconds that reaches many hosts
 // with a few requests each. Each host alone sees little of it, so the batchers record what
-// all admit and forecast the waits. Nothing is promised: work that could be on time never
-// waits behind work that is late already.
+// all admit and forecast the waits. Nothing is promised, so that jobs that can be on time
+// never wait behind late ones.
 
 // admitByForecast admits the request by the forecasts of the batchers of its stages, which
 // record it. Where no batcher replies, the wait estimate takes the place of the forecast.
@@ -99,10 +99,11 @@
 // Retry-After of requests that are refused by forecasts.
 const (
 	// returnShare is the largest delay as a share of the time left. Callers wait for at most
-	// a third of that.
+	// a third of that; the rest is a margin for the time that the refusal takes to arrive.
 	returnShare = 0.31
 	// returnSpread is the spread of the delays of callers that are refused together, as a
-	// share of the wait.
+	// share of the wait. If the wait is too long for them, the delays lie in the last
+	// quarter of the longest one.
 	returnSpread = 0.5
 )
 
--- a/internal/gateway/peak_test.go
+++ b/internal/gateway/peak_test.go
@@ -34,7 +34,7 @@
 	peakWait    = 10 * time.Second // of callers
 )
 
-// admissions are the ways of admission.
+// admissions holds all values of StageAdmission.
 var admissions = []stage.Admission{stage.EstimateAdmission, stage.ForecastAdmission, stage.ReservationAdmission}
 
 // newPeakFixture returns a fixture with the pools and routes of three stages in a row.
--- a/internal/stage/batcher.go
+++ b/internal/stage/batcher.go
@@ -61,9 +61,11 @@
 	// Stopped, unless nil, counts the calls that the check before the first byte
 	// stopped.
 	Stopped metrics.Counter
-	// Admission is how the hosts admit requests. With ReservationAdmission the batcher
-	// computes with the capacity of full calls, and puts first the jobs that must start now
-	// for all promises to be kept. Otherwise jobs are ordered as if nothing was reserved.
+	// Admission is how this host admits requests; the batcher answers other hosts in the way
+	// that they ask. With ReservationAdmission it orders jobs by the capacity of full calls,
+	// and puts first those that must start now for all promises to be kept. Otherwise jobs
+	// are ordered as if nothing was reserved. With ForecastAdmission too, jobs of workspaces
+	// beyond their share are deferred first.
 	Admission Admission
 	// Metrics, unless nil, counts what becomes of reservations.
 	Metrics metrics.Registry
@@ -82,7 +84,7 @@
 	// upcoming holds the upcoming pieces that hosts have reported, by service and
 	// host.
 	upcoming map[string]map[string]upcomingPieces
-	// reservations holds the granted reservations by ID, heard the time of the last
+	// reservations holds the granted and recorded reservations by ID, heard the time of the last
 	// message of each host that reserves.
 	reservations map[string]*reservation
 	heard        map[string]time.Time
--- a/internal/stage/client.go
+++ b/internal/stage/client.go
@@ -51,8 +51,8 @@
 	Members Members
 	Peers   *peer.Caller
 	Batcher *Batcher
-	// Admission is how this host admits requests. Unless it is EstimateAdmission, its
-	// heartbeats list its open reservations.
+	// Admission is how this host admits requests. With ForecastAdmission and
+	// ReservationAdmission its heartbeats list its open reservations.
 	Admission Admission
 
 	mu            sync.Mutex
--- a/internal/stage/forecast.go
+++ b/internal/stage/forecast.go
@@ -7,15 +7,17 @@
 )
 
 // The forecasts in this file are for load peaks of several seconds. The queues of the later
-// stages are still short when a peak begins, and work that is not on time waits until what
-// arrives meanwhile leaves capacity for it, which may be after the peak.
+// stages are still short when a peak begins, so recorded work counts before its jobs arrive.
+// Work that can't be on time waits until newer work leaves capacity for it, which may be
+// after the peak.
 
 // Admission selects how hosts admit requests with stages.
 type Admission string
 
 // The ways of admission.
 const (
-	// EstimateAdmission admits by the wait estimates of the last heartbeats.
+	// EstimateAdmission admits by the wait estimates of the last heartbeats. The empty string
+	// means the same.
 	EstimateAdmission Admission = "Estimate"
 	// ForecastAdmission admits by forecasts of batchers that record what all hosts admit.
 	ForecastAdmission Admission = "Forecast"
@@ -27,11 +29,12 @@
 func (a Admission) records() bool { return a == ForecastAdmission || a == ReservationAdmission }
 
 const (
-	// loadBuckets is the number of buckets of the tally over which the load of a pool is
-	// measured: about a second, so that the forecast follows the start of a peak soon.
+	// loadBuckets is the number of tally buckets, of 250 ms each, over which the load of a
+	// pool is measured. A second is short enough for the forecast to follow the start of a
+	// peak of several seconds.
 	loadBuckets = 4
-	// maxForecastLoad bounds the load of a pool in a forecast, whose wait would be infinite
-	// at a load of 1.
+	// maxForecastLoad bounds the load of a pool in a forecast, since the wait for late work
+	// would be infinite at a load of 1. At this bound it is 20 times that in an idle pool.
 	maxForecastLoad = 0.95
 )
 
@@ -59,9 +62,10 @@
 	return Answer{Granted: true, Forecast: o}
 }
 
-// forecast returns the outlook for a request that must leave headroom for others. Work that
-// is not on time gets only the capacity that the load leaves. Calls fill up while work waits,
-// so the capacity is that of full calls.
+// forecast returns the outlook for a request that must leave headroom for others. Late work
+// gets only the capacity that the load leaves. Calls fill up while work waits, so the capacity
+// is that of full calls. Recorded work counts as on time, also if its request was admitted
+// late.
 func (q *queue) forecast(c capacity, headroom time.Duration, now time.Time) Outlook {
 	call := q.callTime()
 	ahead, all := headroom, headroom
@@ -81,8 +85,8 @@
 	return o
 }
 
-// timeFor returns the time after which the targets have taken work of the given cost into
-// calls, after those that they are busy with.
+// timeFor returns the time until a target is free for new work, if work of the given cost
+// goes first. Targets take it as they finish the calls that they run.
 func (c *capacity) timeFor(cost time.Duration) time.Duration {
 	free := int32(0)
 	for s, n := range c.busy.until {
@@ -96,8 +100,8 @@
 	return busySlots*slotTime + cost
 }
 
-// load returns the work that was recorded in the last loadBuckets relative to what the pool
-// can do.
+// load returns the work that was recorded in the last loadBuckets and not given back, relative
+// to what the pool can do in that time.
 func (q *queue) load(now time.Time) float64 {
 	bucket := q.shares.bucketAt(now)
 	begun := now.Sub(q.shares.origin) - time.Duration(bucket)*tallyBucketTime
--- a/internal/stage/order.go
+++ b/internal/stage/order.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// The decision of this file answers a crest: more jobs wait than can be on time, and
-// those that are worth least for their pieces are left behind.
+// The decision of this file is for load peaks: more jobs wait than can be on time, and
+// those that are worth least for their pieces are deferred.
 
 // worthWeight is the weight of the newest job in the mean worth of its rank.
 const worthWeight = 0.05
--- a/internal/stage/reservation.go
+++ b/internal/stage/reservation.go
@@ -24,7 +24,8 @@
 	Rank  int
 	Worth float64
 	// Start is the time until the job is expected, Due that until its results lose
-	// worth, End that until they must be there for the request to be served.
+	// worth, End that until they must be there for the request to be served. A reservation
+	// whose job has not come by End expires.
 	Start, Due, End time.Duration
 }
 
@@ -39,8 +40,8 @@
 	Wait, Spread time.Duration
 }
 
-// ReserveArgs are reservations of one request at one holder. They are granted all or
-// none.
+// ReserveArgs are reservations of one request at one holder. All of them are granted or
+// recorded, or none.
 type ReserveArgs struct {
 	Host string
 	// Record asks to record the reservations without a decision, which the host makes by
@@ -86,7 +87,7 @@
 	returnFactor = 2
 )
 
-// reservation is a granted Reservation.
+// reservation is a Reservation that has been granted or recorded.
 type reservation struct {
 	Reservation
 	host      string
@@ -95,7 +96,8 @@
 	// queue's epoch, so that a decision, which looks at those of all reservations, only
 	// subtracts durations.
 	start, due, end time.Duration
-	// cost was counted as use of the workspace's share.
+	// cost was counted as use of the workspace's share. It is zero if the host's heartbeat
+	// brought the reservation.
 	cost time.Duration
 	// forecast is the answer to the call that recorded it.
 	forecast Outlook
@@ -289,7 +291,7 @@
 	return demand{start: r.start - now, end: r.end - now - call, cost: c.cost(r.Pieces, r.PieceBytes)}
 }
 
-// addReservation adds r as granted to host and returns it.
+// addReservation adds r as granted to host or recorded for it, and returns it.
 func (b *Batcher) addReservation(host string, r Reservation, now time.Time) *reservation {
 	q := b.queue(r.Service)
 	since := now.Sub(q.epoch)
