stage: tests of heartbeats' lists and of shares with forecasts

Both behaviors could be removed for forecasts without a test that failed: heartbeats that list recorded work, and the order that defers jobs of workspaces beyond their share. Each test fails without its behavior.

--- a/internal/stage/forecast_test.go
+++ b/internal/stage/forecast_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,3 +168,52 @@
 		}
 	})
 }
+
+// TestRecordedWorkIsListed expects recorded work to count for as long as the host's heartbeats
+// list it, and no longer if the reply to it was lost. It guards against heartbeats without a
+// list, after which a batcher drops the work of hosts that are alive.
+func TestRecordedWorkIsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3).admitting(ForecastAdmission)
+		c, holder := cl.clients[cl.nonHolder()], cl.batchers[cl.holder()]
+		reserveOne(t, c, testReservation("admitted", 8, 10*time.Second))
+		c.Reserve(t.Context(), []Reservation{testReservation("lost", 8, 10*time.Second)})
+		time.Sleep(2 * silentLifetime)
+		var recorded []string
+		if err := holder.do(func() { recorded = slices.Collect(maps.Keys(holder.reservations)) }); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]string{"admitted"}, recorded); diff != "" {
+			t.Errorf("recorded (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestShareOrdersWithForecasts expects the job of a workspace beyond its share to be deferred
+// if not all jobs can be on time, also if it is worth more. It guards against a workspace that
+// displaces others by jobs of higher worth.
+func TestShareOrdersWithForecasts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBatcher(t, &fakePool{}, 1, testPool())
+		if err := b.do(func() {
+			b.Admission = ForecastAdmission
+			now := b.Clock.Now()
+			q := b.queue("s")
+			q.refresh(b.Catalog())
+			q.shares.over = map[string]bool{"big": true}
+			big := &job{Job: Job{Workspace: "big", Pieces: 8}, worth: 2, waiting: make([]int, 8)}
+			small := &job{Job: Job{Workspace: "small", Pieces: 8}, worth: 1, waiting: make([]int, 8)}
+			q.jobs = []*job{big, small}
+			for _, j := range q.jobs {
+				j.due = now.Add(q.callTime() + q.workTime(j))
+			}
+			q.order(now)
+			if !big.deferred || small.deferred {
+				t.Errorf("deferred: the job beyond the share %v, the other one %v", big.deferred, small.deferred)
+			}
+			q.jobs = nil
+		}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
