gateway: tests of records' latest ends and of jobs that take them up

That forecasts record work for as long as a request may be late, and that jobs tell whether their request has begun, could be removed without a test that failed. Each test fails without its behavior.

--- a/internal/gateway/forecast_test.go
+++ b/internal/gateway/forecast_test.go
@@ -6,7 +6,9 @@
 	"testing/synctest"
 	"time"
 
+	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/stage"
+	"github.com/google/go-cmp/cmp"
 )
 
 // TestForecastEnd expects the wait at the pool of a later stage to pass while the request
@@ -78,3 +80,43 @@
 		})
 	}
 }
+
+// TestRecordedUntilLatestEnd expects the work of a request that is admitted by forecasts to be
+// recorded for as long as a request may be late, longer than a promise is kept. It guards
+// against records of late work that expire before its jobs come.
+func TestRecordedUntilLatestEnd(t *testing.T) {
+	for _, c := range []struct {
+		admission stage.Admission
+		lateness  time.Duration
+	}{{stage.ForecastAdmission, maxLateness}, {stage.ReservationAdmission, reservedLateness}} {
+		t.Run(string(c.admission), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newChainPlan(20 * time.Second)
+				p.h.Settings = &settings.Gateway{StageAdmission: string(c.admission)}
+				p.q.arrived, p.q.route.Aim = time.Now(), 4*time.Second
+				wanted := p.wantedReservations()
+				last, want := wanted[len(wanted)-1].End, p.q.route.Aim+c.lateness-engineTime
+				if rounding := want - last; rounding < 0 || rounding > time.Microsecond {
+					t.Errorf("latest end of the last stage after %v, want %v", last, want)
+				}
+			})
+		})
+	}
+}
+
+// TestJobTakesUpRecord expects the job of a request that was admitted by forecasts to name its
+// record and whether the request has begun, and to carry no promise. It guards against work
+// that counts twice, and against deferring requests of which stages have run.
+func TestJobTakesUpRecord(t *testing.T) {
+	p := newChainPlan(10 * time.Second)
+	p.reservations = map[int]stage.Reservation{1: {ID: "r", Stage: 1}}
+	p.q.stagesMayHaveRun = true
+	j := stage.Job{Stage: 1}
+	p.takeUpReservation(&j, time.Now())
+	if diff := cmp.Diff(stage.Job{Stage: 1, Reservation: "r", Begun: true}, j); diff != "" {
+		t.Errorf("job (-want +got):\n%s", diff)
+	}
+	if p.isReserved(1) {
+		t.Error("the record can be taken up again")
+	}
+}
