--- a/internal/gateway/callerconn_header.go
+++ b/internal/gateway/callerconn_header.go
@@ -115,9 +115,9 @@
 }
 
 // memory returns the memory that the head takes beyond what is assumed for each connection.
-// For a head that has not ended and has many lines, this is the memory of all that limit
-// bytes may hold, as far as the most allows: heads that each waited for a part
-// while they hold another one could wait for each other.
+// For a head with many lines that has not ended, this is the memory of all lines that it may
+// still have within limit bytes, but at most the given maximum: heads that took their memory
+// in parts could wait for each other.
 func (h *headLines) memory(limit, most int64) int64 {
 	lines := int64(h.lines)
 	if lines <= usualHeaderLines {
