--- a/internal/gateway/priority_test.go
+++ b/internal/gateway/priority_test.go
@@ -12,7 +12,8 @@
 
 // TestPriorityForTargets expects both targets of a resumed stream to be told the priority
 // of the route, and of the workspace if it has one. Without the setting, or for a request
-// without a prompt, which goes to no engine, nothing is told.
+// without a prompt, which goes to no engine, nothing is told. It guards against engines that
+// treat all requests alike, and against a resumed stream that loses its priority.
 func TestPriorityForTargets(t *testing.T) {
 	for _, c := range []struct {
 		name, parts, key string
--- a/internal/placement/failures_test.go
+++ b/internal/placement/failures_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-
 	"maps"
 	"math"
 	"net/netip"
--- a/internal/placement/recorded_test.go
+++ b/internal/placement/recorded_test.go
@@ -17,11 +17,11 @@
 // recordedLoad reads the requests of a recorded load and plays them twice, the first time as a
 // warm-up. The first part of a prompt, which is common to many users, is the same both times.
 // The others belong to conversations and differ, so that no more is cached than on a long day.
-// The files are from logs of the product
-// in front of simulated engines. A line is one request that was served, with its arrival in
-// seconds, route, workspace, hint (0 if none), largest output, actual output, and the parts of
-// its prompt as ID:TOKENS, the last one its own. Names are replaced by numbers. The target
-// latencies are not recorded; half a second is assumed.
+//
+// The files are from logs of the product in front of simulated engines. A line is one request
+// that was served, with its arrival in seconds, route, workspace, hint (0 if none), largest
+// output, actual output, and the parts of its prompt as ID:TOKENS, the last one its own. Names
+// are replaced by numbers. The target latencies are not recorded; half a second is assumed.
 func recordedLoad(t *testing.T, name string) []*modelRequest {
 	t.Helper()
 	f, err := os.Open("testdata/recorded/" + name)
