--- a/internal/gateway/forecast_test.go
+++ b/internal/gateway/forecast_test.go
@@ -9,6 +9,7 @@
 	"berylswitch.example/berylswitch/internal/settings"
 	"berylswitch.example/berylswitch/internal/stage"
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 )
 
 // TestForecastEnd expects the wait at the pool of a later stage to pass while the request
@@ -120,3 +121,34 @@
 		t.Error("the record can be taken up again")
 	}
 }
+
+// TestEstimateInPlaceOfForecast expects the wait estimate of a pool to decide if its batcher
+// does not reply. It guards against admitting everything while a batcher is frozen.
+func TestEstimateInPlaceOfForecast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newPeakFixture(t, stage.ForecastAdmission)
+		r.host.Stages.Admission = stage.ForecastAdmission
+		r.start()
+		defer r.close()
+		p := newChainPlan(time.Minute)
+		p.h.Stages = r.host.Stages
+		p.q.arrived, p.q.route.Aim = time.Now(), 4*time.Second
+		wanted := []stage.Reservation{{ID: "new", Service: "a", Pieces: 1}}
+		check := func() error { return p.checkForecasts(wanted, make([]stage.Verdict, 1)) }
+		if err := check(); err != nil {
+			t.Errorf("without work: %v", err)
+		}
+		// The second call brings the estimate with the work of the first one.
+		for _, id := range []string{"first", "second"} {
+			r.host.Stages.Reserve(t.Context(), []stage.Reservation{{ID: id, Service: "a", Pieces: 10000, End: time.Minute}})
+			time.Sleep(50 * time.Millisecond)
+		}
+		if wait := r.host.Stages.WaitEstimate("a").Ahead; wait < 10*time.Second {
+			t.Fatalf("estimated wait %v", wait)
+		}
+		p.h.Log = zap.NewNop()
+		if check() == nil {
+			t.Error("admitted to a pool with a wait of over 10s")
+		}
+	})
+}
