--- a/internal/gateway/forecast.go
+++ b/internal/gateway/forecast.go
@@ -10,10 +10,10 @@
 	"go.uber.org/zap"
 )
 
-// The decisions of this file answer a load peak of several seconds that reaches many hosts
+// The decisions of this file are for a load peak of several seconds that reaches many hosts
 // with a few requests each. Each host alone sees little of it, so the batchers record what
-// all admit and forecast the waits. Nothing is promised: work that could be on time never
-// waits behind work that is late already.
+// all admit and forecast the waits. Nothing is promised, so that jobs that can be on time
+// never wait behind late ones.
 
 // admitByForecast admits the request by the forecasts of the batchers of its stages, which
 // record it. Where no batcher replies, the wait estimate takes the place of the forecast.
@@ -34,6 +34,7 @@
 // checkForecasts returns a refusal if the request can't be served by the forecasts.
 func (p *plan) checkForecasts(wanted []stage.Reservation, verdicts []stage.Verdict) error {
 	forecasts := map[int]stage.Outlook{}
+	counted := map[string]bool{} // services for which the request was counted as admitted without an estimate
 	for i, v := range verdicts {
 		r := &wanted[i]
 		switch {
@@ -42,8 +43,11 @@
 		case v.Replied:
 			forecasts[r.Stage] = v.Forecast
 		default:
-			if _, known := p.h.Stages.EstimateAge(r.Service); !known && !v.Former && !p.h.Stages.AdmitWithoutEstimate(r.Service) {
-				return retryLater(result.Overloaded, p.spreadReturn(time.Second), "no batcher of service %s replies, and nothing recent is known of it", r.Service)
+			if _, known := p.h.Stages.EstimateAge(r.Service); !known && !counted[r.Service] {
+				if !p.h.Stages.AdmitWithoutEstimate(r.Service) {
+					return retryLater(result.Overloaded, p.spreadReturn(time.Second), "no batcher of service %s replies, and nothing recent is known of it", r.Service)
+				}
+				counted[r.Service] = true
 			}
 			forecasts[r.Stage] = p.h.Stages.WaitEstimate(r.Service)
 		}
@@ -95,10 +99,11 @@
 // Retry-After of requests that are refused by forecasts.
 const (
 	// returnShare is the largest delay as a share of the time left. Callers wait for at most
-	// a third of that.
+	// a third of that; the rest is a margin for the time that the refusal takes to arrive.
 	returnShare = 0.31
 	// returnSpread is the spread of the delays of callers that are refused together, as a
-	// share of the wait.
+	// share of the wait. If the wait is too long for them, the delays lie in the last
+	// quarter of the longest one.
 	returnSpread = 0.5
 )
 
--- a/internal/stage/forecast_test.go
+++ b/internal/stage/forecast_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,10 +51,11 @@
 	late := &job{Job: Job{PieceBytes: 1}, due: now.Add(-time.Second), waiting: make([]int, 16)}
 	onTime := &job{Job: Job{PieceBytes: 1}, due: now.Add(time.Minute), waiting: make([]int, 8)}
 	q.jobs = []*job{late, onTime}
+	asked := testReservation("asked", 1, time.Hour)
 	c := q.capacity(now)
 	cost := c.cost(8, 1)
 	want := Outlook{Ahead: c.timeFor(cost), All: c.timeFor(3 * cost), PerPiece: c.piece}
-	if diff := cmp.Diff(want, q.forecast(c, 0, now)); diff != "" {
+	if diff := cmp.Diff(want, q.forecast(c, &asked, 0, now)); diff != "" {
 		t.Errorf("idle pool (-want +got):\n%s", diff)
 	}
 	r := testReservation("r", 8, time.Second)
@@ -61,15 +64,47 @@
 		q.shares.record(&r, cost, true, now)
 	}
 	now = now.Add(100 * time.Millisecond)
-	busy := q.forecast(c, 0, now)
+	busy := q.forecast(c, &asked, 0, now)
 	if busy.Ahead != want.Ahead || busy.All < 10*want.All {
 		t.Errorf("overloaded pool: %+v, idle: %+v", busy, want)
 	}
-	if got := q.forecast(c, headroomStep, now); got.Ahead != c.timeFor(cost+headroomStep) {
+	if got := q.forecast(c, &asked, headroomStep, now); got.Ahead != c.timeFor(cost+headroomStep) {
 		t.Errorf("with headroom: %+v", got)
 	}
 }
 
+// TestForecastFollowsOrder expects only work that the queue takes first to be ahead: that
+// which is due earlier and not less urgent, waiting or recorded. It guards against admission
+// in the order of arrival, by which a peak of requests with long target latencies, or of less
+// urgent ones, gets others refused.
+func TestForecastFollowsOrder(t *testing.T) {
+	now := time.Now()
+	pool := testPool()
+	q := &queue{service: "s", pool: &pool, epoch: now, sharing: true, targetStates: map[string]*targetState{}}
+	for i := range 2 {
+		q.targets = append(q.targets, &catalog.Target{ID: fmt.Sprint(i), Service: "s"})
+	}
+	q.jobs = []*job{{Job: Job{PieceBytes: 1, Rank: 1}, due: now.Add(10 * time.Second), waiting: make([]int, 8)}}
+	r := testReservation("r", 8, time.Minute)
+	r.Rank = 1
+	q.reserved = []*reservation{{Reservation: r, due: 20 * time.Second}}
+	c := q.capacity(now)
+	none, one, both := time.Duration(0), c.timeFor(c.cost(8, 1)), c.timeFor(c.cost(16, 1))
+	for _, test := range []struct {
+		rank      int
+		due, want time.Duration
+	}{
+		{0, time.Minute, none}, {1, time.Minute, both}, {2, time.Minute, both},
+		{1, 15 * time.Second, one}, {1, 5 * time.Second, none},
+	} {
+		asked := testReservation("asked", 1, time.Minute)
+		asked.Rank, asked.Due = test.rank, test.due
+		if got := q.forecast(c, &asked, 0, now).Ahead; got != test.want {
+			t.Errorf("rank %d, due in %v: %v ahead, want %v", test.rank, test.due, got, test.want)
+		}
+	}
+}
+
 // TestForecastsOfManyHosts has hosts without jobs at the batcher ask it one after the other.
 // Each forecast must hold what the others were told, and no longer what was given back. It
 // guards against hosts that all see the same free capacity.
@@ -102,15 +137,22 @@
 	})
 }
 
-// TestRecordedOnce repeats a call whose reply was lost. The work must count once.
+// TestRecordedOnce repeats a call whose reply was lost. The work must count once, and not as
+// a wait of the request itself.
 func TestRecordedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBatcher(t, &fakePool{}, 1, testPool())
 		args := ReserveArgs{Host: "h", Record: true, Reservations: []Reservation{testReservation("r", 8, time.Second)}}
+		var answers []Answer
 		for range 2 {
-			if reply, err := b.reserve(args, true); err != nil || !reply.Answers[0].Granted {
+			reply, err := b.reserve(args, true)
+			if err != nil || !reply.Answers[0].Granted {
 				t.Errorf("%+v, %v", reply, err)
 			}
+			answers = append(answers, reply.Answers...)
+		}
+		if diff := cmp.Diff(answers[0], answers[1]); diff != "" {
+			t.Errorf("second answer (-first +second):\n%s", diff)
 		}
 		if n := reservationCount(b); n != 1 {
 			t.Errorf("%d reservations, want 1", n)
@@ -132,3 +174,79 @@
 		}
 	})
 }
+
+// TestRecordAfterPoolIsRemoved removes a pool from the configuration within recentLifetime of
+// a call, and repeats the call. It guards against a crash of the batcher's host: the capacity
+// was then still that of the removed pool.
+func TestRecordAfterPoolIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBatcher(t, &fakePool{}, 1, testPool())
+		first, second := testReservation("r", 8, time.Second), testReservation("other", 8, time.Second)
+		if _, err := b.reserve(ReserveArgs{Host: "h", Record: true, Reservations: []Reservation{first}}, true); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.do(func() {
+			b.Catalog = func() *catalog.Snapshot { return &catalog.Snapshot{Table: &catalog.Table{}} }
+			b.queue("s").refresh(b.Catalog())
+		}); err != nil {
+			t.Fatal(err)
+		}
+		for _, record := range []bool{true, false} {
+			if reply, err := b.reserve(ReserveArgs{Host: "h", Record: record, Reservations: []Reservation{first}}, true); err != nil || !reply.Answers[0].Granted {
+				t.Errorf("repeated call, record %v: %+v, %v", record, reply, err)
+			}
+			if reply, err := b.reserve(ReserveArgs{Host: "h", Record: record, Reservations: []Reservation{second}}, true); err != nil || reply.Answers[0].Granted {
+				t.Errorf("new call, record %v: %+v, %v", record, reply, err)
+			}
+		}
+	})
+}
+
+// TestRecordedWorkIsListed expects recorded work to count for as long as the host's heartbeats
+// list it, and no longer if the reply to it was lost. It guards against heartbeats without a
+// list, after which a batcher drops the work of hosts that are alive.
+func TestRecordedWorkIsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3).admitting(ForecastAdmission)
+		c, holder := cl.clients[cl.nonHolder()], cl.batchers[cl.holder()]
+		reserveOne(t, c, testReservation("admitted", 8, 10*time.Second))
+		c.Reserve(t.Context(), []Reservation{testReservation("lost", 8, 10*time.Second)})
+		time.Sleep(2 * silentLifetime)
+		var recorded []string
+		if err := holder.do(func() { recorded = slices.Collect(maps.Keys(holder.reservations)) }); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]string{"admitted"}, recorded); diff != "" {
+			t.Errorf("recorded (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestShareOrdersWithForecasts expects the job of a workspace beyond its share to be deferred
+// if not all jobs can be on time, also if it is worth more. It guards against a workspace that
+// displaces others by jobs of higher worth.
+func TestShareOrdersWithForecasts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBatcher(t, &fakePool{}, 1, testPool())
+		if err := b.do(func() {
+			b.Admission = ForecastAdmission
+			now := b.Clock.Now()
+			q := b.queue("s")
+			q.refresh(b.Catalog())
+			q.shares.over = map[string]bool{"big": true}
+			big := &job{Job: Job{Workspace: "big", Pieces: 8}, worth: 2, waiting: make([]int, 8)}
+			small := &job{Job: Job{Workspace: "small", Pieces: 8}, worth: 1, waiting: make([]int, 8)}
+			q.jobs = []*job{big, small}
+			for _, j := range q.jobs {
+				j.due = now.Add(q.callTime() + q.workTime(j))
+			}
+			q.order(now)
+			if !big.deferred || small.deferred {
+				t.Errorf("deferred: the job beyond the share %v, the other one %v", big.deferred, small.deferred)
+			}
+			q.jobs = nil
+		}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
