--- a/internal/experiment/bound.go
+++ b/internal/experiment/bound.go
@@ -94,10 +94,19 @@
 // heap.Interface.
 type boundEvents []boundEvent
 
-func (e boundEvents) Len() int           { return len(e) }
+// Len returns the number of events.
+func (e boundEvents) Len() int { return len(e) }
+
+// Less reports whether event i is earlier than event j.
 func (e boundEvents) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e boundEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *boundEvents) Push(x any)        { *e = append(*e, x.(boundEvent)) }
+
+// Swap swaps events i and j.
+func (e boundEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push adds a boundEvent at the end.
+func (e *boundEvents) Push(x any) { *e = append(*e, x.(boundEvent)) }
+
+// Pop removes and returns the last event.
 func (e *boundEvents) Pop() any {
 	old := *e
 	x := old[len(old)-1]
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -95,6 +95,7 @@
 // its slot was granted.
 type withdrawn struct{ reason string }
 
+// Error returns the message, which names the reason.
 func (w withdrawn) Error() string { return "not sent: " + w.reason }
 
 // send sends m and collects the answer in a.
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -152,11 +152,13 @@
 // already received.
 type diverged struct{}
 
+// Error returns the message.
 func (diverged) Error() string { return "the text differs from the part the caller already received" }
 
 // callerGone is the error of an attempt whose text can't be delivered.
 type callerGone struct{ err error }
 
+// Error returns the message, which ends with that of the write.
 func (c callerGone) Error() string { return "cannot deliver text to the caller: " + c.err.Error() }
 
 // offer delivers the part of data that the caller does not have yet. Data
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -61,6 +61,7 @@
 	Reason string
 }
 
+// Error returns the message, which names the target.
 func (e *AttemptError) Error() string { return fmt.Sprintf("target %s: %s", e.Target, e.Reason) }
 
 // Failure is the error of an attempt for which the target itself reported a
@@ -72,6 +73,7 @@
 	Reason string
 }
 
+// Error returns the message, which names the target.
 func (f *Failure) Error() string { return fmt.Sprintf("target %s failed: %s", f.Target, f.Reason) }
 
 // Attempt is one run of a stage at one target.
