--- /dev/null
+++ b/review/stand2/endless.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+func init() { cases["endless"] = runEndless }
+
+// The case: streams of which two of three workers send bytes without the end of an event.
+const (
+	endlessClients = 450
+	chunkBytes     = 32 << 10
+	chunkInterval  = 100 * time.Millisecond
+	endlessRun     = 12 * time.Second
+)
+
+// runEndless sends streams to one host whose workers send a head and then bytes that are no
+// event, until the connection is closed. The rule is that no process ends or hangs, and that
+// each stays within the memory of its machine.
+func runEndless(b *bench) (bool, error) {
+	route := plainRoute("models", "/models/", "stream", "models", 15000, 1900)
+	route["sticky"], route["itlTargetMs"], route["attempts"] = true, 500, 1
+	if err := b.configure(7, []document{route}, []document{plainService("models")}); err != nil {
+		return false, err
+	}
+	sound := eventStream(100*time.Millisecond, 500*time.Millisecond, 12, shortData)
+	work := sound
+	if b.trouble {
+		work = endlessBody
+	}
+	for _, w := range []*worker{{service: "models", slots: 128, work: sound}, {service: "models", slots: 128, work: work}, {service: "models", slots: 128, work: work}} {
+		if err := b.startWorker(w); err != nil {
+			return false, err
+		}
+	}
+	hosts, err := b.startHosts(1, smallMachine)
+	if err != nil {
+		return false, err
+	}
+	h := hosts[0]
+	b.note("memory of %s before the streams: %d bytes, of its machine: %.0f bytes", h.name, h.memory("VmHWM"), smallMachine.memoryMB*1e6)
+	var clients sync.WaitGroup
+	for range endlessClients {
+		clients.Go(func() { b.send(h, prompt("5c1e07a2:300")) })
+	}
+	over := false
+	for start := time.Now(); time.Since(start) < endlessRun && !h.endedByItself(); time.Sleep(500 * time.Millisecond) {
+		used := h.memory("VmRSS")
+		b.note("memory of %s: %d bytes", h.name, used)
+		over = over || float64(h.memory("VmHWM")) > smallMachine.memoryMB*1e6
+	}
+	clients.Wait()
+	b.note("%s ended by itself: %v; it exceeded the memory of its machine: %v", h.name, h.endedByItself(), over)
+	return over || h.endedByItself(), nil
+}
+
+// endlessBody sends the head of a stream and then bytes without the end of a line.
+func endlessBody(w *worker, rw http.ResponseWriter, r *http.Request, _ []byte) {
+	id := r.Header.Get("Request-Id")
+	w.began(r, id)
+	startStream(rw, id)
+	chunk := strings.Repeat("x", chunkBytes)
+	for {
+		if _, err := fmt.Fprint(rw, chunk); err != nil {
+			return
+		}
+		flush(rw)
+		time.Sleep(chunkInterval)
+	}
+}
+
+// memory returns an amount of memory of the process in bytes, or zero if it has ended.
+func (h *host) memory(field string) int64 {
+	h.mu.Lock()
+	pid := h.process.Process.Pid
+	h.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		value, ok := strings.CutPrefix(line, field+":")
+		if !ok {
+			continue
+		}
+		kb, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 10, 64)
+		if err == nil {
+			return kb << 10
+		}
+	}
+	return 0
+}
