review: stand-ins, the doses of cases 6 and 8 are the site's

Case 6: three in ten clients leave, within 1.5 s, and the stages have the site's call times. Case 8: the site's three kinds of streams with their rates, bursts and clients' patience.

--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -24,8 +25,10 @@
 type call struct {
 	id, method, host, target string
 	deadline                 time.Duration
-	headers                  []string
-	body                     string
+	// patience, unless zero, is how long the client waits for the head of the answer.
+	patience time.Duration
+	headers  []string
+	body     string
 }
 
 // text returns the bytes of the request.
@@ -81,7 +84,8 @@
 
 // do sends c on the connection and reads the answer.
 func (conn *clientConn) do(c *call) answer {
-	conn.SetDeadline(time.Now().Add(c.deadline + time.Second))
+	sent := time.Now()
+	conn.SetDeadline(sent.Add(cmp.Or(c.patience, c.deadline+time.Second)))
 	if _, err := io.WriteString(conn, c.text()); err != nil {
 		return answer{err: err}
 	}
@@ -90,6 +94,7 @@
 		return answer{err: err}
 	}
 	defer resp.Body.Close()
+	conn.SetDeadline(sent.Add(c.deadline + time.Second))
 	body, err := io.ReadAll(resp.Body)
 	return answer{resp.StatusCode, resp.Header, string(body), err}
 }
--- a/review/stand2/endless.go
+++ b/review/stand2/endless.go
@@ -14,9 +14,6 @@
 
 // The case: streams whose workers send bytes without the end of an event.
 const (
-	// The site's 26 streams a second in a burst of x 2.5 for 7 s, at one machine.
-	endlessClients  = 450
-	endlessInterval = 7 * time.Second / endlessClients
 	// A worker in trouble sends firstChunks at the speed of its link, and one small chunk
 	// each chunkInterval from then on.
 	firstChunks   = 28
@@ -26,13 +23,55 @@
 	endlessRun    = 10 * time.Second
 )
 
+// streamKind is one of the site's kinds of streams, with its rate a second, the burst of the
+// site's days, and how long its clients wait for the first event.
+type streamKind struct {
+	prefix             string
+	rate, burst        float64
+	burstTime          time.Duration
+	aimMS, deadlineMS  int
+	patience, deadline time.Duration
+}
+
+// streamKinds are those of sdf-fairdesk: inkopsbrief, katalogsamm and tackbrev.
+var streamKinds = []streamKind{
+	{"/inkopsbrief/", 7.89, 2.5, 7 * time.Second, 1900, 10000, 7600 * time.Millisecond, 10 * time.Second},
+	{"/katalogsamm/", 9.59, 2.5, 5900 * time.Millisecond, 1900, 8000, 7600 * time.Millisecond, 8 * time.Second},
+	{"/tackbrev/", 8.53, 1, 0, 1000, 15000, 4 * time.Second, 15 * time.Second},
+}
+
+const (
+	loadTime = 9 * time.Second
+	burstsAt = time.Second
+)
+
+// send sends the streams of the kind to h for loadTime.
+func (k streamKind) send(b *bench, h *host, clients *sync.WaitGroup) {
+	for start := time.Now(); time.Since(start) < loadTime; {
+		rate := k.rate
+		if at := time.Since(start) - burstsAt; at >= 0 && at < k.burstTime {
+			rate *= k.burst
+		}
+		clients.Go(func() {
+			c := prompt("5c1e07a2:300")
+			c.target, c.deadline, c.patience = k.prefix+"2f", k.deadline, k.patience
+			b.send(h, c)
+		})
+		time.Sleep(time.Duration(float64(time.Second) / rate))
+	}
+}
+
 // runEndless sends streams to one host whose workers send a head and then bytes that are no
 // event, until the connection is closed. The rule is that no process ends or hangs, and that
 // each stays within the memory of its machine.
 func runEndless(b *bench) (bool, error) {
-	route := plainRoute("models", "/models/", "stream", "models", 15000, 1900)
-	route["sticky"], route["itlTargetMs"], route["attempts"] = true, 500, 1
-	if err := b.configure(7, []document{route}, []document{plainService("models")}); err != nil {
+	var routes []document
+	for _, k := range streamKinds {
+		route := plainRoute(k.prefix, k.prefix, "stream", "models", k.deadlineMS, k.aimMS)
+		route["sticky"], route["itlTargetMs"], route["attempts"] = true, 500, 1
+		routes = append(routes, route)
+	}
+	if err := b.configure(7, routes, []document{plainService("models")}); err != nil {
 		return false, err
 	}
 	work := eventStream(100*time.Millisecond, 500*time.Millisecond, 12, shortData)
@@ -53,9 +92,8 @@
 	over := make(chan bool, 1)
 	go func() { over <- h.watchMemory(smallMachine.memoryMB * 1e6) }()
 	var clients sync.WaitGroup
-	for range endlessClients {
-		clients.Go(func() { b.send(h, prompt("5c1e07a2:300")) })
-		time.Sleep(endlessInterval)
+	for _, k := range streamKinds {
+		clients.Go(func() { k.send(b, h, &clients) })
 	}
 	clients.Wait()
 	exceeded := <-over
--- a/review/stand2/reservations.go
+++ b/review/stand2/reservations.go
@@ -11,9 +11,12 @@
 
 // Sizes and times of the case.
 const (
-	poolCount     = 8
-	keptClients   = 8
-	firstCallTime = 4 * time.Second
+	// poolCount clients send a request with stages, keptClients one request after another:
+	// three in ten of them all leave. The first stage has one worker, which runs a call of
+	// eight pieces at a time.
+	poolCount     = 12
+	keptClients   = 28
+	firstCallTime = 280 * time.Millisecond
 	plainTime     = 700 * time.Millisecond
 )
 
@@ -22,19 +25,19 @@
 // kept connections must not be passed on to a sound worker and then end without an answer.
 func runReservations(b *bench) (bool, error) {
 	routes := []document{plainRoute("plain", "/plain/", "safe", "plain", 5000, 1000)}
-	services := []document{plainService("plain"), plainService("models"), poolService("first", float64(firstCallTime.Milliseconds()), 10, 300)}
+	services := []document{plainService("plain"), plainService("models"), poolService("first", 150, 16, 36)}
 	plain := &worker{service: "plain", slots: 32, work: answerAfter(plainTime)}
-	workers := []*worker{plain, {service: "models", work: answerAfter(0)}, {service: "first", callTime: firstCallTime}}
+	workers := []*worker{plain, {service: "models", slots: 128, work: eventStream(100*time.Millisecond, 20*time.Millisecond, 10, shortData)}, {service: "first", callTime: firstCallTime}}
 	for i := range poolCount {
 		pool := fmt.Sprintf("pool-%d", i)
-		route := plainRoute(pool, fmt.Sprintf("/staged/%d/", i), "stream", "models", 20000, 12000)
+		route := plainRoute(pool, fmt.Sprintf("/staged/%d/", i), "stream", "models", 10000, 1900)
 		route["stages"] = []document{
 			{"service": "first", "after": []int{}, "bytes": 8000},
 			{"service": pool, "after": []int{0}, "bytes": 8000},
 		}
 		route["sticky"], route["itlTargetMs"] = true, 500
 		routes = append(routes, route)
-		services = append(services, poolService(pool, 150, 10, 300))
+		services = append(services, poolService(pool, 150, 11, 2.3))
 		workers = append(workers, &worker{service: pool, callTime: 150 * time.Millisecond})
 	}
 	if err := b.configure(7, routes, services); err != nil {
@@ -59,15 +62,15 @@
 		if err != nil {
 			return false, err
 		}
-		c := &call{id: newID(), method: "POST", host: "jepu9.example", target: fmt.Sprintf("/staged/%d/2f", i), deadline: 20 * time.Second,
-			headers: []string{"Model: m", "Token-Usage: 400,40", "Prompt-Prefix: 5c1e07a2:300," + newID() + ":100", "Chunks: 1,1", "Chunk-Key: 7c1e07a291bd"}, body: "prompt"}
+		c := &call{id: newID(), method: "POST", host: "jepu9.example", target: fmt.Sprintf("/staged/%d/2f", i), deadline: 10 * time.Second,
+			headers: []string{"Model: m", "Token-Usage: 400,40", "Prompt-Prefix: 5c1e07a2:300," + newID() + ":100", "Chunks: 8,1", "Chunk-Key: 7c1e07a291bd"}, body: "prompt"}
 		b.note("client sends %s POST %s to %s", c.id, c.target, calm.name)
 		if _, err := conn.Write([]byte(c.text())); err != nil {
 			return false, err
 		}
 		staged = append(staged, conn)
 	}
-	time.Sleep(700 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
 	if b.trouble {
 		if os.Getenv("STOP") == "TERM" {
 			b.note("%s is asked to stop", victim.name)
@@ -77,7 +80,7 @@
 			victim.kill()
 		}
 	}
-	time.Sleep(1200 * time.Millisecond)
+	time.Sleep(time.Second)
 	b.note("the clients of the requests with stages leave")
 	for _, conn := range staged {
 		conn.Close()
