--- a/review/stand2/reservations.go
+++ b/review/stand2/reservations.go
@@ -31,10 +31,7 @@
 	for i := range poolCount {
 		pool := fmt.Sprintf("pool-%d", i)
 		route := plainRoute(pool, fmt.Sprintf("/staged/%d/", i), "stream", "models", 10000, 1900)
-		route["stages"] = []document{
-			{"service": "first", "after": []int{}, "bytes": 8000},
-			{"service": pool, "after": []int{0}, "bytes": 8000},
-		}
+		route["stages"] = []document{{"service": "first", "after": []int{}, "bytes": 8000}, secondStage(i), secondStage(i + poolCount/3), secondStage(i + 2*poolCount/3)}
 		route["sticky"], route["itlTargetMs"] = true, 500
 		routes = append(routes, route)
 		services = append(services, poolService(pool, 150, 11, 2.3))
@@ -63,7 +60,7 @@
 			return false, err
 		}
 		c := &call{id: newID(), method: "POST", host: "jepu9.example", target: fmt.Sprintf("/staged/%d/2f", i), deadline: 10 * time.Second,
-			headers: []string{"Model: m", "Token-Usage: 400,40", "Prompt-Prefix: 5c1e07a2:300," + newID() + ":100", "Chunks: 8,1", "Chunk-Key: 7c1e07a291bd"}, body: "prompt"}
+			headers: []string{"Model: m", "Token-Usage: 400,40", "Prompt-Prefix: 5c1e07a2:300," + newID() + ":100", "Chunks: 8,1,1,1", "Chunk-Key: 7c1e07a291bd"}, body: "prompt"}
 		b.note("client sends %s POST %s to %s", c.id, c.target, calm.name)
 		if _, err := conn.Write([]byte(c.text())); err != nil {
 			return false, err
@@ -92,6 +89,11 @@
 	return lost > 3, nil
 }
 
+// secondStage returns a stage of the given pool that needs the results of the first stage.
+func secondStage(pool int) document {
+	return document{"service": fmt.Sprintf("pool-%d", pool%poolCount), "after": []int{0}, "bytes": 8000}
+}
+
 // keptResults is what clients got that send requests on kept connections, one after another.
 type keptResults struct {
 	wg   sync.WaitGroup
