--- a/review/stand2/bench.go
+++ b/review/stand2/bench.go
@@ -136,13 +136,8 @@
 	for i := range n {
 		ip := b.nextIP()
 		h := &host{b: b, name: fmt.Sprintf("front-%d", i+1), settings: filepath.Join(b.dir, fmt.Sprintf("host-%d.json", i+1)), out: filepath.Join(b.dir, fmt.Sprintf("host-%d.log", i+1))}
-		for _, addr := range []*string{&h.frontend, &h.ready, &h.admin} {
-			l, err := net.Listen("tcp", ip+":0")
-			if err != nil {
-				return nil, err
-			}
-			*addr = l.Addr().String()
-			l.Close()
+		if err := h.chooseAddrs(ip); err != nil {
+			return nil, err
 		}
 		b.hosts = append(b.hosts, h)
 	}
@@ -169,6 +164,20 @@
 	return b.hosts, nil
 }
 
+// chooseAddrs sets the addresses of h to free ports of ip. All are taken before the first one
+// is given back, so that they differ.
+func (h *host) chooseAddrs(ip string) error {
+	for _, addr := range []*string{&h.frontend, &h.ready, &h.admin} {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		*addr = l.Addr().String()
+	}
+	return nil
+}
+
 // writeSettings fills in the project's template as the platform does.
 func (h *host) writeSettings(m machine, seeds []string) error {
 	template, err := os.ReadFile("platform/settings.json.tmpl")
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -37,6 +37,7 @@
 	switch {
 	case err != nil:
 		b.note("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		return 2
 	case broken:
 		b.note("result: the rule was broken")
