stage: refund only what this holder has counted

Cause: a reservation that a former holder granted reaches the next one with its host's heartbeat and is not counted there. When it was given back, the refund computed a bucket of the tally from the time of its arrival, relative to the first count of this holder, and indexed an array with a negative number.

Ruled out: a second refund (cost zero), a clock that moved (none did).

The fix: counting returns the charge, and only a charge can be refunded. TestStarvingClass gives back each grant by its charge instead of their sum, to the same result.

--- a/internal/stage/forecast.go
+++ b/internal/stage/forecast.go
@@ -55,9 +55,9 @@
 	b.refreshShares(q, c, q.callTimeOf(c, q.waitingPieces(), r.Pieces), now)
 	cost := c.cost(r.Pieces, r.PieceBytes)
 	o := q.forecast(c, &r, q.shares.standing(&r, cost, now).shareHeadroom(), now)
-	q.shares.record(&r, cost, true, now)
+	charge := q.shares.record(&r, cost, true, now)
 	recorded := b.addReservation(host, r, now)
-	recorded.cost, recorded.forecast = cost, o
+	recorded.charge, recorded.forecast = charge, o
 	b.count("Recorded")
 	return Answer{Granted: true, Forecast: o}
 }
--- a/internal/stage/reservation.go
+++ b/internal/stage/reservation.go
@@ -96,9 +96,9 @@
 	// queue's epoch, so that a decision, which looks at those of all reservations, only
 	// subtracts durations.
 	start, due, end time.Duration
-	// cost was counted as use of the workspace's share. It is zero if the host's heartbeat
-	// brought the reservation.
-	cost time.Duration
+	// charge was counted as use of the workspace's share. It is nil for a reservation that
+	// a heartbeat of its host listed: the batcher that granted it has counted it.
+	charge *charge
 	// forecast is the answer to the call that recorded it.
 	forecast Outlook
 	// index is the position in the queue's reserved.
@@ -198,9 +198,9 @@
 		return Answer{Wait: noTargetWait}
 	}
 	d := b.evaluate(q, &r, now)
-	q.shares.record(&r, d.asked.cost, d.granted, now)
+	charge := q.shares.record(&r, d.asked.cost, d.granted, now)
 	if d.granted {
-		b.addReservation(host, r, now).cost = d.asked.cost
+		b.addReservation(host, r, now).charge = charge
 		b.count("Granted")
 		return Answer{Granted: true}
 	}
@@ -309,7 +309,9 @@
 	if r == nil {
 		return
 	}
-	b.queue(r.Service).shares.refund(&r.Reservation, r.cost, r.grantedAt, now)
+	if r.charge != nil {
+		b.queue(r.Service).shares.refund(&r.Reservation, r.charge, now)
+	}
 	b.removeReservation(id)
 }
 
--- a/internal/stage/share.go
+++ b/internal/stage/share.go
@@ -141,8 +141,15 @@
 	return !s.shortAt.IsZero() && now.Sub(s.shortAt) < shortLifetime
 }
 
-// record counts a request that was granted or refused.
-func (s *shares) record(r *Reservation, cost time.Duration, granted bool, now time.Time) {
+// charge is the cost with which a granted request was counted, and the bucket in which.
+type charge struct {
+	bucket int64
+	cost   time.Duration
+}
+
+// record counts a request that was granted or refused. If it was granted, the charge can
+// be refunded once.
+func (s *shares) record(r *Reservation, cost time.Duration, granted bool, now time.Time) *charge {
 	bucket := s.bucketAt(now)
 	s.all.add(bucket, cost, granted)
 	if s.tallies == nil {
@@ -156,15 +163,19 @@
 		}
 		t.add(bucket, cost, granted)
 	}
+	if !granted {
+		return nil
+	}
+	return &charge{bucket, cost}
 }
 
-// refund counts a request that was granted at grantedAt and given back as refused.
-func (s *shares) refund(r *Reservation, cost time.Duration, grantedAt, now time.Time) {
-	bucket, granted := s.bucketAt(now), s.bucketAt(grantedAt)
-	s.all.refund(bucket, granted, cost)
-	for _, c := range r.classes() {
-		if t := s.tallies[c]; t != nil {
-			t.refund(bucket, granted, cost)
+// refund takes back c, with which r was counted as granted.
+func (s *shares) refund(r *Reservation, c *charge, now time.Time) {
+	bucket := s.bucketAt(now)
+	s.all.refund(bucket, c.bucket, c.cost)
+	for _, class := range r.classes() {
+		if t := s.tallies[class]; t != nil {
+			t.refund(bucket, c.bucket, c.cost)
 		}
 	}
 }
--- a/internal/stage/share_test.go
+++ b/internal/stage/share_test.go
@@ -163,9 +163,10 @@
 	now := time.Unix(1000, 0)
 	s := &shares{}
 	large, small := &Reservation{Workspace: "a", Route: "large", Pieces: 90}, &Reservation{Workspace: "b", Route: "small", Pieces: 1}
+	var charges []*charge
 	for range 40 {
 		now = now.Add(20 * time.Millisecond)
-		s.record(small, 20*time.Millisecond, true, now)
+		charges = append(charges, s.record(small, 20*time.Millisecond, true, now))
 		s.record(large, 20*time.Millisecond, false, now)
 	}
 	s.compute(true, now)
@@ -175,7 +176,9 @@
 	if got := s.standing(small, 20*time.Millisecond, now); got.starving || !got.over() || got.headroom() != 2*headroomStep {
 		t.Errorf("served route: %+v", got)
 	}
-	s.refund(small, 800*time.Millisecond, now, now)
+	for _, c := range charges {
+		s.refund(small, c, now)
+	}
 	if got := s.standing(small, 20*time.Millisecond, now); got.used != 0 {
 		t.Errorf("%v used after all was given back", got.used)
 	}
