stage: a call keeps the pool for which it was formed

Cause: the end of a call read the life of results from the pool that its service has in the latest configuration, which may be none.

Evidence: the trace of TestTakeover/removed-pool on the code before leads from finishCall to recordResult with a nil pool. The same cause, on related paths, took the memory of results that came after the removal for free at once, and computed a negative mean time for which results are held (TestTakeoverFuzz on the code before: "results are held for -3.986s"). Ruled out: a new call without a pool, a target's state that is gone.

The fix: a call keeps its pool, a held result the time at which it came. TestTakeover (removed-pool, removed-pool-results) and TestTakeoverFuzz failed before the fix and pass now, the latter also with 3,000 sequences.

--- a/internal/stage/calls.go
+++ b/internal/stage/calls.go
@@ -14,7 +14,7 @@
 func (b *Batcher) startCall(q *queue, s *targetState, t *catalog.Target, c *call) {
 	now := b.Clock.Now()
 	c.startedAt, c.expected = now, q.expected(len(c.parts))
-	c.freeBytes = q.pool.RoomBytes - s.reservedBytes - s.heldBytes
+	c.freeBytes = c.pool.RoomBytes - s.reservedBytes - s.heldBytes
 	s.calls++
 	s.lastUsed = now
 	s.busyUntil = now.Add(time.Duration(s.pace * float64(c.expected)))
@@ -138,7 +138,7 @@
 			return
 		}
 		q.busyPieces++
-		s.addResult(r.Handle, j.PieceBytes, now.Add(q.resultLifetime()))
+		s.addResult(r.Handle, heldResult{bytes: j.PieceBytes, since: now, expires: now.Add(c.pool.ResultLife)})
 		j.results[p.number] = result
 		if j.missing--; j.missing == 0 {
 			b.endJob(j, None)
@@ -148,7 +148,7 @@
 	case PieceInputGone:
 		b.endJob(j, Gone)
 	case PieceNoMemory:
-		s.memoryFull(now, c, j.PieceBytes, q.pool.ResultLife)
+		s.memoryFull(now, c, j.PieceBytes)
 		b.requeue(p, false)
 	case PieceError:
 		b.requeue(p, true)
--- a/internal/stage/capacity.go
+++ b/internal/stage/capacity.go
@@ -106,7 +106,7 @@
 	if !ok {
 		return
 	}
-	sample := now.Sub(held.expires.Add(-q.resultLifetime()))
+	sample := now.Sub(held.since)
 	if q.meanHeld == 0 {
 		q.meanHeld = sample
 	}
--- a/internal/stage/choose.go
+++ b/internal/stage/choose.go
@@ -123,7 +123,7 @@
 // last attempt shares no call: its former ones may have failed because of a job beside
 // it, or that one because of it.
 func (q *queue) formCall(j *job, s *targetState, t *catalog.Target, now time.Time) *call {
-	c := &call{}
+	c := &call{pool: q.pool}
 	bytes := c.add(j, q.piecesForNewCall(j, s, now))
 	if j.onLastAttempt() && len(c.parts) > 0 {
 		return c
@@ -148,6 +148,9 @@
 
 // call is one call to a target.
 type call struct {
+	// pool is the pool for which the call was formed. The queue may have lost it, or have
+	// another one, when the call ends.
+	pool      *catalog.Pool
 	parts     []part
 	startedAt time.Time
 	expected  time.Duration
--- a/internal/stage/takeover_test.go
+++ b/internal/stage/takeover_test.go
@@ -21,7 +21,9 @@
 	mu      sync.Mutex
 	fault   PieceFault
 	removed bool
-	ended   map[string]Outcome
+	// broken makes calls end without an answer.
+	broken bool
+	ended  map[string]Outcome
 }
 
 func newTakeoverSite(t *testing.T, a Admission) *takeoverSite {
@@ -30,7 +32,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return s.fault
-	}}
+	}, fail: s.failing}
 	s.batcher = newBatcher(t, s.pool, 2, testPool())
 	served := s.batcher.Catalog()
 	without := &catalog.Snapshot{Table: &catalog.Table{Services: map[string]*catalog.Service{}}}
--- a/internal/stage/targetstate.go
+++ b/internal/stage/targetstate.go
@@ -31,9 +31,10 @@
 	toFree []Result
 }
 
+// heldResult is a result that a target keeps, from since until it expires or is freed.
 type heldResult struct {
-	bytes   int64
-	expires time.Time
+	bytes          int64
+	since, expires time.Time
 }
 
 // usedBytes returns the result memory in use at the target.
@@ -50,12 +51,12 @@
 	return int64(float64(s.foreignBytes) * float64(left) / float64(s.foreignLifetime))
 }
 
-func (s *targetState) addResult(handle string, bytes int64, expires time.Time) {
+func (s *targetState) addResult(handle string, r heldResult) {
 	if s.results == nil {
 		s.results = map[string]heldResult{}
 	}
-	s.results[handle] = heldResult{bytes, expires}
-	s.heldBytes += bytes
+	s.results[handle] = r
+	s.heldBytes += r.bytes
 }
 
 func (s *targetState) removeResult(handle string) {
@@ -80,10 +81,10 @@
 // memoryFull pauses a target that lacked memory for a result of the given size.
 // Other batchers must have used the memory that was free by this batcher's
 // account when the call started.
-func (s *targetState) memoryFull(now time.Time, c *call, bytes int64, lifetime time.Duration) {
+func (s *targetState) memoryFull(now time.Time, c *call, bytes int64) {
 	s.pause(now, memoryPause)
 	if foreign := c.freeBytes - bytes/2; foreign > s.foreignBytesAt(now) {
-		s.foreignBytes, s.foreignAt, s.foreignLifetime = foreign, c.startedAt, lifetime
+		s.foreignBytes, s.foreignAt, s.foreignLifetime = foreign, c.startedAt, c.pool.ResultLife
 	}
 }
 
