upstream: a status that HTTP doesn't have breaks the response

Cause: the parser of net/http takes any three digits.

A status outside 100 to 599 is an error now, like bytes that are no response: the request may have run, and only what may be repeated is sent again. TestInvalidStatus and four scripts of TestResponses; 600 and 999 failed before, 000 and 099 passed.

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -19,6 +19,8 @@
 	// maxInterimResponses is the maximum number of interim responses (1xx) before a
 	// response.
 	maxInterimResponses = 8
+	// Statuses outside these bounds are not statuses of HTTP.
+	minStatus, maxStatus = 100, 599
 	// maxForeignResponses is the maximum number of responses to other requests that
 	// are skipped.
 	maxForeignResponses = 2
@@ -61,6 +63,8 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+			return nil, Error.New("response has the invalid status %q", resp.Status)
 		case resp.StatusCode < http.StatusOK:
 			if interim++; interim > maxInterimResponses {
 				return nil, ErrHeadTooLarge
