gateway: a host that shuts down refuses what may outlast it

Cause: a host served whatever reached it in the three seconds in which it accepts connections, also as it closed them, and cut at 7.1 s what had not ended.

The fix: a request that may outlast the process gets 503 Draining at once, by the clock of its arrival: a stream after the first third of the time from the signal, any other in the last 1.5 s of it, unless its deadline comes first. Its caller can send it to another host.

TestRequestsWhileDraining: 5 of 12 lines failed before, two of them with a stream that was cut, two with a 502 after 1.2 s. The shutdown has a file of its own.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -61,8 +61,9 @@
 	streamMemory *memory.Budget
 
 	callerServer callerServer
-	draining     atomic.Bool
-	joined       atomic.Bool
+	// shutdown is the shutdown that has begun, or nil.
+	shutdown atomic.Pointer[shutdown]
+	joined   atomic.Bool
 	// gracePeriod is the grace period in force, a time.Duration.
 	gracePeriod atomic.Int64
 	// openRequests is the number of requests in flight.
@@ -80,19 +81,6 @@
 	abort    context.CancelCauseFunc
 }
 
-// Durations of a shutdown.
-const (
-	// drainAcceptTime is how long a stopping host still accepts new connections: the
-	// load balancer sends them until two readiness probes have failed.
-	drainAcceptTime = 3 * time.Second
-	// graceMargin is the part of the grace period reserved for the last responses and
-	// for the exit of the process; finalResponseTime is the share for the responses.
-	graceMargin       = 900 * time.Millisecond
-	finalResponseTime = 400 * time.Millisecond
-	// drainPollInterval is the time between two polls of the requests in flight.
-	drainPollInterval = 20 * time.Millisecond
-)
-
 // Run serves until ctx ends, then drains: the host reports that it is not ready,
 // accepts requests for drainAcceptTime more, and returns once no request is in
 // flight or the grace period is nearly over.
@@ -239,32 +227,7 @@
 
 // ready reports whether the load balancer should send new connections.
 func (h *Host) ready() bool {
-	return !h.draining.Load() && h.Follower.Ready() && !h.callerServer.listener.Failing()
-}
-
-// drain performs a graceful shutdown.
-func (h *Host) drain(ctx context.Context) {
-	h.draining.Store(true)
-	grace := time.Duration(h.gracePeriod.Load()) - graceMargin
-	h.Log.Info("draining", zap.Int64("Open", h.openRequests.Load()), zap.Duration("Grace", grace))
-	if h.joined.Load() {
-		h.Exchange.Leave()
-	}
-	h.Batcher.Retire()
-	start := h.Clock.Now()
-	h.Clock.Sleep(ctx, min(drainAcceptTime, grace))
-	h.callerServer.stop()
-	for (h.openRequests.Load() > 0 || h.callerServer.busy()) && h.Clock.Since(start) < grace {
-		h.Clock.Sleep(ctx, drainPollInterval)
-	}
-	h.abort(errShuttingDown)
-	for h.openRequests.Load() > 0 && h.Clock.Since(start) < grace+finalResponseTime {
-		h.Clock.Sleep(ctx, drainPollInterval)
-	}
-	for h.PeerServer.RunningCalls() > 0 && h.Clock.Since(start) < grace {
-		h.Clock.Sleep(ctx, drainPollInterval)
-	}
-	h.Log.Info("stopping", zap.Int64("Open", h.openRequests.Load()), zap.Int("PeerCalls", h.PeerServer.RunningCalls()), zap.Duration("Took", h.Clock.Since(start)))
+	return h.shutdown.Load() == nil && h.Follower.Ready() && !h.callerServer.listener.Failing()
 }
 
 // close closes all connections.
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -29,7 +29,7 @@
 	for name, values := range header {
 		o.w.Header()[name] = values
 	}
-	if o.host.draining.Load() {
+	if o.host.shutdown.Load() != nil {
 		o.w.Header().Set("Connection", "close")
 	}
 	o.w.WriteHeader(status)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -89,6 +89,9 @@
 	defer q.conn.endRequest()
 	defer q.body.release()
 	err = h.readRequest(w, r, q)
+	if err == nil {
+		err = h.checkShutdown(q)
+	}
 	if err == nil {
 		ctx, cancel := h.requestContext(r.Context(), q.deadline)
 		if q.route.Kind == catalog.Stream {
