placement: a request is counted once if its holder chooses twice

A holder that handles an old call late, after it has counted the same request again, put the new count in the place of the old one in its index. The old one stayed at its target, which looked slower with every second. Only its target knew of it, so that neither the end of the request nor the host's list could remove it.

TestLoadTable/repeated: an expected time of 7.056s before at a target without requests, 118ms now.

--- a/internal/placement/loadtable.go
+++ b/internal/placement/loadtable.go
@@ -126,8 +126,12 @@
 	}
 }
 
-// addRequest counts w at s; e is its work there, or nil.
+// addRequest counts w at s; e is its work there, or nil. A call that is handled late may have
+// been followed by another one for the same request, which is counted only once.
 func (lt *LoadTable) addRequest(w *Work, s *targetState, e *engineRequest, ownTokens float64, now time.Time) {
+	if former := lt.requests[w.ID]; former != nil {
+		lt.removeRequest(w.ID, former, now)
+	}
 	r := &openRequest{host: w.Host, startedAt: now, target: s, ownTokens: ownTokens, tokensAhead: s.pendingTokens, engine: e}
 	if e != nil {
 		e.lastMessage = lt.lastMessage[w.Host]
