--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -61,7 +61,7 @@
 	streamMemory *memory.Budget
 
 	callerServer callerServer
-	// shutdown is the shutdown that has begun, or nil.
+	// shutdown is the shutdown that has started, or nil.
 	shutdown atomic.Pointer[shutdown]
 	joined   atomic.Bool
 	// gracePeriod is the grace period in force, a time.Duration.
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -33,29 +33,29 @@
 
 // shutdown is the course of a graceful shutdown.
 type shutdown struct {
-	// begun is the time at which it began; the requests that still run at abort are
+	// startedAt is the time at which it started; the requests that still run at abortAt are
 	// aborted.
-	begun, abort time.Time
+	startedAt, abortAt time.Time
 }
 
-// newShutdown returns a shutdown that begins at now and has the given grace period.
+// newShutdown returns a shutdown that starts at now and has the given grace period.
 func newShutdown(now time.Time, grace time.Duration) *shutdown {
-	return &shutdown{begun: now, abort: now.Add(grace - graceMargin)}
+	return &shutdown{startedAt: now, abortAt: now.Add(grace - graceMargin)}
 }
 
-// grace is the time that requests have from the begin of the shutdown.
-func (s *shutdown) grace() time.Duration { return s.abort.Sub(s.begun) }
+// grace is the time that requests have from the start of the shutdown.
+func (s *shutdown) grace() time.Duration { return s.abortAt.Sub(s.startedAt) }
 
 // serves reports whether a request of the given kind and deadline is to be served that was
 // read at now. One whose deadline comes first can't be cut by the shutdown.
 func (s *shutdown) serves(kind catalog.Kind, deadline, now time.Time) bool {
 	switch {
-	case !deadline.After(s.abort):
+	case !deadline.After(s.abortAt):
 		return true
 	case kind == catalog.Stream:
-		return now.Sub(s.begun) < s.grace()/streamAcceptDivisor
+		return now.Sub(s.startedAt) < s.grace()/streamAcceptDivisor
 	default:
-		return s.abort.Sub(now) >= singleServeTime
+		return s.abortAt.Sub(now) >= singleServeTime
 	}
 }
 
@@ -70,7 +70,7 @@
 	if s.serves(q.route.Kind, q.deadline, now) {
 		return nil
 	}
-	return result.NotRun(result.Draining, "the host shuts down: it may end in %v, the request in %v", s.abort.Sub(now), q.deadline.Sub(now))
+	return result.NotRun(result.Draining, "the host shuts down: it may end in %v, the request in %v", s.abortAt.Sub(now), q.deadline.Sub(now))
 }
 
 // drain performs a graceful shutdown.
@@ -82,13 +82,13 @@
 		h.Exchange.Leave()
 	}
 	h.Batcher.Retire()
-	h.sleepUntil(ctx, s.begun.Add(min(drainAcceptTime, s.grace())))
+	h.sleepUntil(ctx, s.startedAt.Add(min(drainAcceptTime, s.grace())))
 	h.callerServer.stop()
-	h.pollUntil(ctx, s.abort, func() bool { return h.openRequests.Load() == 0 && !h.callerServer.busy() })
+	h.pollUntil(ctx, s.abortAt, func() bool { return h.openRequests.Load() == 0 && !h.callerServer.busy() })
 	h.abort(errShuttingDown)
-	h.pollUntil(ctx, s.abort.Add(finalResponseTime), func() bool { return h.openRequests.Load() == 0 })
-	h.pollUntil(ctx, s.abort, func() bool { return h.PeerServer.RunningCalls() == 0 })
-	h.Log.Info("stopping", zap.Int64("Open", h.openRequests.Load()), zap.Int("PeerCalls", h.PeerServer.RunningCalls()), zap.Duration("Took", h.Clock.Since(s.begun)))
+	h.pollUntil(ctx, s.abortAt.Add(finalResponseTime), func() bool { return h.openRequests.Load() == 0 })
+	h.pollUntil(ctx, s.abortAt, func() bool { return h.PeerServer.RunningCalls() == 0 })
+	h.Log.Info("stopping", zap.Int64("Open", h.openRequests.Load()), zap.Int("PeerCalls", h.PeerServer.RunningCalls()), zap.Duration("Took", h.Clock.Since(s.startedAt)))
 }
 
 // sleepUntil waits until t.
--- a/internal/stage/forecast.go
+++ b/internal/stage/forecast.go
@@ -55,9 +55,9 @@
 	b.refreshShares(q, c, q.callTimeOf(c, q.waitingPieces(), r.Pieces), now)
 	cost := c.cost(r.Pieces, r.PieceBytes)
 	o := q.forecast(c, &r, q.shares.standing(&r, cost, now).shareHeadroom(), now)
-	charge := q.shares.record(&r, cost, true, now)
+	counted := q.shares.record(&r, cost, true, now)
 	recorded := b.addReservation(host, r, now)
-	recorded.charge, recorded.forecast = charge, o
+	recorded.charge, recorded.forecast = counted, o
 	b.count("Recorded")
 	return Answer{Granted: true, Forecast: o}
 }
--- a/internal/stage/reservationdecision.go
+++ b/internal/stage/reservationdecision.go
@@ -55,9 +55,9 @@
 		return Answer{Wait: noTargetWait}
 	}
 	d := b.evaluate(q, &r, now)
-	charge := q.shares.record(&r, d.asked.cost, d.granted, now)
+	counted := q.shares.record(&r, d.asked.cost, d.granted, now)
 	if d.granted {
-		b.addReservation(host, r, now).charge = charge
+		b.addReservation(host, r, now).charge = counted
 		b.count("Granted")
 		return Answer{Granted: true}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -332,12 +332,15 @@
 	}
 }
 
+// passedDeadline is a deadline that ends a write at once.
+var passedDeadline = time.Unix(1, 0)
+
 // checkEnd ends the writing of the request, once the target's side of the connection has
 // ended. It returns io.EOF if the target ended it in order. A connection reports a reset
 // once, to a read or a write: if a write has taken the report, a read finds only the end.
 func (c *connection) checkEnd() error {
 	// An error means that the connection is closed, which ends a write too.
-	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	_ = c.SetWriteDeadline(passedDeadline)
 	err := <-c.writeResult
 	c.writeResult <- err
 	// EPIPE means that the target's end came before the reset that the write caused.
