link, gateway: receive buffers have a size, and limits count them

What callers saw: crowds that send behind a request that still runs, whole bodies to slow targets, or bodies without waiting for 100 Continue made a host exceed its memory, as the machines of the users count it: with what has been received and not read.

Cause: no socket of a host had a receive buffer of a size of ours. The kernel lets it grow to several MiB a connection, and nothing counted it: neither the limit on connections nor any budget.

Change: each connection, accepted or opened, requests a receive buffer of 16 KiB, which listeners hand on to their connections before the first byte. MaxConns counts what was granted, for the caller and for a target, besides the memory of the process: 0.3 of the memory at 128 KiB instead of 0.2 at 64 KiB (311 instead of 415 at 136 MB). A kernel may grant more than the usual double; the users' machines grant 64 KiB, and MaxConns is smaller there (207). A large body gets a wider buffer while the memory for bodies has room for both, so that uploads over long links don't become slow; that memory stays counted until the connection ends, since a window that was offered is not withdrawn, and idle connections give way to bodies. settings/connections.go now says what a connection holds from its accept to its end.

--- a/cmd/berylswitch/gateway.go
+++ b/cmd/berylswitch/gateway.go
@@ -56,9 +56,10 @@
 
 // newGateway returns a host with the components of the platform adapter.
 func newGateway(s *settings.Gateway, log *zap.Logger) (*gateway.Host, error) {
-	n, c := link.TCP{}, &clock.Service{}
-	store := platform.NewStore(n, s.StoreAddr)
-	u := &upstream.Client{Net: n, Clock: c}
+	n, c := link.TCP{ReceiveBuffer: settings.CallerReceiveBuffer}, &clock.Service{}
+	targets := link.TCP{ReceiveBuffer: settings.TargetReceiveBuffer}
+	store := platform.NewStore(targets, s.StoreAddr)
+	u := &upstream.Client{Net: targets, Clock: c}
 	return gateway.New(s, n, c, log, u,
 		platform.Format{},
 		&platform.Feed{Store: store, Log: log},
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -134,7 +134,7 @@
 }
 
 func provideResponseMemory(s *settings.Gateway) *memory.Budget {
-	return &memory.Budget{Bytes: s.CallerLimits().ResponseBytes}
+	return &memory.Budget{Bytes: s.CallerLimits(0).ResponseBytes}
 }
 
 func providePeerCaller(n link.Network) *peer.Caller { return &peer.Caller{Net: n} }
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -36,7 +36,13 @@
 	m := &bodyMemory{}
 	m.small.Bytes, m.large.Bytes = l.SmallBodyBytes, l.BodyBytes
 	m.small.Relieve = func() *memory.Allowance { return conns.endPausedBody(smallBody) }
-	m.large.Relieve = func() *memory.Allowance { return conns.endPausedBody(largeBody) }
+	m.large.Relieve = func() *memory.Allowance {
+		// A paused body holds more than an idle connection.
+		if a := conns.endPausedBody(largeBody); a != nil {
+			return a
+		}
+		return conns.endIdleWindow()
+	}
 	return m
 }
 
@@ -195,7 +201,17 @@
 		return nil
 	}
 	q.conn.limitBody(q.deadline)
-	q.body.memory, q.body.onPart = h.bodies, q.conn.setPart
+	size := limit
+	if r.ContentLength >= 0 {
+		size = r.ContentLength
+	}
+	q.body.memory = h.bodies
+	q.body.onPart = func(p bodyPart, a *memory.Allowance) {
+		q.conn.setPart(p, a)
+		if p == largeBody {
+			q.conn.widen(&h.bodies.large, size)
+		}
+	}
 	err := q.body.readAll(r.Body, r.ContentLength, limit)
 	ended := q.conn.endBody(err == nil)
 	if err == nil {
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -64,6 +64,9 @@
 	// their memory.
 	header       headLines
 	headerMemory *memory.Allowance
+	// window accounts for the wide receive buffer, or is nil if the buffer has not been
+	// widened.
+	window *memory.Allowance
 	// readLimit is the read deadline that the server has set.
 	readLimit time.Time
 
@@ -190,6 +193,7 @@
 	was := c.closed
 	c.closed = true
 	c.headerMemory.Release()
+	c.releaseWindow()
 	c.mu.Unlock()
 	c.conns.remove(c)
 	return !was
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -87,7 +87,6 @@
 func (h *Host) Run(ctx context.Context) error {
 	h.Follower.OnChange = h.applySnapshot
 	h.Crashes.OnCrash = h.recallBlocked
-	h.limitCallers()
 	h.gracePeriod.CompareAndSwap(0, int64(h.Settings.GracePeriod))
 	h.abortCtx, h.abort = context.WithCancelCause(context.WithoutCancel(ctx))
 	defer h.abort(nil)
@@ -127,16 +126,18 @@
 // seconds.
 const responseMemoryWait = 3 * time.Second
 
-// limitCallers sets up the limits on callers before the first one connects.
-func (h *Host) limitCallers() {
-	h.limits = h.Settings.CallerLimits()
+// limitCallers sets up the limits on callers before the first one connects. granted is the
+// size in bytes of the receive buffers of their connections, or zero if it is unknown.
+func (h *Host) limitCallers(granted int) {
+	h.limits = h.Settings.CallerLimits(granted)
 	h.conns = &callerConns{Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, Max: h.limits.MaxConns, WritePause: h.limits.WritePause,
 		Headers: &memory.Budget{Bytes: h.limits.HeaderBytes, Wait: h.limits.HeaderWait}}
 	h.bodies = newBodyMemory(h.limits, h.conns)
 	h.streamMemory = &memory.Budget{Bytes: h.limits.StreamBytes}
 	h.ResponseMemory.Relieve = h.conns.endUnreadResponse
 	h.ResponseMemory.Wait = responseMemoryWait
-	h.Log.Info("limits on callers", zap.Int("Connections", h.limits.MaxConns), zap.Int64("SmallBodyBytes", h.limits.SmallBodyBytes),
+	h.Log.Info("limits on callers", zap.Int("Connections", h.limits.MaxConns),
+		zap.Int("ReceiveBuffer", int(settings.CallerReceiveBuffer)), zap.Int("ReceiveBufferGranted", granted), zap.Int64("SmallBodyBytes", h.limits.SmallBodyBytes),
 		zap.Int64("BodyBytes", h.limits.BodyBytes), zap.Int64("ResponseBytes", h.limits.ResponseBytes), zap.Int64("StreamBytes", h.limits.StreamBytes),
 		zap.Int64("HeaderBytes", h.limits.HeaderBytes), zap.Int64("StreamBufferBytes", h.limits.StreamBufferBytes), zap.Duration("HeaderWait", h.limits.HeaderWait), zap.Duration("BodyPause", h.limits.BodyPause), zap.Duration("WritePause", h.limits.WritePause))
 }
@@ -164,6 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
+	h.limitCallers(link.Granted(callers.Listener))
 	h.callerServer.start(h, callers)
 	peers, err := h.listenOn(h.Settings.PeerAddr)
 	if err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -25,7 +25,11 @@
 }
 
 // TCP is the machine's own network.
-type TCP struct{}
+type TCP struct {
+	// ReceiveBuffer is requested for each connection. A kernel that refuses it keeps its
+	// own size, which Granted returns.
+	ReceiveBuffer ReceiveBuffer
+}
 
 var _ Network = TCP{}
 
@@ -42,20 +46,26 @@
 const unackedTimeout = 2 * time.Second
 
 // Dial opens a TCP connection.
-func (TCP) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{KeepAliveConfig: keepAlive, Control: limitUnacked}
+func (n TCP) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: keepAlive, Control: func(_, _ string, c syscall.RawConn) error {
+		_ = n.ReceiveBuffer.request(c)
+		return limitUnacked(c)
+	}}
 	return d.DialContext(ctx, "tcp", addr.String())
 }
 
 // Listen opens a TCP listener.
-func (TCP) Listen(addr netip.AddrPort) (net.Listener, error) {
-	l := net.ListenConfig{KeepAliveConfig: keepAlive}
+func (n TCP) Listen(addr netip.AddrPort) (net.Listener, error) {
+	l := net.ListenConfig{KeepAliveConfig: keepAlive, Control: func(_, _ string, c syscall.RawConn) error {
+		_ = n.ReceiveBuffer.request(c)
+		return nil
+	}}
 	return l.Listen(context.Background(), "tcp", addr.String())
 }
 
 // limitUnacked makes the kernel close a connection whose data stays
 // unacknowledged for unackedTimeout.
-func limitUnacked(_, _ string, c syscall.RawConn) error {
+func limitUnacked(c syscall.RawConn) error {
 	var sockErr error
 	err := c.Control(func(fd uintptr) {
 		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout/time.Millisecond))
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -229,6 +229,19 @@
 	return a.Taken()+n <= a.budget.Bytes && a.budget.take(a, n)
 }
 
+// TakeSpare reserves n more bytes if reserve bytes are left afterwards and no Take waits, and
+// reports whether it did. It is for what a holder can do without.
+func (a *Allowance) TakeSpare(n, reserve int64) bool {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.waiters) > 0 || b.used+n+reserve > b.Bytes {
+		return false
+	}
+	b.change(a, n)
+	return true
+}
+
 // Return gives n bytes back.
 func (a *Allowance) Return(n int64) {
 	a.budget.mu.Lock()
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -59,3 +59,15 @@
 		synctest.Wait()
 	})
 }
+
+// TestTakeSpare checks that a holder that can do without memory gets none that others need.
+func TestTakeSpare(t *testing.T) {
+	b := &Budget{Bytes: 100}
+	a := b.NewAllowance()
+	if a.TakeSpare(40, 70) || b.Used() != 0 {
+		t.Errorf("memory was taken from the reserve, %d used", b.Used())
+	}
+	if !a.TakeSpare(40, 60) || a.Taken() != 40 {
+		t.Errorf("%d bytes were taken, want 40", a.Taken())
+	}
+}
--- a/internal/settings/callerlimits.go
+++ b/internal/settings/callerlimits.go
@@ -24,18 +24,6 @@
 // Defaults of CallerLimits. The shares of MemoryMB for bodies, responses, streams and headers
 // add up to less than heapFraction, which leaves room for the garbage collector.
 const (
-	// reservedFDs are the descriptors for files, listeners and the store.
-	reservedFDs = 200
-	// connFDShare is the part of the other descriptors that callers' connections may
-	// take. A request needs one more at its target, other hosts and idle connections to
-	// targets the rest.
-	connFDShare = 1.0 / 3
-	// connBytes is the memory that a connection takes at most, with the buffers and
-	// stacks of its goroutines and a header of maximum size, and connMemoryShare the part of
-	// the memory for all connections.
-	connBytes       = 64 << 10
-	connMemoryShare = 0.2
-
 	// An eighth of 128 MB holds 244 bodies of SmallBodyBytes, or three of 4 MiB.
 	smallBodyMemoryShare = 0.125
 	bodyMemoryShare      = 0.125
@@ -55,8 +43,9 @@
 	defaultWritePause = 30 * time.Second
 )
 
-// CallerLimits returns the limits that are in force.
-func (g *Gateway) CallerLimits() CallerLimits {
+// CallerLimits returns the limits that are in force. granted is the size in bytes of the
+// receive buffers that the kernel has granted, or zero if it is unknown.
+func (g *Gateway) CallerLimits(granted int) CallerLimits {
 	bytes := func(mb, share float64) int64 {
 		if mb == 0 {
 			mb = share * g.MemoryMB
@@ -77,7 +66,7 @@
 		WritePause:        orDefault(g.WritePause, defaultWritePause),
 	}
 	if l.MaxConns == 0 {
-		l.MaxConns = g.defaultMaxConns()
+		l.MaxConns = g.defaultMaxConns(int64(granted))
 	}
 	if l.StreamBufferBytes == 0 {
 		l.StreamBufferBytes = streamBufferBytes
@@ -95,14 +84,6 @@
 	return time.Duration(d)
 }
 
-// defaultMaxConns returns the number of callers' connections for which there are
-// descriptors and memory.
-func (g *Gateway) defaultMaxConns() int {
-	byFDs := connFDShare * (g.maxFDs() - reservedFDs)
-	byMemory := connMemoryShare * bytesPerMB * g.MemoryMB / connBytes
-	return max(1, int(min(byFDs, byMemory)))
-}
-
 // maxFDs returns the number of descriptors that the process may open.
 func (g *Gateway) maxFDs() float64 {
 	if g.MaxFDs > 0 {
--- a/internal/settings/callerlimits_test.go
+++ b/internal/settings/callerlimits_test.go
@@ -16,7 +16,7 @@
 
 // TestCallerLimits runs the scripts under testdata/gateway. Each input is the fields of a
 // settings file that matter for the limits on callers, each output lists its problems or
-// the limits in force. It guards against defaults that a host can't hold, or that callers
+// the limits in force, with receive buffers of the granted size if that is given. It guards against defaults that a host can't hold, or that callers
 // within the configured limits reach.
 func TestCallerLimits(t *testing.T) {
 	datadriven.Walk(t, "testdata/gateway", func(t *testing.T, path string) {
@@ -25,7 +25,9 @@
 			if err != nil {
 				return err.Error() + "\n"
 			}
-			return strings.ReplaceAll(fmt.Sprintf("%+v", g.CallerLimits()), " ", "\n") + "\n"
+			granted := 0
+			d.MaybeScanArgs(t, "granted", &granted)
+			return strings.ReplaceAll(fmt.Sprintf("%+v", g.CallerLimits(granted)), " ", "\n") + "\n"
 		})
 	})
 }
--- /dev/null
+++ b/internal/settings/connections.go
@@ -0,0 +1,65 @@
+package settings
+
+import (
+	"berylswitch.example/berylswitch/internal/link"
+)
+
+// This file owns what connections may hold of a host, from their accept to their end.
+//
+// A caller's connection:
+//
+//   - a descriptor and connProcessBytes of memory for its buffers, stacks and header, all
+//     its life; the number of connections is limited by MaxConns;
+//   - unread bytes up to CallerReceiveBuffer.MostUnread, all its life, since the kernel
+//     takes bytes also while the host doesn't read; from the first large body on up to
+//     BodyReceiveBuffer.MostUnread if BodyBytes has room, which counts the difference until
+//     the connection ends;
+//   - header lines beyond the usual ones, within HeaderBytes, until the request is answered;
+//   - the body of one request, within SmallBodyBytes or BodyBytes, until the request is
+//     answered. All sends of the request share it, and no other host gets a copy;
+//   - the response, within ResponseBytes or StreamBytes, until the caller has taken it, and
+//     unread bytes of the target's connection up to TargetReceiveBuffer.MostUnread.
+
+// Receive buffers.
+const (
+	// CallerReceiveBuffer is that of accepted connections. It has room for what a kernel
+	// sends before the first acknowledgement, ten segments.
+	CallerReceiveBuffer link.ReceiveBuffer = 16 << 10
+	// BodyReceiveBuffer lets a large body use a window of 64 KiB, the largest one on a
+	// connection that was opened with a small buffer: 640 KB/s over a link of 100 ms.
+	BodyReceiveBuffer link.ReceiveBuffer = 64 << 10
+	// TargetReceiveBuffer is that of connections to targets, the store and other hosts.
+	TargetReceiveBuffer link.ReceiveBuffer = 16 << 10
+)
+
+const (
+	// connProcessBytes is the memory of the process that a caller's connection takes at
+	// most, with the buffers and stacks of its goroutines and a header of maximum size.
+	connProcessBytes = 64 << 10
+	// connMemoryShare is the part of the memory for all callers' connections, with the
+	// unread bytes of these and of those to targets.
+	connMemoryShare = 0.3
+	// connFDShare is the part of the descriptors besides reservedFDs that callers'
+	// connections may take. A request needs one more at its target; other hosts and idle
+	// connections to targets share the rest.
+	connFDShare = 1.0 / 3
+	// reservedFDs are the descriptors for files, listeners and the store.
+	reservedFDs = 200
+)
+
+// connBytes returns the memory that a caller's connection may take besides what the limits
+// on memory count: in the process, and as unread bytes from the caller and from a target. A
+// kernel may grant larger receive buffers than were requested.
+func connBytes(granted int64) float64 {
+	caller := max(granted, CallerReceiveBuffer.MostUnread())
+	target := max(granted, TargetReceiveBuffer.MostUnread())
+	return float64(connProcessBytes + caller + target)
+}
+
+// defaultMaxConns returns the number of callers' connections for which there are
+// descriptors and memory, with receive buffers of the granted size.
+func (g *Gateway) defaultMaxConns(granted int64) int {
+	byFDs := connFDShare * (g.maxFDs() - reservedFDs)
+	byMemory := connMemoryShare * bytesPerMB * g.MemoryMB / connBytes(granted)
+	return max(1, int(min(byFDs, byMemory)))
+}
