gateway: the listeners for probes bound what a connection may take

What callers saw: a crowd at the listeners for readiness and metrics, which answer anybody who reaches them, took the descriptors and the memory of the host.

Cause: these two served with the defaults of net/http: any number of connections, headers of up to 1 MB, bodies without a time limit and answers that nobody reads.

Change: each of the two keeps 32 connections. Beyond that the one that has been unused longest gives way, those that never brought a request first, so that the load balancer's next probe finds room. Headers end at 4 KiB, bodies are refused unread, and a request ends after 3 s. The limit is link.ConnLimit, which berylswitch serve has for callers; its log lines and counters now name the listener and have one home.

Why it works: a silent connection always gives way, and one with a request is over after 3 s.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -160,7 +159,7 @@
 const joinPollInterval = 10 * time.Millisecond
 
 // listen opens the host's listeners and serves them in goroutines of g.
-func (h *Host) listen(g *errgroup.Group) ([]*http.Server, error) {
+func (h *Host) listen(g *errgroup.Group) ([]*link.Server, error) {
 	callers, err := h.listenOn(h.Settings.CallerAddr)
 	if err != nil {
 		return nil, err
@@ -172,24 +171,8 @@
 		return nil, err
 	}
 	g.Go(func() error { return h.PeerServer.Serve(peers) })
-	var servers []*http.Server
-	for _, s := range []struct {
-		addr    netip.AddrPort
-		handler http.Handler
-	}{
-		{h.Settings.ReadyAddr, h.readyHandler()},
-		{netip.AddrPortFrom(h.Settings.CallerAddr.Addr(), uint16(h.Settings.MetricsPort)), h.metricsHandler()},
-	} {
-		l, err := h.Net.Listen(s.addr)
-		if err != nil {
-			return nil, err
-		}
-		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-		servers = append(servers, server)
-		g.Go(func() error { return link.IgnoreClosed(server.Serve(l)) })
-	}
 	g.Go(func() error { <-h.callerServer.closed(); peers.Close(); return nil })
-	return servers, nil
+	return h.listenForProbes(g)
 }
 
 // listenOn opens a listener that goes on after errors that pass.
--- a/internal/host/limits.go
+++ b/internal/host/limits.go
@@ -6,15 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/memory"
 	"berylswitch.example/berylswitch/pkg/result"
-	"github.com/rcrowley/go-metrics"
-	"go.uber.org/zap"
 )
 
 // Limits on the size of a caller's request and on the time for sending it and
@@ -49,15 +46,7 @@
 // connLimit returns the limit on callers' connections.
 func (h *Host) connLimit() *link.ConnLimit {
 	most := h.Settings.MaxConnections()
-	return &link.ConnLimit{Max: most, OnClose: func(addr net.Addr, refused bool) {
-		if refused {
-			metrics.GetOrRegisterCounter("Connections.Refused", h.Metrics).Inc(1)
-			h.Log.Warn("connection refused", zap.Stringer("Caller", addr), zap.Int("Max", most))
-			return
-		}
-		metrics.GetOrRegisterCounter("Connections.Closed", h.Metrics).Inc(1)
-		h.Log.Warn("connection closed for another one", zap.Stringer("Caller", addr), zap.Int("Max", most))
-	}}
+	return &link.ConnLimit{Max: most, Clock: h.Clock, OnClose: link.ReportClosed(h.Log, h.Metrics, "Callers", most)}
 }
 
 // setBodyDeadline bounds the time for reading the body of a request. It also
--- a/internal/link/connlimit.go
+++ b/internal/link/connlimit.go
@@ -7,19 +7,21 @@
 	"time"
 
 	"berylswitch.example/berylswitch/internal/clock"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 )
 
-// ConnLimit bounds the open connections of a Server, so that callers that open many and
+// ConnLimit bounds the open connections of a server, so that callers that open many and
 // leave them idle or send nothing take neither all descriptors nor all memory. When there
 // are more than Max, the one that has been unused longest is closed; if all others carry a
 // request, the new one is. Exported fields must be set before the server starts.
 type ConnLimit struct {
-	Max int
+	Max   int
+	Clock *clock.Service
 	// OnClose, unless nil, is called for each connection that is closed beyond Max. refused
 	// is set if it is the new one.
 	OnClose func(addr net.Addr, refused bool)
 
-	clock *clock.Service
 	mu    sync.Mutex
 	conns map[net.Conn]connUse
 }
@@ -40,8 +42,9 @@
 	return u.since.Before(other.since)
 }
 
-// record records a new state of c, and makes room if c is new.
-func (l *ConnLimit) record(c net.Conn, state http.ConnState) {
+// Record records a new state of c, and makes room if c is new. A Server calls it for its
+// connections; other servers use the states of net/http in the same sense.
+func (l *ConnLimit) Record(c net.Conn, state http.ConnState) {
 	if victim := l.update(c, state); victim != nil {
 		if l.OnClose != nil {
 			l.OnClose(victim.RemoteAddr(), victim == c)
@@ -60,7 +63,7 @@
 		if l.conns == nil {
 			l.conns = map[net.Conn]connUse{}
 		}
-		l.conns[c] = connUse{state, l.clock.Now()}
+		l.conns[c] = connUse{state, l.Clock.Now()}
 		if len(l.conns) > l.Max {
 			victim := l.longestUnused(c)
 			// The server removes it later; until then it must not count.
@@ -71,7 +74,7 @@
 		delete(l.conns, c)
 	default:
 		if _, ok := l.conns[c]; ok {
-			l.conns[c] = connUse{state, l.clock.Now()}
+			l.conns[c] = connUse{state, l.Clock.Now()}
 		}
 	}
 	return nil
@@ -88,3 +91,16 @@
 	}
 	return victim
 }
+
+// ReportClosed returns an OnClose that logs and counts what is closed at a limit of max
+// connections. listener names who connects there.
+func ReportClosed(log *zap.Logger, registry metrics.Registry, listener string, max int) func(addr net.Addr, refused bool) {
+	return func(addr net.Addr, refused bool) {
+		message, counter := "connection closed for another one", "Connections.Closed"
+		if refused {
+			message, counter = "connection refused", "Connections.Refused"
+		}
+		metrics.GetOrRegisterCounter(counter, registry).Inc(1)
+		log.Warn(message, zap.String("Listener", listener), zap.Stringer("Caller", addr), zap.Int("Max", max))
+	}
+}
--- a/internal/link/connlimit_test.go
+++ b/internal/link/connlimit_test.go
@@ -32,7 +32,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var closed []string
 		refused := 0
-		l := &ConnLimit{Max: 3, clock: &clock.Service{}, OnClose: func(_ net.Addr, r bool) {
+		l := &ConnLimit{Max: 3, Clock: &clock.Service{}, OnClose: func(_ net.Addr, r bool) {
 			if r {
 				refused++
 			}
@@ -40,7 +40,7 @@
 		open := func(name string, states ...http.ConnState) *namedConn {
 			c := &namedConn{name: name, closed: &closed}
 			for _, s := range append([]http.ConnState{http.StateNew}, states...) {
-				l.record(c, s)
+				l.Record(c, s)
 			}
 			time.Sleep(time.Second)
 			return c
@@ -55,8 +55,8 @@
 		if diff := cmp.Diff([]string{"silent", "another silent", "served", "one too many"}, closed); diff != "" || refused != 1 {
 			t.Errorf("%d refused, closed (-want +got):\n%s", refused, diff)
 		}
-		l.record(served, http.StateClosed)
-		l.record(busy, http.StateClosed)
+		l.Record(served, http.StateClosed)
+		l.Record(busy, http.StateClosed)
 		open("after the end of another one")
 		if len(closed) != 4 {
 			t.Errorf("closed %q although there was room", closed[4:])
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -35,9 +35,6 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve() error {
-	if s.Limit != nil {
-		s.Limit.clock = s.clock
-	}
 	defer close(s.served)
 	return IgnoreClosed(s.http.Serve(s.listener))
 }
@@ -45,7 +42,7 @@
 // countConn is the ConnState hook of the HTTP server.
 func (s *Server) countConn(c net.Conn, state http.ConnState) {
 	if s.Limit != nil {
-		s.Limit.record(c, state)
+		s.Limit.Record(c, state)
 	}
 	switch state {
 	case http.StateNew:
--- a/internal/settings/connections.go
+++ b/internal/settings/connections.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"time"
+
 	"berylswitch.example/berylswitch/internal/link"
 )
 
@@ -19,6 +21,10 @@
 //     answered. All sends of the request share it, and no other host gets a copy;
 //   - the response, within ResponseBytes or StreamBytes, until the caller has taken it, and
 //     unread bytes of the target's connection up to TargetReceiveBuffer.MostUnread.
+//
+// A connection to the listener for load balancers or for metrics holds a descriptor,
+// a header of ProbeHeaderBytes and unread bytes up to CallerReceiveBuffer.MostUnread, for
+// at most ProbeTime a request. ProbeConns limits their number at each.
 
 // Receive buffers.
 const (
@@ -43,8 +49,15 @@
 	// connections may take. A request needs one more at its target; other hosts and idle
 	// connections to targets share the rest.
 	connFDShare = 1.0 / 3
-	// reservedFDs are the descriptors for files, listeners and the store.
+	// reservedFDs are the descriptors for files, listeners, probes and the store.
 	reservedFDs = 200
+
+	// ProbeConns is the maximum number of connections to each of the listeners for load
+	// balancers and for metrics, ProbeTime the time for a request there, and
+	// ProbeHeaderBytes the maximum size of its header.
+	ProbeConns       = 32
+	ProbeTime        = 3 * time.Second
+	ProbeHeaderBytes = 4 << 10
 )
 
 // connBytes returns the memory that a caller's connection may take besides what the limits
