peer: the listener for other hosts keeps a bounded number of connections

What callers saw: connections to the listener for other hosts, which nothing bounded, took all descriptors of a process; it then answered no caller.

Change: MaxPeerConns, for a gateway by default half of what callers' connections and as many to targets leave of the descriptors (1,024 at 2,870 descriptors and 136 MB), for berylswitch serve a fifth of the descriptors, at most two for each of 1,024 hosts. Beyond it the connection that has been unused longest is closed, those that never brought a call first; connections with a call in progress stay. A host needs one connection from each other host.

Why it works: the limit of link.ConnLimit is now that of peers too, with states that the codec records.

Not covered: connections of hosts that do bring calls count against the same limit.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -135,7 +135,7 @@
 	h.streamMemory = &memory.Budget{Bytes: h.limits.StreamBytes}
 	h.ResponseMemory.Relieve = h.conns.endUnreadResponse
 	h.ResponseMemory.Wait = responseMemoryWait
-	h.Log.Info("limits on callers", zap.Int("Connections", h.limits.MaxConns),
+	h.Log.Info("limits on callers", zap.Int("Connections", h.limits.MaxConns), zap.Int("PeerConnections", h.limits.PeerConns),
 		zap.Int("ReceiveBuffer", int(settings.CallerReceiveBuffer)), zap.Int("ReceiveBufferGranted", granted), zap.Int64("SmallBodyBytes", h.limits.SmallBodyBytes),
 		zap.Int64("BodyBytes", h.limits.BodyBytes), zap.Int64("ResponseBytes", h.limits.ResponseBytes), zap.Int64("StreamBytes", h.limits.StreamBytes),
 		zap.Int64("HeaderBytes", h.limits.HeaderBytes), zap.Int64("StreamBufferBytes", h.limits.StreamBufferBytes), zap.Duration("HeaderWait", h.limits.HeaderWait), zap.Duration("BodyPause", h.limits.BodyPause), zap.Duration("WritePause", h.limits.WritePause))
@@ -170,6 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
+	h.PeerServer.Limit = h.connLimit("Peers", h.limits.PeerConns)
 	g.Go(func() error { return h.PeerServer.Serve(peers) })
 	g.Go(func() error { <-h.callerServer.closed(); peers.Close(); return nil })
 	return h.listenForProbes(g)
--- a/internal/host/limits.go
+++ b/internal/host/limits.go
@@ -43,10 +43,9 @@
 	}
 }
 
-// connLimit returns the limit on callers' connections.
-func (h *Host) connLimit() *link.ConnLimit {
-	most := h.Settings.MaxConnections()
-	return &link.ConnLimit{Max: most, Clock: h.Clock, OnClose: link.ReportClosed(h.Log, h.Metrics, "Callers", most)}
+// connLimit returns a limit on the connections of a listener.
+func (h *Host) connLimit(listener string, max int) *link.ConnLimit {
+	return &link.ConnLimit{Max: max, Clock: h.Clock, OnClose: link.ReportClosed(h.Log, h.Metrics, listener, max)}
 }
 
 // setBodyDeadline bounds the time for reading the body of a request. It also
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/gob"
 	"net"
+	"net/http"
 	"net/rpc"
 	"sync/atomic"
 )
@@ -11,19 +12,23 @@
 // codec is the gob codec of net/rpc. It also counts the calls that are being
 // served, so that a shutdown can wait for them.
 type codec struct {
-	conn    net.Conn
-	dec     *gob.Decoder
-	enc     *gob.Encoder
-	buf     *bufio.Writer
-	running *atomic.Int64
+	conn   net.Conn
+	dec    *gob.Decoder
+	enc    *gob.Encoder
+	buf    *bufio.Writer
+	server *Server
+	// accepted is the connection as the server knows it, running the number of its calls
+	// that are being served.
+	accepted net.Conn
+	running  atomic.Int64
 }
 
 var _ rpc.ServerCodec = (*codec)(nil)
 
-func newCodec(conn net.Conn, running *atomic.Int64) *codec {
-	conn = &limitedConn{Conn: conn}
+func newCodec(accepted net.Conn, s *Server) *codec {
+	conn := &limitedConn{Conn: accepted}
 	buf := bufio.NewWriter(conn)
-	return &codec{conn: conn, dec: gob.NewDecoder(conn), enc: gob.NewEncoder(buf), buf: buf, running: running}
+	return &codec{conn: conn, dec: gob.NewDecoder(conn), enc: gob.NewEncoder(buf), buf: buf, server: s, accepted: accepted}
 }
 
 // ReadRequestHeader reads a header. The call counts as running from then on.
@@ -31,17 +36,32 @@
 	if err := c.dec.Decode(r); err != nil {
 		return err
 	}
-	c.running.Add(1)
+	c.begin()
 	return nil
 }
 
+// begin records that a call begins.
+func (c *codec) begin() {
+	c.server.running.Add(1)
+	c.running.Add(1)
+	c.server.record(c.accepted, http.StateActive)
+}
+
+// end records that a call has ended.
+func (c *codec) end() {
+	c.server.running.Add(-1)
+	if c.running.Add(-1) == 0 {
+		c.server.record(c.accepted, http.StateIdle)
+	}
+}
+
 // ReadRequestBody reads the arguments.
 func (c *codec) ReadRequestBody(body any) error { return c.dec.Decode(body) }
 
 // WriteResponse writes a response and ends the call. net/rpc writes one response
 // for each header that was read, even if the arguments could not be read.
 func (c *codec) WriteResponse(r *rpc.Response, body any) error {
-	defer c.running.Add(-1)
+	defer c.end()
 	err := c.enc.Encode(r)
 	if err == nil {
 		err = c.enc.Encode(body)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,15 +3,20 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+
+	"berylswitch.example/berylswitch/internal/link"
 )
 
 // Server serves the RPC services of a host to its peers. Exported fields are
 // set before Serve is called.
 type Server struct {
 	RPC *rpc.Server
+	// Limit, unless nil, bounds the open connections.
+	Limit *link.ConnLimit
 
 	mu     sync.Mutex
 	closed bool
@@ -36,6 +41,7 @@
 			conn.Close()
 			return nil
 		}
+		s.record(conn, http.StateNew)
 		go s.serve(conn)
 	}
 }
@@ -53,8 +59,16 @@
 	return true
 }
 
+// record tells the limit on connections of the state of conn.
+func (s *Server) record(conn net.Conn, state http.ConnState) {
+	if s.Limit != nil {
+		s.Limit.Record(conn, state)
+	}
+}
+
 func (s *Server) serve(conn net.Conn) {
-	s.RPC.ServeCodec(newCodec(conn, &s.running))
+	s.RPC.ServeCodec(newCodec(conn, s))
+	s.record(conn, http.StateClosed)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
--- a/internal/settings/callerlimits.go
+++ b/internal/settings/callerlimits.go
@@ -11,10 +11,12 @@
 // ones, so that large bodies can't make small ones fail.
 const SmallBodyBytes = 64 << 10
 
-// CallerLimits holds the limits on what callers, including slow readers, can take of a
-// process.
+// CallerLimits holds the limits on what callers, including slow readers, and other hosts can
+// take of a process.
 type CallerLimits struct {
 	MaxConns int
+	// PeerConns is the maximum number of connections of other hosts.
+	PeerConns int
 	// The memory for bodies of requests, responses, events that callers have not
 	// read, the events of one stream, and lines of headers.
 	SmallBodyBytes, BodyBytes, ResponseBytes, StreamBytes, StreamBufferBytes, HeaderBytes int64
@@ -54,6 +56,7 @@
 	}
 	l := CallerLimits{
 		MaxConns:          g.MaxConns,
+		PeerConns:         g.MaxPeerConns,
 		SmallBodyBytes:    bytes(g.SmallBodyMemoryMB, smallBodyMemoryShare),
 		BodyBytes:         bytes(g.BodyMemoryMB, bodyMemoryShare),
 		ResponseBytes:     bytes(g.ResponseMemoryMB, responseMemoryShare),
@@ -68,6 +71,9 @@
 	if l.MaxConns == 0 {
 		l.MaxConns = g.defaultMaxConns(int64(granted))
 	}
+	if l.PeerConns == 0 {
+		l.PeerConns = g.defaultPeerConns(l.MaxConns)
+	}
 	if l.StreamBufferBytes == 0 {
 		l.StreamBufferBytes = streamBufferBytes
 	}
@@ -117,6 +123,9 @@
 	if g.MaxConns < 0 {
 		r.Report("MaxConns", "must not be negative, is %d", g.MaxConns)
 	}
+	if g.MaxPeerConns < 0 {
+		r.Report("MaxPeerConns", "must not be negative, is %d", g.MaxPeerConns)
+	}
 	for _, m := range []struct {
 		field string
 		value float64
--- a/internal/settings/connections.go
+++ b/internal/settings/connections.go
@@ -25,6 +25,9 @@
 // A connection to the listener for load balancers or for metrics holds a descriptor,
 // a header of ProbeHeaderBytes and unread bytes up to CallerReceiveBuffer.MostUnread, for
 // at most ProbeTime a request. ProbeConns limits their number at each.
+//
+// A connection of another host holds a descriptor, unread bytes up to
+// CallerReceiveBuffer.MostUnread and one message. PeerConns limits their number.
 
 // Receive buffers.
 const (
@@ -76,3 +79,10 @@
 	byMemory := connMemoryShare * bytesPerMB * g.MemoryMB / connBytes(granted)
 	return max(1, int(min(byFDs, byMemory)))
 }
+
+// defaultPeerConns returns half of the descriptors that callers' connections, and as many
+// to targets, leave.
+func (g *Gateway) defaultPeerConns(callerConns int) int {
+	const connsPerCaller = 2
+	return max(1, (int(g.maxFDs())-reservedFDs-connsPerCaller*callerConns)/2)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,9 @@
 	// MaxConns is the maximum number of callers' connections. Zero means a default, which
 	// MaxConnections computes.
 	MaxConns int `json:",omitempty"`
+	// MaxPeerConns is the maximum number of connections of other hosts. Zero means a
+	// default, which MaxPeerConnections computes.
+	MaxPeerConns int `json:",omitempty"`
 }
 
 // Peer is another host that this one contacts first.
@@ -68,7 +71,7 @@
 	DefaultDrainTimeout = 30 * time.Second
 )
 
-// Defaults of MaxConns.
+// Defaults of MaxConns and MaxPeerConns.
 const (
 	// defaultMaxConns is a quarter more than the requests that a host runs at most (8,192),
 	// so that callers may keep idle connections. At 35 KB each, as with a header that stops
@@ -77,6 +80,11 @@
 	// serveFDShare is the part of the descriptors beyond reservedFDs that callers'
 	// connections may take. A request needs as many at its targets.
 	serveFDShare = 0.5
+	// servePeerFDShare is the part for connections of other hosts, of which at most
+	// maxServePeerConns are allowed: two for each host, as one that has gone silent is
+	// replaced before it ends.
+	servePeerFDShare  = 0.2
+	maxServePeerConns = 2 * maxPeers
 )
 
 // Limits on the values in a settings file.
@@ -131,6 +139,9 @@
 	if s.MaxConns < 0 {
 		r.Report("MaxConns", "must not be negative, is %d", s.MaxConns)
 	}
+	if s.MaxPeerConns < 0 {
+		r.Report("MaxPeerConns", "must not be negative, is %d", s.MaxPeerConns)
+	}
 	checkDrainTime(r, "DrainDelay", s.DrainDelay)
 	checkDrainTime(r, "DrainTimeout", s.DrainTimeout)
 	if d := time.Duration(s.SnapshotAge); d != 0 && d < minSnapshotAge {
@@ -192,3 +203,11 @@
 func defaultConnections(fds float64) int {
 	return max(1, min(defaultMaxConns, int(serveFDShare*(fds-reservedFDs))))
 }
+
+// MaxPeerConnections returns the maximum number of connections of other hosts.
+func (s *Settings) MaxPeerConnections() int {
+	if s.MaxPeerConns > 0 {
+		return s.MaxPeerConns
+	}
+	return max(1, min(maxServePeerConns, int(servePeerFDShare*(processFDs()-reservedFDs))))
+}
