peer: messages that are being received share a budget

What callers saw: connections to the listener for other hosts that each send most of a large message made a host exceed its memory, for as long as they liked.

Cause: a message may have 16 MiB, the gob decoder's buffer grows with what arrives, and neither the sum over connections nor the time had a bound.

Change: messages above 64 KiB take their announced length from a budget (PeerMemoryMB, by default 0.05 of the memory; 64 MiB in berylswitch serve) before their bytes are read, and return it when the decoder has read them. Beyond it the connection is closed, and its sender connects again at its next call. A message must be complete 10 s after its first byte. Heartbeats and other small messages take nothing.

Why it works: memory is taken when the length is known, before the decoder gets a byte.

Not covered: the decoder of a connection keeps the buffer of its largest message, and replies that a host gets from the hosts it calls are limited to 16 MiB each, not together.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -138,7 +138,7 @@
 	h.Log.Info("limits on callers", zap.Int("Connections", h.limits.MaxConns), zap.Int("PeerConnections", h.limits.PeerConns),
 		zap.Int("ReceiveBuffer", int(settings.CallerReceiveBuffer)), zap.Int("ReceiveBufferGranted", granted), zap.Int64("SmallBodyBytes", h.limits.SmallBodyBytes),
 		zap.Int64("BodyBytes", h.limits.BodyBytes), zap.Int64("ResponseBytes", h.limits.ResponseBytes), zap.Int64("StreamBytes", h.limits.StreamBytes),
-		zap.Int64("HeaderBytes", h.limits.HeaderBytes), zap.Int64("StreamBufferBytes", h.limits.StreamBufferBytes), zap.Duration("HeaderWait", h.limits.HeaderWait), zap.Duration("BodyPause", h.limits.BodyPause), zap.Duration("WritePause", h.limits.WritePause))
+		zap.Int64("HeaderBytes", h.limits.HeaderBytes), zap.Int64("PeerBytes", h.limits.PeerBytes), zap.Int64("StreamBufferBytes", h.limits.StreamBufferBytes), zap.Duration("HeaderWait", h.limits.HeaderWait), zap.Duration("BodyPause", h.limits.BodyPause), zap.Duration("WritePause", h.limits.WritePause))
 }
 
 // join runs the exchange once this host has read the configuration: a member may
@@ -171,6 +171,7 @@
 		return nil, err
 	}
 	h.PeerServer.Limit = h.connLimit("Peers", h.limits.PeerConns)
+	h.PeerServer.Memory = &memory.Budget{Bytes: h.limits.PeerBytes}
 	g.Go(func() error { return h.PeerServer.Serve(peers) })
 	g.Go(func() error { <-h.callerServer.closed(); peers.Close(); return nil })
 	return h.listenForProbes(g)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -80,6 +80,7 @@
 	h.server = link.NewServer(h.Clock, newServer(h.handler()), &callerListener{h.callerListener, h.Clock})
 	h.server.Limit = h.connLimit("Callers", h.Settings.MaxConnections())
 	h.PeerServer.Limit = h.connLimit("Peers", h.Settings.MaxPeerConnections())
+	h.PeerServer.Memory = &memory.Budget{Bytes: maxPeerMessageBytes}
 	g, groupCtx := errgroup.WithContext(background)
 	g.Go(func() error { return h.Follower.Run(groupCtx) })
 	g.Go(func() error { return h.Exchange.Run(groupCtx) })
--- a/internal/host/limits.go
+++ b/internal/host/limits.go
@@ -24,6 +24,9 @@
 	// or in use at the same time. Nothing else of a host takes as much of SoftMemoryBytes.
 	maxBodiesBytes = SoftMemoryBytes / 4
 	smallBodyBytes = 64 << 10
+	// maxPeerMessageBytes bounds the memory of large messages of other hosts that are being
+	// received.
+	maxPeerMessageBytes = SoftMemoryBytes / 16
 	// minBodyCapacity is the capacity of the first buffer for a body.
 	minBodyCapacity = 1 << 10
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -27,6 +27,9 @@
 
 func newCodec(accepted net.Conn, s *Server) *codec {
 	conn := &limitedConn{Conn: accepted}
+	if s.Memory != nil {
+		conn.memory = s.Memory.NewAllowance()
+	}
 	buf := bufio.NewWriter(conn)
 	return &codec{conn: conn, dec: gob.NewDecoder(conn), enc: gob.NewEncoder(buf), buf: buf, server: s, accepted: accepted}
 }
--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"time"
 
+	"berylswitch.example/berylswitch/internal/memory"
 	"github.com/zeebo/errs"
 )
 
@@ -10,12 +12,28 @@
 // configuration with all targets.
 const maxMessageBytes = 16 << 20
 
-var errMessageTooLarge = errs.New("message of a peer is too large")
+// Limits on what a caller of this host may leave incomplete.
+const (
+	// smallMessageBytes is the size up to which a message takes nothing from the budget for
+	// messages, so that large ones can't make heartbeats fail.
+	smallMessageBytes = 64 << 10
+	// messageTimeout is the time for the rest of a message of which a part has come.
+	messageTimeout = 10 * time.Second
+)
+
+// Errors of messages.
+var (
+	errMessageTooLarge = errs.New("message of a peer is too large")
+	errNoMessageMemory = errs.New("no memory is left for the message of a peer")
+)
 
 // limitedConn is a connection that fails to read once a gob message announces
 // more than maxMessageBytes. The gob decoder alone takes messages of up to 1 GB.
 type limitedConn struct {
 	net.Conn
+	// memory, unless nil, accounts for the message that is being received, whose time is
+	// then limited too.
+	memory *memory.Allowance
 	// messageLeft is the number of bytes of the present message that are still to
 	// come.
 	messageLeft uint64
@@ -23,19 +41,51 @@
 	// to come, length its bytes so far.
 	lengthLeft int
 	length     uint64
+	// timed is set while the time for the rest of a message is limited.
+	timed bool
 }
 
 // Read reads from the connection.
 func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.memory != nil && c.messageLeft == 0 {
+		// The decoder reads on when it has decoded the last message.
+		c.memory.Release()
+	}
 	n, err := c.Conn.Read(p)
-	if !c.follow(p[:n]) {
-		return 0, errMessageTooLarge
+	if err := c.follow(p[:n]); err != nil {
+		return 0, err
+	}
+	if c.memory != nil {
+		c.limitTime()
 	}
 	return n, err
 }
 
-// follow reports whether the messages that b continues keep to the limit.
-func (c *limitedConn) follow(b []byte) bool {
+// Close closes the connection and returns its memory.
+func (c *limitedConn) Close() error {
+	if c.memory != nil {
+		c.memory.Release()
+	}
+	return c.Conn.Close()
+}
+
+// limitTime limits the time of a message that is incomplete, and ends the limit after it.
+func (c *limitedConn) limitTime() {
+	incomplete := c.messageLeft > 0 || c.lengthLeft > 0
+	if incomplete == c.timed {
+		return
+	}
+	c.timed = incomplete
+	until := time.Time{}
+	if incomplete {
+		until = time.Now().Add(messageTimeout)
+	}
+	// An error means that the connection is closed, which the next Read reports.
+	_ = c.SetReadDeadline(until)
+}
+
+// follow returns an error unless the messages that b continues keep to the limits.
+func (c *limitedConn) follow(b []byte) error {
 	for len(b) > 0 {
 		if c.messageLeft > 0 {
 			n := min(c.messageLeft, uint64(len(b)))
@@ -45,11 +95,22 @@
 		}
 		c.readLength(b[0])
 		b = b[1:]
-		if c.messageLeft > maxMessageBytes {
-			return false
+		if err := c.beginMessage(); err != nil {
+			return err
 		}
 	}
-	return true
+	return nil
+}
+
+// beginMessage takes the memory for the next message, if its length is known and large.
+func (c *limitedConn) beginMessage() error {
+	if c.messageLeft > maxMessageBytes {
+		return errMessageTooLarge
+	}
+	if c.memory != nil && c.messageLeft > smallMessageBytes && !c.memory.Take(int64(c.messageLeft)) {
+		return errNoMessageMemory
+	}
+	return nil
 }
 
 // readLength takes one byte of a message's length. A length below 128 is one byte;
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -6,8 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"berylswitch.example/berylswitch/internal/memory"
 )
 
 // bytesConn is a connection from which given bytes are read.
@@ -49,3 +54,89 @@
 		t.Errorf("message over the limit: error %v", err)
 	}
 }
+
+// encoded returns the gob messages of slices of the given sizes.
+func encoded(t *testing.T, sizes ...int) []byte {
+	t.Helper()
+	var stream bytes.Buffer
+	enc := gob.NewEncoder(&stream)
+	for _, n := range sizes {
+		if err := enc.Encode(make([]byte, n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return stream.Bytes()
+}
+
+// TestMessageMemory checks that large messages share a budget, which a connection returns
+// when it reads on after a message and when it is closed, and that small ones need none. It
+// guards against a message on each of many connections, which together exceed the host's
+// memory.
+func TestMessageMemory(t *testing.T) {
+	const large = 3 * smallMessageBytes
+	budget := &memory.Budget{Bytes: 5 * smallMessageBytes}
+	receive := func(text []byte) (*limitedConn, *gob.Decoder) {
+		near, far := net.Pipe()
+		go far.Write(text)
+		t.Cleanup(func() { far.Close() })
+		c := &limitedConn{Conn: near, memory: budget.NewAllowance()}
+		return c, gob.NewDecoder(c)
+	}
+	var got []byte
+	first, dec := receive(encoded(t, large, 1, large))
+	for range 3 {
+		if err := dec.Decode(&got); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if used := budget.Used(); used < large {
+		t.Errorf("%d bytes are counted for a message of %d bytes", used, large)
+	}
+	second, dec := receive(encoded(t, smallMessageBytes/2, large))
+	if err := dec.Decode(&got); err != nil {
+		t.Errorf("a small message: %v", err)
+	}
+	if err := dec.Decode(&got); !errors.Is(err, errNoMessageMemory) {
+		t.Errorf("a large message without memory: error %v", err)
+	}
+	first.Close()
+	second.Close()
+	if used := budget.Used(); used != 0 {
+		t.Errorf("%d bytes are counted for closed connections", used)
+	}
+}
+
+// TestMessageTimeout checks that a message that stops before its end ends its connection,
+// and that a connection may be idle between messages. It guards against connections that
+// hold the memory of a message for as long as their senders like.
+func TestMessageTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := &memory.Budget{Bytes: maxMessageBytes}
+		near, far := net.Pipe()
+		defer far.Close()
+		c := &limitedConn{Conn: near, memory: budget.NewAllowance()}
+		defer c.Close()
+		dec := gob.NewDecoder(c)
+		go func() {
+			text := encoded(t, 2*smallMessageBytes, 1)
+			far.Write(text[:smallMessageBytes])
+			time.Sleep(messageTimeout / 2)
+			far.Write(text[smallMessageBytes:])
+			time.Sleep(10 * messageTimeout)
+			far.Write(encoded(t, 2*smallMessageBytes)[:smallMessageBytes])
+		}()
+		var got []byte
+		for range 2 {
+			if err := dec.Decode(&got); err != nil {
+				t.Fatal(err)
+			}
+		}
+		start := time.Now()
+		if err := dec.Decode(&got); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("an incomplete message: error %v", err)
+		}
+		if took, want := time.Since(start), 11*messageTimeout; took != want {
+			t.Errorf("the connection failed after %v, want %v", took, want)
+		}
+	})
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"berylswitch.example/berylswitch/internal/link"
+	"berylswitch.example/berylswitch/internal/memory"
 )
 
 // Server serves the RPC services of a host to its peers. Exported fields are
@@ -17,6 +18,8 @@
 	RPC *rpc.Server
 	// Limit, unless nil, bounds the open connections.
 	Limit *link.ConnLimit
+	// Memory, unless nil, bounds the memory of large messages that are being received.
+	Memory *memory.Budget
 
 	mu     sync.Mutex
 	closed bool
--- a/internal/settings/callerlimits.go
+++ b/internal/settings/callerlimits.go
@@ -15,8 +15,10 @@
 // take of a process.
 type CallerLimits struct {
 	MaxConns int
-	// PeerConns is the maximum number of connections of other hosts.
+	// PeerConns is the maximum number of connections of other hosts, PeerBytes the memory
+	// for their incomplete messages.
 	PeerConns int
+	PeerBytes int64
 	// The memory for bodies of requests, responses, events that callers have not
 	// read, the events of one stream, and lines of headers.
 	SmallBodyBytes, BodyBytes, ResponseBytes, StreamBytes, StreamBufferBytes, HeaderBytes int64
@@ -57,6 +59,7 @@
 	l := CallerLimits{
 		MaxConns:          g.MaxConns,
 		PeerConns:         g.MaxPeerConns,
+		PeerBytes:         bytes(g.PeerMemoryMB, peerMemoryShare),
 		SmallBodyBytes:    bytes(g.SmallBodyMemoryMB, smallBodyMemoryShare),
 		BodyBytes:         bytes(g.BodyMemoryMB, bodyMemoryShare),
 		ResponseBytes:     bytes(g.ResponseMemoryMB, responseMemoryShare),
@@ -132,6 +135,7 @@
 	}{
 		{"SmallBodyMemoryMB", g.SmallBodyMemoryMB}, {"BodyMemoryMB", g.BodyMemoryMB}, {"ResponseMemoryMB", g.ResponseMemoryMB},
 		{"StreamMemoryMB", g.StreamMemoryMB}, {"StreamBufferKB", g.StreamBufferKB / 1e3}, {"HeaderMemoryMB", g.HeaderMemoryMB},
+		{"PeerMemoryMB", g.PeerMemoryMB},
 	} {
 		if m.value < 0 || m.value > g.MemoryMB {
 			r.Report(m.field, "must not be negative or exceed MemoryMB")
--- a/internal/settings/connections.go
+++ b/internal/settings/connections.go
@@ -27,7 +27,8 @@
 // at most ProbeTime a request. ProbeConns limits their number at each.
 //
 // A connection of another host holds a descriptor, unread bytes up to
-// CallerReceiveBuffer.MostUnread and one message. PeerConns limits their number.
+// CallerReceiveBuffer.MostUnread and one message, within PeerBytes. PeerConns limits their
+// number.
 
 // Receive buffers.
 const (
@@ -61,6 +62,9 @@
 	ProbeConns       = 32
 	ProbeTime        = 3 * time.Second
 	ProbeHeaderBytes = 4 << 10
+
+	// peerMemoryShare is the part of the memory for incomplete messages of other hosts.
+	peerMemoryShare = 0.05
 )
 
 // connBytes returns the memory that a caller's connection may take besides what the limits
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -91,8 +91,10 @@
 	BodyTime  declaration.Duration `json:",omitempty"`
 	// WritePause is the longest time for which a caller takes no byte of a response.
 	WritePause declaration.Duration `json:",omitempty"`
-	// MaxPeerConns is the maximum number of connections of other hosts.
-	MaxPeerConns int `json:",omitempty"`
+	// MaxPeerConns is the maximum number of connections of other hosts, PeerMemoryMB the
+	// memory for their incomplete messages.
+	MaxPeerConns int     `json:",omitempty"`
+	PeerMemoryMB float64 `json:",omitempty"`
 }
 
 // heapFraction is the garbage collector's soft limit as a fraction of the
