peer: each message has a time of its own, and refusals are logged

The limit on the time of a message began with the first one that a read left incomplete, and ran on while each further read ended within a later message too: a connection that is busy for 10 s would have been closed. Found by reading the change; TestBusyConnectionHasNoTimeout fails on it (i/o timeout) and passes now.

A connection that ends because of a message without memory, too large or late now leaves a log line and counts in Peers.MessagesRefused.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -172,6 +172,7 @@
 	}
 	h.PeerServer.Limit = h.connLimit("Peers", h.limits.PeerConns)
 	h.PeerServer.Memory = &memory.Budget{Bytes: h.limits.PeerBytes}
+	h.PeerServer.OnRefuse = peer.ReportRefused(h.Log, h.Metrics)
 	g.Go(func() error { return h.PeerServer.Serve(peers) })
 	g.Go(func() error { <-h.callerServer.closed(); peers.Close(); return nil })
 	return h.listenForProbes(g)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -81,6 +81,7 @@
 	h.server.Limit = h.connLimit("Callers", h.Settings.MaxConnections())
 	h.PeerServer.Limit = h.connLimit("Peers", h.Settings.MaxPeerConnections())
 	h.PeerServer.Memory = &memory.Budget{Bytes: maxPeerMessageBytes}
+	h.PeerServer.OnRefuse = peer.ReportRefused(h.Log, h.Metrics)
 	g, groupCtx := errgroup.WithContext(background)
 	g.Go(func() error { return h.Follower.Run(groupCtx) })
 	g.Go(func() error { return h.Exchange.Run(groupCtx) })
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"encoding/gob"
+	"errors"
 	"net"
 	"net/http"
 	"net/rpc"
+	"os"
 	"sync/atomic"
 )
 
@@ -37,6 +39,7 @@
 // ReadRequestHeader reads a header. The call counts as running from then on.
 func (c *codec) ReadRequestHeader(r *rpc.Request) error {
 	if err := c.dec.Decode(r); err != nil {
+		c.reportRefused(err)
 		return err
 	}
 	c.begin()
@@ -59,7 +62,19 @@
 }
 
 // ReadRequestBody reads the arguments.
-func (c *codec) ReadRequestBody(body any) error { return c.dec.Decode(body) }
+func (c *codec) ReadRequestBody(body any) error {
+	err := c.dec.Decode(body)
+	c.reportRefused(err)
+	return err
+}
+
+// reportRefused tells the server if err is that of a limit on messages.
+func (c *codec) reportRefused(err error) {
+	refused := errors.Is(err, errMessageTooLarge) || errors.Is(err, errNoMessageMemory) || errors.Is(err, os.ErrDeadlineExceeded)
+	if refused && c.server.OnRefuse != nil {
+		c.server.OnRefuse(c.accepted.RemoteAddr(), err)
+	}
+}
 
 // WriteResponse writes a response and ends the call. net/rpc writes one response
 // for each header that was read, even if the arguments could not be read.
--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -41,8 +41,9 @@
 	// to come, length its bytes so far.
 	lengthLeft int
 	length     uint64
-	// timed is set while the time for the rest of a message is limited.
-	timed bool
+	// timed is set while the time of the present message is limited, hasDeadline while the
+	// connection has a read deadline.
+	timed, hasDeadline bool
 }
 
 // Read reads from the connection.
@@ -69,17 +70,22 @@
 	return c.Conn.Close()
 }
 
-// limitTime limits the time of a message that is incomplete, and ends the limit after it.
+// limitTime limits the time of a message that is incomplete, from its first byte, and ends
+// the limit after it.
 func (c *limitedConn) limitTime() {
 	incomplete := c.messageLeft > 0 || c.lengthLeft > 0
-	if incomplete == c.timed {
-		return
+	switch {
+	case incomplete && !c.timed:
+		c.setDeadline(time.Now().Add(messageTimeout))
+	case !incomplete && c.hasDeadline:
+		c.setDeadline(time.Time{})
 	}
 	c.timed = incomplete
-	until := time.Time{}
-	if incomplete {
-		until = time.Now().Add(messageTimeout)
-	}
+}
+
+// setDeadline sets the read deadline, or none if until is zero.
+func (c *limitedConn) setDeadline(until time.Time) {
+	c.hasDeadline = !until.IsZero()
 	// An error means that the connection is closed, which the next Read reports.
 	_ = c.SetReadDeadline(until)
 }
@@ -93,6 +99,9 @@
 			b = b[n:]
 			continue
 		}
+		if c.lengthLeft == 0 {
+			c.timed = false
+		}
 		c.readLength(b[0])
 		b = b[1:]
 		if err := c.beginMessage(); err != nil {
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -140,3 +141,39 @@
 		}
 	})
 }
+
+// TestBusyConnectionHasNoTimeout checks that each message has a time of its own. It guards
+// against a limit that runs on while one message after the other is read in parts.
+func TestBusyConnectionHasNoTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const messages, pause = 10, messageTimeout / 2
+		var writes sync.WaitGroup
+		defer writes.Wait()
+		budget := &memory.Budget{Bytes: maxMessageBytes}
+		near, far := net.Pipe()
+		defer far.Close()
+		c := &limitedConn{Conn: near, memory: budget.NewAllowance()}
+		defer c.Close()
+		sizes := make([]int, messages)
+		for i := range sizes {
+			sizes[i] = 1000
+		}
+		text := encoded(t, sizes...)
+		writes.Go(func() {
+			// Each part ends within a message.
+			for len(text) > 0 {
+				n := min(1500, len(text))
+				far.Write(text[:n])
+				text = text[n:]
+				time.Sleep(pause)
+			}
+		})
+		dec := gob.NewDecoder(c)
+		for range messages {
+			var got []byte
+			if err := dec.Decode(&got); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,8 @@
 
 	"berylswitch.example/berylswitch/internal/link"
 	"berylswitch.example/berylswitch/internal/memory"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 )
 
 // Server serves the RPC services of a host to its peers. Exported fields are
@@ -20,6 +22,9 @@
 	Limit *link.ConnLimit
 	// Memory, unless nil, bounds the memory of large messages that are being received.
 	Memory *memory.Budget
+	// OnRefuse, unless nil, is called when a connection ends because of a message that is
+	// too large, has no memory or is late.
+	OnRefuse func(peer net.Addr, err error)
 
 	mu     sync.Mutex
 	closed bool
@@ -89,3 +94,11 @@
 		conn.Close()
 	}
 }
+
+// ReportRefused returns an OnRefuse that logs and counts.
+func ReportRefused(log *zap.Logger, registry metrics.Registry) func(peer net.Addr, err error) {
+	return func(peer net.Addr, err error) {
+		metrics.GetOrRegisterCounter("Peers.MessagesRefused", registry).Inc(1)
+		log.Warn("message of a peer refused", zap.Stringer("Peer", peer), zap.Error(err))
+	}
+}
