gateway, link: an address with many connections loses its own first

What callers saw: a caller that opened more connections than a host keeps, each with a request and then idle, closed the kept connections of callers that had two or three.

Cause: of connections that had brought a request, the one that had been idle longest was closed, whoever held the others.

Change: connections of the address with the most, if it has more than an eighth of those allowed, come first; within them and after them the order is as before.

Why it works: an address below the eighth gives way only when no address is above it. Callers behind one address, as behind a load balancer that hides theirs, are treated as before.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 type callerConn struct {
 	net.Conn
 	conns *callerConns
+	// source is the address from which the connection comes.
+	source netip.Addr
 
 	mu    sync.Mutex
 	state connState
@@ -100,12 +103,17 @@
 // stall describes an idle or stalled connection. Stalls are ordered by which connection is
 // to be closed first.
 type stall struct {
+	// excess is that of the connection's source, when connections are compared.
+	excess int
 	served bool
 	since  time.Time
 }
 
 // before reports whether the connection of s is to be closed before that of other.
 func (s stall) before(other stall) bool {
+	if s.excess != other.excess {
+		return s.excess > other.excess
+	}
 	if s.served != other.served {
 		return other.served
 	}
@@ -116,7 +124,7 @@
 func (c *callerConn) stall(now time.Time) (stall, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at := stall{c.served, c.readAt}
+	at := stall{served: c.served, since: c.readAt}
 	if c.writing {
 		at.since = c.wroteAt
 	}
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -32,14 +32,15 @@
 	// HeaderLimit is the maximum size of a head in bytes.
 	HeaderLimit atomic.Int64
 
-	mu    sync.Mutex
-	conns map[*callerConn]struct{}
+	mu      sync.Mutex
+	conns   map[*callerConn]struct{}
+	sources link.Sources
 }
 
 // admit returns the connection that represents c, or nil if there are too many and none
 // of them is idle or has stalled. c is closed then.
 func (s *callerConns) admit(c net.Conn) net.Conn {
-	conn := &callerConn{Conn: c, conns: s, readAt: s.Clock.Now(), headerMemory: s.Headers.NewAllowance()}
+	conn := &callerConn{Conn: c, conns: s, source: link.SourceOf(c), readAt: s.Clock.Now(), headerMemory: s.Headers.NewAllowance()}
 	if !s.makeRoom() {
 		metrics.GetOrRegisterCounter("Connections.Refused", s.Metrics).Inc(1)
 		s.Log.Warn("connection refused", zap.Stringer("Caller", c.RemoteAddr()), zap.Int("Max", s.Max))
@@ -52,6 +53,7 @@
 		s.conns = map[*callerConn]struct{}{}
 	}
 	s.conns[conn] = struct{}{}
+	s.sources.Add(conn.source)
 	return conn
 }
 
@@ -81,12 +83,16 @@
 func (s *callerConns) remove(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, c)
+	if _, ok := s.conns[c]; ok {
+		delete(s.conns, c)
+		s.sources.Remove(c.source)
+	}
 }
 
 // longestStalled returns the connection that has been idle or stalled longest, of those
-// that fit, or nil. Connections that have never brought a complete request come first:
-// many new connections must not displace the idle ones of callers that have been served.
+// that fit, or nil. Connections of the source with the largest excess come first, then those
+// that have never brought a complete request: many new connections must not displace the idle
+// ones of callers that have been served.
 func (s *callerConns) longestStalled(fits func(*callerConn) bool) *callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,7 +100,9 @@
 	var victim *callerConn
 	var longest stall
 	for c := range s.conns {
-		if at, ok := c.stall(now); ok && fits(c) && (victim == nil || at.before(longest)) {
+		at, ok := c.stall(now)
+		at.excess = s.sources.Excess(c.source, s.Max)
+		if ok && fits(c) && (victim == nil || at.before(longest)) {
 			victim, longest = c, at
 		}
 	}
--- a/internal/link/connlimit.go
+++ b/internal/link/connlimit.go
@@ -22,20 +22,27 @@
 	// is set if it is the new one.
 	OnClose func(addr net.Addr, refused bool)
 
-	mu    sync.Mutex
-	conns map[net.Conn]connUse
+	mu      sync.Mutex
+	conns   map[net.Conn]connUse
+	sources Sources
 }
 
 // connUse is the use of a connection.
 type connUse struct {
 	state http.ConnState
 	since time.Time
+	// excess is that of its source, when connections are compared.
+	excess int
 }
 
 // before reports whether a connection with use u is to be closed before one with use
-// other. Those that never brought a request come first: many new connections must not
-// displace the idle ones of callers that have been served.
+// other. Those of the source with the largest excess come first, then those that never
+// brought a request: many new connections must not displace the idle ones of callers that
+// have been served.
 func (u connUse) before(other connUse) bool {
+	if u.excess != other.excess {
+		return u.excess > other.excess
+	}
 	if u.state != other.state {
 		return u.state == http.StateNew
 	}
@@ -63,28 +70,38 @@
 		if l.conns == nil {
 			l.conns = map[net.Conn]connUse{}
 		}
-		l.conns[c] = connUse{state, l.Clock.Now()}
+		l.conns[c] = connUse{state: state, since: l.Clock.Now()}
+		l.sources.Add(SourceOf(c))
 		if len(l.conns) > l.Max {
 			victim := l.longestUnused(c)
 			// The server removes it later; until then it must not count.
-			delete(l.conns, victim)
+			l.remove(victim)
 			return victim
 		}
 	case http.StateClosed, http.StateHijacked:
-		delete(l.conns, c)
+		l.remove(c)
 	default:
 		if _, ok := l.conns[c]; ok {
-			l.conns[c] = connUse{state, l.Clock.Now()}
+			l.conns[c] = connUse{state: state, since: l.Clock.Now()}
 		}
 	}
 	return nil
 }
 
+// remove ends the count of c; l.mu is held.
+func (l *ConnLimit) remove(c net.Conn) {
+	if _, ok := l.conns[c]; ok {
+		delete(l.conns, c)
+		l.sources.Remove(SourceOf(c))
+	}
+}
+
 // longestUnused returns the connection to be closed for the new one, which may be the new
 // one itself; l.mu is held.
 func (l *ConnLimit) longestUnused(added net.Conn) net.Conn {
 	victim, use := added, connUse{}
 	for c, u := range l.conns {
+		u.excess = l.sources.Excess(SourceOf(c), l.Max)
 		if c != added && u.state != http.StateActive && (victim == added || u.before(use)) {
 			victim, use = c, u
 		}
--- a/internal/link/connlimit_test.go
+++ b/internal/link/connlimit_test.go
@@ -15,6 +15,7 @@
 type namedConn struct {
 	net.Conn
 	name   string
+	source net.IP
 	closed *[]string
 }
 
@@ -23,7 +24,7 @@
 	return nil
 }
 
-func (c *namedConn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+func (c *namedConn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: c.source} }
 
 // TestConnLimit checks which connections give way to new ones. It guards against a limit
 // that closes connections in use, or those of served callers before those that never sent
@@ -63,3 +64,30 @@
 		}
 	})
 }
+
+// TestConnLimitSparesSmallSources checks that the source with the most connections beyond its
+// share loses its own first. It guards against a caller that displaces the idle connections
+// of all others by opening many.
+func TestConnLimitSparesSmallSources(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var closed []string
+		l := &ConnLimit{Max: 16, Clock: &clock.Service{}}
+		open := func(name string, host byte, states ...http.ConnState) {
+			c := &namedConn{name: name, source: net.IPv4(10, 0, 0, host), closed: &closed}
+			for _, s := range append([]http.ConnState{http.StateNew}, states...) {
+				l.Record(c, s)
+			}
+			time.Sleep(time.Second)
+		}
+		open("kept", 1, http.StateActive, http.StateIdle)
+		open("silent", 2)
+		for range 14 {
+			open("of many", 3, http.StateActive, http.StateIdle)
+		}
+		open("one more", 3, http.StateActive)
+		open("and another", 4)
+		if diff := cmp.Diff([]string{"of many", "of many"}, closed); diff != "" {
+			t.Errorf("closed (-want +got):\n%s", diff)
+		}
+	})
+}
