--- a/internal/link/connlimit_test.go
+++ b/internal/link/connlimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +16,7 @@
 type namedConn struct {
 	net.Conn
 	name   string
-	source net.IP
+	source netip.Addr
 	closed *[]string
 }
 
@@ -24,7 +25,9 @@
 	return nil
 }
 
-func (c *namedConn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: c.source} }
+func (c *namedConn) RemoteAddr() net.Addr {
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.source, 0))
+}
 
 // TestConnLimit checks which connections give way to new ones. It guards against a limit
 // that closes connections in use, or those of served callers before those that never sent
@@ -73,7 +76,7 @@
 		var closed []string
 		l := &ConnLimit{Max: 16, Clock: &clock.Service{}}
 		open := func(name string, host byte, states ...http.ConnState) {
-			c := &namedConn{name: name, source: net.IPv4(10, 0, 0, host), closed: &closed}
+			c := &namedConn{name: name, source: netip.AddrFrom4([4]byte{10, 0, 0, host}), closed: &closed}
 			for _, s := range append([]http.ConnState{http.StateNew}, states...) {
 				l.Record(c, s)
 			}
