--- a/internal/host/configuration_test.go
+++ b/internal/host/configuration_test.go
@@ -47,15 +47,17 @@
 // tlsCluster is a cluster of two hosts that use TLS for the links to each other
 // and to the log.
 type tlsCluster struct {
-	t      *testing.T
-	net    link.Memory
-	files  *settings.TLS
-	client *http.Client
-	stops  []func()
+	t     *testing.T
+	net   link.Memory
+	files *settings.TLS
+	// peerConns is the setting MaxPeerConns of the hosts.
+	peerConns int
+	client    *http.Client
+	stops     []func()
 }
 
-func newTLSCluster(t *testing.T, files *settings.TLS) *tlsCluster {
-	c := &tlsCluster{t: t, net: link.Memory{Delay: time.Millisecond}, files: files}
+func newTLSCluster(t *testing.T, files *settings.TLS, peerConns int) *tlsCluster {
+	c := &tlsCluster{t: t, net: link.Memory{Delay: time.Millisecond}, files: files, peerConns: peerConns}
 	c.serve(withTLS(files, c.net.Process(tlsLogAddr.Addr())), tlsLogAddr, &standin.Log{})
 	c.serve(c.net.Process(tlsTargetAddr.Addr()), tlsTargetAddr, &standin.Worker{Name: "w1", Speed: 1, Slots: 1})
 	c.client = &http.Client{Transport: link.Transport(c.net.Process(callerAddr))}
@@ -94,7 +96,7 @@
 	addr, other := tlsHostAddrs[i], tlsHostAddrs[1-i]
 	set := &settings.Settings{
 		Name: addr.String(), CallerAddr: netip.AddrPortFrom(addr, 80), PeerAddr: netip.AddrPortFrom(addr, 81), LogAddr: tlsLogAddr,
-		Peers: []settings.Peer{{Name: other.String(), Addr: netip.AddrPortFrom(other, 81)}}, PeerTLS: c.files, PlatformTLS: c.files,
+		Peers: []settings.Peer{{Name: other.String(), Addr: netip.AddrPortFrom(other, 81)}}, PeerTLS: c.files, PlatformTLS: c.files, MaxPeerConns: c.peerConns,
 	}
 	set.SetDefaults()
 	h, err := New(set, c.net.Process(addr), &clock.Service{}, zap.NewNop())
@@ -156,7 +158,7 @@
 func TestStaleHost(t *testing.T) {
 	files := issueCertificate(t, t.TempDir())
 	synctest.Test(t, func(t *testing.T) {
-		c := newTLSCluster(t, files)
+		c := newTLSCluster(t, files, 0)
 		defer c.close()
 		got := []string{c.call(0), c.call(1)}
 		c.cut(tlsLogAddr.Addr(), true)
