--- a/internal/settings/connections.go
+++ b/internal/settings/connections.go
@@ -32,8 +32,8 @@
 
 // Receive buffers.
 const (
-	// CallerReceiveBuffer is that of accepted connections. It has room for what a kernel
-	// sends before the first acknowledgement, ten segments.
+	// CallerReceiveBuffer is that of accepted connections, and of those to other hosts. It
+	// has room for what a kernel sends before the first acknowledgement, ten segments.
 	CallerReceiveBuffer link.ReceiveBuffer = 16 << 10
 	// BodyReceiveBuffer lets a large body use a window of 64 KiB, the largest one on a
 	// connection that was opened with a small buffer: 640 KB/s over a link of 100 ms.
@@ -41,7 +41,7 @@
 	// ServeReceiveBuffer is that of all connections of berylswitch serve, whose callers have
 	// 10 s for a body of 4 MiB.
 	ServeReceiveBuffer link.ReceiveBuffer = 64 << 10
-	// TargetReceiveBuffer is that of connections to targets, the store and other hosts.
+	// TargetReceiveBuffer is that of connections to targets and the store.
 	TargetReceiveBuffer link.ReceiveBuffer = 16 << 10
 )
 
