--- a/review/stand3/kit/run.go
+++ b/review/stand3/kit/run.go
@@ -99,3 +99,6 @@
 	fmt.Printf("exit %d\n", code)
 	os.Exit(code)
 }
+
+// Since returns the seconds from the start of the run to t, as the record shows them.
+func (r *Run) Since(t time.Time) float64 { return t.Sub(r.begun).Seconds() }
