--- a/review/stand3/kit/worker.go
+++ b/review/stand3/kit/worker.go
@@ -25,9 +25,11 @@
 	mu       sync.Mutex
 	born     int64
 	sequence int
-	state    string // empty while the worker writes nothing
-	server   *http.Server
-	conns    *http.Server
+	state    string // empty while the worker has no entry
+	// announced is set once the worker says in its answers that it leaves.
+	announced bool
+	server    *http.Server
+	conns     *http.Server
 }
 
 // NewWorker returns a worker that has not been started.
@@ -50,7 +52,7 @@
 func (w *Worker) StartOn(l net.Listener) {
 	server := &http.Server{Handler: w}
 	w.mu.Lock()
-	w.born, w.sequence, w.server = time.Now().UnixMilli(), 0, server
+	w.born, w.sequence, w.server, w.announced = time.Now().UnixMilli(), 0, server, false
 	w.mu.Unlock()
 	go server.Serve(l)
 	w.SetState("ready")
@@ -84,23 +86,26 @@
 	return time.Now()
 }
 
-// Leaving reports whether the worker is draining or has removed its entry.
+// Announce makes the worker say in its answers that it leaves, before the store knows.
+func (w *Worker) Announce() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.announced = true
+}
+
+// Leaving reports whether the worker leaves.
 func (w *Worker) Leaving() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.state != "ready"
+	return w.announced || w.state != "ready"
 }
 
-// heartbeats renews the entry. It adds a record only if more than the sequence changes.
+// heartbeats renews the entry, or removes it again if it has come back. It adds a record only
+// if more than the sequence changes.
 func (w *Worker) heartbeats() {
 	for {
 		time.Sleep(heartbeatInterval)
-		w.mu.Lock()
-		silent := w.state == ""
-		w.mu.Unlock()
-		if !silent {
-			w.write()
-		}
+		w.write()
 	}
 }
 
