--- a/review/stand3/kit/client.go
+++ b/review/stand3/kit/client.go
@@ -30,8 +30,15 @@
 // NewID returns a request ID.
 func NewID() string { return strconv.FormatUint(rand.Uint64()|1<<63, 16) }
 
-// Send sends one request to a host over a new connection and reads its answer.
-func Send(h *Host, id string, q Request) Answer {
+// Send sends one request to a host over a new connection, reads its answer and records both.
+func Send(run *Run, h *Host, id string, q Request) Answer {
+	run.Logf("client: %s %s as %s to %s", q.Method, q.Path, id, h.Name)
+	a := send(h, id, q)
+	run.Logf("client: answer to %s: status %d, %d bytes, error %v", id, a.Status, len(a.Body), a.Err)
+	return a
+}
+
+func send(h *Host, id string, q Request) Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), q.Deadline+time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, q.Method, "http://"+h.CallerAddr+q.Path, strings.NewReader(q.Body))
--- a/review/stand3/kit/store.go
+++ b/review/stand3/kit/store.go
@@ -24,6 +24,9 @@
 	server  *http.Server
 	// up is false while the store is away.
 	up bool
+	// life counts how often the store fell silent. What was asked in an earlier life gets no
+	// answer any more.
+	life int
 }
 
 type storeRecord struct {
@@ -63,6 +66,29 @@
 	server.Close()
 }
 
+// Silence makes the store give no answer, as if its machine had lost its power. Connections
+// stay open and silent.
+func (s *Store) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.up = false
+	s.life++
+}
+
+// Return ends a silence. Connections on which an answer was lost stay silent.
+func (s *Store) Return() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.up = true
+}
+
+// lives reports whether a call of the given life may still be answered.
+func (s *Store) lives(life int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up && s.life == life
+}
+
 // Copy returns a copy of what the store holds.
 func (s *Store) Copy() StoreCopy {
 	s.mu.Lock()
@@ -123,14 +149,19 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	up, life := s.up, s.life
 	s.mu.Unlock()
+	if !up {
+		<-r.Context().Done()
+		return
+	}
 	switch r.URL.Path {
 	case "/berylswitch/log-newest":
 		s.serveNewest(w, q.Get("topic"), q.Get("after"))
 	case "/berylswitch/log-read":
 		from, _ := strconv.Atoi(q.Get("from"))
 		wait, _ := strconv.Atoi(q.Get("waitMs"))
-		s.serveRead(w, r, q.Get("topic"), from, time.Duration(wait)*time.Millisecond)
+		s.serveRead(w, r, life, q.Get("topic"), from, time.Duration(wait)*time.Millisecond)
 	case "/berylswitch/log-append":
 		s.serveAppend(w, r, q.Get("topic"))
 	default:
@@ -161,13 +192,16 @@
 	json.NewEncoder(w).Encode(map[string]any{"items": items, "truncated": false, "end": len(records)})
 }
 
-func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, topic string, from int, wait time.Duration) {
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, life int, topic string, from int, wait time.Duration) {
 	until := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
 		records, changed := s.topics[topic], s.changed
 		s.mu.Unlock()
 		switch {
+		case !s.lives(life):
+			<-r.Context().Done()
+			return
 		case from < 0 || from > len(records):
 			// A read from an offset that the store doesn't have.
 			w.Header().Set("Content-Type", "application/json")
--- a/review/stand3/kit/worker.go
+++ b/review/stand3/kit/worker.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -29,7 +28,6 @@
 	// announced is set once the worker says in its answers that it leaves.
 	announced bool
 	server    *http.Server
-	conns     *http.Server
 }
 
 // NewWorker returns a worker that has not been started.
@@ -177,25 +175,34 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.run.Logf("%s gets %s", w.ID, r.Header.Get("Request-Id"))
 	w.Handler.ServeHTTP(rw, r)
 }
 
-// PutConfig writes a configuration as the operator does.
+// PutConfig writes a configuration as the operator does, with the key Key.
 func PutConfig(r *Run, s *Store, version int, routes, services []map[string]any) {
+	if !TryPutConfig(r, s, version, []string{Key}, routes, services) {
+		r.Cannot("configuration: the store is away")
+	}
+}
+
+// TryPutConfig writes a configuration as the operator does, with the given keys, and reports
+// whether the store has acknowledged it.
+func TryPutConfig(r *Run, s *Store, version int, keys []string, routes, services []map[string]any) bool {
 	config := map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"headerBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "acme", "apiKeys": []string{Key}, "priority": 1}},
+		"tenants": []map[string]any{{"name": "acme", "apiKeys": keys, "priority": 1}},
 	}
 	b, err := json.Marshal(config)
 	if err != nil {
 		r.Cannot("configuration: %v", err)
 	}
 	offset, ok := s.Put("keyed.op", "config", string(b))
-	if !ok {
-		r.Cannot("configuration: the store is away")
+	if ok {
+		r.Logf("store: configuration %d at offset %d: %s", version, offset, b)
 	}
-	r.Logf("store: configuration %d at offset %d: %s", version, offset, strings.TrimSpace(string(b)))
+	return ok
 }
 
 // Key is the API key of the clients' tenant.
