--- a/review/stand3/pause/main.go
+++ b/review/stand3/pause/main.go
@@ -135,7 +135,7 @@
 			h := hosts[i%len(hosts)]
 			sent++
 			wg.Go(func() {
-				a := kit.Send(h, kit.NewID(), kit.Request{Method: http.MethodGet, Host: "desk.example", Path: "/stock/17", Deadline: 1500 * time.Millisecond, Header: map[string]string{sentTo: h.Name}})
+				a := kit.Send(r, h, kit.NewID(), kit.Request{Method: http.MethodGet, Host: "desk.example", Path: "/stock/17", Deadline: 1500 * time.Millisecond, Header: map[string]string{sentTo: h.Name}})
 				mu.Lock()
 				statuses[a.Status]++
 				mu.Unlock()
--- a/review/stand3/restored/main.go
+++ b/review/stand3/restored/main.go
@@ -1,4 +1,4 @@
-// Restored is the program of case 12: a drill takes the platform's store away for a moment
+// Restored is the program of case 14: a drill takes the platform's store away for a moment
 // and brings it back from a copy some seconds old; later a worker leaves as planned.
 package main
 
@@ -80,7 +80,7 @@
 				mu.Lock()
 				sent[id] = time.Now()
 				mu.Unlock()
-				a := kit.Send(h, id, kit.Request{Method: http.MethodGet, Host: "desk.example", Path: "/stock/17", Deadline: 1500 * time.Millisecond})
+				a := kit.Send(r, h, id, kit.Request{Method: http.MethodGet, Host: "desk.example", Path: "/stock/17", Deadline: 1500 * time.Millisecond})
 				mu.Lock()
 				statuses[a.Status]++
 				mu.Unlock()
--- a/review/stand3/returned/main.go
+++ b/review/stand3/returned/main.go
@@ -82,7 +82,7 @@
 				c.mu.Lock()
 				c.sent[id] = sending{h.Name, time.Now()}
 				c.mu.Unlock()
-				a := kit.Send(h, id, kit.Request{Method: http.MethodGet, Host: "desk.example", Path: "/stock/17", Deadline: 1500 * time.Millisecond})
+				a := kit.Send(c.run, h, id, kit.Request{Method: http.MethodGet, Host: "desk.example", Path: "/stock/17", Deadline: 1500 * time.Millisecond})
 				c.mu.Lock()
 				defer c.mu.Unlock()
 				statuses[a.Status]++
