--- a/review/stand3/copies/main.go
+++ b/review/stand3/copies/main.go
@@ -14,15 +14,19 @@
 )
 
 const (
-	// copyShare is the share of the answers of a faulty worker that are sent twice.
-	copyShare = 0.03
+	// faulty of the poolWorkers workers of the pool send copyShare of their answers twice.
+	faulty, poolWorkers = 12, 20
+	copyShare           = 0.03
 	// pieces is the number of pieces of each request.
-	pieces = 1
-	// requestInterval is the time between two requests of the clients of one host, loadTime
-	// the time for which they send.
-	requestInterval = 30 * time.Millisecond
-	loadTime        = 95 * time.Second
-	events          = 5
+	pieces = poolSlots * poolBatch
+	// The clients of each host send clumpSize requests at once every clumpInterval, for
+	// loadTime.
+	clumpSize     = 10
+	clumpInterval = 450 * time.Millisecond
+	loadTime      = 98 * time.Second
+	// firstEventTime is the time for which a model worker reads a prompt.
+	firstEventTime = time.Second
+	events         = 5
 )
 
 // engine is a model worker. It fetches the inputs of a request before it reads the prompt.
@@ -66,7 +70,7 @@
 	e.mu.Unlock()
 	w.Header().Set("Response-Signature", "sig."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(firstEventTime)
 	for i := range events {
 		fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i+1, id, i+1)
 		http.NewResponseController(w).Flush()
@@ -84,9 +88,10 @@
 		kit.NewWorker(r, store, fmt.Sprintf("i-m%d", i+1), "models", zone, 32, model).Start()
 	}
 	var pool []*poolWorker
-	for i, zone := range []string{"zone-a", "zone-b", "zone-a"} {
-		p := &poolWorker{Worker: kit.NewWorker(r, store, fmt.Sprintf("i-p%d", i+1), "index", zone, poolSlots, nil), run: r, results: res}
-		if r.Trouble {
+	for i := range poolWorkers {
+		zone := []string{"zone-a", "zone-b"}[i%2]
+		p := &poolWorker{Worker: kit.NewWorker(r, store, fmt.Sprintf("i-p%d", i+1), "index", zone, poolSlots, nil), run: r, results: res, slots: make(chan struct{}, poolSlots)}
+		if r.Trouble && i < faulty {
 			p.copyShare = copyShare
 		}
 		p.listen()
@@ -110,17 +115,18 @@
 	r.Logf("models ran %d requests", model.ran)
 }
 
-// load sends requests to all hosts at a steady rate.
+// load sends requests to all hosts in clumps.
 func load(r *kit.Run, hosts []*kit.Host) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	sent, statuses := 0, map[int]int{}
-	for until := time.Now().Add(loadTime); time.Now().Before(until); time.Sleep(requestInterval) {
-		for _, h := range hosts {
+	for until := time.Now().Add(loadTime); time.Now().Before(until); time.Sleep(clumpInterval) {
+		for i := range clumpSize * len(hosts) {
+			h := hosts[i%len(hosts)]
 			sent++
 			wg.Go(func() {
 				id := kit.NewID()
-				a := kit.Send(h, id, kit.Request{Method: http.MethodPost, Host: "desk.example", Path: "/advice/1", Body: "prompt of " + id, Deadline: 8 * time.Second, Header: map[string]string{
+				a := kit.Send(r, h, id, kit.Request{Method: http.MethodPost, Host: "desk.example", Path: "/advice/1", Body: "prompt of " + id, Deadline: 8 * time.Second, Header: map[string]string{
 					"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": "5c1e07a2:800,91bd3f06:410," + id[:8] + ":250",
 					"Chunks": fmt.Sprint(pieces), "Chunk-Key": "key" + id[:9]}})
 				mu.Lock()
--- a/review/stand3/copies/pool.go
+++ b/review/stand3/copies/pool.go
@@ -16,7 +16,7 @@
 
 // The stage pool, as its configuration says.
 const (
-	poolSlots  = 4
+	poolSlots  = 6
 	poolQueue  = 2
 	poolBatch  = 8
 	callTime   = 150 * time.Millisecond
@@ -58,8 +58,8 @@
 
 	mu      sync.Mutex
 	waiting int
-	// slot is held by the call that is worked on.
-	slot sync.Mutex
+	// slots holds an element for each call that is worked on.
+	slots chan struct{}
 	// answers and copies count the answers to calls and their second copies.
 	answers, copies int
 }
@@ -131,6 +131,7 @@
 	}
 }
 
+// describe lists the pieces of a call.
 func describe(items []item) string {
 	out := ""
 	for _, i := range items {
@@ -165,9 +166,10 @@
 	if full {
 		return response("503 Service Unavailable", "Not-Executed: 1\r\n", ""), false
 	}
-	p.slot.Lock()
+	p.run.Logf("%s runs a call with the pieces %s", p.ID, describe(c.Items))
+	p.slots <- struct{}{}
 	time.Sleep(callTime + time.Duration(len(c.Items))*pieceTime)
-	p.slot.Unlock()
+	<-p.slots
 	var out call
 	p.results.mu.Lock()
 	for _, i := range c.Items {
