--- a/review/stand3/kit/worker.go
+++ b/review/stand3/kit/worker.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -27,7 +30,9 @@
 	state    string // empty while the worker has no entry
 	// announced is set once the worker says in its answers that it leaves.
 	announced bool
-	server    *http.Server
+	// stopped is set while the worker has no process.
+	stopped bool
+	server  *http.Server
 }
 
 // NewWorker returns a worker that has not been started.
@@ -50,7 +55,7 @@
 func (w *Worker) StartOn(l net.Listener) {
 	server := &http.Server{Handler: w}
 	w.mu.Lock()
-	w.born, w.sequence, w.server, w.announced = time.Now().UnixMilli(), 0, server, false
+	w.born, w.sequence, w.server, w.announced, w.stopped = time.Now().UnixMilli(), 0, server, false, false
 	w.mu.Unlock()
 	go server.Serve(l)
 	w.SetState("ready")
@@ -68,6 +73,7 @@
 func (w *Worker) Stop() {
 	w.mu.Lock()
 	server := w.server
+	w.stopped = true
 	w.mu.Unlock()
 	server.Close()
 }
@@ -123,6 +129,9 @@
 func (w *Worker) write() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		return true
+	}
 	w.sequence++
 	e := entry{w.Service, w.Addr, w.Zone, "v1", w.Slots, w.state, 0, w.sequence, w.born}
 	old, _ := w.store.Newest("keyed.servers", w.ID)
@@ -205,5 +214,46 @@
 	return ok
 }
 
+// Times of the streams that StreamEvents makes.
+const (
+	streamEvents = 8
+	eventGap     = 200 * time.Millisecond
+	// StreamTime is how long a stream takes.
+	StreamTime = streamEvents * eventGap
+)
+
+// StreamEvents runs a request as a model worker does: it answers with events.
+func StreamEvents(w http.ResponseWriter, r *http.Request) {
+	io.Copy(io.Discard, r.Body)
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Response-Signature", "sig."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range streamEvents {
+		time.Sleep(eventGap)
+		fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i+1, id, i+1)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
+
+// StreamRequest returns the request of a client for a stream.
+func StreamRequest(id string) Request {
+	return Request{Method: http.MethodPost, Host: "desk.example", Path: "/notes/17", Body: "prompt of " + id, Deadline: 8 * time.Second, Header: map[string]string{
+		"Model": "m", "Token-Usage": "460,20", "Prompt-Prefix": "5c1e07a2:200,91bd3f06:110," + id[:8] + ":150"}}
+}
+
+// StreamWhole reports whether a client has the whole stream.
+func StreamWhole(a Answer) bool {
+	return a.Status == http.StatusOK && a.Err == nil && strings.Count(a.Body, "\n\n") == streamEvents
+}
+
+// PutStreamConfig writes a configuration with a route for streams that can't be resumed.
+func PutStreamConfig(r *Run, s *Store, service string) {
+	PutConfig(r, s, 1,
+		[]map[string]any{{"name": "notes", "host": "desk.example", "pathPrefix": "/notes/", "kind": "stream", "timeoutMs": 8000, "targetLatencyMs": 1900, "priority": 0, "service": service, "attempts": 1, "stages": []any{}, "public": false, "sticky": true, "resumable": false, "itlTargetMs": 500}},
+		[]map[string]any{{"name": service, "healthCheck": "/healthz", "maxConns": 610, "protocol": "h1", "tls": false}})
+}
+
 // Key is the API key of the clients' tenant.
 const Key = "9dnn2ctnfzs989anu6ws"
--- a/review/stand3/returned/main.go
+++ b/review/stand3/returned/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -19,12 +18,14 @@
 const (
 	// requestInterval is the time between two requests of the clients of one host.
 	requestInterval = 25 * time.Millisecond
-	workTime        = 30 * time.Millisecond
 	// entryLag is the time from the first answer with Server-Leaving to the removal of the
 	// worker's entry, less than a heartbeat.
 	entryLag = 600 * time.Millisecond
-	// awayTime is how long the store is away.
+	loadTime = 9 * time.Second
+	// awayTime is how long the store is away. servesOn is how long the leaving worker serves
+	// after that.
 	awayTime = time.Second
+	servesOn = kit.StreamTime / 2
 )
 
 // arrival is a request that reached a worker.
@@ -39,24 +40,20 @@
 	arrivals []arrival
 }
 
-func answer(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(workTime)
-	w.Header().Set("Response-Signature", "sig."+r.Header.Get("Request-Id"))
-	io.WriteString(w, "stock of "+r.URL.Path)
-}
-
 // ServeHTTP runs a request.
 func (l *leaver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	l.arrivals = append(l.arrivals, arrival{r.Header.Get("Request-Id"), time.Now()})
 	l.mu.Unlock()
-	answer(w, r)
+	kit.StreamEvents(w, r)
 }
 
 // sending is a request of a client.
 type sending struct {
 	host string
 	at   time.Time
+	// whole is set once the client has the whole stream.
+	whole bool
 }
 
 // clients send requests and note which answers say that their worker leaves.
@@ -65,7 +62,7 @@
 	hosts []*kit.Host
 
 	mu   sync.Mutex
-	sent map[string]sending
+	sent map[string]*sending
 	// told holds when each host had first passed on an answer with Server-Leaving.
 	told map[string]time.Time
 }
@@ -73,19 +70,22 @@
 // load sends requests to all hosts at a steady rate for d.
 func (c *clients) load(d time.Duration) {
 	var wg sync.WaitGroup
-	sent, statuses := 0, map[int]int{}
+	sent, cut := 0, 0
 	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(requestInterval) {
 		for _, h := range c.hosts {
 			sent++
 			wg.Go(func() {
 				id := kit.NewID()
 				c.mu.Lock()
-				c.sent[id] = sending{h.Name, time.Now()}
+				s := &sending{host: h.Name, at: time.Now()}
+				c.sent[id] = s
 				c.mu.Unlock()
-				a := kit.Send(c.run, h, id, kit.Request{Method: http.MethodGet, Host: "desk.example", Path: "/stock/17", Deadline: 1500 * time.Millisecond})
+				a := kit.Send(c.run, h, id, kit.StreamRequest(id))
 				c.mu.Lock()
 				defer c.mu.Unlock()
-				statuses[a.Status]++
+				if s.whole = kit.StreamWhole(a); !s.whole {
+					cut++
+				}
 				if a.Header.Get("Server-Leaving") != "1" {
 					return
 				}
@@ -97,7 +97,7 @@
 		}
 	}
 	wg.Wait()
-	c.run.Logf("clients: %d requests sent, answers by status %v", sent, statuses)
+	c.run.Logf("clients: %d requests sent, %d without the whole stream", sent, cut)
 }
 
 func main() { kit.Main(run) }
@@ -106,38 +106,45 @@
 	store := kit.NewStore(r)
 	l := &leaver{}
 	newWorker := func(n int, h http.Handler) *kit.Worker {
-		return kit.NewWorker(r, store, fmt.Sprintf("i-%d", n), "desk", []string{"zone-a", "zone-b"}[n%2], 6, h)
+		return kit.NewWorker(r, store, fmt.Sprintf("i-%d", n), "models", []string{"zone-a", "zone-b"}[n%2], 32, h)
 	}
 	leaving := newWorker(3, l)
-	for _, w := range []*kit.Worker{newWorker(1, http.HandlerFunc(answer)), newWorker(2, http.HandlerFunc(answer)), leaving} {
+	for _, w := range []*kit.Worker{newWorker(1, http.HandlerFunc(kit.StreamEvents)), newWorker(2, http.HandlerFunc(kit.StreamEvents)), leaving} {
 		w.Start()
 	}
-	kit.PutConfig(r, store, 1,
-		[]map[string]any{{"name": "stock", "host": "desk.example", "pathPrefix": "/stock/", "kind": "safe", "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 0, "service": "desk", "attempts": 2, "stages": []any{}, "public": false}},
-		[]map[string]any{{"name": "desk", "healthCheck": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false}})
-	c := &clients{run: r, hosts: kit.StartHosts(r, 2, store, []string{"zone-a", "zone-b"}), sent: map[string]sending{}, told: map[string]time.Time{}}
-	c.load(3 * time.Second)
+	kit.PutStreamConfig(r, store, "models")
+	c := &clients{run: r, hosts: kit.StartHosts(r, 2, store, []string{"zone-a", "zone-b"}), sent: map[string]*sending{}, told: map[string]time.Time{}}
+	loaded := make(chan struct{})
+	go func() {
+		c.load(loadTime)
+		close(loaded)
+	}()
+	time.Sleep(3 * time.Second)
 
 	old, copied := store.Copy(), time.Now()
 	r.Logf("release: i-4 starts, %s leaves without a report, i-5 starts", leaving.ID)
-	newWorker(4, http.HandlerFunc(answer)).Start()
+	newWorker(4, http.HandlerFunc(kit.StreamEvents)).Start()
 	leaving.Announce()
-	c.load(entryLag)
+	time.Sleep(entryLag)
 	leaving.SetState("")
-	c.load(1500 * time.Millisecond)
-	newWorker(5, http.HandlerFunc(answer)).Start()
-	c.load(drainTime)
+	time.Sleep(1500 * time.Millisecond)
+	newWorker(5, http.HandlerFunc(kit.StreamEvents)).Start()
+	time.Sleep(1200 * time.Millisecond)
 
 	if r.Trouble {
 		r.Logf("the store is away for %v", awayTime)
 		store.Stop()
-		time.Sleep(awayTime)
+	}
+	time.Sleep(awayTime)
+	if r.Trouble {
 		store.Restore(old)
 		store.Start(r)
 		r.Logf("the store is back from a copy that is %v old", time.Since(copied).Round(time.Millisecond))
 	}
-	c.load(4 * time.Second)
+	time.Sleep(servesOn)
+	r.Logf("%s exits", leaving.ID)
 	leaving.Stop()
+	<-loaded
 	c.check(l)
 }
 
@@ -153,8 +160,14 @@
 	for _, a := range l.arrivals {
 		s := c.sent[a.id]
 		told, ok := c.told[s.host]
-		if late := s.at.Sub(told); ok && late > drainTime {
-			c.run.Breach("DRAIN: request %s, sent by its client %.3f s after %s had passed on an answer with Server-Leaving, reached the worker from there %.3f s after it", a.id, late.Seconds(), s.host, a.at.Sub(told).Seconds())
+		late := s.at.Sub(told)
+		if !ok || late <= drainTime {
+			continue
+		}
+		end := "the client got the whole stream"
+		if !s.whole {
+			end = "the stream was cut when the worker left"
 		}
+		c.run.Breach("DRAIN: request %s, sent by its client %.3f s after %s had passed on an answer with Server-Leaving, reached the worker from there %.3f s after it; %s", a.id, late.Seconds(), s.host, a.at.Sub(told).Seconds(), end)
 	}
 }
