--- a/review/stand3/restored/main.go
+++ b/review/stand3/restored/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -21,13 +20,16 @@
 const (
 	// requestInterval is the time between two requests of the clients of one host.
 	requestInterval = 100 * time.Millisecond
+	// loadTime is how long the clients send before the worker leaves: until contactTime and 5 s
+	// after the store is back.
+	loadTime = 3*time.Second + drainTime + 1300*time.Millisecond + awayTime + contactTime + 5*time.Second
 	// awayTime is how long the store is away. lull is a pause of all clients.
 	awayTime = time.Second
 	lull     = drainTime + time.Second
 	// returning is the number of clients that send to each host at once after it.
 	returning = 6
 	// servesOn is how long the leaving worker serves after its report.
-	servesOn = 8 * time.Second
+	servesOn = lull + kit.StreamTime/2
 )
 
 // arrival is a request at a worker.
@@ -42,18 +44,17 @@
 	arrivals []arrival
 }
 
-func (j *journal) worker(id *string) http.Handler {
+func (j *journal) worker(id string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		j.mu.Lock()
-		j.arrivals = append(j.arrivals, arrival{r.Header.Get("Request-Id"), *id, time.Now()})
+		j.arrivals = append(j.arrivals, arrival{r.Header.Get("Request-Id"), id, time.Now()})
 		j.mu.Unlock()
-		time.Sleep(15 * time.Millisecond)
-		w.Header().Set("Response-Signature", "sig."+r.Header.Get("Request-Id"))
-		io.WriteString(w, "stock of "+r.URL.Path)
+		kit.StreamEvents(w, r)
 	})
 }
 
-func (j *journal) at(worker string, ids map[string]time.Time) []arrival {
+// at returns the arrivals at a worker of the requests in ids.
+func (j *journal) at(worker string, ids map[string]sending) []arrival {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var out []arrival
@@ -65,31 +66,37 @@
 	return out
 }
 
+// sending is a request of a client, and whether the client has got the whole stream.
+type sending struct {
+	at    time.Time
+	whole bool
+}
+
 // load sends requests to all hosts at a steady rate for d, the given number at once at first,
 // and returns when each was sent.
-func load(r *kit.Run, hosts []*kit.Host, first int, d time.Duration) map[string]time.Time {
+func load(r *kit.Run, hosts []*kit.Host, first int, d time.Duration) map[string]sending {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	sent := map[string]time.Time{}
-	statuses := map[int]int{}
+	sent := map[string]sending{}
+	cut := 0
 	for until, n := time.Now().Add(d), first; time.Now().Before(until); time.Sleep(requestInterval) {
 		for i := range n * len(hosts) {
 			h := hosts[i%len(hosts)]
 			wg.Go(func() {
-				id := kit.NewID()
+				id, at := kit.NewID(), time.Now()
+				whole := kit.StreamWhole(kit.Send(r, h, id, kit.StreamRequest(id)))
 				mu.Lock()
-				sent[id] = time.Now()
-				mu.Unlock()
-				a := kit.Send(r, h, id, kit.Request{Method: http.MethodGet, Host: "desk.example", Path: "/stock/17", Deadline: 1500 * time.Millisecond})
-				mu.Lock()
-				statuses[a.Status]++
+				sent[id] = sending{at, whole}
+				if !whole {
+					cut++
+				}
 				mu.Unlock()
 			})
 		}
 		n = 1
 	}
 	wg.Wait()
-	r.Logf("clients: %d requests sent, answers by status %v", len(sent), statuses)
+	r.Logf("clients: %d requests sent, %d without the whole stream", len(sent), cut)
 	return sent
 }
 
@@ -101,50 +108,58 @@
 	var workers []*kit.Worker
 	for i, zone := range []string{"zone-a", "zone-b", "zone-a"} {
 		id := fmt.Sprintf("i-%d", i+1)
-		w := kit.NewWorker(r, store, id, "desk", zone, 6, j.worker(&id))
+		w := kit.NewWorker(r, store, id, "models", zone, 32, j.worker(id))
 		w.Start()
 		workers = append(workers, w)
 	}
-	kit.PutConfig(r, store, 1,
-		[]map[string]any{{"name": "stock", "host": "desk.example", "pathPrefix": "/stock/", "kind": "safe", "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 0, "service": "desk", "attempts": 2, "stages": []any{}, "public": false}},
-		[]map[string]any{{"name": "desk", "healthCheck": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false}})
+	kit.PutStreamConfig(r, store, "models")
 	hosts := kit.StartHosts(r, 2, store, []string{"zone-a", "zone-b"})
-	load(r, hosts, 1, 3*time.Second)
+	before := make(chan map[string]sending)
+	go func() { before <- load(r, hosts, 1, loadTime) }()
+	time.Sleep(3 * time.Second)
 
-	old := store.Copy()
-	copied := time.Now()
+	old, copied := store.Copy(), time.Now()
 	last := workers[2]
 	r.Logf("planned restart of %s", last.ID)
 	last.SetState("draining")
-	load(r, hosts, 1, drainTime+500*time.Millisecond)
+	time.Sleep(drainTime + 500*time.Millisecond)
 	last.SetState("")
 	last.Stop()
 	time.Sleep(300 * time.Millisecond)
 	last.Start()
-	load(r, hosts, 1, time.Second)
+	time.Sleep(500 * time.Millisecond)
 
 	if r.Trouble {
 		r.Logf("the store is away for %v", awayTime)
 		store.Stop()
-		time.Sleep(awayTime)
+	}
+	time.Sleep(awayTime)
+	if r.Trouble {
 		store.Restore(old)
 		store.Start(r)
 		r.Logf("the store is back from a copy that is %v old", time.Since(copied).Round(time.Millisecond))
 	}
-	sent := load(r, hosts, 1, contactTime+5*time.Second)
+	sent := <-before
 	r.Logf("%s got %d of these requests", last.ID, len(j.at(last.ID, sent)))
 
 	acked := last.SetState("draining")
 	r.Logf("%s is draining, acknowledged by the store; it serves on for %v; the clients pause for %v", last.ID, servesOn, lull)
-	time.Sleep(lull)
-	sent = load(r, hosts, returning, 3*time.Second)
-	late := j.at(last.ID, sent)
-	for _, a := range late {
-		if at := sent[a.id]; at.Sub(acked) > drainTime {
-			r.Breach("DRAIN: request %s, sent by its client %.3f s after the acknowledgement, reached %s at %.3f s", a.id, at.Sub(acked).Seconds(), a.worker, a.at.Sub(acked).Seconds())
+	time.AfterFunc(time.Until(acked.Add(servesOn)), func() {
+		r.Logf("%s exits", last.ID)
+		last.SetState("")
+		last.Stop()
+	})
+	time.Sleep(time.Until(acked.Add(lull)))
+	sent = load(r, hosts, returning, 2*time.Second)
+	for _, a := range j.at(last.ID, sent) {
+		s := sent[a.id]
+		if s.at.Sub(acked) <= drainTime {
+			continue
+		}
+		end := "the client got the whole stream"
+		if !s.whole {
+			end = "the stream was cut when the worker left"
 		}
+		r.Breach("DRAIN: request %s, sent by its client %.3f s after the acknowledgement, reached %s at %.3f s; %s", a.id, s.at.Sub(acked).Seconds(), a.worker, a.at.Sub(acked).Seconds(), end)
 	}
-	time.Sleep(time.Until(acked.Add(servesOn)))
-	last.SetState("")
-	last.Stop()
 }
