catalog: positions compare eras, so that a configuration at a lost one's offset counts

Cause: the store gives offsets out again. The hosts read on from the offset up to which they knew the former history; the new one was as long by then, so that the record that had taken a lost one's offset was never read. Store-Era was not read. A heuristic told that offsets had started over only if the new history was shorter than the former one.

Ruled out: that hosts read the version and reject it.

A Position is an offset with its era, and is compared in one place: an earlier era is older at any offset. A read from a position of another era returns the newest record of each key, and the first state of an era has to be a whole one. Replies between hosts name the era, so that a host that has not noticed teaches nobody its former state. The heuristic is gone, with its times and margins.

The scripts and tests of offsets that start over (evacuations/restart, TestTopicStartsOver, TestTopicStartsOverForMany) checked the heuristic, by full reads that end early and by the age of replies; they now check the same events with eras, and more: replies of a former era however recent, two new eras in a row, an incremental state of a new era, and the same offset again.

Not covered: a host of the version before eras names none in its replies, so that hosts of this version ignore them and read the store; one that the store turns away while all others are of the former version learns nothing new until it or they are upgraded.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -231,10 +231,10 @@
 	Table *Table
 	// Targets holds the registered targets by service, sorted by ID.
 	Targets map[string][]*Target
-	// Evacuated maps each evacuated failure domain to the offset of the record that
+	// Evacuated maps each evacuated failure domain to the position of the record that
 	// evacuates it. It is nil until the operators' topic has been read. A domain that is
 	// missing here but was in the former snapshot has been put back into service.
-	Evacuated map[string]Offset
+	Evacuated map[string]Position
 }
 
 // Has reports whether a target with that ID is registered for any service.
--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"time"
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
@@ -35,40 +34,25 @@
 	return nil
 }
 
-// restartMargin is the difference between the times of two reads of the store, on different
-// hosts, from which on the later one is known to have begun after the earlier one had ended.
-// A read takes up to 4.2 s, and the age in a peer's reply leaves out the delay of calls.
-const restartMargin = 6 * time.Second
-
 // applyEvacuations applies the evacuations of a read of the operators' topic, or of a
 // peer's reply. The state is replaced only by one at a later position of the topic, so
 // that neither a peer that lags behind nor a record that is read again starts or ends an
-// evacuation. If the store has lost the topic's history, so that offsets have started
-// over, a state at an earlier position replaces it. peerReadAt is the time at which a peer
-// or its source read the state; it is zero for a read of the store.
-func (f *Follower) applyEvacuations(update TableUpdate, source Source, peerReadAt time.Time) {
+// evacuation. The first state of an era has to be a whole one.
+func (f *Follower) applyEvacuations(update TableUpdate, source Source) {
 	f.mu.Lock()
 	former, position := f.evacuations, f.tablePosition
-	first, now := former == nil, f.Clock.Now()
-	restarted := !first && f.hasStartedOver(update, peerReadAt)
-	known := !first && !restarted && (update.Next <= position || f.isOfFormerHistory(peerReadAt))
-	if update.Next == position || !known {
-		f.recordTopicRead(peerReadAt, now)
-	}
-	if first && !update.Full || known {
+	first := former == nil
+	if !first && !position.Before(update.position()) || !update.Full && (first || update.Era != position.Era) {
 		f.mu.Unlock()
 		return
 	}
-	if restarted {
-		f.startedOverAt = now
-		f.Log.Warn("offsets of the operators' topic have started over", zap.Int64("Next", int64(update.Next)), zap.Int64("Former", int64(position)), zap.String("Source", source.Name))
-	}
+	f.observeEra("operators", position, update.position(), source.Name)
 	next := nextEvacuations(former, position, update)
-	f.evacuations, f.tablePosition = next, update.Next
+	f.evacuations, f.tablePosition = next, update.position()
 	changed := first || !maps.Equal(former, next)
 	if changed {
 		f.notifyPutBack(former, next)
-		f.evacuationsChanged = update.Next
+		f.evacuationsChanged = f.tablePosition
 		f.publish()
 		f.notifyWaiters()
 	}
@@ -79,39 +63,8 @@
 	}
 }
 
-// hasStartedOver reports whether update shows that the offsets of the operators' topic have
-// started over: it holds the whole state at an earlier position than the known one,
-// although it was read later. f.mu is held.
-func (f *Follower) hasStartedOver(update TableUpdate, peerReadAt time.Time) bool {
-	if !update.Full || update.Next >= f.tablePosition {
-		return false
-	}
-	if peerReadAt.IsZero() {
-		return update.Since == f.tablePosition
-	}
-	return peerReadAt.Sub(f.topicReadAt) > restartMargin
-}
-
-// isOfFormerHistory reports whether a peer's state may have been read before the offsets of
-// the operators' topic started over. Positions before and after can't be compared. f.mu is
-// held.
-func (f *Follower) isOfFormerHistory(peerReadAt time.Time) bool {
-	return !peerReadAt.IsZero() && !f.startedOverAt.IsZero() && peerReadAt.Sub(f.startedOverAt) < restartMargin
-}
-
-// recordTopicRead records that the known state was in force at peerReadAt or, if that is
-// zero, is in force now; f.mu is held.
-func (f *Follower) recordTopicRead(peerReadAt, now time.Time) {
-	if peerReadAt.IsZero() {
-		peerReadAt = now
-	}
-	if peerReadAt.After(f.topicReadAt) {
-		f.topicReadAt = peerReadAt
-	}
-}
-
 // topicPosition returns the position up to which the operators' topic is known.
-func (f *Follower) topicPosition() Offset {
+func (f *Follower) topicPosition() Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.tablePosition
@@ -119,7 +72,7 @@
 
 // notifyPutBack calls OnPutBack for the failure domains that are in former but not in
 // next; f.mu is held.
-func (f *Follower) notifyPutBack(former, next map[string]Offset) {
+func (f *Follower) notifyPutBack(former, next map[string]Position) {
 	if f.OnPutBack == nil {
 		return
 	}
@@ -132,16 +85,17 @@
 
 // nextEvacuations returns the evacuations in force after update, given those at
 // position. It doesn't modify former, which snapshots hold.
-func nextEvacuations(former map[string]Offset, position Offset, update TableUpdate) map[string]Offset {
-	next := map[string]Offset{}
+func nextEvacuations(former map[string]Position, position Position, update TableUpdate) map[string]Position {
+	next := map[string]Position{}
 	if !update.Full {
 		maps.Copy(next, former)
 	}
 	for _, c := range update.Evacuations {
+		at := Position{update.Era, c.Offset}
 		switch {
-		case !update.Full && c.Offset < position:
+		case !update.Full && at.Before(position):
 		case c.Evacuated:
-			next[c.Domain] = c.Offset
+			next[c.Domain] = at
 		default:
 			delete(next, c.Domain)
 		}
@@ -151,10 +105,10 @@
 
 // logEvacuations logs which evacuations began and ended. A full read doesn't show the
 // offset at which an evacuation ended; the offset of the last record read is logged then.
-func (f *Follower) logEvacuations(former, next map[string]Offset, update TableUpdate, source Source) {
-	for domain, offset := range next {
+func (f *Follower) logEvacuations(former, next map[string]Position, update TableUpdate, source Source) {
+	for domain, at := range next {
 		if _, known := former[domain]; !known {
-			f.Log.Info("failure domain evacuated", zap.String("Domain", domain), zap.Int64("Offset", int64(offset)), zap.String("Source", source.Name))
+			f.Log.Info("failure domain evacuated", zap.String("Domain", domain), zap.Int64("Offset", int64(at.Offset)), zap.String("Source", source.Name))
 		}
 	}
 	for domain := range former {
@@ -174,8 +128,8 @@
 // evacuationList returns the evacuations in force for a reply to a peer; f.mu is held.
 func (f *Follower) evacuationList() []EvacuationChange {
 	var out []EvacuationChange
-	for domain, offset := range f.evacuations {
-		out = append(out, EvacuationChange{Domain: domain, Evacuated: true, Offset: offset})
+	for domain, at := range f.evacuations {
+		out = append(out, EvacuationChange{Domain: domain, Evacuated: true, Offset: at.Offset})
 	}
 	return out
 }
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -21,10 +21,9 @@
 // "DOMAIN evacuated|back OFFSET". Each command prints the evacuations in force with
 // the position, and the log lines of those that began or ended.
 //
-//	read next=N [full] [since=N]   a read of the operators' topic from the store, which
-//	                               began when the topic was known up to since
-//	reply next=N [age=D]           a reply of a peer that has read the topic up to N
-//	former version=N               a reply of a host of the former version with a configuration
+//	read next=N [full] [era=N]      a read of the operators' topic from the store
+//	reply next=N [age=D] [era=N]    a reply of a peer that has read the topic up to N
+//	former version=N                a reply of a host of the former version with a configuration
 //	sleep D
 type evacuationScript struct {
 	follower *Follower
@@ -46,17 +45,17 @@
 }
 
 func (s *evacuationScript) run(t *testing.T, d *datadriven.TestData) string {
-	next, since, version, age := int64(0), int64(0), int64(0), "0s"
+	next, era, version, age := int64(0), int64(0), int64(0), "0s"
 	d.MaybeScanArgs(t, "next", &next)
-	d.MaybeScanArgs(t, "since", &since)
+	d.MaybeScanArgs(t, "era", &era)
 	d.MaybeScanArgs(t, "version", &version)
 	d.MaybeScanArgs(t, "age", &age)
 	changes := parseEvacuations(t, d.Input)
 	switch d.Cmd {
 	case "read":
-		s.follower.ApplyTableUpdate(TableUpdate{Full: d.HasArg("full"), Evacuations: changes, Next: Offset(next), Since: Offset(since)}, Source{Name: "store"})
+		s.follower.ApplyTableUpdate(TableUpdate{Full: d.HasArg("full"), Evacuations: changes, Next: Offset(next), Era: Era(era)}, Source{Name: "store"})
 	case "reply":
-		s.follower.applyHeld(&Held{TableNext: Offset(next), Evacuations: changes, ReadAge: parseDuration(t, d, age)}, Source{Name: "peer"})
+		s.follower.applyHeld(&Held{TableNext: Offset(next), TableEra: Era(era), Evacuations: changes, ReadAge: parseDuration(t, d, age)}, Source{Name: "peer"})
 	case "sleep":
 		time.Sleep(parseDuration(t, d, d.CmdArgs[0].Key))
 	case "former":
@@ -96,11 +95,11 @@
 	var b strings.Builder
 	snapshot := s.follower.Snapshot()
 	var domains []string
-	for domain, offset := range snapshot.Evacuated {
-		domains = append(domains, fmt.Sprintf("%s@%d", domain, offset))
+	for domain, at := range snapshot.Evacuated {
+		domains = append(domains, fmt.Sprintf("%s@%d", domain, at.Offset))
 	}
 	slices.Sort(domains)
-	fmt.Fprintf(&b, "evacuated %v, position %d, ready %v\n", domains, s.follower.tablePosition, s.follower.Ready())
+	fmt.Fprintf(&b, "evacuated %v, position %s, ready %v\n", domains, positionText(s.follower.tablePosition), s.follower.Ready())
 	var lines []string
 	for _, e := range s.logs.TakeAll() {
 		switch f := e.ContextMap(); {
@@ -115,10 +114,18 @@
 	return b.String()
 }
 
+// positionText returns the offset of p, and its era if that is known.
+func positionText(p Position) string {
+	if p.Era == 0 {
+		return fmt.Sprint(p.Offset)
+	}
+	return fmt.Sprintf("%d of era %d", p.Offset, p.Era)
+}
+
 // TestActiveTargetsOfEvacuatedDomain guards against work for targets of evacuated
 // failure domains, and for those outside the home regions.
 func TestActiveTargetsOfEvacuatedDomain(t *testing.T) {
-	s := &Snapshot{Evacuated: map[string]Offset{"b": 3}, Targets: map[string][]*Target{"s": {
+	s := &Snapshot{Evacuated: map[string]Position{"b": {Offset: 3}}, Targets: map[string][]*Target{"s": {
 		{ID: "t0", Domain: "a"}, {ID: "t1", Domain: "b"}, {ID: "t2", Domain: "c"}, {ID: "t3", Domain: "c", Leaving: true},
 	}}}
 	for _, c := range []struct {
@@ -207,12 +214,12 @@
 // evacuation in force. Its targets can be read at any time.
 type startingFeed struct{ openAt time.Time }
 
-func (d *startingFeed) ReadTable(ctx context.Context, from Offset, wait time.Duration) (TableUpdate, error) {
+func (d *startingFeed) ReadTable(ctx context.Context, from Position, wait time.Duration) (TableUpdate, error) {
 	if time.Now().Before(d.openAt) {
 		return TableUpdate{}, errors.New("topic can't be read")
 	}
-	if from != Start {
-		return TableUpdate{Next: from}, (&clock.Service{}).Sleep(ctx, wait)
+	if from.Offset != Start {
+		return TableUpdate{Next: from.Offset}, (&clock.Service{}).Sleep(ctx, wait)
 	}
 	return TableUpdate{Full: true, Table: &Table{Version: 1}, Evacuations: []EvacuationChange{{Domain: "a", Evacuated: true, Offset: 1}}, Next: 2}, nil
 }
@@ -248,22 +255,22 @@
 	})
 }
 
-// restartedFeed is a store that loses the history of the operators' topic at lostAt. It
-// held an evacuation of a before, and holds one of b afterwards.
+// restartedFeed is a store that loses the history of the operators' topic at lostAt, and
+// enters another era. It held an evacuation of a before, and holds one of b afterwards.
 type restartedFeed struct {
 	startingFeed
 	lostAt time.Time
 }
 
-func (d *restartedFeed) ReadTable(ctx context.Context, from Offset, wait time.Duration) (TableUpdate, error) {
-	domain, next := "a", Offset(50)
+func (d *restartedFeed) ReadTable(ctx context.Context, from Position, wait time.Duration) (TableUpdate, error) {
+	domain, next, era := "a", Offset(50), Era(1)
 	if !time.Now().Before(d.lostAt) {
-		domain, next = "b", 10
+		domain, next, era = "b", 10, 2
 	}
-	if from == next {
-		return TableUpdate{Next: next}, (&clock.Service{}).Sleep(ctx, wait)
+	if from == (Position{era, next}) {
+		return TableUpdate{Next: next, Era: era}, (&clock.Service{}).Sleep(ctx, wait)
 	}
-	return TableUpdate{Full: true, Table: &Table{Version: 1}, Evacuations: []EvacuationChange{{Domain: domain, Evacuated: true, Offset: next - 1}}, Next: next}, nil
+	return TableUpdate{Full: true, Table: &Table{Version: 1}, Evacuations: []EvacuationChange{{Domain: domain, Evacuated: true, Offset: next - 1}}, Next: next, Era: era}, nil
 }
 
 // TestTopicStartsOver has the store lose the history of the operators' topic, so that its
@@ -279,10 +286,10 @@
 				go func() { done <- f.Run(ctx) }()
 				time.Sleep(lost + 5*time.Second)
 				for _, when := range []string{"in the new history", "after the former state from a peer"} {
-					if diff := cmp.Diff(map[string]Offset{"b": 9}, f.Snapshot().Evacuated); diff != "" {
+					if diff := cmp.Diff(map[string]Position{"b": {2, 9}}, f.Snapshot().Evacuated); diff != "" {
 						t.Errorf("evacuated %s (-want +got):\n%s", when, diff)
 					}
-					f.applyHeld(&Held{TableNext: 50, Evacuations: []EvacuationChange{{Domain: "a", Evacuated: true, Offset: 49}}}, Source{Name: "peer"})
+					f.applyHeld(&Held{TableNext: 50, TableEra: 1, Evacuations: []EvacuationChange{{Domain: "a", Evacuated: true, Offset: 49}}}, Source{Name: "peer"})
 					time.Sleep(5 * time.Second)
 				}
 				cancel()
@@ -294,14 +301,14 @@
 
 // TestAgeOfStateThatIsAhead expects a host's state to stay as old as it is after the reply
 // of a peer with an earlier position: with the age of the reply, other hosts would take
-// the state for one that was read after the topic's offsets had started over.
+// the state for a recent one.
 func TestAgeOfStateThatIsAhead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFollower()
 		f.ApplyTableUpdate(TableUpdate{Full: true, Next: 50}, Source{Name: "store"})
 		f.recordTargetsRead()
 		f.recordTableRead()
-		const age = restartMargin / 2
+		const age = 3 * time.Second
 		time.Sleep(age)
 		f.applyHeld(&Held{TableNext: 10}, Source{Name: "peer"})
 		held := &Held{}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -13,13 +13,6 @@
 	"go.uber.org/zap"
 )
 
-// Offset is a position in one of the platform's streams. Start is before every
-// record.
-type Offset int64
-
-// Start requests the newest record of every key.
-const Start Offset = -1
-
 // TableUpdate is the result of reading the operators' topic, which holds the
 // configurations and the evacuations of failure domains.
 type TableUpdate struct {
@@ -30,12 +23,14 @@
 	Table *Table
 	// Evacuations are in the order of their offsets.
 	Evacuations []EvacuationChange
-	Next        Offset
-	// Since is the position up to which the topic was known when the read began. A full
-	// read that ends before it shows that the topic's offsets have started over.
-	Since Offset
+	// Next is the offset after the last record that was read, in Era.
+	Next Offset
+	Era  Era
 }
 
+// position returns the position up to which u tells the state.
+func (u *TableUpdate) position() Position { return Position{u.Era, u.Next} }
+
 // TargetsUpdate is the result of reading the stream of targets.
 type TargetsUpdate struct {
 	// Full means that Changes holds every registered target; all others are gone.
@@ -54,10 +49,11 @@
 	Offset     Offset
 }
 
-// Feed reads the operators' topic and the stream of targets. A read from Start, or
-// from an offset that is no longer kept, returns the newest record of every key.
+// Feed reads the operators' topic and the stream of targets. A read from Start, from
+// an offset that is no longer kept, or of the operators' topic from a position of another
+// era than the store's, returns the newest record of every key.
 type Feed interface {
-	ReadTable(ctx context.Context, from Offset, wait time.Duration) (TableUpdate, error)
+	ReadTable(ctx context.Context, from Position, wait time.Duration) (TableUpdate, error)
 	ReadTargets(ctx context.Context, from Offset, wait time.Duration) (TargetsUpdate, error)
 }
 
@@ -123,9 +119,8 @@
 	lastSource string
 
 	// readsTopic is set while the polled reader does not relay the state of the operators'
-	// topic that this host knows: it is of the former version, behind, or one of the two
-	// has not noticed that the offsets have started over. This host then reads the topic
-	// itself.
+	// topic that this host knows: it is of the former version or behind. This host then
+	// reads the topic itself.
 	readsTopic atomic.Bool
 
 	mu    sync.Mutex
@@ -136,15 +131,10 @@
 	// evacuations holds the evacuations in force as of tablePosition, a position in the
 	// operators' topic that is zero until the topic has been read. evacuationsChanged is
 	// the position at which evacuations last changed.
-	evacuations        map[string]Offset
-	tablePosition      Offset
-	evacuationsChanged Offset
-	// topicReadAt is the latest time at which this state was read from the store, by this
-	// host or the one that it has it from. startedOverAt is the time at which this host
-	// learned that the topic's offsets had started over, or zero.
-	topicReadAt   time.Time
-	startedOverAt time.Time
-	targets       map[string]*targetEntry
+	evacuations        map[string]Position
+	tablePosition      Position
+	evacuationsChanged Position
+	targets            map[string]*targetEntry
 	// synced is set once the full list of targets has been read.
 	synced bool
 	// position is the offset up to which the targets are known. tombstones holds
@@ -190,7 +180,7 @@
 
 // followTable reads the operators' topic until ctx ends.
 func (f *Follower) followTable(ctx context.Context) {
-	next := Start
+	next := Position{Offset: Start}
 	reads := streamReads{log: f.Log, name: "configuration stream"}
 	for ctx.Err() == nil {
 		if f.pollsReader.Load() && !f.readsTopic.Load() {
@@ -200,7 +190,6 @@
 		}
 		start := f.Clock.Now()
 		var update TableUpdate
-		since := f.topicPosition()
 		switch reads.try(ctx, func(ctx context.Context) (err error) {
 			update, err = f.Feed.ReadTable(ctx, next, reads.wait)
 			return err
@@ -210,13 +199,13 @@
 			f.Clock.Sleep(ctx, f.retryPause())
 		case readDone:
 			// A read from Start returns the newest record of every key.
-			update.Full, update.Since = update.Full || next == Start, since
-			next, reads.wait = update.Next, f.readWait()
+			update.Full = update.Full || next.Offset == Start
+			next, reads.wait = update.position(), f.readWait()
 			f.ApplyTableUpdate(update, Source{Name: "store", Took: f.Clock.Since(start), ReadAge: f.tableReadAge()})
-			if update.Next < f.topicPosition() {
-				// A peer gave a later position. Either it has read more, or it has not
-				// noticed that the offsets have started over.
-				next, reads.wait = Start, 0
+			if known := f.topicPosition(); next.Before(known) {
+				// A peer has read more.
+				next, reads.wait = known, 0
+				f.Clock.Sleep(ctx, retryDelay)
 				continue
 			}
 			f.recordTableRead()
@@ -236,7 +225,7 @@
 // ApplyTableUpdate applies the result of a read of the operators' topic. Evacuations are
 // applied first, so that no request uses a new configuration without them.
 func (f *Follower) ApplyTableUpdate(update TableUpdate, source Source) {
-	f.applyEvacuations(update, source, time.Time{})
+	f.applyEvacuations(update, source)
 	if update.Table != nil {
 		f.ApplyTable(update.Table, source)
 	}
--- a/internal/catalog/late_change_test.go
+++ b/internal/catalog/late_change_test.go
@@ -19,11 +19,11 @@
 	changeAt    time.Time
 }
 
-func (d *missedWakeFeed) ReadTable(ctx context.Context, from Offset, wait time.Duration) (TableUpdate, error) {
+func (d *missedWakeFeed) ReadTable(ctx context.Context, from Position, wait time.Duration) (TableUpdate, error) {
 	if time.Now().Before(d.availableAt) {
 		return TableUpdate{}, errors.New("store is unavailable")
 	}
-	if from == Start {
+	if from.Offset == Start {
 		return TableUpdate{Table: &Table{Version: 1}, Next: 1}, nil
 	}
 	select {
@@ -31,8 +31,8 @@
 	case <-ctx.Done():
 		return TableUpdate{}, ctx.Err()
 	}
-	if from > 1 || time.Now().Before(d.changeAt) {
-		return TableUpdate{Next: from}, nil
+	if from.Offset > 1 || time.Now().Before(d.changeAt) {
+		return TableUpdate{Next: from.Offset}, nil
 	}
 	return TableUpdate{Table: &Table{Version: 2}, Next: 2}, nil
 }
--- a/internal/catalog/outage_test.go
+++ b/internal/catalog/outage_test.go
@@ -34,6 +34,8 @@
 	removals []TargetChange
 	// evacuations holds the records of the operators' topic after the configuration.
 	evacuations []EvacuationChange
+	// era counts from one. It rises when the offsets start over.
+	era Era
 	// former names the hosts whose relays are those of the version before evacuations.
 	former map[string]bool
 	reads  int
@@ -54,6 +56,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.evacuations = nil
+	s.era++
 }
 
 // firstEvacuation is the offset after the configuration.
@@ -99,7 +102,7 @@
 	return d.store.rejected[d.name]
 }
 
-func (d *hostFeed) ReadTable(ctx context.Context, from Offset, wait time.Duration) (TableUpdate, error) {
+func (d *hostFeed) ReadTable(ctx context.Context, from Position, wait time.Duration) (TableUpdate, error) {
 	if d.begin() {
 		return TableUpdate{}, errTurnedAway
 	}
@@ -114,19 +117,25 @@
 }
 
 // newerRecords returns the records of the operators' topic from an offset on.
-func (d *hostFeed) newerRecords(from Offset) TableUpdate {
+func (d *hostFeed) newerRecords(from Position) TableUpdate {
 	d.store.mu.Lock()
 	defer d.store.mu.Unlock()
 	next := firstEvacuation + Offset(len(d.store.evacuations))
-	// Like Feed of the platform, it reads all records if an offset is beyond the end.
-	u := TableUpdate{Full: from == Start || from > next, Next: next}
+	// Like Feed of the platform, it reads all records if a position is not in the topic.
+	u := TableUpdate{Full: !d.store.has(from, next), Next: next, Era: d.store.era}
 	if u.Full {
-		u.Table, from = &Table{Version: 1}, firstEvacuation
+		u.Table, from.Offset = &Table{Version: 1}, firstEvacuation
 	}
-	u.Evacuations = append(u.Evacuations, d.store.evacuations[from-firstEvacuation:]...)
+	u.Evacuations = append(u.Evacuations, d.store.evacuations[from.Offset-firstEvacuation:]...)
 	return u
 }
 
+// has reports whether a topic that ends at next has the records from a position on; s.mu is
+// held.
+func (s *sharedStore) has(from Position, next Offset) bool {
+	return from.Offset != Start && from.Era == s.era && from.Offset <= next
+}
+
 func (d *hostFeed) ReadTargets(ctx context.Context, from Offset, wait time.Duration) (TargetsUpdate, error) {
 	if d.begin() {
 		return TargetsUpdate{}, errTurnedAway
@@ -158,7 +167,7 @@
 type formerRelay struct{ relay *Relay }
 
 func (r *formerRelay) Fetch(known Known, reply *Held) error {
-	known.TableNext, known.Partial = 0, false
+	known.TableNext, known.Partial, known.ComparesEras = 0, false, false
 	err := r.relay.Fetch(known, reply)
 	reply.TableNext, reply.Evacuations = 0, nil
 	return err
@@ -234,7 +243,7 @@
 	} {
 		for delay := 100 * time.Millisecond; delay < apply; delay += 450 * time.Millisecond {
 			synctest.Test(t, func(t *testing.T) {
-				store := &sharedStore{}
+				store := &sharedStore{era: 1}
 				followers := startFollowers(t, store, hosts, apply)
 				time.Sleep(2500 * time.Millisecond)
 				rejected := map[string]bool{}
@@ -289,7 +298,7 @@
 	} {
 		for delay := 100 * time.Millisecond; delay < apply; delay += 650 * time.Millisecond {
 			synctest.Test(t, func(t *testing.T) {
-				store := &sharedStore{former: c.former}
+				store := &sharedStore{era: 1, former: c.former}
 				followers := startFollowers(t, store, hosts, apply)
 				time.Sleep(2500 * time.Millisecond)
 				store.reject(c.rejected)
@@ -320,7 +329,7 @@
 		for delay := 100 * time.Millisecond; delay < apply; delay += 650 * time.Millisecond {
 			t.Run(fmt.Sprint(name, " turned away, ", delay), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					store := &sharedStore{}
+					store := &sharedStore{era: 1}
 					for i := range records {
 						store.evacuate("z", i%2 == 0)
 					}
@@ -386,7 +395,7 @@
 func TestReadsInOutage(t *testing.T) {
 	const hosts, apply, outage = 20, 4 * time.Second, 8 * time.Second
 	synctest.Test(t, func(t *testing.T) {
-		store := &sharedStore{}
+		store := &sharedStore{era: 1}
 		followers := startFollowers(t, store, hosts, apply)
 		time.Sleep(2 * time.Second)
 		rejected := map[string]bool{}
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		if held.fresh(f.pollWait()) {
-			f.readsTopic.Store(!held.hasTopic() || held.TableNext != f.topicPosition())
+			f.readsTopic.Store(!held.hasTopic() || held.tablePosition() != f.topicPosition())
 			f.recordSource(h.Name)
 			return true
 		}
@@ -114,8 +114,7 @@
 // for as long as there.
 func (f *Follower) applyHeld(held *Held, source Source) {
 	if held.hasTopic() {
-		readAt := f.Clock.Now().Add(-source.Took - held.ReadAge)
-		f.applyEvacuations(TableUpdate{Full: true, Evacuations: held.Evacuations, Next: held.TableNext}, source, readAt)
+		f.applyEvacuations(TableUpdate{Full: true, Evacuations: held.Evacuations, Next: held.TableNext, Era: held.TableEra}, source)
 	}
 	if held.Table != nil {
 		f.applyTable(held.Table, !held.hasTopic(), source)
@@ -138,7 +137,7 @@
 		f.lastTargetsRead = at
 	}
 	// The state of a peer that is behind was not taken over.
-	if at.After(f.lastTableRead) && (!held.hasTopic() || held.TableNext >= f.tablePosition) {
+	if at.After(f.lastTableRead) && (!held.hasTopic() || !held.tablePosition().Before(f.tablePosition)) {
 		f.lastTableRead = at
 	}
 	f.failing = false
@@ -156,8 +155,8 @@
 		held.Table = f.table
 	}
 	if !f.tablePartial {
-		held.TableNext, held.Evacuations = f.tablePosition, f.evacuationList()
-		held.evacuationsChanged = held.hasTopic() && known.TableNext != 0 && f.evacuationsChanged > known.TableNext
+		held.TableNext, held.TableEra, held.Evacuations = f.tablePosition.Offset, f.tablePosition.Era, f.evacuationList()
+		held.evacuationsChanged = held.hasTopic() && known.TableNext != 0 && known.tablePosition(f.tablePosition.Era).Before(f.evacuationsChanged)
 	}
 	if !f.synced || known.Next >= f.position {
 		return held
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -21,10 +21,13 @@
 	Version int64
 	// Next is the offset up to which the host knows the targets.
 	Next Offset
-	// TableNext is the position up to which the host knows the operators' topic, or
-	// Start. With zero, evacuations don't end the wait: the host is of the former version
-	// and ignores them, or the topic's offsets have just started over.
+	// TableNext is the offset up to which the host knows the operators' topic, in
+	// TableEra, or Start. With zero, evacuations don't end the wait: the host is of the
+	// former version and ignores them.
 	TableNext Offset
+	TableEra  Era
+	// ComparesEras is not set by hosts of the former version, which compare offsets alone.
+	ComparesEras bool
 	// Partial means that the host got its configuration from a host of the former version,
 	// and needs the whole configuration of the same Version again.
 	Partial bool
@@ -36,11 +39,12 @@
 type Held struct {
 	// Table is nil unless it is newer than the requested version.
 	Table *Table
-	// Evacuations holds all evacuations in force at TableNext, a position in the
-	// operators' topic. Zero means that both are unknown, as from a host of the former
-	// version, and never that nothing is evacuated.
+	// Evacuations holds all evacuations in force at TableNext, an offset in the
+	// operators' topic in TableEra. Zero means that both are unknown, as from a host of
+	// the former version, and never that nothing is evacuated.
 	Evacuations []EvacuationChange
 	TableNext   Offset
+	TableEra    Era
 	// evacuationsChanged is set if Evacuations changed after the requested position.
 	evacuationsChanged bool
 	// Whole means that Targets holds all targets up to Next; otherwise it holds the
@@ -134,16 +138,11 @@
 
 // known returns the request of a fetch that waits up to wait for a change.
 func (f *Follower) known(wait time.Duration) Known {
-	known := Known{Next: f.knownOffset(), Wait: wait}
+	known := Known{Next: f.knownOffset(), ComparesEras: true, Wait: wait}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known.TableNext, known.Partial = f.tablePosition, f.tablePartial
-	switch {
-	case f.isOfFormerHistory(f.Clock.Now().Add(-restartMargin)):
-		// The reply may be rejected, as long as the state in it was read too early, and
-		// must not end the wait again and again.
-		known.TableNext = 0
-	case known.TableNext == 0:
+	known.TableNext, known.TableEra, known.Partial = f.tablePosition.Offset, f.tablePosition.Era, f.tablePartial
+	if known.TableNext == 0 {
 		known.TableNext = Start
 	}
 	if f.table != nil {
@@ -152,6 +151,19 @@
 	return known
 }
 
+// tablePosition returns the position up to which the requesting host knows the operators'
+// topic. era is that of the replying host, which counts for hosts that don't compare eras.
+func (k *Known) tablePosition(era Era) Position {
+	if !k.ComparesEras {
+		return Position{era, k.TableNext}
+	}
+	return Position{k.TableEra, k.TableNext}
+}
+
+// tablePosition returns the position in the operators' topic as of which the reply tells
+// the evacuations.
+func (h *Held) tablePosition() Position { return Position{h.TableEra, h.TableNext} }
+
 // hasTopic reports whether the reply holds the whole state of the operators' topic as of
 // TableNext. Replies of hosts of the former version don't.
 func (h *Held) hasTopic() bool { return h.TableNext > 0 }
--- a/internal/gateway/evacuate.go
+++ b/internal/gateway/evacuate.go
@@ -25,9 +25,9 @@
 // each is logged once. The zero value is ready for use.
 type operatorWarnings struct {
 	mu sync.Mutex
-	// domains holds the evacuated failure domains that nothing names, with the offsets
+	// domains holds the evacuated failure domains that nothing names, with the positions
 	// of their records.
-	domains map[string]catalog.Offset
+	domains map[string]catalog.Position
 	// version is that of the configuration whose home regions were checked last.
 	version int64
 }
@@ -50,15 +50,15 @@
 // warnOfDomains logs the evacuations of failure domains that neither the settings nor
 // a target names; the mutex of h.warnings is held.
 func (h *Host) warnOfDomains(s *catalog.Snapshot) {
-	for domain, offset := range s.Evacuated {
-		if known, warned := h.warnings.domains[domain]; warned && known == offset || h.namesDomain(s, domain) {
+	for domain, at := range s.Evacuated {
+		if known, warned := h.warnings.domains[domain]; warned && known == at || h.namesDomain(s, domain) {
 			continue
 		}
 		if h.warnings.domains == nil {
-			h.warnings.domains = map[string]catalog.Offset{}
+			h.warnings.domains = map[string]catalog.Position{}
 		}
-		h.warnings.domains[domain] = offset
-		h.Log.Warn("evacuated failure domain is unknown", zap.String("Domain", domain), zap.Int64("Offset", int64(offset)))
+		h.warnings.domains[domain] = at
+		h.Log.Warn("evacuated failure domain is unknown", zap.String("Domain", domain), zap.Int64("Offset", int64(at.Offset)))
 	}
 }
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -83,18 +83,18 @@
 
 var errDown = errors.New("down")
 
-func (f *testFeed) ReadTable(ctx context.Context, from catalog.Offset, wait time.Duration) (catalog.TableUpdate, error) {
+func (f *testFeed) ReadTable(ctx context.Context, from catalog.Position, wait time.Duration) (catalog.TableUpdate, error) {
 	if f.down.Load() {
 		return catalog.TableUpdate{}, errDown
 	}
-	if from == catalog.Start {
+	if from.Offset == catalog.Start {
 		// Each host indexes its own copy.
 		table := *f.table
-		u, _ := f.newer(from)
+		u, _ := f.newer(from.Offset)
 		u.Full, u.Table = true, &table
 		return u, nil
 	}
-	u, changed := f.newer(from)
+	u, changed := f.newer(from.Offset)
 	if len(u.Evacuations) > 0 {
 		return u, nil
 	}
@@ -104,7 +104,7 @@
 	case <-ctx.Done():
 		return catalog.TableUpdate{}, ctx.Err()
 	}
-	u, _ = f.newer(from)
+	u, _ = f.newer(from.Offset)
 	return u, nil
 }
 
--- a/internal/stage/evacuation_test.go
+++ b/internal/stage/evacuation_test.go
@@ -25,9 +25,9 @@
 // evacuate makes the given failure domains the evacuated ones.
 func (e *evacuable) evacuate(domains ...string) {
 	s := *e.snapshot.Load()
-	s.Evacuated = map[string]catalog.Offset{}
+	s.Evacuated = map[string]catalog.Position{}
 	for _, d := range domains {
-		s.Evacuated[d] = 1
+		s.Evacuated[d] = catalog.Position{Offset: 1}
 	}
 	e.snapshot.Store(&s)
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -37,7 +37,7 @@
 # Runs of many hosts, and the loads that check the objectives, are too large for the
 # race detector.
 go test -timeout 30m -run 'TurnedAway|InOutage' ${skip[@]+"${skip[@]}"} ./internal/catalog
-go test -timeout 30m -run 'ConnectionsOfMany' ${skip[@]+"${skip[@]}"} ./platform
+go test -timeout 30m -run 'ConnectionsOfMany|CopyOfMany' ${skip[@]+"${skip[@]}"} ./platform
 go test -timeout 30m -run 'PoliciesOnEngines|PoliciesOnRecordedLoads' ${skip[@]+"${skip[@]}"} ./internal/placement
 go test -timeout 30m -run Aim ${skip[@]+"${skip[@]}"} ./internal/experiment
 go test -timeout 30m -p 1 -count=1 -run "$floods" ${skip[@]+"${skip[@]}"} ./platform/soak
