catalog: an entry of a target at a lost one's offset counts

Cause: the store had come back from a copy. The hosts knew an entry of the target at an offset of the former history and dropped all of its entries below.

Ruled out: that the entry is older by its own birth and sequence, and, for this script, that the record isn't read.

Change: the positions of the targets carry their era too. The first whole list of an era counts whatever its offsets are. What the targets themselves have written stays true when the store loses the record: the newest entry stays until a later one, a lost registration has the time in which live targets register again, and a target whose lost removal this host has seen isn't used for that time, unless it writes again.

--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -224,9 +224,9 @@
 	return TableUpdate{Full: true, Table: &Table{Version: 1}, Evacuations: []EvacuationChange{{Domain: "a", Evacuated: true, Offset: 1}}, Next: 2}, nil
 }
 
-func (d *startingFeed) ReadTargets(ctx context.Context, from Offset, wait time.Duration) (TargetsUpdate, error) {
-	if from != Start {
-		return TargetsUpdate{Next: from}, (&clock.Service{}).Sleep(ctx, wait)
+func (d *startingFeed) ReadTargets(ctx context.Context, from Position, wait time.Duration) (TargetsUpdate, error) {
+	if from.Offset != Start {
+		return TargetsUpdate{Next: from.Offset}, (&clock.Service{}).Sleep(ctx, wait)
 	}
 	return TargetsUpdate{Full: true, Changes: entries(2, 0, 1), Next: 2}, nil
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -36,9 +36,14 @@
 	// Full means that Changes holds every registered target; all others are gone.
 	Full    bool
 	Changes []TargetChange
-	Next    Offset
+	// Next is the offset after the last record that was read, in Era.
+	Next Offset
+	Era  Era
 }
 
+// position returns the position up to which u tells the state.
+func (u *TargetsUpdate) position() Position { return Position{u.Era, u.Next} }
+
 // TargetChange is an entry of a target or, with a nil Target, its removal.
 type TargetChange struct {
 	ID     string
@@ -50,11 +55,11 @@
 }
 
 // Feed reads the operators' topic and the stream of targets. A read from Start, from
-// an offset that is no longer kept, or of the operators' topic from a position of another
-// era than the store's, returns the newest record of every key.
+// an offset that is no longer kept, or from a position of another era than the store's,
+// returns the newest record of every key.
 type Feed interface {
 	ReadTable(ctx context.Context, from Position, wait time.Duration) (TableUpdate, error)
-	ReadTargets(ctx context.Context, from Offset, wait time.Duration) (TargetsUpdate, error)
+	ReadTargets(ctx context.Context, from Position, wait time.Duration) (TargetsUpdate, error)
 }
 
 // Timing of the follower.
@@ -75,7 +80,7 @@
 	// it. Evacuations have to be in force within 5 s, even if ApplyTime is longer.
 	maxApplyTime = 4 * time.Second
 	// lapseGrace is how long after an outage of the store a target is kept whose
-	// entry lapsed during the outage; a live target registers again by then.
+	// entry lapsed or was lost in the outage; a live target registers again by then.
 	lapseGrace = 2 * time.Second
 	// peerFetchTimeout bounds a fetch from one peer, maxPeersAsked the peers that are
 	// asked after one failed read.
@@ -137,11 +142,13 @@
 	targets            map[string]*targetEntry
 	// synced is set once the full list of targets has been read.
 	synced bool
-	// position is the offset up to which the targets are known. tombstones holds
-	// the last removals, complete from offset tombstonesFrom on.
-	position       Offset
+	// position is the position up to which the targets are known. tombstones holds
+	// the last removals in its era, complete from tombstonesFrom on.
+	position       Position
 	tombstones     []TargetChange
-	tombstonesFrom Offset
+	tombstonesFrom Position
+	// removed holds the targets that were removed lately, by ID.
+	removed map[string]removedTarget
 	// changedCh is closed at the next change.
 	changedCh chan struct{}
 	// lastTargetsRead and lastTableRead are the times of the last successful reads
@@ -291,7 +298,9 @@
 	if f.synced {
 		s.Targets = map[string][]*Target{}
 		for _, r := range f.targets {
-			s.Targets[r.target.Service] = append(s.Targets[r.target.Service], r.target)
+			if !r.restored {
+				s.Targets[r.target.Service] = append(s.Targets[r.target.Service], r.target)
+			}
 		}
 		for _, targets := range s.Targets {
 			sort.Slice(targets, func(i, j int) bool { return targets[i].ID < targets[j].ID })
--- a/internal/catalog/late_change_test.go
+++ b/internal/catalog/late_change_test.go
@@ -37,7 +37,7 @@
 	return TableUpdate{Table: &Table{Version: 2}, Next: 2}, nil
 }
 
-func (d *missedWakeFeed) ReadTargets(ctx context.Context, _ Offset, wait time.Duration) (TargetsUpdate, error) {
+func (d *missedWakeFeed) ReadTargets(ctx context.Context, _ Position, wait time.Duration) (TargetsUpdate, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
--- a/internal/catalog/outage_test.go
+++ b/internal/catalog/outage_test.go
@@ -136,7 +136,7 @@
 	return from.Offset != Start && from.Era == s.era && from.Offset <= next
 }
 
-func (d *hostFeed) ReadTargets(ctx context.Context, from Offset, wait time.Duration) (TargetsUpdate, error) {
+func (d *hostFeed) ReadTargets(ctx context.Context, from Position, wait time.Duration) (TargetsUpdate, error) {
 	if d.begin() {
 		return TargetsUpdate{}, errTurnedAway
 	}
@@ -150,16 +150,17 @@
 	return d.newer(from), nil
 }
 
-// newer returns the entries from an offset on.
-func (d *hostFeed) newer(from Offset) TargetsUpdate {
+// newer returns the entries from a position on.
+func (d *hostFeed) newer(from Position) TargetsUpdate {
 	d.store.mu.Lock()
 	defer d.store.mu.Unlock()
-	u := TargetsUpdate{Full: from == Start, Next: firstOffset + Offset(len(d.store.removals))}
+	next := firstOffset + Offset(len(d.store.removals))
+	u := TargetsUpdate{Full: !d.store.has(from, next), Next: next, Era: d.store.era}
 	if u.Full {
 		u.Changes = entries(int(firstOffset), 0, 1)[:int(firstOffset)-len(d.store.removals)]
 		return u
 	}
-	u.Changes = append(u.Changes, d.store.removals[from-firstOffset:]...)
+	u.Changes = append(u.Changes, d.store.removals[from.Offset-firstOffset:]...)
 	return u
 }
 
@@ -169,7 +170,7 @@
 func (r *formerRelay) Fetch(known Known, reply *Held) error {
 	known.TableNext, known.Partial, known.ComparesEras = 0, false, false
 	err := r.relay.Fetch(known, reply)
-	reply.TableNext, reply.Evacuations = 0, nil
+	reply.TableNext, reply.Evacuations, reply.Era = 0, nil, 0
 	return err
 }
 
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -89,7 +89,7 @@
 			f.Log.Info("cannot poll reader host", zap.String("Peer", h.Name), journal.Error(err))
 			continue
 		}
-		if held.fresh(f.pollWait()) {
+		if held.fresh(f.pollWait()) && !f.isOfEarlierEra(held) {
 			f.readsTopic.Store(!held.hasTopic() || held.tablePosition() != f.topicPosition())
 			f.recordSource(h.Name)
 			return true
@@ -119,11 +119,11 @@
 	if held.Table != nil {
 		f.applyTable(held.Table, !held.hasTopic(), source)
 	}
-	if held.fresh(f.readWait()) {
+	if held.fresh(f.readWait()) && !f.isOfEarlierEra(held) {
 		f.recordPeerRead(held)
 	}
 	// Without changes, too, the grace of lapsed entries may be over.
-	f.applyTargets(TargetsUpdate{Full: held.Whole, Changes: held.Targets, Next: held.Next}, true)
+	f.applyTargets(TargetsUpdate{Full: held.Whole, Changes: held.Targets, Next: held.Next, Era: held.Era}, source.Name, true)
 }
 
 // recordPeerRead takes over the age and the grace of a reply that stems from the
@@ -147,7 +147,7 @@
 // changesSince returns what is newer than known; f.mu is held.
 func (f *Follower) changesSince(known Known) *Held {
 	now := f.Clock.Now()
-	held := &Held{Next: f.position, ReadAge: now.Sub(f.lastTargetsRead), Failing: f.failing, GraceLeft: max(0, f.graceUntil.Sub(now))}
+	held := &Held{Next: f.position.Offset, Era: f.position.Era, ReadAge: now.Sub(f.lastTargetsRead), Failing: f.failing, GraceLeft: max(0, f.graceUntil.Sub(now))}
 	if age := now.Sub(f.lastTableRead); age > held.ReadAge {
 		held.ReadAge = age
 	}
@@ -158,18 +158,19 @@
 		held.TableNext, held.TableEra, held.Evacuations = f.tablePosition.Offset, f.tablePosition.Era, f.evacuationList()
 		held.evacuationsChanged = held.hasTopic() && known.TableNext != 0 && known.tablePosition(f.tablePosition.Era).Before(f.evacuationsChanged)
 	}
-	if !f.synced || known.Next >= f.position {
+	since := known.targetsPosition(f.position.Era)
+	if !f.synced || !since.Before(f.position) {
 		return held
 	}
-	held.Whole = known.Next < f.tombstonesFrom
+	held.Whole = since.Before(f.tombstonesFrom)
 	for id, e := range f.targets {
-		if !e.lapsed && (held.Whole || e.offset >= known.Next) {
+		if !e.lapsed && (held.Whole || e.offset >= since.Offset) {
 			held.Targets = append(held.Targets, TargetChange{ID: id, Target: e.atPeer(now), Offset: e.offset})
 		}
 	}
 	if !held.Whole {
 		for _, c := range f.tombstones {
-			if c.Offset >= known.Next {
+			if c.Offset >= since.Offset {
 				held.Targets = append(held.Targets, c)
 			}
 		}
@@ -198,7 +199,7 @@
 func (f *Follower) addTombstone(c TargetChange) {
 	f.tombstones = append(f.tombstones, c)
 	if len(f.tombstones) > maxTombstones {
-		f.tombstonesFrom = f.tombstones[0].Offset + 1
+		f.tombstonesFrom.Offset = f.tombstones[0].Offset + 1
 		f.tombstones = f.tombstones[1:]
 	}
 }
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -19,8 +19,9 @@
 type Known struct {
 	// Version is the version of the configuration in force.
 	Version int64
-	// Next is the offset up to which the host knows the targets.
+	// Next is the offset up to which the host knows the targets, in Era.
 	Next Offset
+	Era  Era
 	// TableNext is the offset up to which the host knows the operators' topic, in
 	// TableEra, or Start. With zero, evacuations don't end the wait: the host is of the
 	// former version and ignores them.
@@ -51,7 +52,9 @@
 	// changes from the requested offset up to Next.
 	Whole   bool
 	Targets []TargetChange
-	Next    Offset
+	// Next is an offset in Era.
+	Next Offset
+	Era  Era
 	// ReadAge is how old the reply is: the time since the older of the last reads of
 	// the two streams, by this host or the one that it has them from.
 	ReadAge time.Duration
@@ -114,7 +117,7 @@
 			f.Log.Debug("cannot fetch catalog from peer", zap.String("Peer", h.Name), journal.Error(err))
 			continue
 		}
-		if held.fresh(f.readWait()) {
+		if held.fresh(f.readWait()) && !f.isOfEarlierEra(held) {
 			return h, true
 		}
 	}
@@ -138,7 +141,8 @@
 
 // known returns the request of a fetch that waits up to wait for a change.
 func (f *Follower) known(wait time.Duration) Known {
-	known := Known{Next: f.knownOffset(), ComparesEras: true, Wait: wait}
+	targets := f.knownPosition()
+	known := Known{Next: targets.Offset, Era: targets.Era, ComparesEras: true, Wait: wait}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known.TableNext, known.TableEra, known.Partial = f.tablePosition.Offset, f.tablePosition.Era, f.tablePartial
@@ -151,8 +155,16 @@
 	return known
 }
 
-// tablePosition returns the position up to which the requesting host knows the operators'
-// topic. era is that of the replying host, which counts for hosts that don't compare eras.
+// targetsPosition returns the position up to which the requesting host knows the targets.
+// era is that of the replying host, which counts for hosts that don't compare eras.
+func (k *Known) targetsPosition(era Era) Position {
+	if !k.ComparesEras {
+		return Position{era, k.Next}
+	}
+	return Position{k.Era, k.Next}
+}
+
+// tablePosition is like targetsPosition for the operators' topic.
 func (k *Known) tablePosition(era Era) Position {
 	if !k.ComparesEras {
 		return Position{era, k.TableNext}
@@ -160,6 +172,9 @@
 	return Position{k.TableEra, k.TableNext}
 }
 
+// targetsPosition returns the position up to which the reply tells the targets.
+func (h *Held) targetsPosition() Position { return Position{h.Era, h.Next} }
+
 // tablePosition returns the position in the operators' topic as of which the reply tells
 // the evacuations.
 func (h *Held) tablePosition() Position { return Position{h.TableEra, h.TableNext} }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -108,18 +108,18 @@
 	return u, nil
 }
 
-func (f *testFeed) ReadTargets(ctx context.Context, from catalog.Offset, wait time.Duration) (catalog.TargetsUpdate, error) {
-	if from == catalog.Start {
+func (f *testFeed) ReadTargets(ctx context.Context, from catalog.Position, wait time.Duration) (catalog.TargetsUpdate, error) {
+	if from.Offset == catalog.Start {
 		later, next, _ := f.laterThan(1)
 		return catalog.TargetsUpdate{Full: true, Changes: append(slices.Clone(f.targets), later...), Next: next}, nil
 	}
-	later, next, changed := f.laterThan(from)
+	later, next, changed := f.laterThan(from.Offset)
 	if len(later) > 0 {
 		return catalog.TargetsUpdate{Changes: later, Next: next}, nil
 	}
 	select {
 	case <-changed:
-		later, next, _ = f.laterThan(from)
+		later, next, _ = f.laterThan(from.Offset)
 		return catalog.TargetsUpdate{Changes: later, Next: next}, nil
 	case <-time.After(wait):
 		return catalog.TargetsUpdate{Next: next}, nil
