platform: a stage may need a later one, and an invalid route is refused alone

Cause: a route of that version had a stage that needs one with a higher number. The decoder took this for an error, and dropped the whole version for it.

Ruled out: that the version isn't read.

Change: StageOrder sorts stages by what they need; a cycle, and a stage that doesn't exist, are errors. A route with such stages or an unknown kind is invalid in the table: its requests are refused at once with ConfigInvalid (503, not run), a log line says why, and a counter with its name counts them. The rest of the version is in force. A stage that is named twice is read once. Related path: the forecast walked stages by number, so that one that needs a later one would have seemed to start at once.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -79,6 +79,9 @@
 	// Regions are the home regions: the route's requests go only to targets there.
 	// Empty means any.
 	Regions []string
+	// Invalid, unless empty, says why requests of the route can't be served. It then has
+	// no backends and no stages.
+	Invalid string
 }
 
 // Repeatable reports whether a request of r may run more than once.
@@ -95,7 +98,8 @@
 // Stage is a step that has to finish before a request of the route can run.
 type Stage struct {
 	Service string
-	// After holds the indices of the stages whose results this stage reads.
+	// After holds the indices of the stages whose results this stage reads, each once;
+	// see StageOrder.
 	After []int
 	// ResultBytes is the approximate size of one piece's result.
 	ResultBytes int64
--- a/internal/gateway/forecast.go
+++ b/internal/gateway/forecast.go
@@ -84,8 +84,8 @@
 func (p *plan) forecastEnd(wait func(i int) time.Duration) time.Duration {
 	ends := make([]time.Duration, len(p.q.route.Stages))
 	last := time.Duration(0)
-	for i, s := range p.q.route.Stages {
-		for _, before := range s.After {
+	for _, i := range p.order {
+		for _, before := range p.q.route.Stages[i].After {
 			ends[i] = max(ends[i], ends[before])
 		}
 		if p.pieceCount(i) > 0 {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -23,6 +23,8 @@
 type plan struct {
 	h *Host
 	q *request
+	// order holds the stages in an order in which each comes after those that it reads.
+	order []int
 	// sinks are the stages whose results no other stage reads.
 	sinks []int
 	// targetDomain is the failure domain where the request itself will probably run.
@@ -71,7 +73,11 @@
 
 func (h *Host) newPlan(q *request) *plan {
 	n := len(q.route.Stages)
-	p := &plan{h: h, q: q, stages: make([]*stageRun, n), readers: make([]int, n), pendingReaders: make([]int, n)}
+	order, err := catalog.StageOrder(q.route.Stages)
+	if err != nil {
+		panic("gateway: route " + q.route.Name + " is not invalid: " + err.Error())
+	}
+	p := &plan{order: order, h: h, q: q, stages: make([]*stageRun, n), readers: make([]int, n), pendingReaders: make([]int, n)}
 	for _, s := range q.route.Stages {
 		for _, before := range s.After {
 			p.readers[before]++
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -17,6 +17,7 @@
 	"berylswitch.example/berylswitch/internal/catalog"
 	"berylswitch.example/berylswitch/internal/crash"
 	"berylswitch.example/berylswitch/pkg/result"
+	"github.com/rcrowley/go-metrics"
 )
 
 // request is a caller's request while it is being served.
@@ -137,6 +138,9 @@
 	if err != nil {
 		return err
 	}
+	if err := h.checkConfig(q); err != nil {
+		return err
+	}
 	if err := h.restrict(q, workspace); err != nil {
 		return err
 	}
@@ -151,6 +155,19 @@
 	return h.refuseCrashing(q)
 }
 
+// invalidRouteCounter is the prefix of the counters of requests that are refused since their
+// route is invalid, by the name of the route.
+const invalidRouteCounter = "Routes.Invalid."
+
+// checkConfig refuses q if its route can't be served as it is configured.
+func (h *Host) checkConfig(q *request) error {
+	if q.route.Invalid == "" {
+		return nil
+	}
+	metrics.GetOrRegisterCounter(invalidRouteCounter+q.route.Name, h.Metrics).Inc(1)
+	return retryLater(result.ConfigInvalid, noTableRetry, "route %s in configuration version %d: %s", q.route.Name, q.version, q.route.Invalid)
+}
+
 // authorize determines the workspace and priority of q from its API key. It returns nil
 // for a route that needs no key.
 func (q *request) authorize(table *catalog.Table) (*catalog.Workspace, error) {
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -22,7 +22,7 @@
 	route := &catalog.Route{Stages: []catalog.Stage{{Service: "a"}, {Service: "b", After: []int{0}}, {Service: "c", After: []int{1}}}}
 	h := &Host{Follower: f, Clock: &clock.Service{}, Stages: &stage.Client{Clock: &clock.Service{}}}
 	q := &request{route: route, deadline: time.Now().Add(left), RequestInfo: RequestInfo{Pieces: []int{1, 8, 16}}}
-	return &plan{h: h, q: q, readers: []int{1, 1, 0}}
+	return &plan{h: h, q: q, order: []int{0, 1, 2}, readers: []int{1, 1, 0}}
 }
 
 // TestStageWindows expects the windows of stages in a row to leave each stage its call and a
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -27,7 +27,7 @@
 	maxResponseBytes = 16 << 20
 	// Retry delays for callers: overloadedRetry if no target had capacity,
 	// noTargetRetry if none was known, noTableRetry while the host has no
-	// configuration.
+	// configuration, or none by which it can serve the route.
 	overloadedRetry = 200 * time.Millisecond
 	noTargetRetry   = 500 * time.Millisecond
 	noTableRetry    = 2 * time.Second
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -79,6 +79,7 @@
 	ConfigStale      Code = 206
 	TableFull        Code = 207
 	NoMemory         Code = 208
+	ConfigInvalid    Code = 209
 
 	DeadlineExceeded Code = 300
 	StageFailed      Code = 301
@@ -123,6 +124,7 @@
 	{ConfigStale, "ConfigStale", http.StatusServiceUnavailable, RanNo, "The host has had no contact to log or peers and takes no new work."},
 	{TableFull, "TableFull", http.StatusServiceUnavailable, RanNo, "A bounded table of the host is full."},
 	{NoMemory, "NoMemory", http.StatusServiceUnavailable, RanNo, "The host has no memory left for the body."},
+	{ConfigInvalid, "ConfigInvalid", http.StatusServiceUnavailable, RanNo, "The host can't serve the route or workspace as it is configured."},
 	{DeadlineExceeded, "DeadlineExceeded", http.StatusGatewayTimeout, RanPartly, "The deadline passed after a stage was started."},
 	{StageFailed, "StageFailed", http.StatusBadGateway, RanPartly, "A stage failed and could not be retried."},
 	{OutcomeUnknown, "OutcomeUnknown", http.StatusBadGateway, RanUnknown, "The first attempt with this key broke; whether it ran is not known."},
