--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -172,9 +172,6 @@
 	return Position{k.TableEra, k.TableNext}
 }
 
-// targetsPosition returns the position up to which the reply tells the targets.
-func (h *Held) targetsPosition() Position { return Position{h.Era, h.Next} }
-
 // tablePosition returns the position in the operators' topic as of which the reply tells
 // the evacuations.
 func (h *Held) tablePosition() Position { return Position{h.TableEra, h.TableNext} }
