--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -142,6 +142,8 @@
 	// Regions are the home regions of the workspace's requests, in addition to those
 	// of the route. Empty means any.
 	Regions []string
+	// Invalid, unless empty, says why requests of the workspace can't be served.
+	Invalid string
 }
 
 // Limits bounds what callers may send. Zero means no limit.
--- a/internal/gateway/config_test.go
+++ b/internal/gateway/config_test.go
@@ -86,26 +86,28 @@
 	return order
 }
 
-// TestInvalidRouteIsRefusedAlone expects requests of a route that can't be served to be
-// refused at once, with a promise that they have not run, and others to be served. A key that
-// is not valid is refused first.
-func TestInvalidRouteIsRefusedAlone(t *testing.T) {
+// TestInvalidPartsAreRefusedAlone expects requests of a route or workspace that can't be served
+// to be refused at once, with a promise that they have not run, and others to be served. A key
+// that is not valid is refused first.
+func TestInvalidPartsAreRefusedAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		routes := append(route(catalog.Safe, nil), &catalog.Route{Name: "bad", Host: "h.example", Prefix: "/bad/", Invalid: "stage 0 needs stage 1, which needs it in turn"})
 		r := prepareFixture(t, routes, respondsWith("x"))
-		r.feed.table.Workspaces = []*catalog.Workspace{{Name: "w", Keys: []string{"k"}}}
+		r.feed.table.Workspaces = []*catalog.Workspace{{Name: "w", Keys: []string{"k"}}, {Name: "v", Keys: []string{"bad"}, Invalid: "field name can't be decoded"}}
 		r.start()
 		defer r.close()
 		start := time.Now()
-		got := []string{r.post("/bad/x", "Key", "k"), r.post("/bad/x", "Key", "withdrawn"), r.post("/a/x", "Key", "k")}
-		if diff := cmp.Diff([]string{"503", "401", `200 signed t "x"`}, got); diff != "" {
+		got := []string{r.post("/bad/x", "Key", "k"), r.post("/bad/x", "Key", "withdrawn"), r.post("/a/x", "Key", "bad"), r.post("/a/x", "Key", "k")}
+		if diff := cmp.Diff([]string{"503", "401", "503", `200 signed t "x"`}, got); diff != "" {
 			t.Errorf("responses (-want +got):\n%s", diff)
 		}
 		if took := time.Since(start); took > 100*time.Millisecond || r.requestCount() != 1 {
 			t.Errorf("took %v, %d requests reached targets", took, r.requestCount())
 		}
-		if n := metrics.GetOrRegisterCounter(invalidRouteCounter+"bad", r.host.Metrics).Count(); n != 1 {
-			t.Errorf("%d refusals counted", n)
+		for _, name := range []string{invalidRouteCounter + "bad", invalidWorkspaceCounter + "v"} {
+			if n := metrics.GetOrRegisterCounter(name, r.host.Metrics).Count(); n != 1 {
+				t.Errorf("%s: %d refusals counted", name, n)
+			}
 		}
 	})
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	if err := h.checkConfig(q); err != nil {
+	if err := h.checkConfig(q, workspace); err != nil {
 		return err
 	}
 	if err := h.restrict(q, workspace); err != nil {
@@ -155,17 +155,26 @@
 	return h.refuseCrashing(q)
 }
 
-// invalidRouteCounter is the prefix of the counters of requests that are refused since their
-// route is invalid, by the name of the route.
-const invalidRouteCounter = "Routes.Invalid."
+// invalidRouteCounter and invalidWorkspaceCounter are the prefixes of the counters of requests
+// that are refused since their route or workspace is invalid, by its name.
+const (
+	invalidRouteCounter     = "Routes.Invalid."
+	invalidWorkspaceCounter = "Workspaces.Invalid."
+)
 
-// checkConfig refuses q if its route can't be served as it is configured.
-func (h *Host) checkConfig(q *request) error {
-	if q.route.Invalid == "" {
+// checkConfig refuses q if its route, or its workspace unless that is nil, can't be served as
+// it is configured.
+func (h *Host) checkConfig(q *request, workspace *catalog.Workspace) error {
+	switch {
+	case q.route.Invalid != "":
+		metrics.GetOrRegisterCounter(invalidRouteCounter+q.route.Name, h.Metrics).Inc(1)
+		return retryLater(result.ConfigInvalid, noTableRetry, "route %s in configuration version %d: %s", q.route.Name, q.version, q.route.Invalid)
+	case workspace != nil && workspace.Invalid != "":
+		metrics.GetOrRegisterCounter(invalidWorkspaceCounter+workspace.Name, h.Metrics).Inc(1)
+		return retryLater(result.ConfigInvalid, noTableRetry, "workspace %s in configuration version %d: %s", workspace.Name, q.version, workspace.Invalid)
+	default:
 		return nil
 	}
-	metrics.GetOrRegisterCounter(invalidRouteCounter+q.route.Name, h.Metrics).Inc(1)
-	return retryLater(result.ConfigInvalid, noTableRetry, "route %s in configuration version %d: %s", q.route.Name, q.version, q.route.Invalid)
 }
 
 // authorize determines the workspace and priority of q from its API key. It returns nil
