--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -68,6 +69,13 @@
 	Hold bool
 }
 
+// ConnID identifies a connection of a Client.
+type ConnID struct {
+	Number uint64
+	// Opened is the time at which the connection was opened.
+	Opened time.Time
+}
+
 // Client sends requests to targets. Exported fields must be set before the first
 // call.
 type Client struct {
@@ -75,6 +83,8 @@
 	Clock *clock.Service
 
 	idle idlePool
+	// conns is the number of connections that have been opened.
+	conns atomic.Uint64
 }
 
 // Response is the response to a request. Its Body must be read to the end or
@@ -89,6 +99,8 @@
 	// Length is the declared length of the body, or -1. It is zero for a response
 	// that can't have a body, such as that to HEAD.
 	Length int64
+	// Conn is the connection that brought the response.
+	Conn ConnID
 
 	body *body
 }
@@ -147,7 +159,8 @@
 		return nil, err
 	}
 	reader, limiter := newReader(conn)
-	return &connection{Conn: conn, addr: addr, reader: reader, limiter: limiter}, nil
+	id := ConnID{c.conns.Add(1), c.Clock.Now()}
+	return &connection{Conn: conn, addr: addr, id: id, reader: reader, limiter: limiter}, nil
 }
 
 // exchange writes r and reads the status and header of its response. A body is
@@ -174,7 +187,7 @@
 	if resp.Body == http.NoBody {
 		length = 0
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Framed: framed, Length: length}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Framed: framed, Length: length, Conn: conn.id}, nil
 }
 
 func newRequest(r *Request) (*http.Request, error) {
@@ -306,6 +319,7 @@
 type connection struct {
 	net.Conn
 	addr netip.AddrPort
+	id   ConnID
 	// reader reads through limiter.
 	reader  *bufio.Reader
 	limiter *headLimiter
