gateway: a host writes its own records again after the store came back from a copy

No case shows it; found by listing what is held because the store once acknowledged it.

What callers would see: a part of a prompt that crashes targets is not blocked by hosts that start after the drill, or one that was cleared is, since the record of it is lost. A host whose registration is lost is not found by hosts that start later and know no other, so that the two groups share no limits.

Change: at a new era, which the follower reports once, a host saves again what it has saved in the last minute, and registers again if it was registered.

Not covered: records of a host that ended between its write and the drill.

--- a/internal/catalog/era.go
+++ b/internal/catalog/era.go
@@ -31,6 +31,12 @@
 		f.Log.Warn("store came back from a copy; its whole state replaces the former one", zap.String("Topic", topic), zap.Int64("Era", int64(next.Era)),
 			zap.Int64("FormerEra", int64(former.Era)), zap.Int64("Next", int64(next.Offset)), zap.Int64("Former", int64(former.Offset)), zap.String("Source", source))
 	}
+	if next.Era > f.era {
+		f.era = next.Era
+		if newEra && f.OnNewEra != nil {
+			f.OnNewEra(f.era)
+		}
+	}
 	return newEra
 }
 
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -114,6 +114,9 @@
 	// that is put back into service, before a snapshot without its evacuation is
 	// published. It must not block.
 	OnPutBack func(*Snapshot, string)
+	// OnNewEra, unless nil, is called once for each later era of the store that this host
+	// learns of. It must not block or call the Follower.
+	OnNewEra func(Era)
 
 	snapshot atomic.Pointer[Snapshot]
 	// pollsReader is set while this host gets changes from a reader host instead
@@ -133,6 +136,8 @@
 	// tablePartial is set if the table came from a host of the former version. Fields that
 	// this version has added are missing from it.
 	tablePartial bool
+	// era is the latest era of the store that this host has learned of.
+	era Era
 	// evacuations holds the evacuations in force as of tablePosition, a position in the
 	// operators' topic that is zero until the topic has been read. evacuationsChanged is
 	// the position at which evacuations last changed.
--- a/internal/crash/archive.go
+++ b/internal/crash/archive.go
@@ -23,6 +23,8 @@
 const (
 	archiveTimeout       = 2 * time.Second
 	archiveRetryInterval = time.Second
+	// archiveLossTime is longer than the time whose records an archive may lose.
+	archiveLossTime = time.Minute
 )
 
 // Run loads the archive and saves to it what is blocked until ctx ends. While this
@@ -102,6 +104,41 @@
 		if err := t.save(ctx, key); err != nil {
 			t.Log.Info("cannot archive crashes", zap.String("Key", key), journal.Error(err))
 			t.markUnsaved(key)
+			continue
+		}
+		t.recordSaved(key)
+	}
+}
+
+// recordSaved records that this host has saved key, and forgets keys that it saved too long
+// ago for the archive to lose them.
+func (t *Table) recordSaved(key string) {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.savedAt == nil {
+		t.savedAt = map[string]time.Time{}
+	}
+	t.savedAt[key] = now
+	for key, at := range t.savedAt {
+		if now.Sub(at) > archiveLossTime {
+			delete(t.savedAt, key)
+		}
+	}
+}
+
+// ArchiveAgain makes Run save again what this host has saved lately, since the archive may
+// have lost it.
+func (t *Table) ArchiveAgain() {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.unsaved == nil {
+		t.unsaved = map[string]bool{}
+	}
+	for key, at := range t.savedAt {
+		if now.Sub(at) <= archiveLossTime {
+			t.unsaved[key] = true
 		}
 	}
 }
--- a/internal/crash/archive_test.go
+++ b/internal/crash/archive_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -45,6 +46,19 @@
 	return maps.Clone(a.values), nil
 }
 
+// saved returns a copy of what the archive holds.
+func (a *memoryArchive) saved() map[string][]byte {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.values)
+}
+
+func (a *memoryArchive) restore(values map[string][]byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.values = maps.Clone(values)
+}
+
 func (a *memoryArchive) setDown(down bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -90,6 +104,40 @@
 	})
 }
 
+// TestArchiveThatLosesRecords has the archive come back from a copy, without a part that was
+// blocked since and with one that was cleared since, and expects both to be saved again: hosts
+// that start later would otherwise not block the one, and block the other.
+func TestArchiveThatLosesRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &memoryArchive{values: map[string][]byte{}}
+		table, stop := startArchived(t, a)
+		defer stop()
+		block := func(part string) {
+			for i := range maxCrashes {
+				table.RecordCrash(Incident{Target: fmt.Sprint(part, i)}, suspectsOf([]string{part, fmt.Sprint("#", part, i)}))
+				time.Sleep(time.Second)
+			}
+		}
+		keys := func() []string { return slices.Sorted(maps.Keys(a.saved())) }
+		block("a")
+		time.Sleep(2 * archiveRetryInterval)
+		copied := a.saved()
+		block("b")
+		table.RecordAnswer(suspectsOf([]string{"a"}))
+		time.Sleep(2 * archiveRetryInterval)
+		want := keys()
+		a.restore(copied)
+		if diff := cmp.Diff(want, keys()); diff == "" {
+			t.Fatalf("the copy lacks nothing: %v", want)
+		}
+		table.ArchiveAgain()
+		time.Sleep(2 * archiveRetryInterval)
+		if diff := cmp.Diff(want, keys()); diff != "" {
+			t.Errorf("archive (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestRestartOfAllHosts blocks a part and a body while the archive is down, ends all
 // hosts after it is back, and expects the next ones to block both. An answer to a
 // request with the part clears it for good.
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -77,8 +77,10 @@
 	mu       sync.Mutex
 	bodies   *simplelru.LRU[string, *body]
 	suspects suspectTable
-	// unsaved holds the keys whose values in the archive are out of date.
+	// unsaved holds the keys whose values in the archive are out of date, savedAt the times
+	// at which this host saved others lately.
 	unsaved map[string]bool
+	savedAt map[string]time.Time
 	// active holds the permits of this host's runs that began before their body
 	// was a suspect, and so without an arbiter, by digest.
 	active  map[string]map[*Permit]bool
--- a/internal/gateway/assemble.go
+++ b/internal/gateway/assemble.go
@@ -24,7 +24,11 @@
 
 // Directory discovers hosts of the system when no peer is known.
 type Directory interface {
+	// Hosts returns the registered hosts and registers this one.
 	Hosts(ctx context.Context) ([]netip.AddrPort, error)
+	// Renew registers this host again if it was registered before and the store has lost
+	// that.
+	Renew(ctx context.Context) error
 }
 
 // hostAt returns the host at a peer address. The address is also its name, since
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -357,3 +357,4 @@
 func (testFormat) ReadyPath() string { return "/ready" }
 
 func (noDirectory) Hosts(context.Context) ([]netip.AddrPort, error) { return nil, nil }
+func (noDirectory) Renew(context.Context) error                     { return nil }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -50,6 +50,7 @@
 	ResponseMemory *memory.Budget
 	Repeats        *workspace.RepeatBudget
 	Crashes        *crash.Table
+	Directory      Directory
 	Metrics        metrics.Registry
 
 	// limits bound what callers can take; conns, bodies and streamMemory are what they
@@ -96,6 +97,7 @@
 	if err != nil {
 		return err
 	}
+	h.Follower.OnNewEra = func(era catalog.Era) { go h.renewRecords(partsCtx, era) }
 	h.Log.Info("serving", zap.Stringer("CallerAddr", h.Settings.CallerAddr), zap.Stringer("PeerAddr", h.Settings.PeerAddr),
 		zap.String("Domain", h.Settings.Domain), zap.Int("Peers", len(h.Settings.Peers)))
 	for _, run := range []func(context.Context) error{h.Follower.Run, h.join, h.Batcher.Run, h.Stages.Watch, h.Placement.Run, h.Quotas.Run, h.Crashes.Run} {
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -35,6 +35,6 @@
 		provideResponseMemory,
 		provideMetrics,
 		providePeerServer,
-		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Format", "Follower", "Exchange", "PeerCaller", "PeerServer", "Backpressure", "Quotas", "Batcher", "Stages", "Balancer", "Placement", "Upstream", "ResponseMemory", "Repeats", "Crashes", "Metrics"),
+		wire.Struct(new(Host), "Settings", "Net", "Clock", "Log", "Format", "Follower", "Exchange", "PeerCaller", "PeerServer", "Backpressure", "Quotas", "Batcher", "Stages", "Balancer", "Placement", "Upstream", "ResponseMemory", "Repeats", "Crashes", "Directory", "Metrics"),
 	))
 }
--- a/internal/gateway/wire_gen.go
+++ b/internal/gateway/wire_gen.go
@@ -62,6 +62,7 @@
 		ResponseMemory: budget,
 		Repeats:        repeatBudget,
 		Crashes:        table,
+		Directory:      d,
 		Metrics:        registry,
 	}
 	return host, nil
