catalog: a test of polls by hosts that know no eras

TestPollOfFormerVersion guards against polls that end again and again while hosts of two versions run beside each other.

--- a/internal/catalog/reader_test.go
+++ b/internal/catalog/reader_test.go
@@ -69,6 +69,37 @@
 	return out
 }
 
+// TestPollOfFormerVersion expects the poll of a host that knows no eras to wait as long as it
+// has the reader's offset: compared with an unknown era, each poll would end at once. A host
+// that knows an earlier era gets the whole list.
+func TestPollOfFormerVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader := newFollower()
+		reader.recordTargetsRead()
+		reader.recordTableRead()
+		reader.ApplyTable(&Table{Version: 3}, Source{Name: "store"})
+		reader.ApplyTargets(TargetsUpdate{Full: true, Changes: entries(2, 0, 1), Next: 2, Era: 5})
+		for _, c := range []struct {
+			known Known
+			took  time.Duration
+			whole bool
+		}{
+			{Known{Version: 3, Next: 2, Wait: time.Second}, time.Second, false},
+			{Known{Version: 3, Next: 2, Era: 5, ComparesEras: true, Wait: time.Second}, time.Second, false},
+			{Known{Version: 3, Next: 9, Era: 4, ComparesEras: true, Wait: time.Second}, 0, true},
+			{Known{Version: 3, Next: 1, Era: 6, ComparesEras: true, Wait: time.Second}, time.Second, false},
+		} {
+			start, held := time.Now(), &Held{}
+			if err := (&Relay{reader}).Fetch(c.known, held); err != nil {
+				t.Fatal(err)
+			}
+			if took := time.Since(start); took != c.took || held.Whole != c.whole {
+				t.Errorf("%+v: took %v, whole %v", c.known, took, held.Whole)
+			}
+		}
+	})
+}
+
 // TestPollReaderWaits expects a poll to return at the next change, or after its
 // wait with the age of the reader's last read.
 func TestPollReaderWaits(t *testing.T) {
